--- /dev/null
+++ b/crates/sassafrasctl/src/bin/sassafrasctl/commands/mod.rs
@@ -0,0 +1,6 @@
+//! The subcommands, a file each.
+
+pub mod budget;
+pub mod bundle;
+pub mod explain;
+pub mod vm;
--- /dev/null
+++ b/crates/sassafrasctl/src/bin/sassafrasctl/commands/vm.rs
@@ -0,0 +1,35 @@
+//! `sassafrasctl vm`.
+
+use clap::Subcommand;
+use eyre::Result;
+use sassafrasctl::core::ctl_context::CtlContext;
+use sassafrasctl::ops::queries::list_vms::{format_vms, list_vms};
+use sassafrasctl::ops::queries::read_vm_state::read_vm_state;
+
+/// VMs of the system.
+#[derive(Debug, Subcommand)]
+pub enum Vm {
+    /// Lists the VMs and whether each is ready.
+    List,
+    /// Shows the state dump of a VM.
+    State {
+        /// The VM.
+        vm_id: String,
+    },
+}
+
+impl Vm {
+    /// Runs the command.
+    pub async fn exec(self, context: &CtlContext) -> Result<()> {
+        match self {
+            Vm::List => {
+                let lines = list_vms(context).await;
+                context.shell.print(&lines, |lines| format_vms(lines))
+            }
+            Vm::State { vm_id } => {
+                let state = read_vm_state(context, &vm_id).await?;
+                context.shell.print(&state, |state| format!("{state:#}"))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sassafrasctl/src/core/ctl_context.rs
@@ -0,0 +1,48 @@
+//! The one value that is passed down to every action.
+
+use std::fs;
+
+use ed25519_dalek::SigningKey;
+use eyre::{Result, WrapErr};
+use volo_http::client::Client;
+
+use super::ctl_settings::CtlSettings;
+use crate::util::shell::Shell;
+use sassafrashoist_bundle::operator_keys::decode_signing_key;
+use sassafrashoist_platform::platform_client::PlatformClient;
+
+/// The data centre that operators' calls name.
+const OPERATOR_DATA_CENTRE: &str = "operators";
+
+/// The one value that is passed down to every action.
+pub struct CtlContext {
+    /// The operator's settings.
+    pub settings: CtlSettings,
+    /// The platform.
+    pub platform: PlatformClient,
+    /// Connections to VMs.
+    pub client: Client,
+    /// Where output goes.
+    pub shell: Shell,
+}
+
+impl CtlContext {
+    /// Builds the context.
+    pub fn new(settings: CtlSettings, shell: Shell) -> Self {
+        let platform =
+            PlatformClient::new(settings.platform_address, OPERATOR_DATA_CENTRE.to_owned());
+        Self { settings, platform, client: Client::default(), shell }
+    }
+
+    /// Reads the operator's signing key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read or holds no key.
+    pub fn read_signing_key(&self) -> Result<SigningKey> {
+        let path = &self.settings.signing_key_file;
+        let text = fs::read_to_string(path)
+            .wrap_err_with(|| format!("failed to read signing key {}", path.display()))?;
+        decode_signing_key(&text)
+    }
+}
--- /dev/null
+++ b/crates/sassafrasctl/src/core/mod.rs
@@ -0,0 +1,4 @@
+//! The operator's settings and context.
+
+pub mod ctl_context;
+pub mod ctl_settings;
--- /dev/null
+++ b/crates/sassafrasctl/src/ops/commands/push_bundle.rs
@@ -0,0 +1,69 @@
+//! Pushes a signed and approved bundle to the fleet.
+
+use eyre::{Result, WrapErr, bail, eyre};
+use serde::Serialize;
+
+use crate::core::ctl_context::CtlContext;
+use crate::ops::queries::read_bundle_chain::read_bundle_chain;
+use sassafrashoist_bundle::bundle_record::BundleRecord;
+use sassafrashoist_bundle::diff_bundles::{diff_bundles, format_changes};
+use sassafrashoist_bundle::signed_bundle::SignedBundle;
+use sassafrashoist_core::ids::{BundleVersion, LogOffset};
+use sassafrashoist_platform::streams::BUNDLE_STREAM;
+
+/// An accepted bundle.
+#[derive(Debug, Clone, Serialize)]
+pub struct PushedBundle {
+    /// Its version.
+    pub version: BundleVersion,
+    /// Its place in the log.
+    pub offset: LogOffset,
+}
+
+/// Proposes a bundle in the log and reads back whether it was accepted.
+///
+/// A bundle that is in force already is reported as accepted and not pushed again.
+///
+/// # Errors
+///
+/// Fails with the reason of the refusal and, where another operator came first, with the
+/// difference between the two bundles.
+pub async fn push_bundle(context: &CtlContext, signed: SignedBundle) -> Result<PushedBundle> {
+    let before = read_bundle_chain(context).await?;
+    if let Some(offset) = before.offset_of(&signed.digest_sha256) {
+        return Ok(PushedBundle { version: signed.bundle.version, offset });
+    }
+    if let Err(refusal) = before.chain.check(&signed) {
+        bail!(explain_refusal(&refusal.to_string(), before.chain.in_force(), &signed));
+    }
+    let payload = serde_json::to_vec(&BundleRecord::new(signed.clone()))?;
+    let expected = payload.clone();
+    context
+        .platform
+        .append_once(BUNDLE_STREAM, payload, |found| found == expected.as_slice())
+        .await
+        .wrap_err("failed to push the bundle")?;
+    let after = read_bundle_chain(context).await?;
+    match after.offset_of(&signed.digest_sha256) {
+        Some(offset) => Ok(PushedBundle { version: signed.bundle.version, offset }),
+        None => {
+            let reason = match after.chain.check(&signed) {
+                Err(refusal) => refusal.to_string(),
+                Ok(()) => "not found in the log".to_owned(),
+            };
+            Err(eyre!(explain_refusal(&reason, after.chain.in_force(), &signed)))
+        }
+    }
+}
+
+fn explain_refusal(reason: &str, in_force: Option<&SignedBundle>, signed: &SignedBundle) -> String {
+    let Some(winner) = in_force else {
+        return reason.to_owned();
+    };
+    let changes = diff_bundles(&winner.bundle, &signed.bundle);
+    format!(
+        "{reason}\nyour bundle differs from version {} in force by:\n{}",
+        winner.bundle.version,
+        format_changes(&changes)
+    )
+}
--- /dev/null
+++ b/crates/sassafrasctl/src/ops/mod.rs
@@ -0,0 +1,4 @@
+//! The actions of the operator's command.
+
+pub mod commands;
+pub mod queries;
--- /dev/null
+++ b/crates/sassafrasctl/src/ops/queries/mod.rs
@@ -0,0 +1,9 @@
+//! Actions that only read.
+
+pub mod check_bundle;
+pub mod explain_request;
+pub mod list_vms;
+pub mod read_bundle_chain;
+pub mod read_ledger;
+pub mod read_vm_state;
+pub mod show_budget;
--- /dev/null
+++ b/crates/sassafrasctl/src/ops/queries/read_vm_state.rs
@@ -0,0 +1,54 @@
+//! Reads what VMs say of themselves on their admin ports.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr, ensure, eyre};
+use http::{HeaderMap, Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::core::ctl_context::CtlContext;
+use sassafrashoist_platform::http_client::{HttpCall, send_call};
+
+/// How long a VM may take to answer.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reads a VM's state dump.
+///
+/// # Errors
+///
+/// Fails when the VM is not in the settings or does not answer.
+pub async fn read_vm_state(context: &CtlContext, vm_id: &str) -> Result<Value> {
+    read_admin(context, vm_id, "/state").await
+}
+
+/// Reads a JSON page of a VM's admin port.
+///
+/// # Errors
+///
+/// Fails when the VM is not in the settings or does not answer with the expected JSON.
+pub async fn read_admin<T: DeserializeOwned>(
+    context: &CtlContext,
+    vm_id: &str,
+    path: &str,
+) -> Result<T> {
+    let address = context
+        .settings
+        .vm_admin_addresses
+        .get(vm_id)
+        .ok_or_else(|| eyre!("VM {vm_id:?} is not in vm_admin_addresses of the settings"))?;
+    let call = HttpCall {
+        method: Method::GET,
+        url: format!("http://{address}{path}"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        timeout: ADMIN_TIMEOUT,
+    };
+    let answer = send_call(&context.client, call)
+        .await
+        .wrap_err_with(|| format!("failed to read {path} of VM {vm_id}"))?;
+    ensure!(answer.status == StatusCode::OK, "VM {vm_id} answered status {}", answer.status);
+    serde_json::from_slice(&answer.body)
+        .wrap_err_with(|| format!("failed to decode {path} of VM {vm_id}"))
+}
--- /dev/null
+++ b/crates/sassafrasctl/src/ops/queries/show_budget.rs
@@ -0,0 +1,102 @@
+//! Shows where the tokens of a budget are.
+
+use std::collections::BTreeMap;
+
+use eyre::{Result, eyre};
+use serde::{Deserialize, Serialize};
+
+use crate::core::ctl_context::CtlContext;
+use crate::ops::queries::read_ledger::read_ledger;
+use crate::ops::queries::read_vm_state::read_admin;
+use sassafrashoist_core::budgets::escrow_account::EscrowAccount;
+use sassafrashoist_core::ids::{BudgetId, DataCentreId, LogOffset, Tokens, VmId};
+
+/// Where the tokens of a budget are.
+#[derive(Debug, Clone, Serialize)]
+pub struct BudgetReport {
+    /// The budget.
+    pub budget_id: BudgetId,
+    /// The offset up to which the ledger was read.
+    pub ledger_next_offset: LogOffset,
+    /// The tokens paid.
+    pub paid_tokens: Tokens,
+    /// The tokens used by settled requests.
+    pub settled_tokens: Tokens,
+    /// The tokens reserved by requests in progress.
+    pub reserved_tokens: Tokens,
+    /// The tokens held in each data centre.
+    pub held_tokens: BTreeMap<DataCentreId, Tokens>,
+    /// The tokens that no VM accounts for: those of VMs that did not answer.
+    pub unaccounted_tokens: Tokens,
+    /// The VMs that did not answer.
+    pub silent_vm_ids: Vec<VmId>,
+}
+
+/// The part of a state dump that is read here.
+#[derive(Debug, Deserialize)]
+struct OwnerState {
+    data_centre_id: DataCentreId,
+    accounts: BTreeMap<BudgetId, EscrowAccount>,
+}
+
+/// Adds up what the ledger and every VM say of a budget.
+///
+/// # Errors
+///
+/// Fails when the ledger cannot be read or does not know the budget.
+pub async fn show_budget(context: &CtlContext, budget_id: &str) -> Result<BudgetReport> {
+    let ledger = read_ledger(context).await?;
+    let budget = ledger
+        .budgets
+        .get(budget_id)
+        .ok_or_else(|| eyre!("budget {budget_id:?} was never topped up"))?;
+    let mut report = BudgetReport {
+        budget_id: budget_id.to_owned(),
+        ledger_next_offset: ledger.next_offset,
+        paid_tokens: budget.paid_tokens,
+        settled_tokens: 0,
+        reserved_tokens: 0,
+        held_tokens: BTreeMap::new(),
+        unaccounted_tokens: 0,
+        silent_vm_ids: Vec::new(),
+    };
+    for vm_id in context.settings.vm_admin_addresses.keys() {
+        match read_admin::<OwnerState>(context, vm_id, "/state").await {
+            Ok(state) => add_owner(&mut report, &state),
+            Err(_) => report.silent_vm_ids.push(vm_id.clone()),
+        }
+    }
+    let held_tokens: Tokens = report.held_tokens.values().sum();
+    let accounted_tokens = report.settled_tokens + report.reserved_tokens + held_tokens;
+    report.unaccounted_tokens = report.paid_tokens.saturating_sub(accounted_tokens);
+    Ok(report)
+}
+
+fn add_owner(report: &mut BudgetReport, state: &OwnerState) {
+    let Some(account) = state.accounts.get(&report.budget_id) else {
+        return;
+    };
+    report.settled_tokens += account.settled_tokens;
+    report.reserved_tokens += account.reserved_tokens;
+    *report.held_tokens.entry(state.data_centre_id.clone()).or_default() += account.held_tokens;
+}
+
+/// Formats the report for people.
+pub fn format_budget(report: &BudgetReport) -> String {
+    let mut text = format!(
+        "budget {}  (ledger read up to offset {})\n  paid         {:>12}\n  settled      {:>12}\n  reserved     {:>12}\n",
+        report.budget_id,
+        report.ledger_next_offset,
+        report.paid_tokens,
+        report.settled_tokens,
+        report.reserved_tokens
+    );
+    for (data_centre_id, tokens) in &report.held_tokens {
+        text.push_str(&format!("  held         {tokens:>12}  in {data_centre_id}\n"));
+    }
+    text.push_str(&format!("  unaccounted  {:>12}\n", report.unaccounted_tokens));
+    for vm_id in &report.silent_vm_ids {
+        text.push_str(&format!("  VM {vm_id} did not answer\n"));
+    }
+    text
+}
--- /dev/null
+++ b/crates/sassafrasctl/src/util/mod.rs
@@ -0,0 +1,3 @@
+//! Helpers with one job each.
+
+pub mod shell;
--- /dev/null
+++ b/crates/sassafrashoist-bundle/src/signed_bundle.rs
@@ -0,0 +1,157 @@
+//! A bundle with its author's signature and its approval.
+//!
+//! The canonical form is the bundle's JSON as this package writes it: fields in their declared
+//! order, no blanks. The digest is its SHA-256. The author signs the text `author:DIGEST`, the
+//! approver `approve:DIGEST`, so that neither signature can stand in for the other.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use thiserror::Error;
+
+use crate::bundle::{Bundle, Operator};
+use crate::operator_keys::{is_signature_valid, sign_message};
+use ed25519_dalek::SigningKey;
+use sassafrashoist_core::ids::{BundleVersion, OperatorId};
+
+/// A signature by an operator.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorSignature {
+    /// Who signed.
+    pub operator_id: OperatorId,
+    /// The signature, in base64.
+    pub signature_base64: String,
+}
+
+/// A bundle on its way to the fleet.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SignedBundle {
+    /// The bundle.
+    pub bundle: Bundle,
+    /// The SHA-256 of the canonical form, in hexadecimal.
+    pub digest_sha256: String,
+    /// The author's signature.
+    pub author: OperatorSignature,
+    /// The approval of another operator, once given.
+    pub approval: Option<OperatorSignature>,
+}
+
+/// Why a bundle is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BundleRefusal {
+    /// The content is not what was signed.
+    #[error("digest does not match the content")]
+    DigestMismatch,
+    /// The author is no operator of the bundle in force.
+    #[error("author {0} is no operator of the bundle in force")]
+    UnknownAuthor(OperatorId),
+    /// The author's signature is wrong.
+    #[error("signature of author {0} is wrong")]
+    WrongAuthorSignature(OperatorId),
+    /// Nobody approved it.
+    #[error("bundle is not approved")]
+    NotApproved,
+    /// Its author approved it.
+    #[error("bundle is approved by its own author {0}")]
+    SelfApproved(OperatorId),
+    /// The approver is no operator of the bundle in force.
+    #[error("approver {0} is no operator of the bundle in force")]
+    UnknownApprover(OperatorId),
+    /// The approver's signature is wrong.
+    #[error("signature of approver {0} is wrong")]
+    WrongApproverSignature(OperatorId),
+    /// Another bundle came first in the log's order.
+    #[error("lost to version {winner_version} by {winner_operator_id}")]
+    Lost {
+        /// The version in force.
+        winner_version: BundleVersion,
+        /// Its author.
+        winner_operator_id: OperatorId,
+    },
+    /// It is based on a version that was never accepted.
+    #[error("based on version {based_on_version}, but version {version_in_force} is in force")]
+    WrongBase {
+        /// The version it names.
+        based_on_version: BundleVersion,
+        /// The version in force.
+        version_in_force: BundleVersion,
+    },
+    /// Its content is invalid.
+    #[error("bundle is invalid: {0}")]
+    Invalid(String),
+}
+
+/// Returns the SHA-256 of the canonical form, in hexadecimal.
+pub fn digest_bundle(bundle: &Bundle) -> String {
+    let canonical = serde_json::to_vec(bundle).unwrap_or_default();
+    let digest = Sha256::digest(&canonical);
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+impl SignedBundle {
+    /// Signs a bundle as its author.
+    pub fn sign(bundle: Bundle, author_id: &str, key: &SigningKey) -> Self {
+        let digest_sha256 = digest_bundle(&bundle);
+        let signature_base64 = sign_message(key, author_message(&digest_sha256).as_bytes());
+        let author = OperatorSignature { operator_id: author_id.to_owned(), signature_base64 };
+        Self { bundle, digest_sha256, author, approval: None }
+    }
+
+    /// Adds the approval of another operator.
+    pub fn approve(&mut self, approver_id: &str, key: &SigningKey) {
+        let signature_base64 = sign_message(key, approval_message(&self.digest_sha256).as_bytes());
+        self.approval =
+            Some(OperatorSignature { operator_id: approver_id.to_owned(), signature_base64 });
+    }
+
+    /// Checks digest and signatures against the operators of the bundle in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first reason to refuse the bundle.
+    pub fn verify(&self, operators: &[Operator]) -> Result<(), BundleRefusal> {
+        if digest_bundle(&self.bundle) != self.digest_sha256 {
+            return Err(BundleRefusal::DigestMismatch);
+        }
+        let author_id = &self.author.operator_id;
+        let author_key = find_key(operators, author_id)
+            .ok_or_else(|| BundleRefusal::UnknownAuthor(author_id.clone()))?;
+        let message = author_message(&self.digest_sha256);
+        if !is_signature_valid(author_key, message.as_bytes(), &self.author.signature_base64) {
+            return Err(BundleRefusal::WrongAuthorSignature(author_id.clone()));
+        }
+        self.verify_approval(operators)
+    }
+
+    fn verify_approval(&self, operators: &[Operator]) -> Result<(), BundleRefusal> {
+        let approval = self.approval.as_ref().ok_or(BundleRefusal::NotApproved)?;
+        let approver_id = &approval.operator_id;
+        if *approver_id == self.author.operator_id {
+            return Err(BundleRefusal::SelfApproved(approver_id.clone()));
+        }
+        let approver_key = find_key(operators, approver_id)
+            .ok_or_else(|| BundleRefusal::UnknownApprover(approver_id.clone()))?;
+        let message = approval_message(&self.digest_sha256);
+        if !is_signature_valid(approver_key, message.as_bytes(), &approval.signature_base64) {
+            return Err(BundleRefusal::WrongApproverSignature(approver_id.clone()));
+        }
+        Ok(())
+    }
+}
+
+fn find_key<'a>(operators: &'a [Operator], operator_id: &str) -> Option<&'a str> {
+    operators
+        .iter()
+        .find(|operator| operator.id == operator_id)
+        .map(|operator| operator.public_key_base64.as_str())
+}
+
+fn author_message(digest: &str) -> String {
+    format!("author:{digest}")
+}
+
+fn approval_message(digest: &str) -> String {
+    format!("approve:{digest}")
+}
--- /dev/null
+++ b/crates/sassafrashoist-core/src/budgets/escrow_account.rs
@@ -0,0 +1,45 @@
+//! The tokens of one budget that one owner holds.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::Tokens;
+
+/// What an owner holds of one budget; `held` is what it may still promise to requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EscrowAccount {
+    /// Tokens that no request has claimed.
+    pub held_tokens: Tokens,
+    /// Tokens claimed by requests that are not settled.
+    pub reserved_tokens: Tokens,
+    /// Tokens used by settled requests.
+    pub settled_tokens: Tokens,
+}
+
+impl EscrowAccount {
+    /// Adds tokens that the owner was given.
+    pub fn grant(&mut self, tokens: Tokens) {
+        self.held_tokens += tokens;
+    }
+
+    /// Moves tokens from held to reserved; false when too few are held.
+    #[must_use]
+    pub fn try_reserve(&mut self, tokens: Tokens) -> bool {
+        if self.held_tokens < tokens {
+            return false;
+        }
+        self.held_tokens -= tokens;
+        self.reserved_tokens += tokens;
+        true
+    }
+
+    /// Closes a reservation of `reserved_tokens` with the tokens used, and frees the rest.
+    ///
+    /// Returns the tokens used beyond the reservation, which is 0 unless a promise is broken.
+    pub fn settle(&mut self, reserved_tokens: Tokens, used_tokens: Tokens) -> Tokens {
+        let billed_tokens = used_tokens.min(reserved_tokens);
+        self.reserved_tokens -= reserved_tokens;
+        self.settled_tokens += billed_tokens;
+        self.held_tokens += reserved_tokens - billed_tokens;
+        used_tokens - billed_tokens
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist-core/src/budgets/split.rs
@@ -0,0 +1,28 @@
+//! How a top-up is split among data centres.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{DataCentreId, Tokens};
+
+/// Splits `tokens` among data centres by weight, else evenly; the parts add up exactly.
+///
+/// The first data centres get the tokens that do not divide.
+pub fn split_by_weight(
+    tokens: Tokens,
+    weights: &BTreeMap<DataCentreId, u64>,
+) -> BTreeMap<DataCentreId, Tokens> {
+    let weight_sum: u128 = weights.values().map(|weight| u128::from(*weight)).sum();
+    let even = weight_sum == 0;
+    let divisor = if even { weights.len() as u128 } else { weight_sum };
+    let mut parts = BTreeMap::new();
+    for (data_centre_id, weight) in weights {
+        let weight = if even { 1 } else { u128::from(*weight) };
+        let part = u128::from(tokens) * weight / divisor;
+        parts.insert(data_centre_id.clone(), part as Tokens);
+    }
+    let remainder = tokens - parts.values().sum::<Tokens>();
+    for part in parts.values_mut().take(remainder as usize) {
+        *part += 1;
+    }
+    parts
+}
--- /dev/null
+++ b/crates/sassafrashoist-core/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions of the router fleet as pure state machines.
+//!
+//! Nothing here does I/O, reads a clock or draws global random numbers: each decision takes an
+//! event and the time, and returns a typed outcome with its [`result_code::ResultCode`]. So every
+//! decision can be driven step by step from a test.
+//!
+//! - [`budgets`]: who may spend which tokens of a prepaid budget.
+//! - [`requests`]: what became of a request, by its idempotency key.
+//! - [`owner`]: the table that joins both, so that a key and its reservation are one entry.
+//! - [`routing`]: which backend server runs an attempt.
+//! - [`invariants`]: the counters that must stay 0.
+
+pub mod budgets;
+pub mod decision_log;
+pub mod ids;
+pub mod invariants;
+pub mod owner;
+pub mod rendezvous;
+pub mod requests;
+pub mod result_code;
+pub mod routing;
--- /dev/null
+++ b/crates/sassafrashoist-core/src/owner/budget_owner.rs
@@ -0,0 +1,131 @@
+//! The table of an owner: accounts by budget and entries by request key.
+
+use std::collections::BTreeMap;
+
+use super::admit::{AdmitDecision, AdmitRequest};
+use super::settle::{RedirectRequest, SettleDecision, SettleOutcome, SettleRequest};
+use crate::budgets::escrow_account::EscrowAccount;
+use crate::ids::{AttemptNumber, BudgetId, Timestamp, Tokens};
+use crate::invariants::{Invariants, Promise};
+use crate::requests::key_entry::{KeyEntry, KeyState};
+use crate::requests::key_table::{KeyLookup, KeyTable, KeyTableLimits};
+use crate::result_code::ResultCode;
+
+/// The wait suggested to a caller that is refused for lack of room or tokens.
+const REFUSED_RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// The owner's table.
+#[derive(Debug)]
+pub struct BudgetOwner {
+    accounts: BTreeMap<BudgetId, EscrowAccount>,
+    keys: KeyTable,
+}
+
+impl BudgetOwner {
+    /// Creates an empty table.
+    pub fn new(limits: KeyTableLimits) -> Self {
+        Self { accounts: BTreeMap::new(), keys: KeyTable::new(limits) }
+    }
+
+    /// Adds tokens that a ledger record granted.
+    pub fn grant(&mut self, budget_id: &str, tokens: Tokens) {
+        self.accounts.entry(budget_id.to_owned()).or_default().grant(tokens);
+    }
+
+    /// Returns what is held of a budget.
+    pub fn account(&self, budget_id: &str) -> EscrowAccount {
+        self.accounts.get(budget_id).copied().unwrap_or_default()
+    }
+
+    /// Returns every account by budget.
+    pub fn accounts(&self) -> &BTreeMap<BudgetId, EscrowAccount> {
+        &self.accounts
+    }
+
+    /// Returns the entries by key.
+    pub fn keys(&self) -> &KeyTable {
+        &self.keys
+    }
+
+    /// Returns the entry of a key.
+    pub fn lookup(&self, key: &str) -> Option<&KeyEntry> {
+        self.keys.entry(key)
+    }
+
+    /// Reserves a request's worst case under its key, or says why not.
+    pub fn admit(&mut self, request: AdmitRequest, now: Timestamp) -> AdmitDecision {
+        match self.keys.look_up(&request.key, &request.binding, now) {
+            KeyLookup::Known(state) => return AdmitDecision::Known(state),
+            KeyLookup::Mismatch => {
+                let code = ResultCode::KeyBodyMismatch;
+                return AdmitDecision::Refused { code, retry_after: None };
+            }
+            KeyLookup::Full => return refuse(ResultCode::KeyTableFull),
+            KeyLookup::Vacant => {}
+        }
+        let account = self.accounts.entry(request.budget_id.clone()).or_default();
+        if !account.try_reserve(request.worst_case_tokens) {
+            return refuse(ResultCode::BudgetShortHere);
+        }
+        let entry = KeyEntry {
+            binding: request.binding,
+            budget_id: request.budget_id,
+            reserved_tokens: request.worst_case_tokens,
+            is_idempotent: request.is_idempotent,
+            changed_at: now,
+            state: KeyState::Running { attempt: 1, runner: request.runner },
+        };
+        self.keys.insert(request.key, entry);
+        AdmitDecision::Admitted { attempt: 1 }
+    }
+
+    /// Moves a request to its next attempt; `None` when another attempt took over.
+    pub fn redirect(&mut self, request: RedirectRequest, now: Timestamp) -> Option<AttemptNumber> {
+        self.keys.redirect(&request.key, request.from_attempt, request.runner, now)
+    }
+
+    /// Closes an entry with its cost, once.
+    pub fn settle(
+        &mut self,
+        request: SettleRequest,
+        now: Timestamp,
+        invariants: &Invariants,
+    ) -> SettleDecision {
+        let Some(entry) = self.keys.entry(&request.key) else {
+            return SettleDecision::UnknownKey;
+        };
+        let KeyState::Running { attempt, .. } = &entry.state else {
+            return SettleDecision::AlreadySettled;
+        };
+        if *attempt != request.attempt {
+            return SettleDecision::SupersededAttempt;
+        }
+        let reserved_tokens = entry.reserved_tokens;
+        let account = self.accounts.entry(entry.budget_id.clone()).or_default();
+        match request.outcome {
+            SettleOutcome::NotRun => {
+                account.settle(reserved_tokens, 0);
+                self.keys.remove(&request.key);
+                SettleDecision::Settled { billed_tokens: 0 }
+            }
+            SettleOutcome::Unknown => {
+                self.keys.mark_unknown(&request.key, now);
+                SettleDecision::Settled { billed_tokens: 0 }
+            }
+            SettleOutcome::Ran { used_tokens, answer } => {
+                let excess_tokens = account.settle(reserved_tokens, used_tokens);
+                if excess_tokens > 0 {
+                    invariants.breach(Promise::OverspendTokens, &request.key, excess_tokens);
+                }
+                let billed_tokens = used_tokens - excess_tokens;
+                let state = KeyState::Done { billed_tokens, code: request.code, answer };
+                self.keys.close(&request.key, state, now);
+                SettleDecision::Settled { billed_tokens }
+            }
+        }
+    }
+}
+
+fn refuse(code: ResultCode) -> AdmitDecision {
+    AdmitDecision::Refused { code, retry_after: Some(REFUSED_RETRY_AFTER) }
+}
--- /dev/null
+++ b/crates/sassafrashoist-core/src/owner/mod.rs
@@ -0,0 +1,9 @@
+//! The owner of budgets and of their requests' keys in one data centre.
+//!
+//! A key and its reservation are one entry, so a request cannot hold one without the other. Each
+//! budget has one owner per data centre; the entry VM sends it `admit` before a request leaves for
+//! a backend server and `settle` when the cost is known.
+
+pub mod admit;
+pub mod budget_owner;
+pub mod settle;
--- /dev/null
+++ b/crates/sassafrashoist-core/src/requests/key_entry.rs
@@ -0,0 +1,84 @@
+//! What the owner of a key knows of its request.
+
+use serde::{Deserialize, Serialize};
+
+use super::request_hash::BodyHash;
+use crate::ids::{
+    AttemptNumber, BackendServerId, BudgetId, ClientAccountId, Incarnation, RouteId, Timestamp,
+    Tokens, VmId,
+};
+use crate::result_code::ResultCode;
+
+/// What a key is bound to; a later request under the key must match all of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyBinding {
+    /// The client account that sent the request.
+    pub account_id: ClientAccountId,
+    /// The route it was sent to.
+    pub route_id: RouteId,
+    /// The hash of its body.
+    pub body_hash: BodyHash,
+}
+
+/// An answer that is kept for repeated requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    /// The HTTP status.
+    pub http_status: u16,
+    /// The value of the `Content-Type` header.
+    pub content_type: String,
+    /// The body, byte for byte.
+    pub body: Vec<u8>,
+}
+
+/// The router that runs an attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptRunner {
+    /// The router's VM.
+    pub vm_id: VmId,
+    /// The router's incarnation.
+    pub incarnation: Incarnation,
+    /// The backend server that was chosen.
+    pub server_id: BackendServerId,
+}
+
+/// Where a request stands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum KeyState {
+    /// An attempt is in progress.
+    Running {
+        /// Its number.
+        attempt: AttemptNumber,
+        /// Who runs it.
+        runner: AttemptRunner,
+    },
+    /// It ran to its end.
+    Done {
+        /// The tokens billed.
+        billed_tokens: Tokens,
+        /// Its result.
+        code: ResultCode,
+        /// Its answer, while it is kept.
+        answer: Option<KeptAnswer>,
+    },
+    /// Whether it ran cannot be known; its reservation stays.
+    Unknown,
+}
+
+/// The entry of one request key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyEntry {
+    /// What the key is bound to.
+    pub binding: KeyBinding,
+    /// The budget that pays.
+    pub budget_id: BudgetId,
+    /// The tokens reserved while the request is not settled.
+    pub reserved_tokens: Tokens,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// When the entry last changed.
+    pub changed_at: Timestamp,
+    /// Where the request stands.
+    pub state: KeyState,
+}
--- /dev/null
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the decisions.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod budget_owner;
+mod ledger;
+mod result_codes;
+mod split;
--- /dev/null
+++ b/crates/sassafrashoist-platform/src/streams.rs
@@ -0,0 +1,6 @@
+//! The log streams that the system keeps.
+
+/// Holds the top-ups, transfers, views and snapshots of budgets.
+pub const LEDGER_STREAM: &str = "ledger";
+/// Holds the proposed bundles.
+pub const BUNDLE_STREAM: &str = "bundles";
--- /dev/null
+++ b/crates/sassafrashoist-testkit/src/client/mod.rs
@@ -0,0 +1,3 @@
+//! A caller of the fleet.
+
+pub mod caller;
--- /dev/null
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -0,0 +1,10 @@
+//! The measured runs of `cargo run --release --example experiment`.
+//!
+//! Each experiment is a file with a `run` function; [`registry`] lists them by name.
+
+pub mod load;
+pub mod options;
+pub mod path;
+pub mod percentiles;
+pub mod registry;
+pub mod report;
--- /dev/null
+++ b/crates/sassafrashoist-testkit/src/experiments/path.rs
@@ -0,0 +1,112 @@
+//! `path`: a mixed load, and the routed path beside the same requests sent straight to the engine.
+
+use std::time::Duration;
+
+use eyre::Result;
+use futures::stream::{self, StreamExt};
+use sassafrashoist_core::invariants::Promise;
+
+use super::load::{AnswerCheck, Appraisal, RequestMaker, check_appraisal};
+use super::options::ExperimentOptions;
+use super::percentiles::Percentiles;
+use super::report::ExperimentReport;
+use crate::client::caller::{Answer, Caller};
+use crate::engine::engine_settings::EngineSettings;
+use crate::fleet::audit::Audit;
+use crate::fleet::fleet_plan::FleetPlan;
+use crate::fleet::running_fleet::RunningFleet;
+
+/// Appraisals sent each way.
+const APPRAISAL_COUNT: usize = 300;
+/// Bids sent.
+const BID_COUNT: usize = 100;
+/// Requests in progress at once.
+const CONCURRENCY: usize = 8;
+/// The most tokens of an answer.
+const MAX_ANSWER_TOKENS: u64 = 40;
+/// One-way time to a backend server.
+const BACKEND_DELAY: Duration = Duration::from_millis(1);
+/// The most that the routed median may be of the direct one.
+const MAX_MEDIAN_RATIO: f64 = 1.5;
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// Fails when the fleet cannot start.
+pub async fn run(options: &ExperimentOptions) -> Result<ExperimentReport> {
+    let mut plan = FleetPlan::new(&["plateau", "rufisque"], 1, EngineSettings::default());
+    plan.data_centres[0].vm_count = 2;
+    plan.backend_delay = BACKEND_DELAY;
+    let fleet = RunningFleet::start(plan).await?;
+    let mut maker = RequestMaker::new(options.seed);
+    let appraisals: Vec<Appraisal> =
+        (0..APPRAISAL_COUNT).map(|_| maker.make_appraisal(MAX_ANSWER_TOKENS)).collect();
+
+    let routed_callers: Vec<Caller> =
+        (0..fleet.vms.len()).map(|index| fleet.caller(index)).collect::<Result<_>>()?;
+    let direct_callers: Vec<Caller> =
+        fleet.engines.iter().map(|engine| Caller::new(engine.link.address, "none")).collect();
+    let routed = send_all(&appraisals, &routed_callers).await;
+    let direct = send_all(&appraisals, &direct_callers).await;
+    let bids: Vec<_> = (0..BID_COUNT).map(|_| maker.make_bid()).collect();
+    let mut bid_answers = Vec::new();
+    for (index, bid) in bids.iter().enumerate() {
+        bid_answers.push(routed_callers[index % routed_callers.len()].post(bid).await);
+    }
+
+    let mut audit = Audit::take(&fleet);
+    let mut report = ExperimentReport::new("path", options.seed);
+    let routed_times = summarise(&appraisals, &routed, &mut audit, &mut report);
+    let direct_times = first_token_times(&direct);
+    report.requests += BID_COUNT as u64;
+    report.answered +=
+        bid_answers.iter().filter(|a| a.as_ref().is_ok_and(|a| a.status == 200)).count() as u64;
+    report.take_audit(&audit);
+    report.set("routed_first_token", routed_times.summary());
+    report.set("direct_first_token", direct_times.summary());
+    report.set("added_first_token_p50_ms", routed_times.at_ms(50.0) - direct_times.at_ms(50.0));
+    let ratio = routed_times.at_ms(50.0) / direct_times.at_ms(50.0);
+    report.set("routed_to_direct_p50", ratio);
+    report.require(
+        ratio <= MAX_MEDIAN_RATIO,
+        format!("routed median is at most {MAX_MEDIAN_RATIO} of the direct one"),
+    );
+    let all_answered = report.answered == report.requests;
+    report.require(all_answered, "every request is answered");
+    Ok(report)
+}
+
+async fn send_all(appraisals: &[Appraisal], callers: &[Caller]) -> Vec<Result<Answer>> {
+    stream::iter(appraisals.iter().enumerate())
+        .map(|(index, appraisal)| callers[index % callers.len()].post(&appraisal.call))
+        .buffered(CONCURRENCY)
+        .collect()
+        .await
+}
+
+fn first_token_times(answers: &[Result<Answer>]) -> Percentiles {
+    let mut times = Percentiles::new();
+    for answer in answers.iter().flatten() {
+        times.record(answer.first_token_time);
+    }
+    times
+}
+
+fn summarise(
+    appraisals: &[Appraisal],
+    answers: &[Result<Answer>],
+    audit: &mut Audit,
+    report: &mut ExperimentReport,
+) -> Percentiles {
+    report.requests += appraisals.len() as u64;
+    for (appraisal, answer) in appraisals.iter().zip(answers) {
+        match check_appraisal(appraisal, answer) {
+            AnswerCheck::Right => report.answered += 1,
+            AnswerCheck::Cut => audit.add(Promise::CutAnswers, 1),
+            AnswerCheck::Crossed => audit.add(Promise::CrossedAnswers, 1),
+            AnswerCheck::Refused => {}
+        }
+    }
+    first_token_times(answers)
+}
--- /dev/null
+++ b/crates/sassafrashoist-testkit/src/http_util.rs
@@ -0,0 +1,59 @@
+//! Small helpers of the stand-ins' HTTP servers.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use bytes::Bytes;
+use eyre::Result;
+use http::{HeaderMap, Request, Response};
+use http_body_util::BodyExt;
+use sassafrashoist::util::http_server::bind_listener;
+use tokio::net::TcpListener;
+use volo_http::body::Body;
+
+/// A loopback address with a port that the system chooses.
+pub const ANY_LOOPBACK_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Listens on a loopback port and returns its address too.
+///
+/// # Errors
+///
+/// Fails when no port can be bound.
+pub async fn bind_loopback() -> Result<(TcpListener, SocketAddr)> {
+    let listener = bind_listener(ANY_LOOPBACK_PORT).await?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
+/// Reads a whole body; empty when it is cut.
+pub async fn read_whole_body(request: Request<Body>) -> Bytes {
+    match request.into_body().collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(_) => Bytes::new(),
+    }
+}
+
+/// Returns a header's text, empty when missing.
+pub fn header_text(headers: &HeaderMap, name: &str) -> String {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
+
+/// Returns a header's number.
+pub fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    header_text(headers, name).parse().ok()
+}
+
+/// Builds an answer whose body fails, so that the connection breaks before the answer is whole.
+pub fn build_broken_answer() -> Response<Body> {
+    let failure: Result<http_body::Frame<Bytes>, volo_http::error::BoxError> =
+        Err("connection broken by a fault".into());
+    Response::new(Body::from_stream(futures::stream::iter([failure])))
+}
+
+/// Returns a query parameter's number.
+pub fn query_number(query: &str, name: &str) -> Option<u64> {
+    query.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then(|| value.parse().ok())?
+    })
+}
--- /dev/null
+++ b/crates/sassafrashoist-testkit/src/platform/log_streams.rs
@@ -0,0 +1,85 @@
+//! The append-only streams of the log service.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use sassafrashoist_core::ids::LogOffset;
+use sassafrashoist_platform::wire::{LogRecord, RecordPage};
+
+/// The records of one stream.
+#[derive(Debug, Default)]
+struct LogStream {
+    records: VecDeque<(Instant, LogRecord)>,
+    end_offset: LogOffset,
+}
+
+/// All streams.
+#[derive(Debug, Default)]
+pub struct LogStreams {
+    streams: BTreeMap<String, LogStream>,
+    appended_count: u64,
+    read_count: u64,
+}
+
+impl LogStreams {
+    /// Appends records and returns the offset of the first.
+    pub fn append(&mut self, stream: &str, payloads: Vec<Vec<u8>>) -> LogOffset {
+        let stream = self.streams.entry(stream.to_owned()).or_default();
+        let first_offset = stream.end_offset;
+        for payload in payloads {
+            let record = LogRecord { offset: stream.end_offset, payload };
+            stream.records.push_back((Instant::now(), record));
+            stream.end_offset += 1;
+        }
+        self.appended_count += 1;
+        first_offset
+    }
+
+    /// Reads records; the page is empty when there are none yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the earliest offset kept when `from_offset` was trimmed.
+    pub fn read(
+        &mut self,
+        stream: &str,
+        from_offset: LogOffset,
+        max_count: usize,
+    ) -> Result<RecordPage, LogOffset> {
+        self.read_count += 1;
+        let stream = self.streams.entry(stream.to_owned()).or_default();
+        let earliest_offset =
+            stream.records.front().map_or(stream.end_offset, |(_, record)| record.offset);
+        if from_offset < earliest_offset {
+            return Err(earliest_offset);
+        }
+        let skipped = from_offset.saturating_sub(earliest_offset) as usize;
+        let records = stream
+            .records
+            .iter()
+            .skip(skipped)
+            .take(max_count)
+            .map(|(_, record)| record.clone())
+            .collect();
+        Ok(RecordPage { records, earliest_offset, end_offset: stream.end_offset })
+    }
+
+    /// Drops records older than `age`.
+    pub fn trim(&mut self, age: Duration) {
+        for stream in self.streams.values_mut() {
+            while stream.records.front().is_some_and(|(at, _)| at.elapsed() >= age) {
+                stream.records.pop_front();
+            }
+        }
+    }
+
+    /// Returns the number of append calls taken.
+    pub fn appended_count(&self) -> u64 {
+        self.appended_count
+    }
+
+    /// Returns the number of read calls answered.
+    pub fn read_count(&self) -> u64 {
+        self.read_count
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist-testkit/src/platform/mod.rs
@@ -0,0 +1,5 @@
+//! The stand-in for the platform: log service, VM list, weight store.
+
+pub mod log_streams;
+pub mod platform_faults;
+pub mod platform_stand_in;
--- /dev/null
+++ b/crates/sassafrashoist-testkit/src/service/mod.rs
@@ -0,0 +1,3 @@
+//! The stand-in for a plain service.
+
+pub mod service_stand_in;
--- /dev/null
+++ b/crates/sassafrashoist-testkit/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the stand-ins and the experiments' parts.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod platform;
--- /dev/null
+++ b/crates/sassafrashoist/src/bin/sassafrashoist/commands/mod.rs
@@ -0,0 +1,4 @@
+//! The subcommands, a file each.
+
+pub mod check;
+pub mod run;
--- /dev/null
+++ b/crates/sassafrashoist/src/core/mod.rs
@@ -0,0 +1,14 @@
+//! What the router process is made of.
+
+pub mod active_bundle;
+pub mod caller_request;
+pub mod clock;
+pub mod drain_gate;
+pub mod peer_clients;
+pub mod process_state;
+pub mod readiness;
+pub mod refusal;
+pub mod request_registry;
+pub mod router_context;
+pub mod settings;
+pub mod tables;
--- /dev/null
+++ b/crates/sassafrashoist/src/core/peer_clients.rs
@@ -0,0 +1,138 @@
+//! Connections to the other VMs.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Request, Response, Status};
+
+use super::settings::{Peer, Settings};
+use sassafrashoist_core::ids::{DataCentreId, Incarnation, VmId};
+use sassafrashoist_proto::v1::Envelope;
+use sassafrashoist_proto::v1::fleet_client::FleetClient;
+use sassafrashoist_proto::v1::owner_client::OwnerClient;
+
+/// How long a connection to another VM may take to open.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a call to another VM may take.
+const PEER_CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why a call to another VM failed.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// No such VM is known.
+    #[error("no address of VM {0} is known")]
+    UnknownVm(VmId),
+    /// The call may or may not have been handled.
+    #[error("call to VM {0} failed: {1}")]
+    CallFailed(VmId, Status),
+    /// A payload could not be encoded or decoded.
+    #[error("payload cannot be converted: {0}")]
+    Payload(#[from] postcard::Error),
+}
+
+/// Connections to the other VMs, opened on first use.
+#[derive(Debug)]
+pub struct PeerClients {
+    own_vm_id: VmId,
+    incarnation: Incarnation,
+    peers: HashMap<VmId, Peer>,
+    channels: Mutex<HashMap<VmId, Channel>>,
+}
+
+impl PeerClients {
+    /// Creates clients for the peers of the settings.
+    pub fn new(settings: &Settings, incarnation: Incarnation) -> Self {
+        let peers = settings.peers.iter().map(|peer| (peer.vm_id.clone(), peer.clone())).collect();
+        Self {
+            own_vm_id: settings.vm_id.clone(),
+            incarnation,
+            peers,
+            channels: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Returns the known VMs of a data centre.
+    pub fn vms_of<'a>(&'a self, data_centre_id: &'a DataCentreId) -> impl Iterator<Item = &'a str> {
+        self.peers
+            .values()
+            .filter(move |peer| peer.data_centre_id == *data_centre_id)
+            .map(|peer| peer.vm_id.as_str())
+    }
+
+    /// Wraps a payload for another VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the payload cannot be encoded.
+    pub fn wrap<T: Serialize>(&self, payload: &T) -> Result<Envelope, PeerError> {
+        Ok(Envelope {
+            from_vm_id: self.own_vm_id.clone(),
+            incarnation: self.incarnation,
+            payload: postcard::to_stdvec(payload)?,
+        })
+    }
+
+    /// Returns a client of a VM's owner service.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the VM is not known.
+    pub fn owner_client(&self, vm_id: &str) -> Result<OwnerClient<Channel>, PeerError> {
+        Ok(OwnerClient::new(self.channel(vm_id)?))
+    }
+
+    /// Returns a client of a VM's fleet service.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the VM is not known.
+    pub fn fleet_client(&self, vm_id: &str) -> Result<FleetClient<Channel>, PeerError> {
+        Ok(FleetClient::new(self.channel(vm_id)?))
+    }
+
+    /// Wraps a payload in a call with the usual deadline.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the payload cannot be encoded.
+    pub fn request<T: Serialize>(&self, payload: &T) -> Result<Request<Envelope>, PeerError> {
+        let mut request = Request::new(self.wrap(payload)?);
+        request.set_timeout(PEER_CALL_TIMEOUT);
+        Ok(request)
+    }
+
+    fn channel(&self, vm_id: &str) -> Result<Channel, PeerError> {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(channel) = channels.get(vm_id) {
+            return Ok(channel.clone());
+        }
+        let unknown = || PeerError::UnknownVm(vm_id.to_owned());
+        let peer = self.peers.get(vm_id).ok_or_else(unknown)?;
+        let endpoint = Endpoint::from_shared(format!("http://{}", peer.address))
+            .map_err(|_| unknown())?
+            .connect_timeout(PEER_CONNECT_TIMEOUT)
+            .timeout(PEER_CALL_TIMEOUT);
+        let channel = endpoint.connect_lazy();
+        channels.insert(vm_id.to_owned(), channel.clone());
+        Ok(channel)
+    }
+}
+
+/// Decodes the answer of a call to another VM.
+///
+/// # Errors
+///
+/// Fails when the call failed or its payload cannot be decoded.
+pub fn unwrap_answer<T: DeserializeOwned>(
+    vm_id: &str,
+    answer: Result<Response<Envelope>, Status>,
+) -> Result<T, PeerError> {
+    let envelope =
+        answer.map_err(|status| PeerError::CallFailed(vm_id.to_owned(), status))?.into_inner();
+    Ok(postcard::from_bytes(&envelope.payload)?)
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/core/process_state.rs
@@ -0,0 +1,46 @@
+//! The dump of a process's state. docs/ops/state.md is its page.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::readiness::ReadinessStep;
+use sassafrashoist_core::budgets::escrow_account::EscrowAccount;
+use sassafrashoist_core::decision_log::Decision;
+use sassafrashoist_core::ids::{
+    BudgetId, BundleVersion, DataCentreId, Incarnation, LogOffset, VmId,
+};
+use sassafrashoist_core::routing::server_view::ServerView;
+
+/// The state of one process.
+#[derive(Debug, Serialize)]
+pub struct ProcessState {
+    /// The VM.
+    pub vm_id: VmId,
+    /// Its data centre.
+    pub data_centre_id: DataCentreId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// The step that its start has reached.
+    pub readiness: ReadinessStep,
+    /// Whether it is shutting down.
+    pub is_draining: bool,
+    /// Requests in progress.
+    pub in_flight_count: usize,
+    /// The bundle in force, 0 for none.
+    pub bundle_version: BundleVersion,
+    /// The digest of the bundle in force.
+    pub bundle_digest: Option<String>,
+    /// The offset of the next ledger record to fold.
+    pub ledger_next_offset: LogOffset,
+    /// What this VM owns of each budget.
+    pub accounts: BTreeMap<BudgetId, EscrowAccount>,
+    /// The number of request keys that this VM owns.
+    pub key_entry_count: usize,
+    /// The backend servers as this VM sees them.
+    pub backend_servers: Vec<ServerView>,
+    /// The counters that must stay 0.
+    pub promises: BTreeMap<&'static str, u64>,
+    /// The newest decisions.
+    pub decisions: Vec<Decision>,
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/lib.rs
@@ -0,0 +1,11 @@
+//! The router process.
+//!
+//! - [`core`] is what the process is made of: settings, the tables its workers share, the context
+//!   that is passed down.
+//! - [`ops`] is what it does, a file per action. docs/ARCHITECTURE.md follows a request through
+//!   them.
+//! - [`util`] holds helpers with one job each.
+
+pub mod core;
+pub mod ops;
+pub mod util;
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/admit_request.rs
@@ -0,0 +1,125 @@
+//! Asks the owner of a budget to reserve a request's tokens.
+
+use crate::core::caller_request::CallerRequest;
+use crate::core::clock::read_clock;
+use crate::core::peer_clients::{PeerError, unwrap_answer};
+use crate::core::router_context::RouterContext;
+use sassafrashoist_core::decision_log::DecisionKind;
+use sassafrashoist_core::ids::{AttemptNumber, BackendServerId, VmId};
+use sassafrashoist_core::owner::admit::{AdmitDecision, AdmitRequest};
+use sassafrashoist_core::owner::settle::RedirectRequest;
+use sassafrashoist_core::requests::key_entry::{AttemptRunner, KeyEntry};
+use sassafrashoist_core::result_code::ResultCode;
+
+/// Reserves a request's tokens at the owner.
+///
+/// # Errors
+///
+/// Fails when the owner cannot be reached; the request may then be known there.
+pub async fn admit_request(
+    context: &RouterContext,
+    request: &CallerRequest,
+    server_id: &BackendServerId,
+) -> Result<AdmitDecision, PeerError> {
+    let admit = AdmitRequest {
+        key: request.key.clone(),
+        binding: request.binding.clone(),
+        budget_id: request.budget_id.clone(),
+        worst_case_tokens: request.worst_case_tokens,
+        is_idempotent: request.route.is_idempotent,
+        runner: own_runner(context, server_id),
+    };
+    let owner_vm_id = find_owner(context, request)?;
+    let decision = if owner_vm_id == context.settings.vm_id {
+        context.tables.lock_owner().admit(admit, read_clock())
+    } else {
+        let call = context.peers.request(&admit)?;
+        let answer = context.peers.owner_client(&owner_vm_id)?.admit(call).await;
+        unwrap_answer(&owner_vm_id, answer)?
+    };
+    record_admission(context, request, &owner_vm_id, &decision);
+    Ok(decision)
+}
+
+/// Records at the owner that the next attempt goes to another backend server.
+///
+/// Returns the attempt's number, or `None` when another attempt took over.
+///
+/// # Errors
+///
+/// Fails when the owner cannot be reached.
+pub async fn redirect_request(
+    context: &RouterContext,
+    request: &CallerRequest,
+    from_attempt: AttemptNumber,
+    server_id: &BackendServerId,
+) -> Result<Option<AttemptNumber>, PeerError> {
+    let redirect = RedirectRequest {
+        key: request.key.clone(),
+        from_attempt,
+        runner: own_runner(context, server_id),
+    };
+    let owner_vm_id = find_owner(context, request)?;
+    if owner_vm_id == context.settings.vm_id {
+        return Ok(context.tables.lock_owner().redirect(redirect, read_clock()));
+    }
+    let call = context.peers.request(&redirect)?;
+    let answer = context.peers.owner_client(&owner_vm_id)?.redirect(call).await;
+    unwrap_answer(&owner_vm_id, answer)
+}
+
+/// Reads what the owner knows of a request.
+///
+/// # Errors
+///
+/// Fails when the owner cannot be reached.
+pub async fn lookup_request(
+    context: &RouterContext,
+    owner_vm_id: &VmId,
+    key: &str,
+) -> Result<Option<KeyEntry>, PeerError> {
+    if *owner_vm_id == context.settings.vm_id {
+        return Ok(context.tables.lock_owner().lookup(key).cloned());
+    }
+    let call = context.peers.request(&key)?;
+    let answer = context.peers.owner_client(owner_vm_id)?.lookup(call).await;
+    unwrap_answer(owner_vm_id, answer)
+}
+
+/// Returns the VM that owns a request's budget and key.
+///
+/// # Errors
+///
+/// Fails when no VM of the owning data centre is known.
+pub fn find_owner(context: &RouterContext, request: &CallerRequest) -> Result<VmId, PeerError> {
+    let data_centre_id = &request.owner_data_centre_id;
+    context
+        .owner_vm(data_centre_id, &request.budget_id)
+        .ok_or_else(|| PeerError::UnknownVm(format!("of data centre {data_centre_id}")))
+}
+
+fn own_runner(context: &RouterContext, server_id: &BackendServerId) -> AttemptRunner {
+    AttemptRunner {
+        vm_id: context.settings.vm_id.clone(),
+        incarnation: context.incarnation,
+        server_id: server_id.clone(),
+    }
+}
+
+fn record_admission(
+    context: &RouterContext,
+    request: &CallerRequest,
+    owner_vm_id: &VmId,
+    decision: &AdmitDecision,
+) {
+    let (code, what) = match decision {
+        AdmitDecision::Admitted { attempt } => (ResultCode::Done, format!("attempt {attempt}")),
+        AdmitDecision::Known(_) => (ResultCode::Replayed, "key is known".to_owned()),
+        AdmitDecision::Refused { code, .. } => (*code, "refused".to_owned()),
+    };
+    let reason = format!(
+        "{what} for {} tokens of budget {} by owner {owner_vm_id}",
+        request.worst_case_tokens, request.budget_id
+    );
+    context.record_decision(&request.key, DecisionKind::Admit, code, reason);
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/dump_state.rs
@@ -0,0 +1,32 @@
+//! Dumps the state of this process.
+
+use crate::core::process_state::ProcessState;
+use crate::core::router_context::RouterContext;
+
+/// Decisions in a dump.
+const DUMPED_DECISIONS: usize = 100;
+
+/// Reads every table, one after the other.
+pub fn dump_state(context: &RouterContext) -> ProcessState {
+    let bundle = context.tables.bundle();
+    let (accounts, key_entry_count) = {
+        let owner = context.tables.lock_owner();
+        (owner.accounts().clone(), owner.keys().len())
+    };
+    ProcessState {
+        vm_id: context.settings.vm_id.clone(),
+        data_centre_id: context.settings.data_centre_id.clone(),
+        incarnation: context.incarnation,
+        readiness: context.tables.readiness(),
+        is_draining: context.drain_gate.is_draining(),
+        in_flight_count: context.drain_gate.in_flight_count(),
+        bundle_version: bundle.as_ref().map_or(0, |bundle| bundle.version()),
+        bundle_digest: bundle.map(|bundle| bundle.signed.digest_sha256.clone()),
+        ledger_next_offset: context.tables.lock_ledger().ledger.next_offset,
+        accounts,
+        key_entry_count,
+        backend_servers: context.tables.lock_routing().servers().cloned().collect(),
+        promises: context.invariants.counts(),
+        decisions: context.tables.lock_decisions().newest(DUMPED_DECISIONS),
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/follow_ledger.rs
@@ -0,0 +1,68 @@
+//! Follows the ledger stream and gives the owner's table what it grants.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::core::router_context::RouterContext;
+use crate::ops::read_stream::read_stream;
+use sassafrashoist_core::budgets::ledger::Grant;
+use sassafrashoist_core::budgets::record::{LedgerRecord, LedgerRecordError};
+use sassafrashoist_platform::log_client::{ReadError, ReadRange};
+use sassafrashoist_platform::streams::LEDGER_STREAM;
+use sassafrashoist_platform::wire::{LogRecord, RecordPage};
+
+/// Records read at once.
+const PAGE_COUNT: usize = 500;
+/// How long a read waits for a new record.
+const READ_WAIT: Duration = Duration::from_secs(1);
+/// Time before a failed read is tried again.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Follows the ledger until the process stops.
+pub async fn follow_ledger(context: Arc<RouterContext>) {
+    while !context.cancel.is_cancelled() {
+        let from_offset = context.tables.lock_ledger().ledger.next_offset;
+        let range = ReadRange { from_offset, max_count: PAGE_COUNT, wait: READ_WAIT };
+        let result = match read_stream(&context, LEDGER_STREAM, range).await {
+            Ok(page) => fold_page(&context, &page).map_err(|error| error.to_string()),
+            Err(ReadError::Trimmed { earliest_offset }) => {
+                Err(format!("ledger was trimmed up to {earliest_offset}"))
+            }
+            Err(error) => Err(error.to_string()),
+        };
+        if let Err(reason) = result {
+            log::warn!("failed to follow the ledger: {reason}");
+            tokio::time::sleep(READ_RETRY_DELAY).await;
+        }
+    }
+}
+
+fn fold_page(context: &RouterContext, page: &RecordPage) -> Result<(), LedgerRecordError> {
+    for record in &page.records {
+        let decoded = decode_record(record)?;
+        let grants = context.tables.lock_ledger().ledger.apply(record.offset, &decoded)?;
+        for grant in &grants {
+            take_grant(context, grant);
+        }
+    }
+    let mut table = context.tables.lock_ledger();
+    if table.ledger.next_offset >= page.end_offset {
+        table.is_established = true;
+    }
+    Ok(())
+}
+
+fn decode_record(record: &LogRecord) -> Result<LedgerRecord, LedgerRecordError> {
+    serde_json::from_slice(&record.payload)
+        .map_err(|error| LedgerRecordError::Undecodable(error.to_string()))
+}
+
+fn take_grant(context: &RouterContext, grant: &Grant) {
+    if grant.data_centre_id != context.settings.data_centre_id {
+        return;
+    }
+    let owner_vm_id = context.owner_vm(&grant.data_centre_id, &grant.budget_id);
+    if owner_vm_id.as_ref() == Some(&context.settings.vm_id) {
+        context.tables.lock_owner().grant(&grant.budget_id, grant.granted_tokens);
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/mint_key.rs
@@ -0,0 +1,36 @@
+//! Mints idempotency keys that name their data centre.
+//!
+//! The owner of a minted key is in the data centre that minted it, so the first attempt with it
+//! never depends on another data centre.
+
+use http::Response;
+use serde::Serialize;
+use volo_http::body::Body;
+
+use crate::core::router_context::RouterContext;
+use crate::util::http_answer::{build_json, set_result};
+use sassafrashoist_core::result_code::ResultCode;
+
+/// The start of every minted key.
+const MINTED_PREFIX: &str = "mk.";
+
+#[derive(Debug, Serialize)]
+struct MintedKey {
+    key: String,
+}
+
+/// Answers `POST /v1/keys`.
+pub fn mint_key(context: &RouterContext) -> Response<Body> {
+    let data_centre_id = &context.settings.data_centre_id;
+    let number: u128 = rand::random();
+    let key = format!("{MINTED_PREFIX}{data_centre_id}.{number:032x}");
+    let mut response = build_json(ResultCode::KeyMinted.http_status(), &MintedKey { key });
+    set_result(&mut response, &context.registry.next_key(), ResultCode::KeyMinted);
+    response
+}
+
+/// Returns the data centre named in a minted key.
+pub fn minting_data_centre(key: &str) -> Option<&str> {
+    let (data_centre_id, _) = key.strip_prefix(MINTED_PREFIX)?.rsplit_once('.')?;
+    Some(data_centre_id)
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/run_router.rs
@@ -0,0 +1,59 @@
+//! Starts a router process and its tasks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use eyre::Result;
+use tokio_util::sync::CancellationToken;
+
+use crate::core::router_context::RouterContext;
+use crate::core::settings::Settings;
+use crate::ops::follow_bundles::follow_bundles;
+use crate::ops::follow_ledger::follow_ledger;
+use crate::ops::poll_backends::poll_backends;
+use crate::ops::serve_admin::build_admin_handler;
+use crate::ops::serve_callers::build_caller_handler;
+use crate::ops::serve_peers::serve_peers;
+use crate::util::http_server::{bind_listener, serve_http};
+use crate::util::metrics_page::init_metrics;
+
+/// A router whose tasks run.
+pub struct RunningRouter {
+    /// Its context.
+    pub context: Arc<RouterContext>,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where operators connect.
+    pub admin_address: SocketAddr,
+    /// Where other VMs connect.
+    pub peer_address: SocketAddr,
+}
+
+/// Binds the three ports and starts every task; they end with the token.
+///
+/// # Errors
+///
+/// Fails when a port cannot be bound.
+pub async fn start_router(settings: Settings, cancel: CancellationToken) -> Result<RunningRouter> {
+    init_metrics();
+    let callers = bind_listener(settings.caller_address).await?;
+    let admin = bind_listener(settings.admin_address).await?;
+    let peers = bind_listener(settings.peer_address).await?;
+    let caller_address = callers.local_addr()?;
+    let admin_address = admin.local_addr()?;
+    let peer_address = peers.local_addr()?;
+    let context = RouterContext::new(settings, cancel.clone());
+    serve_http(callers, build_caller_handler(Arc::clone(&context)), cancel.clone());
+    serve_http(admin, build_admin_handler(Arc::clone(&context)), cancel);
+    serve_peers(Arc::clone(&context), peers);
+    tokio::spawn(follow_bundles(Arc::clone(&context)));
+    tokio::spawn(follow_ledger(Arc::clone(&context)));
+    tokio::spawn(poll_backends(Arc::clone(&context)));
+    log::info!(
+        callers = caller_address.to_string(),
+        admin = admin_address.to_string(),
+        peers = peer_address.to_string();
+        "router started"
+    );
+    Ok(RunningRouter { context, caller_address, admin_address, peer_address })
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/serve_admin.rs
@@ -0,0 +1,49 @@
+//! The admin port: readiness, state, metrics and explanations.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use http::{Request, Response};
+use volo_http::body::Body;
+
+use crate::core::readiness::ReadinessStep;
+use crate::core::router_context::RouterContext;
+use crate::ops::dump_state::dump_state;
+use crate::util::http_answer::{build_answer, build_json};
+use crate::util::http_server::HttpHandler;
+use crate::util::metrics_page::render_metrics;
+
+/// The path under which the decisions about a request key are read.
+const EXPLAIN_PATH: &str = "/explain/";
+
+/// Returns the handler of the admin port.
+pub fn build_admin_handler(context: Arc<RouterContext>) -> HttpHandler {
+    Arc::new(move |request| {
+        let context = Arc::clone(&context);
+        async move { answer_admin(&context, &request) }.boxed()
+    })
+}
+
+fn answer_admin(context: &RouterContext, request: &Request<Body>) -> Response<Body> {
+    let path = request.uri().path();
+    if let Some(key) = path.strip_prefix(EXPLAIN_PATH) {
+        let decisions = context.tables.lock_decisions().explain(key);
+        return build_json(200, &decisions);
+    }
+    match path {
+        "/state" => build_json(200, &dump_state(context)),
+        "/metrics" => build_answer(200, "text/plain; version=0.0.4", render_metrics()),
+        "/ready" => answer_ready(context),
+        _ => build_answer(404, "text/plain", "paths: /ready /state /metrics /explain/KEY\n"),
+    }
+}
+
+fn answer_ready(context: &RouterContext) -> Response<Body> {
+    if context.drain_gate.is_draining() {
+        return build_answer(503, "text/plain", "draining\n");
+    }
+    match context.tables.readiness() {
+        ReadinessStep::Ready => build_answer(200, "text/plain", "ready\n"),
+        step => build_answer(503, "text/plain", format!("{step:?}\n")),
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/serve_fleet.rs
@@ -0,0 +1,33 @@
+//! The calls of other VMs that keep the fleet in step.
+
+use tonic::{Request, Status};
+
+use super::serve_peers::{PeerAnswer, PeerService};
+use sassafrashoist_core::ids::RequestKey;
+use sassafrashoist_proto::v1::Envelope;
+use sassafrashoist_proto::v1::fleet_server::Fleet;
+
+#[tonic::async_trait]
+impl Fleet for PeerService {
+    async fn heartbeat(&self, _request: Request<Envelope>) -> PeerAnswer {
+        Err(Status::unimplemented("heartbeat"))
+    }
+
+    async fn relay(&self, _request: Request<Envelope>) -> PeerAnswer {
+        Err(Status::unimplemented("relay"))
+    }
+
+    async fn snapshot(&self, _request: Request<Envelope>) -> PeerAnswer {
+        Err(Status::unimplemented("snapshot"))
+    }
+
+    async fn sightings(&self, _request: Request<Envelope>) -> PeerAnswer {
+        Err(Status::unimplemented("sightings"))
+    }
+
+    async fn explain(&self, request: Request<Envelope>) -> PeerAnswer {
+        let key: RequestKey = self.open(request)?;
+        let decisions = self.context.tables.lock_decisions().explain(&key);
+        self.close(&decisions)
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/serve_peers.rs
@@ -0,0 +1,68 @@
+//! The server for other VMs; `serve_owner` and `serve_fleet` hold its methods.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status};
+
+use crate::core::router_context::RouterContext;
+use sassafrashoist_proto::v1::Envelope;
+use sassafrashoist_proto::v1::fleet_server::FleetServer;
+use sassafrashoist_proto::v1::owner_server::OwnerServer;
+
+/// The answer of a call of another VM.
+pub type PeerAnswer = Result<Response<Envelope>, Status>;
+
+/// Serves other VMs until the process stops.
+pub fn serve_peers(context: Arc<RouterContext>, listener: TcpListener) {
+    let service = PeerService { context: Arc::clone(&context) };
+    let serving = Server::builder()
+        .add_service(OwnerServer::new(service.clone()))
+        .add_service(FleetServer::new(service))
+        .serve_with_incoming_shutdown(
+            TcpListenerStream::new(listener),
+            context.cancel.clone().cancelled_owned(),
+        );
+    tokio::spawn(async move {
+        if let Err(error) = serving.await {
+            log::error!("server for other VMs failed: {error}");
+        }
+    });
+}
+
+/// Answers the calls of other VMs.
+#[derive(Clone)]
+pub struct PeerService {
+    /// The context of this process.
+    pub context: Arc<RouterContext>,
+}
+
+impl PeerService {
+    /// Decodes a call's payload.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the payload is not of the method's type.
+    pub fn open<T: DeserializeOwned>(&self, request: Request<Envelope>) -> Result<T, Status> {
+        postcard::from_bytes(&request.into_inner().payload)
+            .map_err(|error| Status::invalid_argument(error.to_string()))
+    }
+
+    /// Encodes an answer's payload.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the payload cannot be encoded.
+    pub fn close<T: Serialize>(&self, payload: &T) -> PeerAnswer {
+        let envelope = self
+            .context
+            .peers
+            .wrap(payload)
+            .map_err(|error| Status::internal(error.to_string()))?;
+        Ok(Response::new(envelope))
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/settle_request.rs
@@ -0,0 +1,60 @@
+//! Tells the owner of a budget how an attempt ended.
+
+use std::time::Duration;
+
+use crate::core::caller_request::CallerRequest;
+use crate::core::clock::read_clock;
+use crate::core::peer_clients::{PeerError, unwrap_answer};
+use crate::core::router_context::RouterContext;
+use crate::ops::admit_request::find_owner;
+use sassafrashoist_core::decision_log::DecisionKind;
+use sassafrashoist_core::ids::{AttemptNumber, VmId};
+use sassafrashoist_core::owner::settle::{SettleDecision, SettleOutcome, SettleRequest};
+use sassafrashoist_core::result_code::ResultCode;
+
+/// Time between two tries to reach the owner.
+const SETTLE_RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Tells the owner how an attempt ended, and tries until it has answered or the process stops.
+///
+/// The owner closes an entry once, so a repeated settlement changes nothing.
+pub async fn settle_request(
+    context: &RouterContext,
+    request: &CallerRequest,
+    attempt: AttemptNumber,
+    outcome: SettleOutcome,
+    code: ResultCode,
+) -> Option<SettleDecision> {
+    let settle = SettleRequest { key: request.key.clone(), attempt, outcome, code };
+    loop {
+        match try_settle(context, request, &settle).await {
+            Ok(decision) => {
+                let reason = format!("attempt {attempt}: {decision:?}");
+                context.record_decision(&request.key, DecisionKind::Settle, code, reason);
+                return Some(decision);
+            }
+            Err(error) => {
+                log::warn!(key = request.key; "settlement is tried again: {error}");
+            }
+        }
+        tokio::select! {
+            () = tokio::time::sleep(SETTLE_RETRY_DELAY) => {}
+            () = context.cancel.cancelled() => return None,
+        }
+    }
+}
+
+async fn try_settle(
+    context: &RouterContext,
+    request: &CallerRequest,
+    settle: &SettleRequest,
+) -> Result<SettleDecision, PeerError> {
+    let owner_vm_id: VmId = find_owner(context, request)?;
+    if owner_vm_id == context.settings.vm_id {
+        let mut owner = context.tables.lock_owner();
+        return Ok(owner.settle(settle.clone(), read_clock(), &context.invariants));
+    }
+    let call = context.peers.request(settle)?;
+    let answer = context.peers.owner_client(&owner_vm_id)?.settle(call).await;
+    unwrap_answer(&owner_vm_id, answer)
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/util/mod.rs
@@ -0,0 +1,7 @@
+//! Helpers with one job each.
+
+pub mod http_answer;
+pub mod http_server;
+pub mod logging;
+pub mod metrics_page;
+pub mod sse_parser;
--- /dev/null
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the router process.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod bad_requests;
+mod processes;
+mod settings;
