Own each budget by a replicated pair of VMs and move tokens by id

Cause: the owner of a budget kept its accounts in one process. A restart folded the ledger again and was granted again what had been spent, and a data centre that ran short refused although others held tokens.

Change: each data centre's share of a budget belongs to a shard whose view, a ledger record with an epoch, names a primary and a backup VM. The primary answers for a change only when the backup has it, and the backup refuses an older epoch. The primary draws tokens from the share by ledger records and credits the difference of totals, so a takeover or a repeated record credits nothing twice. Transfers between data centres have ids, are deducted first and credited once. A fresh view, after the loss of both holders, gives up what was drawn and not reported. An admission that finds too few tokens looks in the share, in other data centres and in reservations before it is refused.

Neither holder spends alone while both the other and the log are out of reach: a part set aside for that may have been spent by a member that then died, so every crash would strand it.

--- a/crates/sassafrashoist-core/src/budgets/escrow_account.rs
+++ b/crates/sassafrashoist-core/src/budgets/escrow_account.rs
@@ -5,6 +5,9 @@
 use crate::ids::Tokens;
 
 /// What an owner holds of one budget; `held` is what it may still promise to requests.
+///
+/// Tokens enter by draws and transfers and leave by settlements and transfers, so
+/// `drawn + received = held + reserved + settled + sent` after every step.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EscrowAccount {
     /// Tokens that no request has claimed.
@@ -13,12 +16,19 @@
     pub reserved_tokens: Tokens,
     /// Tokens used by settled requests.
     pub settled_tokens: Tokens,
+    /// Tokens taken from the data centre's share in the ledger.
+    pub drawn_tokens: Tokens,
+    /// Tokens sent to owners in other data centres.
+    pub sent_tokens: Tokens,
+    /// Tokens received from owners in other data centres.
+    pub received_tokens: Tokens,
 }
 
 impl EscrowAccount {
-    /// Adds tokens that the owner was given.
-    pub fn grant(&mut self, tokens: Tokens) {
+    /// Adds tokens that the owner drew from its share.
+    pub fn draw(&mut self, tokens: Tokens) {
         self.held_tokens += tokens;
+        self.drawn_tokens += tokens;
     }
 
     /// Moves tokens from held to reserved; false when too few are held.
@@ -32,6 +42,23 @@
         true
     }
 
+    /// Takes held tokens out for another owner; false when too few are held.
+    #[must_use]
+    pub fn try_send(&mut self, tokens: Tokens) -> bool {
+        if self.held_tokens < tokens {
+            return false;
+        }
+        self.held_tokens -= tokens;
+        self.sent_tokens += tokens;
+        true
+    }
+
+    /// Adds tokens that another owner sent.
+    pub fn receive(&mut self, tokens: Tokens) {
+        self.held_tokens += tokens;
+        self.received_tokens += tokens;
+    }
+
     /// Closes a reservation of `reserved_tokens` with the tokens used, and frees the rest.
     ///
     /// Returns the tokens used beyond the reservation, which is 0 unless a promise is broken.
@@ -42,4 +69,11 @@
         self.held_tokens += reserved_tokens - billed_tokens;
         used_tokens - billed_tokens
     }
+
+    /// Returns whether no token was made or lost.
+    pub fn is_balanced(&self) -> bool {
+        let entered_tokens = self.drawn_tokens + self.received_tokens;
+        let kept_tokens = self.held_tokens + self.reserved_tokens;
+        entered_tokens == kept_tokens + self.settled_tokens + self.sent_tokens
+    }
 }
--- a/crates/sassafrashoist-core/src/budgets/ledger.rs
+++ b/crates/sassafrashoist-core/src/budgets/ledger.rs
@@ -4,29 +4,48 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::record::{LEDGER_RECORD_VERSION, LedgerEvent, LedgerRecord, LedgerRecordError};
-use crate::ids::{BudgetId, DataCentreId, LogOffset, Tokens, TopUpId};
+use super::record::{Draw, LEDGER_RECORD_VERSION, LedgerEvent, LedgerRecord, LedgerRecordError};
+use super::shard::{ShardId, ShardPlace, shard_of};
+use super::share::Share;
+use super::view::View;
+use crate::ids::{BudgetId, DataCentreId, Epoch, LogOffset, Tokens, TopUpId};
 
 /// What the log says of one budget.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetLedger {
     /// The tokens paid in all top-ups.
     pub paid_tokens: Tokens,
-    /// The tokens given to each data centre in all top-ups.
-    pub granted_tokens: BTreeMap<DataCentreId, Tokens>,
+    /// The share of each data centre.
+    pub shares: BTreeMap<DataCentreId, Share>,
     /// The top-ups counted.
     pub top_up_ids: BTreeSet<TopUpId>,
 }
 
-/// A change that the fold made, for the owner of the budget in a data centre.
+/// The view in force at a place and the draws made under it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewInForce {
+    /// The view.
+    pub view: View,
+    /// The draws made under it.
+    pub draw_count: u64,
+}
+
+/// A change that the fold made.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Grant {
-    /// The budget.
-    pub budget_id: BudgetId,
-    /// The data centre whose owner gets the tokens.
-    pub data_centre_id: DataCentreId,
-    /// The tokens it gets.
-    pub granted_tokens: Tokens,
+pub enum LedgerChange {
+    /// The shares of a budget grew.
+    ToppedUp(BudgetId),
+    /// A view came into force.
+    ViewInForce(View),
+    /// The primary of a view got tokens.
+    Drawn {
+        /// The data centre and shard.
+        place: ShardPlace,
+        /// The epoch.
+        epoch: Epoch,
+        /// The tokens that it got.
+        drawn_tokens: BTreeMap<BudgetId, Tokens>,
+    },
 }
 
 /// The fold of all records up to an offset.
@@ -36,10 +55,12 @@
     pub next_offset: LogOffset,
     /// The budgets by id.
     pub budgets: BTreeMap<BudgetId, BudgetLedger>,
+    /// The views in force.
+    pub views: BTreeMap<DataCentreId, BTreeMap<ShardId, ViewInForce>>,
 }
 
 impl Ledger {
-    /// Folds one record and returns the grants that it makes.
+    /// Folds one record and returns the changes that it makes.
     ///
     /// A record at an offset already folded changes nothing.
     ///
@@ -51,19 +72,33 @@
         &mut self,
         offset: LogOffset,
         record: &LedgerRecord,
-    ) -> Result<Vec<Grant>, LedgerRecordError> {
+    ) -> Result<Vec<LedgerChange>, LedgerRecordError> {
         if offset < self.next_offset {
             return Ok(Vec::new());
         }
         if record.record_version != LEDGER_RECORD_VERSION {
             return Err(LedgerRecordError::UnknownVersion(record.record_version));
         }
-        let grants = self.apply_event(&record.event)?;
+        let change = self.apply_event(&record.event)?;
         self.next_offset = offset + 1;
-        Ok(grants)
+        Ok(change.into_iter().collect())
+    }
+
+    /// Returns the view in force at a place.
+    pub fn view(&self, data_centre_id: &str, shard: ShardId) -> Option<&View> {
+        Some(&self.views.get(data_centre_id)?.get(&shard)?.view)
     }
 
-    fn apply_event(&mut self, event: &LedgerEvent) -> Result<Vec<Grant>, LedgerRecordError> {
+    /// Returns the share of a data centre in a budget.
+    pub fn share(&self, data_centre_id: &str, budget_id: &str) -> Share {
+        let share = self.budgets.get(budget_id).and_then(|b| b.shares.get(data_centre_id));
+        share.copied().unwrap_or_default()
+    }
+
+    fn apply_event(
+        &mut self,
+        event: &LedgerEvent,
+    ) -> Result<Option<LedgerChange>, LedgerRecordError> {
         match event {
             LedgerEvent::TopUp { top_up_id, budget_id, paid_tokens, split_tokens, .. } => {
                 let split_sum = split_tokens.values().try_fold(0u64, |sum, t| sum.checked_add(*t));
@@ -72,28 +107,75 @@
                 }
                 let budget = self.budgets.entry(budget_id.clone()).or_default();
                 if !budget.top_up_ids.insert(top_up_id.clone()) {
-                    return Ok(Vec::new());
+                    return Ok(None);
                 }
                 budget.paid_tokens = budget.paid_tokens.saturating_add(*paid_tokens);
-                Ok(grant_parts(budget, budget_id, split_tokens))
+                for (data_centre_id, tokens) in split_tokens {
+                    let share = budget.shares.entry(data_centre_id.clone()).or_default();
+                    share.granted_tokens += tokens;
+                }
+                Ok(Some(LedgerChange::ToppedUp(budget_id.clone())))
             }
+            LedgerEvent::View(view) => Ok(self.apply_view(view)),
+            LedgerEvent::Draw(draw) => Ok(self.apply_draw(draw)),
         }
     }
-}
 
-fn grant_parts(
-    budget: &mut BudgetLedger,
-    budget_id: &BudgetId,
-    split_tokens: &BTreeMap<DataCentreId, Tokens>,
-) -> Vec<Grant> {
-    let mut grants = Vec::new();
-    for (data_centre_id, tokens) in split_tokens {
-        *budget.granted_tokens.entry(data_centre_id.clone()).or_default() += tokens;
-        grants.push(Grant {
-            budget_id: budget_id.clone(),
-            data_centre_id: data_centre_id.clone(),
-            granted_tokens: *tokens,
-        });
+    /// Puts a view in force when its epoch is next and its primary may hold the state it claims.
+    fn apply_view(&mut self, view: &View) -> Option<LedgerChange> {
+        let place = &view.place;
+        let current = self.view(&place.data_centre_id, place.shard);
+        let next_epoch = current.map_or(1, |current| current.epoch + 1);
+        let may_continue = current.is_some_and(|c| c.has_member(&view.primary_vm_id));
+        if view.epoch != next_epoch || !(view.is_fresh || may_continue) {
+            return None;
+        }
+        if view.is_fresh {
+            self.lose_primary(place);
+        }
+        let in_force = ViewInForce { view: view.clone(), draw_count: 0 };
+        let shards = self.views.entry(place.data_centre_id.clone()).or_default();
+        shards.insert(place.shard, in_force);
+        Some(LedgerChange::ViewInForce(view.clone()))
+    }
+
+    fn lose_primary(&mut self, place: &ShardPlace) {
+        for (budget_id, budget) in &mut self.budgets {
+            if shard_of(budget_id) != place.shard {
+                continue;
+            }
+            if let Some(share) = budget.shares.get_mut(&place.data_centre_id) {
+                share.lose_primary();
+            }
+        }
+    }
+
+    fn apply_draw(&mut self, draw: &Draw) -> Option<LedgerChange> {
+        let Draw { place, epoch, draw_number, .. } = draw;
+        let in_force = self.views.get_mut(&place.data_centre_id)?.get_mut(&place.shard)?;
+        if in_force.view.epoch != *epoch || in_force.draw_count + 1 != *draw_number {
+            return None;
+        }
+        in_force.draw_count += 1;
+        let mut drawn_tokens = BTreeMap::new();
+        for (budget_id, tokens) in &draw.drawn_tokens {
+            if let Some(share) = self.share_mut(place, budget_id) {
+                drawn_tokens.insert(budget_id.clone(), share.draw(*tokens));
+            }
+        }
+        for (budget_id, account) in &draw.checkpoint {
+            if let Some(share) = self.share_mut(place, budget_id) {
+                share.checkpoint = *account;
+            }
+        }
+        Some(LedgerChange::Drawn { place: place.clone(), epoch: *epoch, drawn_tokens })
+    }
+
+    fn share_mut(&mut self, place: &ShardPlace, budget_id: &str) -> Option<&mut Share> {
+        if shard_of(budget_id) != place.shard {
+            return None;
+        }
+        let budget = self.budgets.get_mut(budget_id)?;
+        Some(budget.shares.entry(place.data_centre_id.clone()).or_default())
     }
-    grants
 }
--- a/crates/sassafrashoist-core/src/budgets/mod.rs
+++ b/crates/sassafrashoist-core/src/budgets/mod.rs
@@ -1,9 +1,14 @@
 //! Prepaid budgets: who may spend which tokens.
 //!
 //! Ownership moves and is never copied. A top-up record in the log splits its tokens among data
-//! centres; each data centre's owner of the budget spends only what it owns.
+//! centres. In a data centre each budget belongs to a shard, whose view names a primary and a backup
+//! VM. The primary draws tokens from the share by a record and spends only what it drew or received
+//! from another data centre. Records of an epoch that is over have no effect.
 
 pub mod escrow_account;
 pub mod ledger;
 pub mod record;
+pub mod shard;
+pub mod share;
 pub mod split;
+pub mod view;
--- a/crates/sassafrashoist-core/src/budgets/record.rs
+++ b/crates/sassafrashoist-core/src/budgets/record.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::ids::{BudgetId, DataCentreId, OperatorId, Tokens, TopUpId};
+use super::escrow_account::EscrowAccount;
+use super::shard::ShardPlace;
+use super::view::View;
+use crate::ids::{BudgetId, DataCentreId, Epoch, OperatorId, Tokens, TopUpId};
 
 /// The record version that this code writes and reads.
 pub const LEDGER_RECORD_VERSION: u16 = 1;
@@ -36,6 +39,25 @@
         /// The operator who recorded it.
         operator_id: OperatorId,
     },
+    /// A VM proposes who holds a shard; the first record with the next epoch wins.
+    View(View),
+    /// The primary of a view takes tokens from its data centre's share.
+    Draw(Draw),
+}
+
+/// Tokens that a primary takes from its data centre's share, and what it reports of its accounts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Draw {
+    /// The data centre and shard.
+    pub place: ShardPlace,
+    /// The epoch of the view; a draw of another epoch takes nothing.
+    pub epoch: Epoch,
+    /// Counts the draws of the epoch from 1, so that a repeated append takes nothing.
+    pub draw_number: u64,
+    /// The tokens taken of each budget; a part larger than the share's rest takes the rest.
+    pub drawn_tokens: BTreeMap<BudgetId, Tokens>,
+    /// The accounts as they stood before the draw.
+    pub checkpoint: BTreeMap<BudgetId, EscrowAccount>,
 }
 
 /// Why a record cannot be folded.
--- a/crates/sassafrashoist-core/src/owner/budget_owner.rs
+++ b/crates/sassafrashoist-core/src/owner/budget_owner.rs
@@ -1,11 +1,12 @@
 //! The table of an owner: accounts by budget and entries by request key.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::admit::{AdmitDecision, AdmitRequest};
+use super::owner_changes::OwnerChanges;
 use super::settle::{RedirectRequest, SettleDecision, SettleOutcome, SettleRequest};
 use crate::budgets::escrow_account::EscrowAccount;
-use crate::ids::{AttemptNumber, BudgetId, Timestamp, Tokens};
+use crate::ids::{AttemptNumber, BudgetId, RequestKey, Timestamp, Tokens};
 use crate::invariants::{Invariants, Promise};
 use crate::requests::key_entry::{KeyEntry, KeyState};
 use crate::requests::key_table::{KeyLookup, KeyTable, KeyTableLimits};
@@ -19,17 +20,82 @@
 pub struct BudgetOwner {
     accounts: BTreeMap<BudgetId, EscrowAccount>,
     keys: KeyTable,
+    changed_budgets: BTreeSet<BudgetId>,
+    changed_keys: BTreeSet<RequestKey>,
 }
 
 impl BudgetOwner {
     /// Creates an empty table.
     pub fn new(limits: KeyTableLimits) -> Self {
-        Self { accounts: BTreeMap::new(), keys: KeyTable::new(limits) }
+        Self {
+            accounts: BTreeMap::new(),
+            keys: KeyTable::new(limits),
+            changed_budgets: BTreeSet::new(),
+            changed_keys: BTreeSet::new(),
+        }
+    }
+
+    /// Adds what the ledger has drawn in all beyond what the account has counted.
+    pub fn count_drawn(&mut self, budget_id: &str, total_drawn_tokens: Tokens) {
+        let counted_tokens = self.account(budget_id).drawn_tokens;
+        if total_drawn_tokens > counted_tokens {
+            self.change_account(budget_id).draw(total_drawn_tokens - counted_tokens);
+        }
+    }
+
+    /// Takes held tokens out for another owner; false when too few are held.
+    #[must_use]
+    pub fn try_send(&mut self, budget_id: &str, tokens: Tokens) -> bool {
+        self.change_account(budget_id).try_send(tokens)
+    }
+
+    /// Adds tokens that another owner sent.
+    pub fn receive(&mut self, budget_id: &str, tokens: Tokens) {
+        self.change_account(budget_id).receive(tokens);
+    }
+
+    /// Returns whether something changed since the last [`Self::take_changes`].
+    pub fn is_changed(&self) -> bool {
+        !self.changed_budgets.is_empty() || !self.changed_keys.is_empty()
+    }
+
+    /// Returns the accounts and entries that changed since the last call, or all of them.
+    pub fn take_changes(&mut self, is_full: bool) -> OwnerChanges {
+        let changed_budgets = std::mem::take(&mut self.changed_budgets);
+        let changed_keys = std::mem::take(&mut self.changed_keys);
+        if is_full {
+            let entries = self.keys.entries();
+            let entries = entries.map(|(key, entry)| (key.clone(), Some(entry.clone())));
+            return OwnerChanges { accounts: self.accounts.clone(), keys: entries.collect() };
+        }
+        let accounts = changed_budgets.into_iter().map(|id| {
+            let account = self.account(&id);
+            (id, account)
+        });
+        let entries = changed_keys.into_iter().map(|key| {
+            let entry = self.keys.entry(&key).cloned();
+            (key, entry)
+        });
+        OwnerChanges { accounts: accounts.collect(), keys: entries.collect() }
+    }
+
+    /// Forgets which accounts and entries changed.
+    pub fn forget_changes(&mut self) {
+        self.changed_budgets.clear();
+        self.changed_keys.clear();
+    }
+
+    /// Takes over the changes of another VM's table.
+    pub fn restore(&mut self, changes: OwnerChanges, now: Timestamp) {
+        self.accounts.extend(changes.accounts);
+        for (key, entry) in changes.keys {
+            self.keys.restore(key, entry, now);
+        }
     }
 
-    /// Adds tokens that a ledger record granted.
-    pub fn grant(&mut self, budget_id: &str, tokens: Tokens) {
-        self.accounts.entry(budget_id.to_owned()).or_default().grant(tokens);
+    fn change_account(&mut self, budget_id: &str) -> &mut EscrowAccount {
+        self.changed_budgets.insert(budget_id.to_owned());
+        self.accounts.entry(budget_id.to_owned()).or_default()
     }
 
     /// Returns what is held of a budget.
@@ -63,7 +129,7 @@
             KeyLookup::Full => return refuse(ResultCode::KeyTableFull),
             KeyLookup::Vacant => {}
         }
-        let account = self.accounts.entry(request.budget_id.clone()).or_default();
+        let account = self.change_account(&request.budget_id);
         if !account.try_reserve(request.worst_case_tokens) {
             return refuse(ResultCode::BudgetShortHere);
         }
@@ -75,12 +141,14 @@
             changed_at: now,
             state: KeyState::Running { attempt: 1, runner: request.runner },
         };
+        self.changed_keys.insert(request.key.clone());
         self.keys.insert(request.key, entry);
         AdmitDecision::Admitted { attempt: 1 }
     }
 
     /// Moves a request to its next attempt; `None` when another attempt took over.
     pub fn redirect(&mut self, request: RedirectRequest, now: Timestamp) -> Option<AttemptNumber> {
+        self.changed_keys.insert(request.key.clone());
         self.keys.redirect(&request.key, request.from_attempt, request.runner, now)
     }
 
@@ -101,7 +169,9 @@
             return SettleDecision::SupersededAttempt;
         }
         let reserved_tokens = entry.reserved_tokens;
-        let account = self.accounts.entry(entry.budget_id.clone()).or_default();
+        let budget_id = entry.budget_id.clone();
+        self.changed_keys.insert(request.key.clone());
+        let account = self.change_account(&budget_id);
         match request.outcome {
             SettleOutcome::NotRun => {
                 account.settle(reserved_tokens, 0);
--- a/crates/sassafrashoist-core/src/owner/mod.rs
+++ b/crates/sassafrashoist-core/src/owner/mod.rs
@@ -6,4 +6,11 @@
 
 pub mod admit;
 pub mod budget_owner;
+pub mod draw_policy;
+pub mod owner_changes;
+pub mod propose_view;
+pub mod replica_delta;
 pub mod settle;
+pub mod shard_replica;
+pub mod shard_table;
+pub mod transfer;
--- /dev/null
+++ b/crates/sassafrashoist-core/src/owner/owner_changes.rs
@@ -0,0 +1,18 @@
+//! Changes of an owner's table, as they go to its backup.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::budgets::escrow_account::EscrowAccount;
+use crate::ids::{BudgetId, RequestKey};
+use crate::requests::key_entry::KeyEntry;
+
+/// Accounts and entries as they stand after the changes, so that a repetition has no effect.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerChanges {
+    /// The accounts that changed.
+    pub accounts: BTreeMap<BudgetId, EscrowAccount>,
+    /// The entries that changed; `None` for one that was removed.
+    pub keys: BTreeMap<RequestKey, Option<KeyEntry>>,
+}
--- a/crates/sassafrashoist-core/src/requests/key_table.rs
+++ b/crates/sassafrashoist-core/src/requests/key_table.rs
@@ -102,6 +102,28 @@
         self.entries.remove(key);
     }
 
+    /// Returns every entry by key.
+    pub fn entries(&self) -> impl Iterator<Item = (&RequestKey, &KeyEntry)> {
+        self.entries.iter()
+    }
+
+    /// Puts in place what another VM's table has for a key; `None` removes the entry.
+    pub fn restore(&mut self, key: RequestKey, entry: Option<KeyEntry>, now: Timestamp) {
+        self.expire(now);
+        self.remove(&key);
+        let Some(mut entry) = entry else {
+            return;
+        };
+        let state = entry.state.clone();
+        if !matches!(state, KeyState::Done { .. }) {
+            self.entries.insert(key, entry);
+            return;
+        }
+        entry.state = KeyState::Unknown;
+        self.entries.insert(key.clone(), entry);
+        self.close(&key, state, now);
+    }
+
     /// Moves a running request to its next attempt; `None` when another attempt took over.
     pub fn redirect(
         &mut self,
--- a/crates/sassafrashoist-core/tests/testsuite/budget_owner.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/budget_owner.rs
@@ -12,7 +12,7 @@
 
 fn owner_with(tokens: u64) -> BudgetOwner {
     let mut owner = BudgetOwner::new(KeyTableLimits::default());
-    owner.grant("b", tokens);
+    owner.count_drawn("b", tokens);
     owner
 }
 
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -5,4 +5,6 @@
 mod budget_owner;
 mod ledger;
 mod result_codes;
+mod shard_model;
+mod shard_world;
 mod split;
--- a/crates/sassafrashoist-testkit/src/fleet/audit.rs
+++ b/crates/sassafrashoist-testkit/src/fleet/audit.rs
@@ -54,18 +54,34 @@
 
 /// Adds up what the running owners say of each budget.
 pub fn sum_budgets(fleet: &RunningFleet) -> BTreeMap<BudgetId, BudgetSums> {
-    let mut sums: BTreeMap<BudgetId, BudgetSums> = BTreeMap::new();
+    let mut sums = sum_uncounted(fleet);
     for context in fleet.vms.iter().filter_map(|vm| vm.context().ok()) {
         for (budget_id, account) in context.tables.lock_owner().accounts() {
             let sum = sums.entry(budget_id.clone()).or_default();
             sum.settled_tokens += account.settled_tokens;
             sum.reserved_tokens += account.reserved_tokens;
             sum.held_tokens += account.held_tokens;
+            sum.held_tokens = sum.held_tokens.saturating_sub(account.drawn_tokens);
         }
     }
     sums
 }
 
+/// Adds up what the ledger gave to data centres and did not lose, for the newest reader.
+fn sum_uncounted(fleet: &RunningFleet) -> BTreeMap<BudgetId, BudgetSums> {
+    let contexts = fleet.vms.iter().filter_map(|vm| vm.context().ok());
+    let ledgers = contexts.map(|context| context.tables.lock_ledger().ledger.clone());
+    let Some(ledger) = ledgers.max_by_key(|ledger| ledger.next_offset) else {
+        return BTreeMap::new();
+    };
+    let sums = ledger.budgets.into_iter().map(|(budget_id, budget)| {
+        let shares = budget.shares.values();
+        let held_tokens = shares.map(|share| share.granted_tokens - share.lost_drawn_tokens).sum();
+        (budget_id, BudgetSums { held_tokens, ..BudgetSums::default() })
+    });
+    sums.collect()
+}
+
 /// Counts runs beyond the first of each request, over all plain services.
 fn count_double_runs(fleet: &RunningFleet) -> u64 {
     let mut runs: BTreeMap<String, u64> = BTreeMap::new();
--- a/crates/sassafrashoist/src/core/mod.rs
+++ b/crates/sassafrashoist/src/core/mod.rs
@@ -3,6 +3,7 @@
 pub mod active_bundle;
 pub mod caller_request;
 pub mod clock;
+pub mod contact_table;
 pub mod drain_gate;
 pub mod peer_clients;
 pub mod process_state;
@@ -11,4 +12,5 @@
 pub mod request_registry;
 pub mod router_context;
 pub mod settings;
+pub mod shard_turns;
 pub mod tables;
--- a/crates/sassafrashoist/src/core/peer_clients.rs
+++ b/crates/sassafrashoist/src/core/peer_clients.rs
@@ -10,6 +10,8 @@
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Request, Response, Status};
 
+use crate::ops::commit_change::CommitError;
+
 use super::settings::{Peer, Settings};
 use sassafrashoist_core::ids::{DataCentreId, Incarnation, VmId};
 use sassafrashoist_proto::v1::Envelope;
@@ -30,6 +32,9 @@
     /// The call may or may not have been handled.
     #[error("call to VM {0} failed: {1}")]
     CallFailed(VmId, Status),
+    /// This VM is the one to call and could not answer.
+    #[error("this VM cannot decide: {0}")]
+    Own(CommitError),
     /// A payload could not be encoded or decoded.
     #[error("payload cannot be converted: {0}")]
     Payload(#[from] postcard::Error),
--- a/crates/sassafrashoist/src/core/router_context.rs
+++ b/crates/sassafrashoist/src/core/router_context.rs
@@ -10,11 +10,12 @@
 use super::peer_clients::PeerClients;
 use super::request_registry::RequestRegistry;
 use super::settings::Settings;
+use super::shard_turns::ShardTurns;
 use super::tables::Tables;
+use sassafrashoist_core::budgets::shard::shard_of;
 use sassafrashoist_core::decision_log::{Decision, DecisionKind};
 use sassafrashoist_core::ids::{DataCentreId, Incarnation, VmId};
 use sassafrashoist_core::invariants::{Breach, Invariants};
-use sassafrashoist_core::rendezvous::choose_owner;
 use sassafrashoist_core::result_code::ResultCode;
 use sassafrashoist_platform::platform_client::PlatformClient;
 
@@ -34,6 +35,8 @@
     pub backends: Client,
     /// Connections to the other VMs.
     pub peers: PeerClients,
+    /// Whose turn it is to replicate or to look for tokens.
+    pub shard_turns: ShardTurns,
     /// Requests in progress.
     pub drain_gate: DrainGate,
     /// Numbers requests without a caller's key.
@@ -48,7 +51,7 @@
         let incarnation = start_incarnation();
         Arc::new(Self {
             incarnation,
-            tables: Tables::new(&settings),
+            tables: Tables::new(&settings, incarnation),
             invariants: Invariants::new(report_breach),
             platform: PlatformClient::new(
                 settings.platform_address,
@@ -56,6 +59,7 @@
             ),
             backends: Client::default(),
             peers: PeerClients::new(&settings, incarnation),
+            shard_turns: ShardTurns::default(),
             drain_gate: DrainGate::default(),
             registry: RequestRegistry::new(&settings.vm_id, incarnation),
             settings,
@@ -63,12 +67,11 @@
         })
     }
 
-    /// Returns the VM that owns a budget in a data centre.
+    /// Returns the VM that decides for a budget in a data centre, as the ledger names it.
     pub fn owner_vm(&self, data_centre_id: &DataCentreId, budget_id: &str) -> Option<VmId> {
-        let is_own = *data_centre_id == self.settings.data_centre_id;
-        let own = is_own.then_some(self.settings.vm_id.as_str());
-        let candidates = self.peers.vms_of(data_centre_id).chain(own);
-        choose_owner(budget_id, candidates).map(str::to_owned)
+        let table = self.tables.lock_ledger();
+        let view = table.ledger.view(data_centre_id, shard_of(budget_id))?;
+        Some(view.primary_vm_id.clone())
     }
 
     /// Records a decision and its reason.
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,18 +1,21 @@
 //! The tables that the workers share.
 //!
-//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `decisions`. A worker that
+//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `contacts`,
+//! `routing`, `decisions`. A worker that
 //! holds one lock takes only locks to its right, and no lock is held over an await.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use sassafrashoist_bundle::bundle_record::BundleChain;
 use sassafrashoist_core::budgets::ledger::Ledger;
+use sassafrashoist_core::budgets::shard::SHARD_COUNT;
 use sassafrashoist_core::decision_log::DecisionLog;
-use sassafrashoist_core::owner::budget_owner::BudgetOwner;
-use sassafrashoist_core::requests::key_table::KeyTableLimits;
+use sassafrashoist_core::ids::{DataCentreId, Incarnation};
+use sassafrashoist_core::owner::shard_table::ShardTable;
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
 use super::active_bundle::ActiveBundle;
+use super::contact_table::ContactTable;
 use super::readiness::ReadinessStep;
 use super::settings::Settings;
 
@@ -22,10 +25,12 @@
 /// The tables that the workers share.
 #[derive(Debug)]
 pub struct Tables {
+    data_centre_id: DataCentreId,
     bundle: RwLock<Option<Arc<ActiveBundle>>>,
     bundle_chain: Mutex<BundleChain>,
     ledger: Mutex<LedgerTable>,
-    owner: Mutex<BudgetOwner>,
+    owner: Mutex<ShardTable>,
+    contacts: Mutex<ContactTable>,
     routing: Mutex<RoutingTable>,
     decisions: Mutex<DecisionLog>,
 }
@@ -41,12 +46,16 @@
 
 impl Tables {
     /// Creates empty tables.
-    pub fn new(settings: &Settings) -> Self {
+    pub fn new(settings: &Settings, incarnation: Incarnation) -> Self {
+        let owner =
+            ShardTable::new(settings.data_centre_id.clone(), settings.vm_id.clone(), incarnation);
         Self {
+            data_centre_id: settings.data_centre_id.clone(),
             bundle: RwLock::new(None),
             bundle_chain: Mutex::new(BundleChain::new(settings.root_operators.clone())),
             ledger: Mutex::new(LedgerTable::default()),
-            owner: Mutex::new(BudgetOwner::new(KeyTableLimits::default())),
+            owner: Mutex::new(owner),
+            contacts: Mutex::new(ContactTable::default()),
             routing: Mutex::new(RoutingTable::default()),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
         }
@@ -73,10 +82,15 @@
     }
 
     /// Locks the owner's table.
-    pub fn lock_owner(&self) -> MutexGuard<'_, BudgetOwner> {
+    pub fn lock_owner(&self) -> MutexGuard<'_, ShardTable> {
         lock(&self.owner)
     }
 
+    /// Locks what is known of the other VMs of the data centre.
+    pub fn lock_contacts(&self) -> MutexGuard<'_, ContactTable> {
+        lock(&self.contacts)
+    }
+
     /// Locks the routing table.
     pub fn lock_routing(&self) -> MutexGuard<'_, RoutingTable> {
         lock(&self.routing)
@@ -87,12 +101,22 @@
         lock(&self.decisions)
     }
 
+    /// Returns whether each shard of this data centre has its VMs.
+    fn has_all_views(&self) -> bool {
+        let table = self.lock_ledger();
+        table
+            .ledger
+            .views
+            .get(&self.data_centre_id)
+            .is_some_and(|shards| shards.len() == usize::from(SHARD_COUNT))
+    }
+
     /// Returns the step that the start has reached.
     pub fn readiness(&self) -> ReadinessStep {
         if self.bundle().is_none() {
             return ReadinessStep::WaitsForBundle;
         }
-        if !self.lock_ledger().is_established {
+        if !self.lock_ledger().is_established || !self.has_all_views() {
             return ReadinessStep::WaitsForLedger;
         }
         ReadinessStep::Ready
--- a/crates/sassafrashoist/src/ops/admit_request.rs
+++ b/crates/sassafrashoist/src/ops/admit_request.rs
@@ -1,16 +1,25 @@
 //! Asks the owner of a budget to reserve a request's tokens.
 
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
 use crate::core::caller_request::CallerRequest;
-use crate::core::clock::read_clock;
 use crate::core::peer_clients::{PeerError, unwrap_answer};
 use crate::core::router_context::RouterContext;
+use crate::ops::decide_admission::{decide_admission, decide_redirect, read_entry};
 use sassafrashoist_core::decision_log::DecisionKind;
-use sassafrashoist_core::ids::{AttemptNumber, BackendServerId, VmId};
+use sassafrashoist_core::ids::{AttemptNumber, BackendServerId, BudgetId, RequestKey, VmId};
 use sassafrashoist_core::owner::admit::{AdmitDecision, AdmitRequest};
 use sassafrashoist_core::owner::settle::RedirectRequest;
-use sassafrashoist_core::requests::key_entry::{AttemptRunner, KeyEntry};
+use sassafrashoist_core::requests::key_entry::{AttemptRunner, KeyEntry, KeyState};
 use sassafrashoist_core::result_code::ResultCode;
 
+/// How long a request waits until a VM that can decide is found.
+const OWNER_BOUND: Duration = Duration::from_secs(5);
+/// Time between two tries to reach the owner.
+const OWNER_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Reserves a request's tokens at the owner.
 ///
 /// # Errors
@@ -29,18 +38,55 @@
         is_idempotent: request.route.is_idempotent,
         runner: own_runner(context, server_id),
     };
+    let deadline = Instant::now() + request.timeout.min(OWNER_BOUND);
+    loop {
+        let error = match try_admit(context, request, &admit).await {
+            Ok(decision) => return Ok(decision),
+            Err(error) => error,
+        };
+        if Instant::now() >= deadline {
+            return Err(error);
+        }
+        sleep(OWNER_RETRY_DELAY).await;
+    }
+}
+
+async fn try_admit(
+    context: &RouterContext,
+    request: &CallerRequest,
+    admit: &AdmitRequest,
+) -> Result<AdmitDecision, PeerError> {
     let owner_vm_id = find_owner(context, request)?;
     let decision = if owner_vm_id == context.settings.vm_id {
-        context.tables.lock_owner().admit(admit, read_clock())
+        decide_admission(context, admit.clone()).await.map_err(PeerError::Own)?
     } else {
-        let call = context.peers.request(&admit)?;
+        let call = context.peers.request(admit)?;
         let answer = context.peers.owner_client(&owner_vm_id)?.admit(call).await;
         unwrap_answer(&owner_vm_id, answer)?
     };
+    let decision = adopt_own_entry(request, admit, decision);
     record_admission(context, request, &owner_vm_id, &decision);
     Ok(decision)
 }
 
+/// Takes over the entry that an earlier call made for this same request and whose answer was lost.
+///
+/// Only this request uses a key that its router made.
+fn adopt_own_entry(
+    request: &CallerRequest,
+    admit: &AdmitRequest,
+    decision: AdmitDecision,
+) -> AdmitDecision {
+    match decision {
+        AdmitDecision::Known(KeyState::Running { attempt, runner })
+            if !request.is_keyed && runner == admit.runner =>
+        {
+            AdmitDecision::Admitted { attempt }
+        }
+        decision => decision,
+    }
+}
+
 /// Records at the owner that the next attempt goes to another backend server.
 ///
 /// Returns the attempt's number, or `None` when another attempt took over.
@@ -61,9 +107,10 @@
     };
     let owner_vm_id = find_owner(context, request)?;
     if owner_vm_id == context.settings.vm_id {
-        return Ok(context.tables.lock_owner().redirect(redirect, read_clock()));
+        let redirected = decide_redirect(context, &request.budget_id, redirect).await;
+        return redirected.map_err(PeerError::Own);
     }
-    let call = context.peers.request(&redirect)?;
+    let call = context.peers.request(&(&request.budget_id, redirect))?;
     let answer = context.peers.owner_client(&owner_vm_id)?.redirect(call).await;
     unwrap_answer(&owner_vm_id, answer)
 }
@@ -76,12 +123,13 @@
 pub async fn lookup_request(
     context: &RouterContext,
     owner_vm_id: &VmId,
-    key: &str,
+    budget_id: &BudgetId,
+    key: &RequestKey,
 ) -> Result<Option<KeyEntry>, PeerError> {
     if *owner_vm_id == context.settings.vm_id {
-        return Ok(context.tables.lock_owner().lookup(key).cloned());
+        return read_entry(context, budget_id, key).map_err(PeerError::Own);
     }
-    let call = context.peers.request(&key)?;
+    let call = context.peers.request(&(budget_id, key))?;
     let answer = context.peers.owner_client(owner_vm_id)?.lookup(call).await;
     unwrap_answer(owner_vm_id, answer)
 }
--- a/crates/sassafrashoist/src/ops/dump_state.rs
+++ b/crates/sassafrashoist/src/ops/dump_state.rs
@@ -11,7 +11,7 @@
     let bundle = context.tables.bundle();
     let (accounts, key_entry_count) = {
         let owner = context.tables.lock_owner();
-        (owner.accounts().clone(), owner.keys().len())
+        (owner.accounts(), owner.key_count())
     };
     ProcessState {
         vm_id: context.settings.vm_id.clone(),
--- a/crates/sassafrashoist/src/ops/follow_known_key.rs
+++ b/crates/sassafrashoist/src/ops/follow_known_key.rs
@@ -54,7 +54,7 @@
     let out_of_reach = |reason: String| Refusal::new(ResultCode::OwnerOutOfReach, reason);
     let owner_vm_id =
         find_owner(context, request).map_err(|error| out_of_reach(error.to_string()))?;
-    let entry = lookup_request(context, &owner_vm_id, &request.key)
+    let entry = lookup_request(context, &owner_vm_id, &request.budget_id, &request.key)
         .await
         .map_err(|error| out_of_reach(error.to_string()))?;
     entry.map(|entry| entry.state).ok_or_else(|| {
--- a/crates/sassafrashoist/src/ops/follow_ledger.rs
+++ b/crates/sassafrashoist/src/ops/follow_ledger.rs
@@ -1,11 +1,11 @@
-//! Follows the ledger stream and gives the owner's table what it grants.
+//! Follows the ledger stream and lets the shards of this VM take up its changes.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::core::router_context::RouterContext;
 use crate::ops::read_stream::read_stream;
-use sassafrashoist_core::budgets::ledger::Grant;
+use sassafrashoist_core::budgets::ledger::LedgerChange;
 use sassafrashoist_core::budgets::record::{LedgerRecord, LedgerRecordError};
 use sassafrashoist_platform::log_client::{ReadError, ReadRange};
 use sassafrashoist_platform::streams::LEDGER_STREAM;
@@ -40,9 +40,14 @@
 fn fold_page(context: &RouterContext, page: &RecordPage) -> Result<(), LedgerRecordError> {
     for record in &page.records {
         let decoded = decode_record(record)?;
-        let grants = context.tables.lock_ledger().ledger.apply(record.offset, &decoded)?;
-        for grant in &grants {
-            take_grant(context, grant);
+        let mut table = context.tables.lock_ledger();
+        let changes = table.ledger.apply(record.offset, &decoded)?;
+        let mut owner = context.tables.lock_owner();
+        for change in &changes {
+            owner.follow(&table.ledger, change);
+            if matches!(change, LedgerChange::ToppedUp(_)) {
+                context.shard_turns.shard_work.notify_one();
+            }
         }
     }
     let mut table = context.tables.lock_ledger();
@@ -56,13 +61,3 @@
     serde_json::from_slice(&record.payload)
         .map_err(|error| LedgerRecordError::Undecodable(error.to_string()))
 }
-
-fn take_grant(context: &RouterContext, grant: &Grant) {
-    if grant.data_centre_id != context.settings.data_centre_id {
-        return;
-    }
-    let owner_vm_id = context.owner_vm(&grant.data_centre_id, &grant.budget_id);
-    if owner_vm_id.as_ref() == Some(&context.settings.vm_id) {
-        context.tables.lock_owner().grant(&grant.budget_id, grant.granted_tokens);
-    }
-}
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/keep_shards.rs
@@ -0,0 +1,127 @@
+//! Keeps each shard of this data centre with a primary and a backup, and its primary with tokens.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use tokio::time::timeout;
+
+use crate::core::contact_table::ShardReport;
+use crate::core::peer_clients::{PeerError, unwrap_answer};
+use crate::core::router_context::RouterContext;
+use crate::ops::commit_change::replicate_all;
+use crate::ops::move_tokens::repeat_transfers;
+use crate::ops::serve_owner::{ReplicaCall, ReplicaReply};
+use sassafrashoist_core::budgets::record::{LedgerEvent, LedgerRecord};
+use sassafrashoist_core::budgets::shard::{SHARD_COUNT, ShardId, ShardPlace};
+use sassafrashoist_core::ids::VmId;
+use sassafrashoist_core::owner::propose_view::{PeerFact, propose_view};
+use sassafrashoist_core::rendezvous::rank_owners;
+use sassafrashoist_platform::streams::LEDGER_STREAM;
+
+/// Time between two looks at the shards.
+const KEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a VM may take to report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after the start before this VM proposes views, so that the others can be seen.
+const START_GRACE: Duration = Duration::from_millis(1_000);
+/// Time between two deliveries of a transfer that is not acknowledged.
+const TRANSFER_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Looks after the shards until the process stops.
+pub async fn keep_shards(context: Arc<RouterContext>) {
+    let started_at = Instant::now();
+    tokio::spawn(context.cancel.clone().run_until_cancelled_owned(repeat_all(context.clone())));
+    while !context.cancel.is_cancelled() {
+        collect_reports(&context).await;
+        let may_propose = started_at.elapsed() >= START_GRACE;
+        append_proposals(&context, may_propose).await;
+        let _ = timeout(REPORT_TIMEOUT, replicate_all(&context)).await;
+        let _ = timeout(KEEP_INTERVAL, context.shard_turns.shard_work.notified()).await;
+    }
+}
+
+async fn repeat_all(context: Arc<RouterContext>) {
+    loop {
+        tokio::time::sleep(TRANSFER_REPEAT_INTERVAL).await;
+        repeat_transfers(&context).await;
+    }
+}
+
+async fn collect_reports(context: &RouterContext) {
+    let vm_ids: Vec<VmId> =
+        context.peers.vms_of(&context.settings.data_centre_id).map(str::to_owned).collect();
+    let reports = join_all(vm_ids.iter().map(|vm_id| ask_report(context, vm_id))).await;
+    for (vm_id, report) in vm_ids.into_iter().zip(reports) {
+        if let Ok(report) = report {
+            context.tables.lock_contacts().record(vm_id, report);
+        }
+    }
+}
+
+async fn ask_report(context: &RouterContext, vm_id: &VmId) -> Result<ShardReport, PeerError> {
+    let mut call = context.peers.request(&ReplicaCall::Report)?;
+    call.set_timeout(REPORT_TIMEOUT);
+    let answer = context.peers.owner_client(vm_id)?.replicate(call).await;
+    match unwrap_answer(vm_id, answer)? {
+        ReplicaReply::Report(report) => Ok(report),
+        ReplicaReply::Answer(_) => Err(PeerError::UnknownVm(vm_id.clone())),
+    }
+}
+
+/// Appends the views and draws that are due, in one batch.
+async fn append_proposals(context: &RouterContext, may_propose: bool) {
+    let records = collect_proposals(context, may_propose);
+    if records.is_empty() {
+        return;
+    }
+    let payloads: Result<Vec<Vec<u8>>, _> = records.iter().map(serde_json::to_vec).collect();
+    let Ok(payloads) = payloads else {
+        return log::error!("failed to encode ledger records");
+    };
+    // A lost answer needs no look-up: an epoch and a draw number count once in the ledger.
+    if let Err(error) = context.platform.append(LEDGER_STREAM, payloads).await {
+        log::warn!("{} ledger records are proposed again: {error}", records.len());
+    }
+}
+
+fn collect_proposals(context: &RouterContext, may_propose: bool) -> Vec<LedgerRecord> {
+    let table = context.tables.lock_ledger();
+    if !table.is_established {
+        return Vec::new();
+    }
+    let owner = context.tables.lock_owner();
+    let own = (&context.settings.vm_id, context.incarnation);
+    let mut records = Vec::new();
+    for (shard, replica) in owner.replicas() {
+        let place =
+            ShardPlace { data_centre_id: context.settings.data_centre_id.clone(), shard: *shard };
+        let current = table.ledger.view(&place.data_centre_id, *shard);
+        let facts = rank_facts(context, *shard);
+        let view = propose_view(replica, &place, current, &facts, own);
+        if let Some(view) = view.filter(|_| may_propose) {
+            records.push(LedgerRecord::new(LedgerEvent::View(view)));
+        }
+        records.extend(replica.propose_draw(&table.ledger));
+    }
+    records
+}
+
+/// Ranks the VMs of the data centre for a shard, so that shards spread over them.
+fn rank_facts(context: &RouterContext, shard: ShardId) -> Vec<PeerFact> {
+    let own_vm_id = context.settings.vm_id.as_str();
+    let peers = context.peers.vms_of(&context.settings.data_centre_id);
+    let vm_ids: BTreeSet<&str> = peers.chain([own_vm_id]).collect();
+    let contacts = context.tables.lock_contacts();
+    let ranked = rank_owners(&format!("shard-{shard}-of-{SHARD_COUNT}"), vm_ids);
+    let facts = ranked.into_iter().map(|vm_id| {
+        let mut fact = contacts.fact(vm_id, shard);
+        if vm_id == own_vm_id {
+            fact.is_reachable = true;
+            fact.incarnation = Some(context.incarnation);
+        }
+        fact
+    });
+    facts.collect()
+}
--- a/crates/sassafrashoist/src/ops/query_request.rs
+++ b/crates/sassafrashoist/src/ops/query_request.rs
@@ -63,7 +63,7 @@
         let Some(owner_vm_id) = context.owner_vm(&data_centre_id, budget_id) else {
             continue;
         };
-        let entry = lookup_request(context, &owner_vm_id, &key)
+        let entry = lookup_request(context, &owner_vm_id, budget_id, &key)
             .await
             .map_err(|error| Refusal::new(ResultCode::OwnerOutOfReach, error.to_string()))?;
         if let Some(entry) = entry {
--- a/crates/sassafrashoist/src/ops/settle_request.rs
+++ b/crates/sassafrashoist/src/ops/settle_request.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use crate::core::caller_request::CallerRequest;
-use crate::core::clock::read_clock;
 use crate::core::peer_clients::{PeerError, unwrap_answer};
 use crate::core::router_context::RouterContext;
 use crate::ops::admit_request::find_owner;
+use crate::ops::decide_admission::decide_settlement;
 use sassafrashoist_core::decision_log::DecisionKind;
 use sassafrashoist_core::ids::{AttemptNumber, VmId};
 use sassafrashoist_core::owner::settle::{SettleDecision, SettleOutcome, SettleRequest};
@@ -51,10 +51,10 @@
 ) -> Result<SettleDecision, PeerError> {
     let owner_vm_id: VmId = find_owner(context, request)?;
     if owner_vm_id == context.settings.vm_id {
-        let mut owner = context.tables.lock_owner();
-        return Ok(owner.settle(settle.clone(), read_clock(), &context.invariants));
+        let settled = decide_settlement(context, &request.budget_id, settle.clone()).await;
+        return settled.map_err(PeerError::Own);
     }
-    let call = context.peers.request(settle)?;
+    let call = context.peers.request(&(&request.budget_id, settle))?;
     let answer = context.peers.owner_client(&owner_vm_id)?.settle(call).await;
     unwrap_answer(&owner_vm_id, answer)
 }
