Weigh budget policies by three experiments and rebalance ahead of need

Change: the setting budget_policy runs the pair, a chunk lease, an even split or a claim per request. Primaries ask each other every second for the tokens that recent use calls for. The experiments budget-partition, budget-exhaustion and platform-outage classify each refusal as justified, false within reach or false when cut off.

Conclusion: code only; the experiments have not been run yet.

--- a/crates/sassafrashoist-core/src/budgets/mod.rs
+++ b/crates/sassafrashoist-core/src/budgets/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod escrow_account;
 pub mod ledger;
+pub mod policy;
 pub mod record;
 pub mod shard;
 pub mod share;
--- a/crates/sassafrashoist-core/src/owner/mod.rs
+++ b/crates/sassafrashoist-core/src/owner/mod.rs
@@ -9,6 +9,8 @@
 pub mod draw_policy;
 pub mod owner_changes;
 pub mod propose_view;
+pub mod rebalance;
+pub mod recent_use;
 pub mod replica_delta;
 pub mod settle;
 pub mod shard_replica;
--- a/crates/sassafrashoist-core/src/owner/shard_replica.rs
+++ b/crates/sassafrashoist-core/src/owner/shard_replica.rs
@@ -14,10 +14,13 @@
 //! many were drawn by this line of primaries, and the difference is credited. So neither a takeover
 //! nor a repeated record credits a draw twice.
 
+use std::collections::BTreeMap;
+
 use super::budget_owner::BudgetOwner;
 use super::replica_delta::{DeltaAnswer, ReplicaDelta, Sequence};
 use super::transfer::{Transfer, TransferRequest, TransferTable};
 use crate::budgets::ledger::Ledger;
+use crate::budgets::policy::BudgetPolicy;
 use crate::budgets::record::{Draw, LedgerEvent, LedgerRecord};
 use crate::budgets::shard::{ShardPlace, shard_of};
 use crate::budgets::view::View;
@@ -62,6 +65,7 @@
     committed_count: ChangeNumber,
     lost_count: ChangeNumber,
     transfers_change: ChangeNumber,
+    short_tokens: BTreeMap<BudgetId, Tokens>,
 }
 
 /// What became of a change.
@@ -96,6 +100,7 @@
             committed_count: 0,
             lost_count: 0,
             transfers_change: 0,
+            short_tokens: BTreeMap::new(),
         }
     }
 
@@ -183,7 +188,8 @@
             return None;
         }
         let held_tokens = self.owner.account(&request.budget_id).held_tokens;
-        let tokens = request.wanted_tokens.max(held_tokens / 2).min(held_tokens);
+        let ahead_tokens = if request.is_urgent { held_tokens / 2 } else { 0 };
+        let tokens = request.wanted_tokens.max(ahead_tokens).min(held_tokens);
         if tokens == 0 || !self.owner.try_send(&request.budget_id, tokens) {
             return None;
         }
@@ -271,6 +277,7 @@
             return;
         }
         let share = ledger.share(&self.place.data_centre_id, budget_id);
+        self.short_tokens.remove(budget_id);
         self.owner.count_drawn(budget_id, share.live_drawn_tokens());
         if self.owner.is_changed() {
             self.count_change();
@@ -284,19 +291,26 @@
         }
     }
 
+    /// Notes tokens that requests lack and the next draw should bring.
+    pub fn note_short(&mut self, budget_id: &str, tokens: Tokens) {
+        let short_tokens = self.short_tokens.entry(budget_id.to_owned()).or_default();
+        *short_tokens = tokens.max(*short_tokens);
+    }
+
     /// Returns the record by which the primary draws tokens that its budgets run short of.
-    pub fn propose_draw(&self, ledger: &Ledger) -> Option<LedgerRecord> {
+    pub fn propose_draw(&self, ledger: &Ledger, policy: BudgetPolicy) -> Option<LedgerRecord> {
         let shards = ledger.views.get(&self.place.data_centre_id)?;
         let in_force = shards.get(&self.place.shard)?;
         if !self.is_primary() || in_force.view.epoch != self.view_epoch {
             return None;
         }
         let budget_ids = ledger.budgets.keys().filter(|id| shard_of(id) == self.place.shard);
-        let drawn_tokens: std::collections::BTreeMap<BudgetId, Tokens> = budget_ids
+        let drawn_tokens: BTreeMap<BudgetId, Tokens> = budget_ids
             .filter_map(|budget_id| {
                 let share = ledger.share(&self.place.data_centre_id, budget_id);
                 let held_tokens = self.owner.account(budget_id).held_tokens;
-                let tokens = choose_draw(&share, held_tokens);
+                let short_tokens = self.short_tokens.get(budget_id).copied().unwrap_or(0);
+                let tokens = choose_draw(policy, &share, held_tokens, short_tokens);
                 (tokens > 0).then(|| (budget_id.clone(), tokens))
             })
             .collect();
--- a/crates/sassafrashoist-core/src/owner/shard_table.rs
+++ b/crates/sassafrashoist-core/src/owner/shard_table.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::admit::{AdmitDecision, AdmitRequest};
+use super::rebalance::BalanceReport;
+use super::recent_use::RecentUse;
 use super::settle::{RedirectRequest, SettleDecision, SettleRequest};
 use super::shard_replica::{ChangeNumber, ShardReplica};
 use crate::budgets::escrow_account::EscrowAccount;
@@ -26,6 +28,7 @@
 pub struct ShardTable {
     data_centre_id: DataCentreId,
     replicas: BTreeMap<ShardId, ShardReplica>,
+    recent_use: RecentUse,
 }
 
 impl ShardTable {
@@ -37,7 +40,7 @@
                 (shard, ShardReplica::new(place, vm_id.clone(), incarnation))
             })
             .collect();
-        Self { data_centre_id, replicas }
+        Self { data_centre_id, replicas, recent_use: RecentUse::default() }
     }
 
     /// Returns a shard's replica.
@@ -123,6 +126,22 @@
         replica.map(|replica| replica.owner().account(budget_id)).unwrap_or_default()
     }
 
+    /// Counts recent use, and returns the budgets in use that this VM decides for.
+    pub fn observe_use(&mut self) -> Vec<BudgetId> {
+        let primaries = self.replicas.values().filter(|replica| replica.is_primary());
+        self.recent_use.observe(primaries.flat_map(|replica| replica.owner().accounts()));
+        let budget_ids = self.recent_use.budgets();
+        budget_ids.filter(|budget_id| self.is_primary_for(budget_id)).cloned().collect()
+    }
+
+    /// Returns what this VM holds of a budget as the primary and how much was used lately.
+    pub fn balance(&self, budget_id: &str) -> BalanceReport {
+        BalanceReport {
+            held_tokens: self.account(budget_id).held_tokens,
+            recent_use_tokens: self.recent_use.of(budget_id),
+        }
+    }
+
     /// Returns the accounts that this VM decides for.
     pub fn accounts(&self) -> BTreeMap<BudgetId, EscrowAccount> {
         let primaries = self.replicas.values().filter(|replica| replica.is_primary());
--- a/crates/sassafrashoist-core/src/owner/transfer.rs
+++ b/crates/sassafrashoist-core/src/owner/transfer.rs
@@ -43,6 +43,8 @@
     pub budget_id: BudgetId,
     /// The tokens that it lacks.
     pub wanted_tokens: Tokens,
+    /// Whether requests wait for them; the giver then gives ahead of the next ask too.
+    pub is_urgent: bool,
 }
 
 /// The transfers that an owner gave and took.
--- a/crates/sassafrashoist-core/tests/testsuite/shard_world.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/shard_world.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sassafrashoist_core::budgets::ledger::{Ledger, LedgerChange};
+use sassafrashoist_core::budgets::policy::BudgetPolicy;
 use sassafrashoist_core::budgets::record::{LedgerEvent, LedgerRecord};
 use sassafrashoist_core::budgets::shard::{ShardPlace, shard_of};
 use sassafrashoist_core::ids::{Epoch, Incarnation, RequestKey, Tokens, VmId};
@@ -270,8 +271,12 @@
 
     pub fn ask(&mut self, from: usize, to: usize, wanted_tokens: Tokens) {
         let to_data_centre_id = data_centre_id(self.nodes[from].data_centre);
-        let request =
-            TransferRequest { to_data_centre_id, budget_id: BUDGET.to_owned(), wanted_tokens };
+        let request = TransferRequest {
+            to_data_centre_id,
+            budget_id: BUDGET.to_owned(),
+            wanted_tokens,
+            is_urgent: true,
+        };
         if self.nodes[from].data_centre != self.nodes[to].data_centre {
             self.send(from, to, Message::Ask(request));
         }
@@ -378,7 +383,7 @@
     }
 
     fn proposed_draw(&self, index: usize) -> Option<LedgerRecord> {
-        self.replica(index).propose_draw(&self.nodes[index].ledger)
+        self.replica(index).propose_draw(&self.nodes[index].ledger, BudgetPolicy::Pair)
     }
 
     fn replicate(&mut self, index: usize) {
--- /dev/null
+++ b/crates/sassafrashoist-testkit/src/experiments/budget_load.rs
@@ -0,0 +1,232 @@
+//! A load on one budget, and which of its refusals were false.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use eyre::{Result, bail};
+use futures::stream::{FuturesUnordered, StreamExt};
+use sassafrashoist_core::budgets::policy::BudgetPolicy;
+use sassafrashoist_core::ids::Tokens;
+use sassafrashoist_core::invariants::Promise;
+use tokio::time::{Instant, sleep_until};
+
+use super::load::{AnswerCheck, Appraisal, RequestMaker, check_appraisal};
+use super::options::ExperimentOptions;
+use super::report::ExperimentReport;
+use crate::client::caller::{Answer, Caller};
+use crate::engine::engine_settings::EngineSettings;
+use crate::fleet::audit::{Audit, sum_budgets};
+use crate::fleet::fleet_plan::FleetPlan;
+use crate::fleet::running_fleet::RunningFleet;
+
+/// The most tokens of an answer.
+const MAX_ANSWER_TOKENS: u64 = 40;
+/// The result codes of a refusal for lack of tokens.
+const BUDGET_CODES: std::ops::RangeInclusive<u16> = 5001..=5004;
+
+/// What is sent.
+#[derive(Debug, Clone)]
+pub struct LoadPlan {
+    /// Requests a second over all data centres.
+    pub requests_per_second: u32,
+    /// How long requests are sent.
+    pub duration: Duration,
+    /// The part of the requests that each data centre gets.
+    pub weights: Vec<usize>,
+}
+
+/// What became of the requests.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LoadCounts {
+    /// Requests sent.
+    pub requests: u64,
+    /// Requests answered in full.
+    pub answered: u64,
+    /// Answers that are cut and say that they are whole.
+    pub cut_answers: u64,
+    /// Answers with parts of another.
+    pub crossed_answers: u64,
+    /// Refusals while the fleet had too few tokens.
+    pub justified_refusals: u64,
+    /// Refusals while the fleet had enough within reach.
+    pub false_refusals_reachable: u64,
+    /// Refusals while the fleet had enough out of reach.
+    pub false_refusals_cut_off: u64,
+    /// Requests that failed for another reason.
+    pub other_failures: u64,
+    /// Tokens settled when the first justified refusal was answered.
+    pub sold_at_first_justified_refusal: Option<Tokens>,
+}
+
+/// What the experiment's script shares with its load.
+#[derive(Debug, Default)]
+pub struct LoadState {
+    /// Whether data centres and platform are cut off from each other.
+    pub is_partitioned: AtomicBool,
+    /// The tokens paid so far.
+    pub paid_tokens: AtomicU64,
+}
+
+/// Reads the policy that the options name.
+///
+/// # Errors
+///
+/// Fails when no policy has the name.
+pub fn read_policy(options: &ExperimentOptions) -> Result<BudgetPolicy> {
+    let Some(name) = &options.policy else {
+        return Ok(BudgetPolicy::default());
+    };
+    match serde_json::from_value(serde_json::Value::from(name.replace('-', "_"))) {
+        Ok(policy) => Ok(policy),
+        Err(_) => bail!("no policy {name:?}: pair, chunk-lease, even-split, claim-per-request"),
+    }
+}
+
+/// Plans three data centres of two VMs with one budget.
+pub fn plan_fleet(policy: BudgetPolicy, paid_tokens: Tokens) -> FleetPlan {
+    let engine = EngineSettings { slot_count: 64, ..EngineSettings::default() };
+    let mut plan = FleetPlan::new(&["plateau", "rufisque", "pikine"], 2, engine);
+    plan.budget_policy = policy;
+    plan.data_centre_delay = Duration::from_millis(1);
+    plan.accounts[0].paid_tokens = paid_tokens;
+    plan
+}
+
+/// Sends the load and classifies what came back.
+///
+/// # Errors
+///
+/// Fails when a VM does not run.
+pub async fn send_load(
+    fleet: &RunningFleet,
+    plan: &LoadPlan,
+    state: &LoadState,
+    seed: u64,
+) -> Result<LoadCounts> {
+    let callers: Vec<Caller> =
+        (0..fleet.vms.len()).map(|index| fleet.caller(index)).collect::<Result<_>>()?;
+    let mut maker = RequestMaker::new(seed);
+    let interval = Duration::from_secs(1) / plan.requests_per_second;
+    let request_count = (plan.duration.as_nanos() / interval.as_nanos()) as u32;
+    let started_at = Instant::now();
+    let mut counts = LoadCounts::default();
+    let mut running = FuturesUnordered::new();
+    for number in 0..request_count {
+        let appraisal = maker.make_appraisal(MAX_ANSWER_TOKENS);
+        let data_centre = pick_weighted(&mut maker, &plan.weights);
+        let vm_index = pick_vm(fleet, &mut maker, data_centre);
+        let due = sleep_until(started_at + interval * number);
+        tokio::pin!(due);
+        loop {
+            tokio::select! {
+                () = &mut due => break,
+                Some(result) = running.next(), if !running.is_empty() => {
+                    count_answer(fleet, state, &mut counts, result);
+                }
+            }
+        }
+        let caller = &callers[vm_index];
+        running.push(async move {
+            let answer = caller.post(&appraisal.call).await;
+            (data_centre, appraisal, answer)
+        });
+    }
+    while let Some(result) = running.next().await {
+        count_answer(fleet, state, &mut counts, result);
+    }
+    Ok(counts)
+}
+
+fn count_answer(
+    fleet: &RunningFleet,
+    state: &LoadState,
+    counts: &mut LoadCounts,
+    (data_centre, appraisal, answer): (usize, Appraisal, Result<Answer>),
+) {
+    counts.requests += 1;
+    match check_appraisal(&appraisal, &answer) {
+        AnswerCheck::Right => counts.answered += 1,
+        AnswerCheck::Cut => counts.cut_answers += 1,
+        AnswerCheck::Crossed => counts.crossed_answers += 1,
+        AnswerCheck::Refused => {
+            let code = answer.map(|answer| answer.result_code()).unwrap_or(0);
+            if BUDGET_CODES.contains(&code) {
+                count_refusal(fleet, state, counts, data_centre, &appraisal);
+            } else {
+                counts.other_failures += 1;
+            }
+        }
+    }
+}
+
+fn count_refusal(
+    fleet: &RunningFleet,
+    state: &LoadState,
+    counts: &mut LoadCounts,
+    data_centre: usize,
+    appraisal: &Appraisal,
+) {
+    let worst_case_tokens = appraisal.call.body.len() as u64 + appraisal.answer_tokens;
+    let budget_id = fleet.plan.accounts[0].budget_id();
+    let sums = sum_budgets(fleet).get(&budget_id).copied().unwrap_or_default();
+    let claimed_tokens = sums.settled_tokens + sums.reserved_tokens;
+    let paid_tokens = state.paid_tokens.load(Ordering::Relaxed);
+    if paid_tokens.saturating_sub(claimed_tokens) < worst_case_tokens {
+        counts.justified_refusals += 1;
+        counts.sold_at_first_justified_refusal.get_or_insert(sums.settled_tokens);
+    } else if state.is_partitioned.load(Ordering::Relaxed)
+        && held_in(fleet, data_centre, &budget_id) < worst_case_tokens
+    {
+        counts.false_refusals_cut_off += 1;
+    } else {
+        counts.false_refusals_reachable += 1;
+    }
+}
+
+fn held_in(fleet: &RunningFleet, data_centre: usize, budget_id: &str) -> Tokens {
+    let indexes = (0..fleet.vms.len()).filter(|index| fleet.data_centre_of(*index) == data_centre);
+    let contexts = indexes.filter_map(|index| fleet.vms[index].context().ok());
+    contexts.map(|context| context.tables.lock_owner().account(budget_id).held_tokens).sum()
+}
+
+fn pick_weighted(maker: &mut RequestMaker, weights: &[usize]) -> usize {
+    let mut drawn = maker.draw_below(weights.iter().sum());
+    for (index, weight) in weights.iter().enumerate() {
+        if drawn < *weight {
+            return index;
+        }
+        drawn -= weight;
+    }
+    0
+}
+
+fn pick_vm(fleet: &RunningFleet, maker: &mut RequestMaker, data_centre: usize) -> usize {
+    let indexes: Vec<usize> =
+        (0..fleet.vms.len()).filter(|index| fleet.data_centre_of(*index) == data_centre).collect();
+    indexes[maker.draw_below(indexes.len())]
+}
+
+/// Takes the counts and the audit over into a report.
+pub fn report_load(
+    fleet: &RunningFleet,
+    counts: &LoadCounts,
+    policy: BudgetPolicy,
+    report: &mut ExperimentReport,
+) {
+    let mut audit = Audit::take(fleet);
+    audit.add(Promise::CutAnswers, counts.cut_answers);
+    audit.add(Promise::CrossedAnswers, counts.crossed_answers);
+    report.take_audit(&audit);
+    report.policy = Some(format!("{policy:?}"));
+    report.requests = counts.requests;
+    report.answered = counts.answered;
+    report.set("justified_refusals", counts.justified_refusals);
+    report.set("false_refusals_reachable", counts.false_refusals_reachable);
+    report.set("false_refusals_cut_off", counts.false_refusals_cut_off);
+    report.set("other_failures", counts.other_failures);
+    report.set("appends", fleet.platform.appended_count());
+    report.require(
+        counts.false_refusals_reachable == 0,
+        "no request is refused while tokens are within reach",
+    );
+}
--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -2,9 +2,13 @@
 //!
 //! Each experiment is a file with a `run` function; [`registry`] lists them by name.
 
+pub mod budget_exhaustion;
+pub mod budget_load;
+pub mod budget_partition;
 pub mod load;
 pub mod options;
 pub mod path;
 pub mod percentiles;
+pub mod platform_outage;
 pub mod registry;
 pub mod report;
--- a/crates/sassafrashoist-testkit/src/fleet/fleet_plan.rs
+++ b/crates/sassafrashoist-testkit/src/fleet/fleet_plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sassafrashoist_core::budgets::policy::BudgetPolicy;
 use sassafrashoist_core::ids::{DataCentreId, RegionId, Tokens};
 use sassafrashoist_core::routing::policy::RoutingPolicy;
 
@@ -48,6 +49,8 @@
     pub data_centre_delay: Duration,
     /// How backend servers are chosen.
     pub routing_policy: RoutingPolicy,
+    /// How budgets are held.
+    pub budget_policy: BudgetPolicy,
     /// How long a graceful shutdown waits.
     pub drain_bound: Duration,
 }
@@ -76,6 +79,7 @@
             backend_delay: Duration::ZERO,
             data_centre_delay: Duration::ZERO,
             routing_policy: RoutingPolicy::default(),
+            budget_policy: BudgetPolicy::default(),
             drain_bound: Duration::from_secs(20),
         }
     }
--- a/crates/sassafrashoist-testkit/src/fleet/running_fleet.rs
+++ b/crates/sassafrashoist-testkit/src/fleet/running_fleet.rs
@@ -302,6 +302,7 @@
             settings.peers = peers;
             settings.drain_bound = self.plan.drain_bound;
             settings.routing_policy = self.plan.routing_policy;
+            settings.budget_policy = self.plan.budget_policy;
             self.vms.push(FleetVm::new(settings));
         }
         Ok(())
--- a/crates/sassafrashoist/src/core/settings.rs
+++ b/crates/sassafrashoist/src/core/settings.rs
@@ -7,6 +7,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use sassafrashoist_bundle::bundle::Operator;
+use sassafrashoist_core::budgets::policy::BudgetPolicy;
 use sassafrashoist_core::ids::{DataCentreId, VmId};
 use sassafrashoist_core::routing::policy::RoutingPolicy;
 
@@ -42,6 +43,9 @@
     /// How backend servers are chosen.
     #[serde(default)]
     pub routing_policy: RoutingPolicy,
+    /// How budgets are held.
+    #[serde(default)]
+    pub budget_policy: BudgetPolicy,
 }
 
 /// Where a router process listens.
@@ -76,6 +80,7 @@
             log: LogSettings::default(),
             drain_bound: default_drain_bound(),
             routing_policy: RoutingPolicy::default(),
+            budget_policy: BudgetPolicy::default(),
         }
     }
 }
--- a/crates/sassafrashoist/src/ops/find_tokens.rs
+++ b/crates/sassafrashoist/src/ops/find_tokens.rs
@@ -51,16 +51,24 @@
     }
     let is_over = started_at.elapsed() >= SEARCH_BOUND;
     if !is_over && read_undrawn(context, budget_id) > 0 {
+        if let Some(replica) = context.tables.lock_owner().replica_mut(shard_of(budget_id)) {
+            replica.note_short(budget_id, wanted_tokens - account.held_tokens);
+        }
         context.shard_turns.shard_work.notify_one();
         return wait_once().await;
     }
     let missing_tokens = wanted_tokens - account.held_tokens;
-    let outcomes = ask_others(context, budget_id, missing_tokens).await;
+    let moves_tokens = context.settings.budget_policy.moves_tokens();
+    let outcomes = if moves_tokens {
+        ask_others(context, budget_id, missing_tokens).await
+    } else {
+        Vec::new()
+    };
     let received_tokens: Tokens = outcomes.iter().map(|outcome| outcome.received_tokens).sum();
     if received_tokens >= missing_tokens {
         return TokenSearch::TryAgain;
     }
-    let is_cut_off = outcomes.iter().any(|outcome| outcome.is_out_of_reach);
+    let is_cut_off = !moves_tokens || outcomes.iter().any(|outcome| outcome.is_out_of_reach);
     let reserved_elsewhere: Tokens = outcomes.iter().map(|outcome| outcome.reserved_tokens).sum();
     let has_reserved = account.reserved_tokens + reserved_elsewhere > 0;
     if !is_over && (has_reserved || received_tokens > 0) {
@@ -91,11 +99,12 @@
     missing_tokens: Tokens,
 ) -> Vec<AskOutcome> {
     let others: Vec<DataCentreId> = list_other_data_centres(context);
-    let asks = others.iter().map(|id| ask_for_tokens(context, id, budget_id, missing_tokens));
+    let asks = others.iter().map(|id| ask_for_tokens(context, id, budget_id, missing_tokens, true));
     join_all(asks).await
 }
 
-fn list_other_data_centres(context: &RouterContext) -> Vec<DataCentreId> {
+/// Returns the other data centres that the ledger knows.
+pub fn list_other_data_centres(context: &RouterContext) -> Vec<DataCentreId> {
     let table = context.tables.lock_ledger();
     let ids = table.ledger.views.keys();
     ids.filter(|id| **id != context.settings.data_centre_id).cloned().collect()
--- a/crates/sassafrashoist/src/ops/keep_shards.rs
+++ b/crates/sassafrashoist/src/ops/keep_shards.rs
@@ -12,9 +12,11 @@
 use crate::core::router_context::RouterContext;
 use crate::ops::commit_change::replicate_all;
 use crate::ops::move_tokens::repeat_transfers;
+use crate::ops::rebalance_budgets::rebalance_budgets;
 use crate::ops::serve_owner::{ReplicaCall, ReplicaReply};
 use sassafrashoist_core::budgets::record::{LedgerEvent, LedgerRecord};
 use sassafrashoist_core::budgets::shard::{SHARD_COUNT, ShardId, ShardPlace};
+use sassafrashoist_core::budgets::view::View;
 use sassafrashoist_core::ids::VmId;
 use sassafrashoist_core::owner::propose_view::{PeerFact, propose_view};
 use sassafrashoist_core::rendezvous::rank_owners;
@@ -46,6 +48,7 @@
     loop {
         tokio::time::sleep(TRANSFER_REPEAT_INTERVAL).await;
         repeat_transfers(&context).await;
+        rebalance_budgets(&context).await;
     }
 }
 
@@ -99,11 +102,14 @@
             ShardPlace { data_centre_id: context.settings.data_centre_id.clone(), shard: *shard };
         let current = table.ledger.view(&place.data_centre_id, *shard);
         let facts = rank_facts(context, *shard);
-        let view = propose_view(replica, &place, current, &facts, own);
+        let mut view = propose_view(replica, &place, current, &facts, own);
+        if !context.settings.budget_policy.has_backup() {
+            view = view.filter(|view| view.is_fresh).map(|v| View { backup_vm_id: None, ..v });
+        }
         if let Some(view) = view.filter(|_| may_propose) {
             records.push(LedgerRecord::new(LedgerEvent::View(view)));
         }
-        records.extend(replica.propose_draw(&table.ledger));
+        records.extend(replica.propose_draw(&table.ledger, context.settings.budget_policy));
     }
     records
 }
--- a/crates/sassafrashoist/src/ops/mod.rs
+++ b/crates/sassafrashoist/src/ops/mod.rs
@@ -22,6 +22,7 @@
 pub mod query_request;
 pub mod read_request;
 pub mod read_stream;
+pub mod rebalance_budgets;
 pub mod run_router;
 pub mod serve_admin;
 pub mod serve_callers;
--- a/crates/sassafrashoist/src/ops/move_tokens.rs
+++ b/crates/sassafrashoist/src/ops/move_tokens.rs
@@ -58,8 +58,15 @@
     data_centre_id: &String,
     budget_id: &str,
     wanted_tokens: Tokens,
+    is_urgent: bool,
 ) -> AskOutcome {
-    match try_ask(context, data_centre_id, budget_id, wanted_tokens).await {
+    let request = TransferRequest {
+        to_data_centre_id: context.settings.data_centre_id.clone(),
+        budget_id: budget_id.to_owned(),
+        wanted_tokens,
+        is_urgent,
+    };
+    match try_ask(context, data_centre_id, request).await {
         Ok(outcome) => outcome,
         Err(error) => {
             log::debug!(data_centre = data_centre_id; "failed to ask for tokens: {error}");
@@ -71,14 +78,9 @@
 async fn try_ask(
     context: &RouterContext,
     data_centre_id: &String,
-    budget_id: &str,
-    wanted_tokens: Tokens,
+    request: TransferRequest,
 ) -> Result<AskOutcome, PeerError> {
-    let request = TransferRequest {
-        to_data_centre_id: context.settings.data_centre_id.clone(),
-        budget_id: budget_id.to_owned(),
-        wanted_tokens,
-    };
+    let budget_id = &request.budget_id.clone();
     let ask = TransferCall::Ask(request);
     let reply = call_primary(context, data_centre_id, budget_id, &ask).await?;
     let TransferReply::Given { transfers, reserved_tokens, undrawn_tokens } = reply else {
--- a/crates/sassafrashoist/src/ops/serve_owner.rs
+++ b/crates/sassafrashoist/src/ops/serve_owner.rs
@@ -91,8 +91,8 @@
 
     async fn balance(&self, request: Request<Envelope>) -> PeerAnswer {
         let budget_id: String = self.open(request)?;
-        let account = self.context.tables.lock_owner().account(&budget_id);
-        self.close(&account)
+        let report = self.context.tables.lock_owner().balance(&budget_id);
+        self.close(&report)
     }
 }
 
