--- a/crates/sassafrashoist-testkit/examples/experiment.rs
+++ b/crates/sassafrashoist-testkit/examples/experiment.rs
@@ -1,8 +1,10 @@
 //! Runs one experiment on the stand-ins; exits 1 if a promise was broken.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
+use sassafrashoist_testkit::child_router::run_child;
 use sassafrashoist_testkit::experiments::options::ExperimentOptions;
 use sassafrashoist_testkit::experiments::registry::{EXPERIMENT_NAMES, run_experiment};
 
@@ -10,7 +12,7 @@
 #[derive(Debug, Parser)]
 struct Arguments {
     /// The experiment.
-    #[arg(required_unless_present = "list")]
+    #[arg(required_unless_present_any = ["list", "child_router"])]
     name: Option<String>,
     /// Seeds the random numbers.
     #[arg(long, default_value_t = 1)]
@@ -21,6 +23,9 @@
     /// Writes one JSON object as the last line.
     #[arg(long)]
     json: bool,
+    /// Runs one router with these settings, as a measured experiment's own process.
+    #[arg(long, value_name = "FILE", hide = true)]
+    child_router: Option<PathBuf>,
     /// Lists the experiments.
     #[arg(long)]
     list: bool,
@@ -29,6 +34,10 @@
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
     let arguments = Arguments::parse();
+    if let Some(settings) = &arguments.child_router {
+        run_child(settings).await?;
+        return Ok(ExitCode::SUCCESS);
+    }
     let Some(name) = arguments.name.filter(|_| !arguments.list) else {
         println!("{}", EXPERIMENT_NAMES.join("\n"));
         return Ok(ExitCode::SUCCESS);
--- /dev/null
+++ b/crates/sassafrashoist-testkit/src/child_router.rs
@@ -0,0 +1,160 @@
+//! A router in a process of its own, so that its memory and processor time can be read.
+//!
+//! The experiment starts its own program again with `--child-router FILE`.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
+
+use eyre::{Result, WrapErr, bail};
+use sassafrashoist::core::settings::{ListenAddresses, LogLevel, Settings};
+use sassafrashoist::ops::check_settings::check_settings;
+use sassafrashoist::ops::run_router::start_router;
+use sassafrashoist::util::logging::init_logging;
+use tokio_util::sync::CancellationToken;
+
+use crate::client::caller::Caller;
+use crate::fleet::operators::operators;
+use crate::http_util::ANY_LOOPBACK_PORT;
+use crate::process_stats::{ProcessStats, read_process_stats};
+
+/// The longest that a child may take to become ready.
+const READY_BOUND: Duration = Duration::from_secs(60);
+/// Time between two looks at a child's readiness.
+const READY_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Runs a router until the process is ended.
+///
+/// # Errors
+///
+/// Fails when the settings are invalid or a port cannot be had.
+pub async fn run_child(settings_path: &Path) -> Result<()> {
+    let settings = check_settings(settings_path)?;
+    init_logging(&settings.log);
+    let router = start_router(settings, CancellationToken::new()).await?;
+    router.context.cancel.cancelled().await;
+    Ok(())
+}
+
+/// A router in a process of its own.
+pub struct ChildRouter {
+    /// Its settings.
+    pub settings: Settings,
+    child: Child,
+    settings_path: PathBuf,
+}
+
+impl ChildRouter {
+    /// Plans settings with free loopback ports.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub fn plan(
+        vm_id: &str,
+        data_centre_id: &str,
+        platform_address: SocketAddr,
+    ) -> Result<Settings> {
+        let addresses = ListenAddresses {
+            callers: find_free_address()?,
+            admin: find_free_address()?,
+            peers: find_free_address()?,
+        };
+        let mut settings = Settings::new(
+            vm_id.to_owned(),
+            data_centre_id.to_owned(),
+            addresses,
+            platform_address,
+            operators(),
+        );
+        settings.log.level = LogLevel::Error;
+        Ok(settings)
+    }
+
+    /// Starts a router.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn start(settings: Settings) -> Result<Self> {
+        let name = format!("child-router-{}-{}.json", std::process::id(), settings.vm_id);
+        let settings_path = std::env::temp_dir().join(name);
+        fs::write(&settings_path, serde_json::to_vec(&settings)?)
+            .wrap_err("failed to write the settings of a child router")?;
+        let child = Command::new(std::env::current_exe()?)
+            .arg("--child-router")
+            .arg(&settings_path)
+            .spawn()
+            .wrap_err("failed to start a child router")?;
+        Ok(Self { settings, child, settings_path })
+    }
+
+    /// Waits until the router serves, and returns how long that took.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it takes too long.
+    pub async fn wait_ready(&self) -> Result<Duration> {
+        let started = Instant::now();
+        let admin = Caller::new(self.settings.admin_address, "none");
+        while started.elapsed() < READY_BOUND {
+            if admin.get("/ready").await.is_ok_and(|answer| answer.status == 200) {
+                return Ok(started.elapsed());
+            }
+            tokio::time::sleep(READY_INTERVAL).await;
+        }
+        bail!("child router was not ready within {READY_BOUND:?}")
+    }
+
+    /// Waits until a number of the router's state dump has reached a value.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it takes too long.
+    pub async fn wait_state(&self, pointer: &str, least: u64) -> Result<()> {
+        let started = Instant::now();
+        while started.elapsed() < READY_BOUND {
+            // A router that has just been started does not listen yet.
+            if let Ok(state) = self.read_state().await
+                && state.pointer(pointer).and_then(serde_json::Value::as_u64) >= Some(least)
+            {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_INTERVAL * 10).await;
+        }
+        bail!("{pointer} did not reach {least} within {READY_BOUND:?}")
+    }
+
+    /// Reads the router's state dump.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the router does not answer.
+    pub async fn read_state(&self) -> Result<serde_json::Value> {
+        let admin = Caller::new(self.settings.admin_address, "none");
+        Ok(serde_json::from_slice(&admin.get("/state").await?.body)?)
+    }
+
+    /// Reads the process's memory and processor time.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn stats(&self) -> Result<ProcessStats> {
+        read_process_stats(self.child.id())
+    }
+}
+
+impl Drop for ChildRouter {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings_path);
+    }
+}
+
+fn find_free_address() -> Result<SocketAddr> {
+    Ok(std::net::TcpListener::bind(ANY_LOOPBACK_PORT)?.local_addr()?)
+}
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -2,12 +2,13 @@
 
 use eyre::{Result, bail};
 
+use super::capacity;
 use super::options::ExperimentOptions;
 use super::path;
 use super::report::ExperimentReport;
 
 /// The names of all experiments.
-pub const EXPERIMENT_NAMES: &[&str] = &["path"];
+pub const EXPERIMENT_NAMES: &[&str] = &["capacity", "path"];
 
 /// Runs an experiment.
 ///
@@ -16,6 +17,7 @@
 /// Fails when no experiment has the name or its fleet cannot start.
 pub async fn run_experiment(name: &str, options: &ExperimentOptions) -> Result<ExperimentReport> {
     match name {
+        "capacity" => capacity::run(options).await,
         "path" => path::run(options).await,
         _ => bail!("no experiment {name:?}; one of: {}", EXPERIMENT_NAMES.join(", ")),
     }
--- a/crates/sassafrashoist-testkit/src/lib.rs
+++ b/crates/sassafrashoist-testkit/src/lib.rs
@@ -6,12 +6,14 @@
 //! - [`fleet`] starts routers in front of them; [`client`] calls them.
 //! - [`experiments`] are the measured runs of `cargo run --example experiment`.
 
+pub mod child_router;
 pub mod client;
 pub mod engine;
 pub mod experiments;
 pub mod fleet;
 pub mod http_util;
 pub mod platform;
+pub mod process_stats;
 pub mod quickstart;
 pub mod service;
 pub mod tcp_link;
--- a/crates/sassafrashoist-testkit/src/platform/log_streams.rs
+++ b/crates/sassafrashoist-testkit/src/platform/log_streams.rs
@@ -19,6 +19,7 @@
     streams: BTreeMap<String, LogStream>,
     appended_count: u64,
     read_count: u64,
+    read_bytes: u64,
 }
 
 impl LogStreams {
@@ -54,13 +55,14 @@
             return Err(earliest_offset);
         }
         let skipped = from_offset.saturating_sub(earliest_offset) as usize;
-        let records = stream
+        let records: Vec<LogRecord> = stream
             .records
             .iter()
             .skip(skipped)
             .take(max_count)
             .map(|(_, record)| record.clone())
             .collect();
+        self.read_bytes += records.iter().map(|record| record.payload.len() as u64).sum::<u64>();
         Ok(RecordPage { records, earliest_offset, end_offset: stream.end_offset })
     }
 
@@ -78,6 +80,11 @@
         self.appended_count
     }
 
+    /// Returns the bytes of records read.
+    pub fn read_bytes(&self) -> u64 {
+        self.read_bytes
+    }
+
     /// Returns the number of read calls answered.
     pub fn read_count(&self) -> u64 {
         self.read_count
--- a/crates/sassafrashoist-testkit/src/platform/platform_stand_in.rs
+++ b/crates/sassafrashoist-testkit/src/platform/platform_stand_in.rs
@@ -111,6 +111,17 @@
         self.lock().streams.appended_count()
     }
 
+    /// Returns the bytes of records read.
+    pub fn read_bytes(&self) -> u64 {
+        self.lock().streams.read_bytes()
+    }
+
+    /// Appends records without the network, to prepare a large log.
+    pub fn preload(&self, stream: &str, payloads: Vec<Vec<u8>>) {
+        self.lock().streams.append(stream, payloads);
+        self.appended.notify_waiters();
+    }
+
     /// Returns the number of read calls answered.
     pub fn read_count(&self) -> u64 {
         self.lock().streams.read_count()
--- a/crates/sassafrashoist-testkit/src/tcp_link.rs
+++ b/crates/sassafrashoist-testkit/src/tcp_link.rs
@@ -3,6 +3,7 @@
 //! A cut link stalls bytes as a partition does: nothing is refused, nothing arrives.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -29,11 +30,37 @@
     pub delay: Duration,
 }
 
+/// What has passed over a link, both ways together.
+#[derive(Debug, Default)]
+pub struct LinkTraffic {
+    passed_bytes: AtomicU64,
+    passed_chunks: AtomicU64,
+}
+
+impl LinkTraffic {
+    /// The bytes passed.
+    pub fn passed_bytes(&self) -> u64 {
+        self.passed_bytes.load(Ordering::Relaxed)
+    }
+
+    /// The chunks passed; a small message is one chunk.
+    pub fn passed_chunks(&self) -> u64 {
+        self.passed_chunks.load(Ordering::Relaxed)
+    }
+
+    fn count(&self, bytes: usize) {
+        self.passed_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.passed_chunks.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// A link with a listening address of its own.
 #[derive(Debug, Clone)]
 pub struct TcpLink {
     /// Where the connecting party connects.
     pub address: SocketAddr,
+    /// What has passed.
+    pub traffic: Arc<LinkTraffic>,
     target: Arc<Mutex<Option<SocketAddr>>>,
     faults: Arc<watch::Sender<LinkFaults>>,
 }
@@ -47,7 +74,12 @@
     pub async fn start(cancel: &CancellationToken) -> Result<Self> {
         let (listener, address) = bind_loopback().await?;
         let (faults, _) = watch::channel(LinkFaults::default());
-        let link = Self { address, target: Arc::default(), faults: Arc::new(faults) };
+        let link = Self {
+            address,
+            traffic: Arc::default(),
+            target: Arc::default(),
+            faults: Arc::new(faults),
+        };
         tokio::spawn(cancel.clone().run_until_cancelled_owned(link.clone().accept(listener)));
         Ok(link)
     }
@@ -76,12 +108,18 @@
             let Some(target) = target else {
                 continue;
             };
-            tokio::spawn(connect(near, target, self.faults.subscribe()));
+            let traffic = Arc::clone(&self.traffic);
+            tokio::spawn(connect(near, target, self.faults.subscribe(), traffic));
         }
     }
 }
 
-async fn connect(near: TcpStream, target: SocketAddr, mut faults: watch::Receiver<LinkFaults>) {
+async fn connect(
+    near: TcpStream,
+    target: SocketAddr,
+    mut faults: watch::Receiver<LinkFaults>,
+    traffic: Arc<LinkTraffic>,
+) {
     let open = |faults: &LinkFaults| !faults.is_forward_cut;
     if faults.wait_for(open).await.is_err() {
         return;
@@ -93,8 +131,9 @@
     let _ = far.set_nodelay(true);
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let forward = pump(near_read, far_write, faults.clone(), |faults| !faults.is_forward_cut);
-    let backward = pump(far_read, near_write, faults, |faults| !faults.is_backward_cut);
+    let forward =
+        pump(near_read, far_write, faults.clone(), &traffic, |faults| !faults.is_forward_cut);
+    let backward = pump(far_read, near_write, faults, &traffic, |faults| !faults.is_backward_cut);
     tokio::join!(forward, backward);
 }
 
@@ -102,6 +141,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut faults: watch::Receiver<LinkFaults>,
+    traffic: &LinkTraffic,
     is_open: impl Fn(&LinkFaults) -> bool,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
@@ -110,6 +150,7 @@
             Ok(count) if count > 0 => count,
             _ => break,
         };
+        traffic.count(count);
         let delay = faults.borrow().delay;
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
