Add membership of the fleet's VMs by bounded heartbeats

The platform's list of VMs lags, so no VM knew which of the others was lost. Each VM now exchanges heartbeats with two others in a round; each carries at most eight updates, whatever the size of the fleet. Updates about one VM are totally ordered, so tables end equal in any order of arrival. A VM that does not answer is asked for by two others before it is suspect. Only a VM of the same data centre that itself gets answers declares it gone, so a partition between data centres makes nobody gone. A VM that was paused for longer than the suspect timeout, or learns that it was declared gone, takes a new incarnation: the context's incarnation is now a method that reads the table of members.

Tables::lock_membership gives state_of, is_gone, may_act and eligible_of to other parts. Property tests over a fleet of 6 with cuts, pauses and restarts: views agree 20 rounds after the last fault, and no table takes back an incarnation that it held to be over.

--- a/crates/sassafrashoist-core/src/lib.rs
+++ b/crates/sassafrashoist-core/src/lib.rs
@@ -8,12 +8,14 @@
 //! - [`requests`]: what became of a request, by its idempotency key.
 //! - [`owner`]: the table that joins both, so that a key and its reservation are one entry.
 //! - [`routing`]: which backend server runs an attempt.
+//! - [`membership`]: which VMs of the system are members.
 //! - [`invariants`]: the counters that must stay 0.
 
 pub mod budgets;
 pub mod decision_log;
 pub mod ids;
 pub mod invariants;
+pub mod membership;
 pub mod owner;
 pub mod rendezvous;
 pub mod requests;
--- /dev/null
+++ b/crates/sassafrashoist-core/src/membership/membership_timing.rs
@@ -0,0 +1,48 @@
+//! The times and bounds of membership.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// The times and bounds of membership.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MembershipTiming {
+    /// Time between two rounds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "round_interval_ms")]
+    pub round_interval: Duration,
+    /// How long a heartbeat may take.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "probe_timeout_ms")]
+    pub probe_timeout: Duration,
+    /// How long a VM is suspect before it is declared gone.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "suspect_timeout_ms")]
+    pub suspect_timeout: Duration,
+    /// The VMs that one round reaches.
+    pub fan_out: usize,
+    /// The updates about others in one heartbeat.
+    pub max_updates: usize,
+}
+
+impl Default for MembershipTiming {
+    fn default() -> Self {
+        Self {
+            round_interval: Duration::from_millis(500),
+            probe_timeout: Duration::from_millis(400),
+            suspect_timeout: Duration::from_secs(3),
+            fan_out: 2,
+            max_updates: 8,
+        }
+    }
+}
+
+impl MembershipTiming {
+    /// The longest time between two rounds after which this VM cannot have been declared gone.
+    pub fn pause_bound(&self) -> Duration {
+        self.suspect_timeout
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist-core/src/membership/mod.rs
@@ -0,0 +1,20 @@
+//! Which VMs of the system are members, as one VM sees it.
+//!
+//! Each VM keeps a [`member_table::MemberTable`]. In every round it exchanges a
+//! [`heartbeat::Heartbeat`] with a bounded number of others, whatever the size of the fleet, and
+//! each heartbeat carries a bounded number of [`member_update::MemberUpdate`]s. Updates about one
+//! VM are totally ordered, and a table keeps the greatest, so tables that exchange updates in any
+//! order end up equal.
+//!
+//! A VM that does not answer becomes suspect. Only a VM of the same data centre declares it gone:
+//! a partition between data centres makes VMs suspect on both sides and gone on neither. Gone is
+//! final for an incarnation, so a VM that learns that it was declared gone, or that finds that it
+//! was paused for long enough to be, takes a new incarnation before it acts again.
+
+pub mod flap_damping;
+pub mod heartbeat;
+pub mod member;
+pub mod member_state;
+pub mod member_table;
+pub mod member_update;
+pub mod membership_timing;
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 
 mod budget_owner;
 mod ledger;
+mod membership;
 mod result_codes;
 mod split;
--- a/crates/sassafrashoist/src/core/peer_clients.rs
+++ b/crates/sassafrashoist/src/core/peer_clients.rs
@@ -1,6 +1,7 @@
 //! Connections to the other VMs.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -39,7 +40,7 @@
 #[derive(Debug)]
 pub struct PeerClients {
     own_vm_id: VmId,
-    incarnation: Incarnation,
+    incarnation: AtomicU64,
     peers: HashMap<VmId, Peer>,
     channels: Mutex<HashMap<VmId, Channel>>,
 }
@@ -50,12 +51,17 @@
         let peers = settings.peers.iter().map(|peer| (peer.vm_id.clone(), peer.clone())).collect();
         Self {
             own_vm_id: settings.vm_id.clone(),
-            incarnation,
+            incarnation: AtomicU64::new(incarnation),
             peers,
             channels: Mutex::new(HashMap::new()),
         }
     }
 
+    /// Sends later messages in a new incarnation.
+    pub fn set_incarnation(&self, incarnation: Incarnation) {
+        self.incarnation.store(incarnation, Ordering::SeqCst);
+    }
+
     /// Returns the known VMs of a data centre.
     pub fn vms_of<'a>(&'a self, data_centre_id: &'a DataCentreId) -> impl Iterator<Item = &'a str> {
         self.peers
@@ -72,7 +78,7 @@
     pub fn wrap<T: Serialize>(&self, payload: &T) -> Result<Envelope, PeerError> {
         Ok(Envelope {
             from_vm_id: self.own_vm_id.clone(),
-            incarnation: self.incarnation,
+            incarnation: self.incarnation.load(Ordering::SeqCst),
             payload: postcard::to_stdvec(payload)?,
         })
     }
@@ -101,8 +107,21 @@
     ///
     /// Fails when the payload cannot be encoded.
     pub fn request<T: Serialize>(&self, payload: &T) -> Result<Request<Envelope>, PeerError> {
+        self.request_within(payload, PEER_CALL_TIMEOUT)
+    }
+
+    /// Wraps a payload in a call with a deadline.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the payload cannot be encoded.
+    pub fn request_within<T: Serialize>(
+        &self,
+        payload: &T,
+        timeout: Duration,
+    ) -> Result<Request<Envelope>, PeerError> {
         let mut request = Request::new(self.wrap(payload)?);
-        request.set_timeout(PEER_CALL_TIMEOUT);
+        request.set_timeout(timeout);
         Ok(request)
     }
 
--- a/crates/sassafrashoist/src/core/process_state.rs
+++ b/crates/sassafrashoist/src/core/process_state.rs
@@ -10,6 +10,7 @@
 use sassafrashoist_core::ids::{
     BudgetId, BundleVersion, DataCentreId, Incarnation, LogOffset, VmId,
 };
+use sassafrashoist_core::membership::member::MemberView;
 use sassafrashoist_core::routing::server_view::ServerView;
 
 /// The state of one process.
@@ -39,6 +40,8 @@
     pub key_entry_count: usize,
     /// The backend servers as this VM sees them.
     pub backend_servers: Vec<ServerView>,
+    /// The other VMs as this VM sees them.
+    pub members: Vec<MemberView>,
     /// The counters that must stay 0.
     pub promises: BTreeMap<&'static str, u64>,
     /// The newest decisions.
--- a/crates/sassafrashoist/src/core/router_context.rs
+++ b/crates/sassafrashoist/src/core/router_context.rs
@@ -22,8 +22,6 @@
 pub struct RouterContext {
     /// The settings.
     pub settings: Settings,
-    /// The incarnation of this process.
-    pub incarnation: Incarnation,
     /// The tables that the workers share.
     pub tables: Tables,
     /// The counters that must stay 0.
@@ -47,8 +45,7 @@
     pub fn new(settings: Settings, cancel: CancellationToken) -> Arc<Self> {
         let incarnation = start_incarnation();
         Arc::new(Self {
-            incarnation,
-            tables: Tables::new(&settings),
+            tables: Tables::new(&settings, incarnation),
             invariants: Invariants::new(report_breach),
             platform: PlatformClient::new(
                 settings.platform_address,
@@ -63,6 +60,12 @@
         })
     }
 
+    /// Returns the incarnation in which this process acts; it grows when the process finds that
+    /// others may have declared it gone.
+    pub fn incarnation(&self) -> Incarnation {
+        self.tables.lock_membership().incarnation()
+    }
+
     /// Returns the VM that owns a budget in a data centre.
     pub fn owner_vm(&self, data_centre_id: &DataCentreId, budget_id: &str) -> Option<VmId> {
         let is_own = *data_centre_id == self.settings.data_centre_id;
--- a/crates/sassafrashoist/src/core/settings.rs
+++ b/crates/sassafrashoist/src/core/settings.rs
@@ -8,6 +8,7 @@
 
 use sassafrashoist_bundle::bundle::Operator;
 use sassafrashoist_core::ids::{DataCentreId, VmId};
+use sassafrashoist_core::membership::membership_timing::MembershipTiming;
 use sassafrashoist_core::routing::policy::RoutingPolicy;
 
 /// The settings of one router process.
@@ -39,6 +40,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "drain_bound_ms", default = "default_drain_bound")]
     pub drain_bound: Duration,
+    /// The times and bounds of membership.
+    #[serde(default)]
+    pub membership: MembershipTiming,
     /// How backend servers are chosen.
     #[serde(default)]
     pub routing_policy: RoutingPolicy,
@@ -75,6 +79,7 @@
             root_operators,
             log: LogSettings::default(),
             drain_bound: default_drain_bound(),
+            membership: MembershipTiming::default(),
             routing_policy: RoutingPolicy::default(),
         }
     }
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,18 +1,21 @@
 //! The tables that the workers share.
 //!
-//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `decisions`. A worker that
-//! holds one lock takes only locks to its right, and no lock is held over an await.
+//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `membership`, `decisions`. A
+//! worker that holds one lock takes only locks to its right, and no lock is held over an await.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use sassafrashoist_bundle::bundle_record::BundleChain;
 use sassafrashoist_core::budgets::ledger::Ledger;
 use sassafrashoist_core::decision_log::DecisionLog;
+use sassafrashoist_core::ids::Incarnation;
+use sassafrashoist_core::membership::member_table::MemberTable;
 use sassafrashoist_core::owner::budget_owner::BudgetOwner;
 use sassafrashoist_core::requests::key_table::KeyTableLimits;
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
 use super::active_bundle::ActiveBundle;
+use super::clock::read_clock;
 use super::readiness::ReadinessStep;
 use super::settings::Settings;
 
@@ -27,6 +30,7 @@
     ledger: Mutex<LedgerTable>,
     owner: Mutex<BudgetOwner>,
     routing: Mutex<RoutingTable>,
+    membership: Mutex<MemberTable>,
     decisions: Mutex<DecisionLog>,
 }
 
@@ -41,13 +45,14 @@
 
 impl Tables {
     /// Creates empty tables.
-    pub fn new(settings: &Settings) -> Self {
+    pub fn new(settings: &Settings, incarnation: Incarnation) -> Self {
         Self {
             bundle: RwLock::new(None),
             bundle_chain: Mutex::new(BundleChain::new(settings.root_operators.clone())),
             ledger: Mutex::new(LedgerTable::default()),
             owner: Mutex::new(BudgetOwner::new(KeyTableLimits::default())),
             routing: Mutex::new(RoutingTable::default()),
+            membership: Mutex::new(build_members(settings, incarnation)),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
         }
     }
@@ -82,6 +87,11 @@
         lock(&self.routing)
     }
 
+    /// Locks the table of members.
+    pub fn lock_membership(&self) -> MutexGuard<'_, MemberTable> {
+        lock(&self.membership)
+    }
+
     /// Locks the decision log.
     pub fn lock_decisions(&self) -> MutexGuard<'_, DecisionLog> {
         lock(&self.decisions)
@@ -99,6 +109,19 @@
     }
 }
 
+fn build_members(settings: &Settings, incarnation: Incarnation) -> MemberTable {
+    let mut members = MemberTable::new(
+        settings.vm_id.clone(),
+        settings.data_centre_id.clone(),
+        incarnation,
+        settings.membership.clone(),
+    );
+    for peer in &settings.peers {
+        members.add_peer(peer.vm_id.clone(), peer.data_centre_id.clone(), read_clock());
+    }
+    members
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/sassafrashoist/src/ops/admit_request.rs
+++ b/crates/sassafrashoist/src/ops/admit_request.rs
@@ -101,7 +101,7 @@
 fn own_runner(context: &RouterContext, server_id: &BackendServerId) -> AttemptRunner {
     AttemptRunner {
         vm_id: context.settings.vm_id.clone(),
-        incarnation: context.incarnation,
+        incarnation: context.incarnation(),
         server_id: server_id.clone(),
     }
 }
--- a/crates/sassafrashoist/src/ops/dump_state.rs
+++ b/crates/sassafrashoist/src/ops/dump_state.rs
@@ -16,7 +16,7 @@
     ProcessState {
         vm_id: context.settings.vm_id.clone(),
         data_centre_id: context.settings.data_centre_id.clone(),
-        incarnation: context.incarnation,
+        incarnation: context.incarnation(),
         readiness: context.tables.readiness(),
         is_draining: context.drain_gate.is_draining(),
         in_flight_count: context.drain_gate.in_flight_count(),
@@ -26,6 +26,7 @@
         accounts,
         key_entry_count,
         backend_servers: context.tables.lock_routing().servers().cloned().collect(),
+        members: context.tables.lock_membership().view(),
         promises: context.invariants.counts(),
         decisions: context.tables.lock_decisions().newest(DUMPED_DECISIONS),
     }
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/exchange_heartbeats.rs
@@ -0,0 +1,133 @@
+//! Exchanges heartbeats with a bounded number of other VMs in each round.
+//!
+//! A VM that does not answer is asked for by others first, so that a link that is cut makes nobody
+//! suspect whom another VM can reach.
+
+use std::sync::Arc;
+
+use tokio::time::MissedTickBehavior;
+
+use crate::core::clock::read_clock;
+use crate::core::peer_clients::{PeerError, unwrap_answer};
+use crate::core::router_context::RouterContext;
+use sassafrashoist_core::decision_log::DecisionKind;
+use sassafrashoist_core::ids::VmId;
+use sassafrashoist_core::membership::heartbeat::{
+    BundleInForce, Heartbeat, HeartbeatAnswer, HeartbeatCall,
+};
+use sassafrashoist_core::membership::member_table::MemberChange;
+use sassafrashoist_core::result_code::ResultCode;
+
+/// VMs that are asked for one that does not answer.
+const HELPER_COUNT: usize = 2;
+
+/// Exchanges heartbeats until the process stops.
+pub async fn exchange_heartbeats(context: Arc<RouterContext>) {
+    let mut interval = tokio::time::interval(context.settings.membership.round_interval);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = interval.tick() => {}
+            () = context.cancel.cancelled() => return,
+        }
+        for vm_id in begin_round(&context) {
+            tokio::spawn(probe_vm(Arc::clone(&context), vm_id));
+        }
+    }
+}
+
+/// Answers a call of `Fleet.Heartbeat`.
+pub async fn answer_heartbeat(context: &RouterContext, call: HeartbeatCall) -> HeartbeatAnswer {
+    match call {
+        HeartbeatCall::Exchange(heartbeat) => {
+            take_heartbeat(context, &heartbeat);
+            HeartbeatAnswer::Exchanged(make_heartbeat(context, &heartbeat.sender.vm_id))
+        }
+        HeartbeatCall::Probe(vm_id) => {
+            HeartbeatAnswer::Probed(exchange(context, &vm_id).await.is_ok())
+        }
+    }
+}
+
+fn begin_round(context: &RouterContext) -> Vec<VmId> {
+    let (changes, targets) = {
+        let mut members = context.tables.lock_membership();
+        let changes = members.tick(read_clock());
+        if context.drain_gate.is_draining() {
+            members.start_leaving();
+        }
+        (changes, members.choose_targets(rand::random()))
+    };
+    record_changes(context, &changes);
+    targets
+}
+
+async fn probe_vm(context: Arc<RouterContext>, vm_id: VmId) {
+    if exchange(&context, &vm_id).await.is_ok() {
+        return;
+    }
+    let is_reached_by_other = ask_helpers(&context, &vm_id).await;
+    let changes =
+        context.tables.lock_membership().record_failure(&vm_id, is_reached_by_other, read_clock());
+    record_changes(&context, &changes);
+}
+
+async fn exchange(context: &RouterContext, vm_id: &str) -> Result<(), PeerError> {
+    let call = HeartbeatCall::Exchange(make_heartbeat(context, vm_id));
+    if let HeartbeatAnswer::Exchanged(heartbeat) = send(context, vm_id, &call, 1).await? {
+        context.tables.lock_membership().record_answer(vm_id, read_clock());
+        take_heartbeat(context, &heartbeat);
+    }
+    Ok(())
+}
+
+async fn ask_helpers(context: &RouterContext, vm_id: &VmId) -> bool {
+    let helpers = context.tables.lock_membership().choose_helpers(vm_id, HELPER_COUNT);
+    let call = HeartbeatCall::Probe(vm_id.clone());
+    let asked = helpers.iter().map(|helper| send(context, helper, &call, 2));
+    let answers = futures::future::join_all(asked).await;
+    answers.into_iter().any(|answer| matches!(answer, Ok(HeartbeatAnswer::Probed(true))))
+}
+
+async fn send(
+    context: &RouterContext,
+    vm_id: &str,
+    call: &HeartbeatCall,
+    hop_count: u32,
+) -> Result<HeartbeatAnswer, PeerError> {
+    let timeout = context.settings.membership.probe_timeout * hop_count;
+    let request = context.peers.request_within(call, timeout)?;
+    let mut client = context.peers.fleet_client(vm_id)?;
+    let answer = tokio::time::timeout(timeout, client.heartbeat(request))
+        .await
+        .unwrap_or_else(|_| Err(tonic::Status::deadline_exceeded("heartbeat")));
+    unwrap_answer(vm_id, answer)
+}
+
+fn make_heartbeat(context: &RouterContext, to_vm_id: &str) -> Heartbeat {
+    let bundle =
+        context.tables.bundle().map_or_else(BundleInForce::default, |bundle| BundleInForce {
+            version: bundle.version(),
+            digest_sha256: bundle.signed.digest_sha256.clone(),
+        });
+    context.tables.lock_membership().make_heartbeat(to_vm_id, bundle)
+}
+
+fn take_heartbeat(context: &RouterContext, heartbeat: &Heartbeat) {
+    let changes = context.tables.lock_membership().receive(heartbeat, read_clock());
+    record_changes(context, &changes);
+}
+
+fn record_changes(context: &RouterContext, changes: &[MemberChange]) {
+    for change in changes {
+        if change.vm_id == context.settings.vm_id {
+            context.peers.set_incarnation(change.incarnation);
+            log::warn!("incarnation is now {}: {:?}", change.incarnation, change.reason);
+        }
+        let reason = format!(
+            "VM {} incarnation {} is {:?}: {:?}",
+            change.vm_id, change.incarnation, change.state, change.reason
+        );
+        context.record_decision("", DecisionKind::Membership, ResultCode::Done, reason);
+    }
+}
--- a/crates/sassafrashoist/src/ops/poll_backends.rs
+++ b/crates/sassafrashoist/src/ops/poll_backends.rs
@@ -8,6 +8,7 @@
 
 use crate::core::clock::read_clock;
 use crate::core::router_context::RouterContext;
+use crate::ops::join_vm_list::join_vm_list;
 use sassafrashoist_core::routing::server_view::LoadReport;
 use sassafrashoist_platform::http_client::{HttpCall, send_call};
 use sassafrashoist_platform::wire::ListedState;
@@ -29,6 +30,7 @@
 async fn poll_vm_list(context: &RouterContext) {
     match context.platform.list_vms().await {
         Ok(vms) => {
+            join_vm_list(context, &vms);
             let now = read_clock();
             let mut routing = context.tables.lock_routing();
             for vm in vms.iter().filter(|vm| vm.state == ListedState::Leaving) {
--- a/crates/sassafrashoist/src/ops/run_router.rs
+++ b/crates/sassafrashoist/src/ops/run_router.rs
@@ -8,6 +8,7 @@
 
 use crate::core::router_context::RouterContext;
 use crate::core::settings::Settings;
+use crate::ops::exchange_heartbeats::exchange_heartbeats;
 use crate::ops::follow_bundles::follow_bundles;
 use crate::ops::follow_ledger::follow_ledger;
 use crate::ops::poll_backends::poll_backends;
@@ -46,6 +47,7 @@
     serve_http(callers, build_caller_handler(Arc::clone(&context)), cancel.clone());
     serve_http(admin, build_admin_handler(Arc::clone(&context)), cancel);
     serve_peers(Arc::clone(&context), peers);
+    tokio::spawn(exchange_heartbeats(Arc::clone(&context)));
     tokio::spawn(follow_bundles(Arc::clone(&context)));
     tokio::spawn(follow_ledger(Arc::clone(&context)));
     tokio::spawn(poll_backends(Arc::clone(&context)));
--- a/crates/sassafrashoist/src/ops/serve_fleet.rs
+++ b/crates/sassafrashoist/src/ops/serve_fleet.rs
@@ -3,14 +3,18 @@
 use tonic::{Request, Status};
 
 use super::serve_peers::{PeerAnswer, PeerService};
+use crate::ops::exchange_heartbeats::answer_heartbeat;
 use sassafrashoist_core::ids::RequestKey;
+use sassafrashoist_core::membership::heartbeat::HeartbeatCall;
 use sassafrashoist_proto::v1::Envelope;
 use sassafrashoist_proto::v1::fleet_server::Fleet;
 
 #[tonic::async_trait]
 impl Fleet for PeerService {
-    async fn heartbeat(&self, _request: Request<Envelope>) -> PeerAnswer {
-        Err(Status::unimplemented("heartbeat"))
+    async fn heartbeat(&self, request: Request<Envelope>) -> PeerAnswer {
+        let call: HeartbeatCall = self.open(request)?;
+        let answer = answer_heartbeat(&self.context, call).await;
+        self.close(&answer)
     }
 
     async fn relay(&self, _request: Request<Envelope>) -> PeerAnswer {
