Test the operator's command as its own process

Cause: exit codes, error reports and the repeat of an interrupted command were documented and untested.

Change: a fixture writes two operators' settings and runs the built command; tests take a bundle from init to in force, repeat a push and a top-up, and check every error of a broken and a truncated file.

--- /dev/null
+++ b/crates/sassafrasctl/tests/testsuite/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the operator's command, run as its own process.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod budget_commands;
+mod bundle_commands;
+mod ctl_process;
