Test the link and the answer checks of the testkit

Cause: every experiment's verdict rests on these checks, and nothing showed that they can fail.

Change: answers that are whole, cut, honest about being short and of another request are told apart by the check; a cut link holds bytes and delivers them when mended, also one way.

--- a/crates/sassafrashoist-testkit/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-testkit/tests/testsuite/main.rs
@@ -2,4 +2,6 @@
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod answer_checks;
 mod platform;
+mod tcp_link;
