--- a/crates/sassafrashoist-core/src/owner/budget_owner.rs
+++ b/crates/sassafrashoist-core/src/owner/budget_owner.rs
@@ -1,18 +1,27 @@
 //! The table of an owner: accounts by budget and entries by request key.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::admit::{AdmitDecision, AdmitRequest};
 use super::settle::{RedirectRequest, SettleDecision, SettleOutcome, SettleRequest};
 use crate::budgets::escrow_account::EscrowAccount;
-use crate::ids::{AttemptNumber, BudgetId, Timestamp, Tokens};
+use crate::ids::{AttemptNumber, BudgetId, RouteId, Timestamp, Tokens};
 use crate::invariants::{Invariants, Promise};
-use crate::requests::key_entry::{KeyEntry, KeyState};
+use crate::requests::key_entry::{EarlierAttempts, KeptAnswer, KeyEntry, KeyState};
 use crate::requests::key_table::{KeyLookup, KeyTable, KeyTableLimits};
 use crate::result_code::ResultCode;
 
 /// The wait suggested to a caller that is refused for lack of room or tokens.
-const REFUSED_RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
+const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What closes an entry.
+#[derive(Debug)]
+struct Bill {
+    used_tokens: Tokens,
+    code: ResultCode,
+    answer: Option<KeptAnswer>,
+}
 
 /// The owner's table.
 #[derive(Debug)]
@@ -72,6 +81,8 @@
             budget_id: request.budget_id,
             reserved_tokens: request.worst_case_tokens,
             is_idempotent: request.is_idempotent,
+            last_attempt: 1,
+            earlier: EarlierAttempts::default(),
             changed_at: now,
             state: KeyState::Running { attempt: 1, runner: request.runner },
         };
@@ -81,10 +92,19 @@
 
     /// Moves a request to its next attempt; `None` when another attempt took over.
     pub fn redirect(&mut self, request: RedirectRequest, now: Timestamp) -> Option<AttemptNumber> {
-        self.keys.redirect(&request.key, request.from_attempt, request.runner, now)
+        let RedirectRequest { key, from_attempt, earlier, runner } = request;
+        self.keys.redirect(&key, from_attempt, earlier, runner, now)
+    }
+
+    /// Sets how long closed entries of each route are kept.
+    pub fn set_retry_windows(&mut self, retry_windows: BTreeMap<RouteId, Duration>) {
+        self.keys.set_retry_windows(retry_windows);
     }
 
     /// Closes an entry with its cost, once.
+    ///
+    /// A late outcome closes an entry that was unknown. The outcome of an older attempt counts only
+    /// where the request cannot have run twice, that is, where it is not idempotent.
     pub fn settle(
         &mut self,
         request: SettleRequest,
@@ -94,36 +114,63 @@
         let Some(entry) = self.keys.entry(&request.key) else {
             return SettleDecision::UnknownKey;
         };
-        let KeyState::Running { attempt, .. } = &entry.state else {
+        if entry.is_closed() {
             return SettleDecision::AlreadySettled;
-        };
-        if *attempt != request.attempt {
+        }
+        let is_newest = entry.last_attempt == request.attempt;
+        let is_only_run =
+            !entry.is_idempotent && matches!(request.outcome, SettleOutcome::Ran { .. });
+        if !is_newest && !is_only_run {
             return SettleDecision::SupersededAttempt;
         }
-        let reserved_tokens = entry.reserved_tokens;
-        let account = self.accounts.entry(entry.budget_id.clone()).or_default();
         match request.outcome {
-            SettleOutcome::NotRun => {
-                account.settle(reserved_tokens, 0);
-                self.keys.remove(&request.key);
+            SettleOutcome::NotRun if entry.earlier.may_have_run => {
+                invariants.breach(Promise::FalseNotRun, &request.key, 1);
+                self.keys.mark_unknown(&request.key, now);
                 SettleDecision::Settled { billed_tokens: 0 }
             }
+            SettleOutcome::NotRun => self.release(&request.key),
             SettleOutcome::Unknown => {
                 self.keys.mark_unknown(&request.key, now);
                 SettleDecision::Settled { billed_tokens: 0 }
             }
             SettleOutcome::Ran { used_tokens, answer } => {
-                let excess_tokens = account.settle(reserved_tokens, used_tokens);
-                if excess_tokens > 0 {
-                    invariants.breach(Promise::OverspendTokens, &request.key, excess_tokens);
-                }
-                let billed_tokens = used_tokens - excess_tokens;
-                let state = KeyState::Done { billed_tokens, code: request.code, answer };
-                self.keys.close(&request.key, state, now);
-                SettleDecision::Settled { billed_tokens }
+                let bill = Bill { used_tokens, code: request.code, answer };
+                self.bill(&request.key, bill, now, invariants)
             }
         }
     }
+
+    fn release(&mut self, key: &str) -> SettleDecision {
+        if let Some(entry) = self.keys.entry(key) {
+            let account = self.accounts.entry(entry.budget_id.clone()).or_default();
+            account.settle(entry.reserved_tokens, 0);
+        }
+        self.keys.remove(key);
+        SettleDecision::Settled { billed_tokens: 0 }
+    }
+
+    fn bill(
+        &mut self,
+        key: &str,
+        bill: Bill,
+        now: Timestamp,
+        invariants: &Invariants,
+    ) -> SettleDecision {
+        let Some(entry) = self.keys.entry(key) else {
+            return SettleDecision::UnknownKey;
+        };
+        let account = self.accounts.entry(entry.budget_id.clone()).or_default();
+        let excess_tokens = account.settle(entry.reserved_tokens, bill.used_tokens);
+        if excess_tokens > 0 {
+            invariants.breach(Promise::OverspendTokens, key, excess_tokens);
+        }
+        let billed_tokens = bill.used_tokens - excess_tokens;
+        let state = KeyState::Done { billed_tokens, code: bill.code, answer: bill.answer };
+        let is_first_bill = self.keys.close(key, state, now);
+        invariants.check(is_first_bill, Promise::DoubleBills, key);
+        SettleDecision::Settled { billed_tokens }
+    }
 }
 
 fn refuse(code: ResultCode) -> AdmitDecision {
--- a/crates/sassafrashoist-core/src/owner/settle.rs
+++ b/crates/sassafrashoist-core/src/owner/settle.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{AttemptNumber, RequestKey, Tokens};
-use crate::requests::key_entry::{AttemptRunner, KeptAnswer};
+use crate::requests::key_entry::{AttemptRunner, EarlierAttempts, KeptAnswer};
 use crate::result_code::ResultCode;
 
 /// How an attempt ended.
@@ -40,8 +40,10 @@
 pub struct RedirectRequest {
     /// The request's key.
     pub key: RequestKey,
-    /// The number of the attempt that ended without being begun.
+    /// The number of the attempt that ended, or whose runner is gone.
     pub from_attempt: AttemptNumber,
+    /// What that attempt may have done.
+    pub earlier: EarlierAttempts,
     /// Who runs the next attempt.
     pub runner: AttemptRunner,
 }
--- a/crates/sassafrashoist-core/src/requests/key_entry.rs
+++ b/crates/sassafrashoist-core/src/requests/key_entry.rs
@@ -42,6 +42,15 @@
     pub server_id: BackendServerId,
 }
 
+/// What the attempts before the current one may have done.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EarlierAttempts {
+    /// Whether one of them may have run.
+    pub may_have_run: bool,
+    /// The tokens that they are known to have used.
+    pub spent_tokens: Tokens,
+}
+
 /// Where a request stands.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -77,8 +86,25 @@
     pub reserved_tokens: Tokens,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
+    /// The number of the newest attempt.
+    pub last_attempt: AttemptNumber,
+    /// What the attempts before it may have done.
+    pub earlier: EarlierAttempts,
     /// When the entry last changed.
     pub changed_at: Timestamp,
     /// Where the request stands.
     pub state: KeyState,
 }
+
+impl KeyEntry {
+    /// Returns whether the request's caller gave its key, so that it may send it again.
+    pub fn is_keyed(&self, key: &str) -> bool {
+        let scoped = key.strip_prefix(self.binding.account_id.as_str());
+        scoped.is_some_and(|rest| rest.starts_with('/'))
+    }
+
+    /// Returns whether the request's outcome is known for good.
+    pub fn is_closed(&self) -> bool {
+        matches!(self.state, KeyState::Done { .. })
+    }
+}
--- a/crates/sassafrashoist-core/src/requests/key_table.rs
+++ b/crates/sassafrashoist-core/src/requests/key_table.rs
@@ -1,18 +1,23 @@
 //! The entries of request keys, in bounded memory.
 //!
-//! A closed entry is kept for the retry window at least. Its answer goes earlier when the kept
-//! answers grow too large; the outcome stays. An entry that is not closed is never dropped.
+//! A closed entry is kept for the retry window of its route at least. Its answer goes earlier when
+//! the kept answers grow too large; the outcome stays. An entry that is not closed is never
+//! dropped: a full table refuses new keys instead. The entry of a request without a caller's key is
+//! kept only as long as late messages about it may come, since no caller can ask for it again.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-use super::key_entry::{AttemptRunner, KeyBinding, KeyEntry, KeyState};
-use crate::ids::{AttemptNumber, RequestKey, Timestamp};
+use super::key_entry::{AttemptRunner, EarlierAttempts, KeyBinding, KeyEntry, KeyState};
+use crate::ids::{AttemptNumber, RequestKey, RouteId, Timestamp};
+
+/// How long the closed entry of a request without a caller's key is kept.
+const LATE_MESSAGE_WINDOW: Duration = Duration::from_secs(10);
 
 /// The bounds of a key table.
 #[derive(Debug, Clone, Copy)]
 pub struct KeyTableLimits {
-    /// How long a closed entry is kept, at least.
+    /// How long a closed entry is kept, at least, where its route sets no window.
     pub retry_window: Duration,
     /// The most entries kept.
     pub max_entries: usize,
@@ -47,10 +52,11 @@
 #[derive(Debug)]
 pub struct KeyTable {
     entries: HashMap<RequestKey, KeyEntry>,
-    closed_order: VecDeque<(RequestKey, Timestamp)>,
+    expiry_order: BTreeSet<(Timestamp, RequestKey)>,
     answer_order: VecDeque<RequestKey>,
     answer_bytes: usize,
     limits: KeyTableLimits,
+    retry_windows: BTreeMap<RouteId, Duration>,
 }
 
 impl KeyTable {
@@ -58,13 +64,29 @@
     pub fn new(limits: KeyTableLimits) -> Self {
         Self {
             entries: HashMap::new(),
-            closed_order: VecDeque::new(),
+            expiry_order: BTreeSet::new(),
             answer_order: VecDeque::new(),
             answer_bytes: 0,
             limits,
+            retry_windows: BTreeMap::new(),
         }
     }
 
+    /// Sets how long closed entries of each route are kept; holds for entries closed from now on.
+    pub fn set_retry_windows(&mut self, retry_windows: BTreeMap<RouteId, Duration>) {
+        self.retry_windows = retry_windows;
+    }
+
+    /// Returns the bytes of kept answers.
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    /// Returns every entry by its key, in no order.
+    pub fn entries(&self) -> impl Iterator<Item = (&RequestKey, &KeyEntry)> {
+        self.entries.iter()
+    }
+
     /// Returns the number of entries.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -102,25 +124,34 @@
         self.entries.remove(key);
     }
 
-    /// Moves a running request to its next attempt; `None` when another attempt took over.
+    /// Moves a request to its next attempt; `None` when another attempt took over.
+    ///
+    /// A request that ended as unknown may go on where it is idempotent; `earlier` is all that its
+    /// attempts so far may have done.
     pub fn redirect(
         &mut self,
         key: &str,
         from_attempt: AttemptNumber,
+        earlier: EarlierAttempts,
         next_runner: AttemptRunner,
         now: Timestamp,
     ) -> Option<AttemptNumber> {
         let entry = self.entries.get_mut(key)?;
-        let KeyState::Running { attempt, runner } = &mut entry.state else {
-            return None;
+        let may_go_on = match entry.state {
+            KeyState::Running { .. } => true,
+            KeyState::Unknown => entry.is_idempotent,
+            KeyState::Done { .. } => false,
         };
-        if *attempt != from_attempt {
+        if !may_go_on || entry.last_attempt != from_attempt {
             return None;
         }
-        *attempt += 1;
-        *runner = next_runner;
+        let attempt = from_attempt + 1;
+        entry.state = KeyState::Running { attempt, runner: next_runner };
+        entry.last_attempt = attempt;
+        entry.earlier.may_have_run |= earlier.may_have_run;
+        entry.earlier.spent_tokens = entry.earlier.spent_tokens.max(earlier.spent_tokens);
         entry.changed_at = now;
-        Some(*attempt)
+        Some(attempt)
     }
 
     /// Records that it cannot be known whether a request ran; its reservation stays.
@@ -131,10 +162,11 @@
         }
     }
 
-    /// Closes an entry; its reservation is over.
-    pub fn close(&mut self, key: &str, state: KeyState, now: Timestamp) {
-        let Some(entry) = self.entries.get_mut(key) else {
-            return;
+    /// Closes an entry; its reservation is over. False when it was closed before.
+    #[must_use]
+    pub fn close(&mut self, key: &str, state: KeyState, now: Timestamp) -> bool {
+        let Some(entry) = self.entries.get_mut(key).filter(|entry| !entry.is_closed()) else {
+            return false;
         };
         let answer_bytes = match &state {
             KeyState::Done { answer: Some(answer), .. } => answer.body.len(),
@@ -143,8 +175,15 @@
         entry.state = state;
         entry.reserved_tokens = 0;
         entry.changed_at = now;
-        self.closed_order.push_back((key.to_owned(), now));
+        let window = if entry.is_keyed(key) {
+            let route_window = self.retry_windows.get(&entry.binding.route_id);
+            route_window.copied().unwrap_or(self.limits.retry_window)
+        } else {
+            LATE_MESSAGE_WINDOW
+        };
+        self.expiry_order.insert((now + window, key.to_owned()));
         self.keep_answer(key, answer_bytes);
+        true
     }
 
     fn keep_answer(&mut self, key: &str, answer_bytes: usize) {
@@ -172,13 +211,26 @@
     }
 
     fn expire(&mut self, now: Timestamp) {
-        while let Some((key, closed_at)) = self.closed_order.front() {
-            if now.saturating_sub(*closed_at) < self.limits.retry_window {
-                return;
+        while let Some((expires_at, key)) = self.expiry_order.first() {
+            if *expires_at > now {
+                break;
             }
             let key = key.clone();
-            self.closed_order.pop_front();
+            self.expiry_order.pop_first();
             self.remove(&key);
         }
+        self.forget_dropped_answers();
+    }
+
+    /// Keeps the order of answers no longer than the entries that it speaks of.
+    fn forget_dropped_answers(&mut self) {
+        while self.answer_order.front().is_some_and(|key| !self.has_answer(key)) {
+            self.answer_order.pop_front();
+        }
+    }
+
+    fn has_answer(&self, key: &str) -> bool {
+        let state = self.entries.get(key).map(|entry| &entry.state);
+        matches!(state, Some(KeyState::Done { answer: Some(_), .. }))
     }
 }
--- a/crates/sassafrashoist-core/src/requests/life_cycle.rs
+++ b/crates/sassafrashoist-core/src/requests/life_cycle.rs
@@ -1,8 +1,11 @@
 //! The life cycle of a request at its entry VM, as typestates.
 //!
-//! `Received → Admitted → Dispatched → Settled`. Only a request that is not yet dispatched can say
-//! *not run*: [`Request::refuse`] does not exist after [`Request::dispatch`].
+//! `Received → Admitted → Dispatched → Settled`, with `InDoubt` beside `Dispatched` once an answer
+//! was lost. Only a request that no backend server can have begun says *not run*:
+//! [`Request::refuse`] exists on [`Admitted`] alone, and a request that was in doubt once never
+//! becomes [`Admitted`] again, however often a later attempt is provably not begun.
 
+use super::key_entry::EarlierAttempts;
 use crate::ids::{AttemptNumber, BackendServerId, RequestKey, Tokens};
 use crate::result_code::{Outcome, ResultCode};
 
@@ -13,16 +16,21 @@
 /// A request that holds a reservation and was sent nowhere.
 #[derive(Debug)]
 pub struct Admitted {
-    reserved_tokens: Tokens,
-    attempt: AttemptNumber,
+    reservation: Reservation,
 }
 
 /// A request that a backend server may have begun.
 #[derive(Debug)]
 pub struct Dispatched {
-    reserved_tokens: Tokens,
-    attempt: AttemptNumber,
+    reservation: Reservation,
     server_id: BackendServerId,
+    was_in_doubt: bool,
+}
+
+/// A request that an earlier attempt may have begun and that is at no backend server now.
+#[derive(Debug)]
+pub struct InDoubt {
+    reservation: Reservation,
 }
 
 /// A request whose cost is known.
@@ -31,6 +39,14 @@
     billed_tokens: Tokens,
 }
 
+/// The tokens that a request holds and spent.
+#[derive(Debug)]
+struct Reservation {
+    reserved_tokens: Tokens,
+    spent_tokens: Tokens,
+    attempt: AttemptNumber,
+}
+
 /// A request in the state `S`.
 #[derive(Debug)]
 pub struct Request<S> {
@@ -38,6 +54,54 @@
     state: S,
 }
 
+/// A request that is at no backend server.
+#[derive(Debug)]
+pub enum Undispatched {
+    /// No attempt was begun.
+    Admitted(Request<Admitted>),
+    /// An earlier attempt may have been begun.
+    InDoubt(Request<InDoubt>),
+}
+
+impl Undispatched {
+    /// The number of the attempt.
+    pub fn attempt(&self) -> AttemptNumber {
+        match self {
+            Undispatched::Admitted(request) => request.state.reservation.attempt,
+            Undispatched::InDoubt(request) => request.state.reservation.attempt,
+        }
+    }
+
+    /// Records the number under which the owner knows the next attempt.
+    #[must_use]
+    pub fn with_attempt(mut self, attempt: AttemptNumber) -> Self {
+        match &mut self {
+            Undispatched::Admitted(request) => request.state.reservation.attempt = attempt,
+            Undispatched::InDoubt(request) => request.state.reservation.attempt = attempt,
+        }
+        self
+    }
+
+    /// What its attempts so far may have done.
+    pub fn earlier(&self) -> EarlierAttempts {
+        match self {
+            Undispatched::Admitted(_) => EarlierAttempts::default(),
+            Undispatched::InDoubt(request) => EarlierAttempts {
+                may_have_run: true,
+                spent_tokens: request.state.reservation.spent_tokens,
+            },
+        }
+    }
+
+    /// Records that it is about to be sent to a backend server.
+    pub fn dispatch(self, server_id: BackendServerId) -> Request<Dispatched> {
+        match self {
+            Undispatched::Admitted(request) => request.dispatch(server_id),
+            Undispatched::InDoubt(request) => request.dispatch(server_id),
+        }
+    }
+}
+
 impl<S> Request<S> {
     /// The request's key.
     pub fn key(&self) -> &RequestKey {
@@ -53,15 +117,29 @@
 
     /// Records that its tokens are reserved.
     pub fn admit(self, reserved_tokens: Tokens, attempt: AttemptNumber) -> Request<Admitted> {
-        Request { key: self.key, state: Admitted { reserved_tokens, attempt } }
+        let reservation = Reservation { reserved_tokens, spent_tokens: 0, attempt };
+        Request { key: self.key, state: Admitted { reservation } }
+    }
+
+    /// Records that this VM took the request over from another, whose attempt may have been begun
+    /// and is known to have used `spent_tokens`.
+    pub fn take_over(
+        self,
+        reserved_tokens: Tokens,
+        spent_tokens: Tokens,
+        attempt: AttemptNumber,
+    ) -> Request<InDoubt> {
+        let reservation = Reservation { reserved_tokens, spent_tokens, attempt };
+        Request { key: self.key, state: InDoubt { reservation } }
     }
 }
 
 impl Request<Admitted> {
     /// Records that it is about to be sent to a backend server.
     pub fn dispatch(self, server_id: BackendServerId) -> Request<Dispatched> {
-        let Admitted { reserved_tokens, attempt } = self.state;
-        Request { key: self.key, state: Dispatched { reserved_tokens, attempt, server_id } }
+        let reservation = self.state.reservation;
+        let state = Dispatched { reservation, server_id, was_in_doubt: false };
+        Request { key: self.key, state }
     }
 
     /// Ends a request that was sent nowhere.
@@ -71,10 +149,25 @@
     }
 }
 
+impl Request<InDoubt> {
+    /// The tokens that earlier attempts are known to have used.
+    pub fn spent_tokens(&self) -> Tokens {
+        self.state.reservation.spent_tokens
+    }
+
+    /// Records that it is about to be sent again; allowed for idempotent requests, and for a
+    /// stream that a backend server resumes without a second run.
+    pub fn dispatch(self, server_id: BackendServerId) -> Request<Dispatched> {
+        let reservation = self.state.reservation;
+        let state = Dispatched { reservation, server_id, was_in_doubt: true };
+        Request { key: self.key, state }
+    }
+}
+
 impl Request<Dispatched> {
     /// The number of the attempt.
     pub fn attempt(&self) -> AttemptNumber {
-        self.state.attempt
+        self.state.reservation.attempt
     }
 
     /// The backend server that has it.
@@ -82,15 +175,35 @@
         &self.state.server_id
     }
 
-    /// Returns to admitted when the backend server provably did not begin it.
-    pub fn return_unbegun(self) -> Request<Admitted> {
-        let Dispatched { reserved_tokens, attempt, .. } = self.state;
-        Request { key: self.key, state: Admitted { reserved_tokens, attempt: attempt + 1 } }
+    /// The tokens that earlier attempts are known to have used.
+    pub fn spent_tokens(&self) -> Tokens {
+        self.state.reservation.spent_tokens
+    }
+
+    /// Leaves a backend server that provably did not begin it.
+    pub fn return_unbegun(self) -> Undispatched {
+        let Dispatched { reservation, was_in_doubt, .. } = self.state;
+        if was_in_doubt {
+            let state = InDoubt { reservation };
+            return Undispatched::InDoubt(Request { key: self.key, state });
+        }
+        Undispatched::Admitted(Request { key: self.key, state: Admitted { reservation } })
+    }
+
+    /// Leaves a backend server whose answer was lost; `spent_tokens` is what it says it used.
+    pub fn lose_answer(self, spent_tokens: Tokens) -> Request<InDoubt> {
+        let mut reservation = self.state.reservation;
+        reservation.spent_tokens = reservation.spent_tokens.saturating_add(spent_tokens);
+        Request { key: self.key, state: InDoubt { reservation } }
     }
 
-    /// Records the tokens used, at most those reserved.
+    /// Records the tokens used by the last attempt.
+    ///
+    /// The bill counts what earlier attempts are known to have used, and is at most what was
+    /// reserved: what a failed backend server wasted beyond that is the operator's cost.
     pub fn settle(self, used_tokens: Tokens) -> Request<Settled> {
-        let billed_tokens = used_tokens.min(self.state.reserved_tokens);
+        let Reservation { reserved_tokens, spent_tokens, .. } = self.state.reservation;
+        let billed_tokens = spent_tokens.saturating_add(used_tokens).min(reserved_tokens);
         Request { key: self.key, state: Settled { billed_tokens } }
     }
 }
--- /dev/null
+++ b/crates/sassafrashoist-core/src/requests/retry_budget.rs
@@ -0,0 +1,87 @@
+//! How many retries a route's requests of one account may cause.
+//!
+//! Every first attempt earns a tenth of a retry. A retry because backend servers are too busy is
+//! paid from what was earned alone, so that under overload retries never exceed a tenth of the first
+//! attempts. A retry after a failure may also draw on a small reserve that refills with successes
+//! as first attempts do, so that a quiet account gets past a server that has just crashed.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{ClientAccountId, RouteId};
+
+/// What one first attempt earns, in thousandths of a retry.
+const EARNED_PER_FIRST_ATTEMPT_PER_MILLE: u64 = 100;
+/// What one retry costs, in thousandths of a retry.
+const COST_OF_RETRY_PER_MILLE: u64 = 1_000;
+/// The most that can be earned and not yet used, in thousandths of a retry.
+const MAX_EARNED_PER_MILLE: u64 = 20_000;
+/// The reserve for retries after failures, in thousandths of a retry.
+const FULL_RESERVE_PER_MILLE: u64 = 10_000;
+/// The most pairs of account and route that are remembered.
+const MAX_BUDGETS: usize = 4_096;
+
+/// Why an attempt is to be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryCause {
+    /// The backend server was too busy to begin it.
+    Busy,
+    /// The backend server could not be reached or lost it.
+    Failure,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RetryBudget {
+    earned_per_mille: u64,
+    reserve_per_mille: u64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { earned_per_mille: 0, reserve_per_mille: FULL_RESERVE_PER_MILLE }
+    }
+}
+
+/// The retry budgets of one VM, by account and route.
+#[derive(Debug, Default)]
+pub struct RetryBudgets {
+    budgets: BTreeMap<(ClientAccountId, RouteId), RetryBudget>,
+}
+
+impl RetryBudgets {
+    /// Counts the first attempt of a request.
+    pub fn record_first_attempt(&mut self, account_id: &str, route_id: &str) {
+        let budget = self.budget(account_id, route_id);
+        let earned = budget.earned_per_mille + EARNED_PER_FIRST_ATTEMPT_PER_MILLE;
+        budget.earned_per_mille = earned.min(MAX_EARNED_PER_MILLE);
+    }
+
+    /// Counts a request that was answered, which refills the reserve.
+    pub fn record_success(&mut self, account_id: &str, route_id: &str) {
+        let budget = self.budget(account_id, route_id);
+        let reserve = budget.reserve_per_mille + EARNED_PER_FIRST_ATTEMPT_PER_MILLE;
+        budget.reserve_per_mille = reserve.min(FULL_RESERVE_PER_MILLE);
+    }
+
+    /// Takes one retry; false when none is left.
+    #[must_use]
+    pub fn try_retry(&mut self, account_id: &str, route_id: &str, cause: RetryCause) -> bool {
+        let budget = self.budget(account_id, route_id);
+        if budget.earned_per_mille >= COST_OF_RETRY_PER_MILLE {
+            budget.earned_per_mille -= COST_OF_RETRY_PER_MILLE;
+            return true;
+        }
+        if cause == RetryCause::Failure && budget.reserve_per_mille >= COST_OF_RETRY_PER_MILLE {
+            budget.reserve_per_mille -= COST_OF_RETRY_PER_MILLE;
+            return true;
+        }
+        false
+    }
+
+    fn budget(&mut self, account_id: &str, route_id: &str) -> &mut RetryBudget {
+        let id = (account_id.to_owned(), route_id.to_owned());
+        if self.budgets.len() >= MAX_BUDGETS && !self.budgets.contains_key(&id) {
+            self.budgets.pop_first();
+        }
+        self.budgets.entry(id).or_default()
+    }
+}
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -3,6 +3,8 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod budget_owner;
+mod key_table;
 mod ledger;
+mod request_rules;
 mod result_codes;
 mod split;
--- a/crates/sassafrashoist-testkit/src/engine/engine_stand_in.rs
+++ b/crates/sassafrashoist-testkit/src/engine/engine_stand_in.rs
@@ -95,8 +95,9 @@
         let request_id = header_text(request.headers(), "x-request-id");
         match request.uri().path() {
             "/control/load" => self.report_load(),
-            "/control/requests/cancel" => self.cancel(&request_id),
+            "/control/requests/cancel" => self.cancel(&request_id, read_attempt(request.headers())),
             "/control/requests/state" => self.read_state(&request_id),
+            "/control/requests/stream" => self.resume(&request).await,
             _ => self.generate(request).await,
         }
     }
@@ -111,11 +112,13 @@
         build_json(200, &state.lagging_report(current))
     }
 
-    fn cancel(&self, request_id: &str) -> Response<Body> {
+    fn cancel(&self, request_id: &str, attempt: u64) -> Response<Body> {
         let Some(sequence) = self.lock().sequence(request_id) else {
             return build_answer(404, "text/plain", "no such request\n");
         };
-        sequence.stop();
+        if !sequence.is_superseded(attempt) {
+            sequence.stop();
+        }
         build_json(200, &json!({ "total_tokens": sequence.used_tokens() }))
     }
 
@@ -172,7 +175,8 @@
         self.lock().insert_sequence(&request_id, Arc::clone(&sequence));
         tokio::spawn(self.clone().run_sequence(Arc::clone(&sequence), life));
         let mark = PartMark { request_id, attempt: read_attempt(&headers) };
-        if parsed.stream { stream_answer(mark, sequence) } else { collect(mark, sequence).await }
+        sequence.record_attempt(mark.attempt);
+        if parsed.stream { stream_answer(mark, sequence, 0) } else { collect(mark, sequence).await }
     }
 
     async fn run_sequence(self, sequence: Arc<Sequence>, life: u64) {
@@ -212,12 +216,16 @@
     }
 }
 
-struct PartMark {
-    request_id: String,
-    attempt: u64,
+/// What every part of an answer carries.
+pub(super) struct PartMark {
+    /// The request.
+    pub request_id: String,
+    /// The attempt that reads the answer.
+    pub attempt: u64,
 }
 
-fn read_attempt(headers: &HeaderMap) -> u64 {
+/// Returns the attempt of a call.
+pub(super) fn read_attempt(headers: &HeaderMap) -> u64 {
     header_number(headers, "x-attempt").unwrap_or(1)
 }
 
@@ -231,17 +239,27 @@
     response
 }
 
-fn stream_answer(mark: PartMark, sequence: Arc<Sequence>) -> Response<Body> {
+/// Streams an answer from one part on.
+pub(super) fn stream_answer(
+    mark: PartMark,
+    sequence: Arc<Sequence>,
+    from_index: u64,
+) -> Response<Body> {
     let (sender, receiver) = mpsc::channel(PART_QUEUE_LENGTH);
-    tokio::spawn(send_parts(mark, sequence, sender));
+    tokio::spawn(send_parts(mark, sequence, sender, from_index));
     let mut response = Response::new(Body::from_stream(ReceiverStream::new(receiver)));
     set_header(&mut response, "content-type", "text/event-stream");
     response
 }
 
-async fn send_parts(mark: PartMark, sequence: Arc<Sequence>, sender: mpsc::Sender<PartResult>) {
+async fn send_parts(
+    mark: PartMark,
+    sequence: Arc<Sequence>,
+    sender: mpsc::Sender<PartResult>,
+    from_index: u64,
+) {
     let mut progress = sequence.progress.subscribe();
-    let mut sent_tokens = 0;
+    let mut sent_tokens = from_index;
     loop {
         let now = *progress.borrow_and_update();
         while sent_tokens < now.made_tokens {
@@ -278,7 +296,8 @@
     Ok(Frame::data(Bytes::from(format!("data: {data}\n\n"))))
 }
 
-async fn collect(mark: PartMark, sequence: Arc<Sequence>) -> Response<Body> {
+/// Sends an answer when it is whole.
+pub(super) async fn collect(mark: PartMark, sequence: Arc<Sequence>) -> Response<Body> {
     let mut progress = sequence.progress.subscribe();
     let ended = progress.wait_for(|progress| progress.is_ended).await.map(|progress| *progress);
     match ended {
--- a/crates/sassafrashoist-testkit/src/engine/mod.rs
+++ b/crates/sassafrashoist-testkit/src/engine/mod.rs
@@ -9,5 +9,6 @@
 pub mod engine_stand_in;
 pub mod engine_state;
 pub mod prefix_cache;
+mod resume;
 pub mod sequence;
 pub mod slot_queue;
--- a/crates/sassafrashoist-testkit/src/engine/sequence.rs
+++ b/crates/sassafrashoist-testkit/src/engine/sequence.rs
@@ -1,5 +1,7 @@
 //! One request in an engine.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use tokio::sync::watch;
 
 use super::answer_tokens::count_prompt_tokens;
@@ -24,13 +26,24 @@
     pub wanted_tokens: u64,
     /// How far it has come.
     pub progress: watch::Sender<Progress>,
+    newest_attempt: AtomicU64,
 }
 
 impl Sequence {
     /// Starts a request.
     pub fn new(prompt: String, wanted_tokens: u64) -> Self {
         let (progress, _) = watch::channel(Progress::default());
-        Self { prompt, wanted_tokens, progress }
+        Self { prompt, wanted_tokens, progress, newest_attempt: AtomicU64::new(0) }
+    }
+
+    /// Records an attempt that reads the answer.
+    pub fn record_attempt(&self, attempt: u64) {
+        self.newest_attempt.fetch_max(attempt, Ordering::SeqCst);
+    }
+
+    /// Returns whether an attempt is older than one that reads the answer.
+    pub fn is_superseded(&self, attempt: u64) -> bool {
+        attempt < self.newest_attempt.load(Ordering::SeqCst)
     }
 
     /// The tokens used so far, prompt and answer together.
--- a/crates/sassafrashoist/src/core/active_bundle.rs
+++ b/crates/sassafrashoist/src/core/active_bundle.rs
@@ -1,13 +1,14 @@
 //! The bundle in force, indexed for requests.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use sassafrashoist_bundle::account::ClientAccount;
 use sassafrashoist_bundle::route::Route;
 use sassafrashoist_bundle::sample::hash_caller_key;
 use sassafrashoist_bundle::signed_bundle::SignedBundle;
-use sassafrashoist_core::ids::{BudgetId, BundleVersion, DataCentreId};
+use sassafrashoist_core::ids::{BudgetId, BundleVersion, DataCentreId, RouteId};
 
 /// The bundle in force, indexed for requests.
 #[derive(Debug)]
@@ -58,6 +59,12 @@
         Some(grant.budget_id.clone())
     }
 
+    /// Returns how long each route's keys are remembered after their requests ended.
+    pub fn retry_windows(&self) -> BTreeMap<RouteId, Duration> {
+        let routes = self.signed.bundle.routes.iter();
+        routes.map(|route| (route.id.clone(), route.retry_window)).collect()
+    }
+
     /// Returns the data centres of the fleet.
     pub fn data_centre_ids(&self) -> impl Iterator<Item = &DataCentreId> {
         self.signed.bundle.data_centres.iter().map(|data_centre| &data_centre.id)
--- a/crates/sassafrashoist/src/core/caller_request.rs
+++ b/crates/sassafrashoist/src/core/caller_request.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::time::Instant;
 
 use sassafrashoist_bundle::account::ClientAccount;
 use sassafrashoist_bundle::route::{Route, RouteKind};
 use sassafrashoist_core::ids::{BudgetId, DataCentreId, RequestKey, Tokens};
+use sassafrashoist_core::requests::backoff::hop_timeout;
 use sassafrashoist_core::requests::key_entry::KeyBinding;
+use sassafrashoist_core::requests::recovery::RepeatRules;
 
 /// A caller's request after its headers and body were checked.
 #[derive(Debug, Clone)]
@@ -33,8 +36,10 @@
     pub worst_case_tokens: Tokens,
     /// Its priority, 0 (first) to 9.
     pub priority: u8,
-    /// The longest that it may take.
-    pub timeout: Duration,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+    /// Whether the answer is asked for as a stream.
+    pub is_stream: bool,
     /// The body, passed through.
     pub body: Bytes,
 }
@@ -47,4 +52,33 @@
             RouteKind::Model { .. } => None,
         }
     }
+
+    /// Returns whether a model engine runs it.
+    pub fn is_model(&self) -> bool {
+        matches!(self.route.kind, RouteKind::Model { .. })
+    }
+
+    /// Returns whether it may be sent more than once.
+    pub fn repeat_rules(&self) -> RepeatRules {
+        let service_deduplicates =
+            matches!(self.route.kind, RouteKind::Service { service_deduplicates: true, .. });
+        RepeatRules { is_idempotent: self.route.is_idempotent, service_deduplicates }
+    }
+
+    /// Returns the time that is left to its caller.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns what the next hop may take, or `None` when too little time is left.
+    pub fn hop_timeout(&self) -> Option<Duration> {
+        hop_timeout(self.time_left())
+    }
+
+    /// Returns the most that an attempt can have used which passed on so many parts.
+    pub fn cost_bound(&self, passed_parts: u64) -> Tokens {
+        let prompt_bound =
+            self.worst_case_tokens - self.max_output_tokens.min(self.worst_case_tokens);
+        (prompt_bound + passed_parts).min(self.worst_case_tokens)
+    }
 }
--- a/crates/sassafrashoist/src/core/mod.rs
+++ b/crates/sassafrashoist/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! What the router process is made of.
 
 pub mod active_bundle;
+pub mod answer_sink;
 pub mod caller_request;
 pub mod clock;
 pub mod drain_gate;
--- a/crates/sassafrashoist/src/core/router_context.rs
+++ b/crates/sassafrashoist/src/core/router_context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use volo_http::client::Client;
 
 use super::clock::{read_clock, start_incarnation};
@@ -35,9 +36,11 @@
     /// Connections to the other VMs.
     pub peers: PeerClients,
     /// Requests in progress.
-    pub drain_gate: DrainGate,
+    pub drain_gate: Arc<DrainGate>,
     /// Numbers requests without a caller's key.
     pub registry: RequestRegistry,
+    /// Settlements that their callers do not wait for any more.
+    pub settlements: TaskTracker,
     /// Stops every task of the process.
     pub cancel: CancellationToken,
 }
@@ -56,8 +59,9 @@
             ),
             backends: Client::default(),
             peers: PeerClients::new(&settings, incarnation),
-            drain_gate: DrainGate::default(),
+            drain_gate: Arc::default(),
             registry: RequestRegistry::new(&settings.vm_id, incarnation),
+            settlements: TaskTracker::new(),
             settings,
             cancel,
         })
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,6 +1,7 @@
 //! The tables that the workers share.
 //!
-//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `decisions`. A worker that
+//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `retry_budgets`,
+//! `decisions`. A worker that
 //! holds one lock takes only locks to its right, and no lock is held over an await.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
@@ -10,6 +11,7 @@
 use sassafrashoist_core::decision_log::DecisionLog;
 use sassafrashoist_core::owner::budget_owner::BudgetOwner;
 use sassafrashoist_core::requests::key_table::KeyTableLimits;
+use sassafrashoist_core::requests::retry_budget::RetryBudgets;
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
 use super::active_bundle::ActiveBundle;
@@ -27,6 +29,7 @@
     ledger: Mutex<LedgerTable>,
     owner: Mutex<BudgetOwner>,
     routing: Mutex<RoutingTable>,
+    retry_budgets: Mutex<RetryBudgets>,
     decisions: Mutex<DecisionLog>,
 }
 
@@ -48,6 +51,7 @@
             ledger: Mutex::new(LedgerTable::default()),
             owner: Mutex::new(BudgetOwner::new(KeyTableLimits::default())),
             routing: Mutex::new(RoutingTable::default()),
+            retry_budgets: Mutex::new(RetryBudgets::default()),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
         }
     }
@@ -59,6 +63,7 @@
 
     /// Puts a bundle in force.
     pub fn set_bundle(&self, bundle: Arc<ActiveBundle>) {
+        self.lock_owner().set_retry_windows(bundle.retry_windows());
         *self.bundle.write().unwrap_or_else(PoisonError::into_inner) = Some(bundle);
     }
 
@@ -82,6 +87,11 @@
         lock(&self.routing)
     }
 
+    /// Locks the retry budgets.
+    pub fn lock_retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.retry_budgets)
+    }
+
     /// Locks the decision log.
     pub fn lock_decisions(&self) -> MutexGuard<'_, DecisionLog> {
         lock(&self.decisions)
--- a/crates/sassafrashoist/src/ops/admit_request.rs
+++ b/crates/sassafrashoist/src/ops/admit_request.rs
@@ -8,7 +8,7 @@
 use sassafrashoist_core::ids::{AttemptNumber, BackendServerId, VmId};
 use sassafrashoist_core::owner::admit::{AdmitDecision, AdmitRequest};
 use sassafrashoist_core::owner::settle::RedirectRequest;
-use sassafrashoist_core::requests::key_entry::{AttemptRunner, KeyEntry};
+use sassafrashoist_core::requests::key_entry::{AttemptRunner, EarlierAttempts, KeyEntry};
 use sassafrashoist_core::result_code::ResultCode;
 
 /// Reserves a request's tokens at the owner.
@@ -52,11 +52,13 @@
     context: &RouterContext,
     request: &CallerRequest,
     from_attempt: AttemptNumber,
+    earlier: EarlierAttempts,
     server_id: &BackendServerId,
 ) -> Result<Option<AttemptNumber>, PeerError> {
     let redirect = RedirectRequest {
         key: request.key.clone(),
         from_attempt,
+        earlier,
         runner: own_runner(context, server_id),
     };
     let owner_vm_id = find_owner(context, request)?;
--- a/crates/sassafrashoist/src/ops/call_backend.rs
+++ b/crates/sassafrashoist/src/ops/call_backend.rs
@@ -11,6 +11,7 @@
 use crate::core::router_context::RouterContext;
 use crate::util::http_answer::{JSON_TYPE, OUTCOME_HEADER, REQUEST_ID_HEADER};
 use sassafrashoist_core::ids::AttemptNumber;
+use sassafrashoist_core::requests::recovery::AttemptFailure;
 use sassafrashoist_core::result_code::Outcome;
 use sassafrashoist_core::routing::server_view::ServerView;
 use sassafrashoist_platform::http_client::{HttpCall, HttpCallError, is_connect_error, send_call};
@@ -19,19 +20,35 @@
 /// The header with the number of an attempt.
 pub const ATTEMPT_HEADER: &str = "x-attempt";
 /// How long a cancellation may take.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long an engine may take to say whether it still has a stream.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why an attempt has no answer.
 #[derive(Debug, Error)]
 pub enum BackendError {
-    /// The backend server provably did not begin the request.
-    #[error("backend server did not begin the request: {0}")]
-    NotBegun(String),
+    /// The backend server refused to begin the request for lack of room.
+    #[error("backend server is too busy")]
+    Busy,
+    /// The backend server provably did not see the request.
+    #[error("backend server was not reached: {0}")]
+    NotReached(String),
     /// The backend server may have begun the request.
     #[error("answer of the backend server was lost: {0}")]
     AnswerLost(String),
 }
 
+impl BackendError {
+    /// Returns what is known of the attempt.
+    pub fn failure(&self) -> AttemptFailure {
+        match self {
+            BackendError::Busy => AttemptFailure::Busy,
+            BackendError::NotReached(_) => AttemptFailure::NotReached,
+            BackendError::AnswerLost(_) => AttemptFailure::AnswerLost,
+        }
+    }
+}
+
 /// Sends an attempt and returns the answer as soon as its head has come.
 ///
 /// # Errors
@@ -43,24 +60,59 @@
     server: &ServerView,
     attempt: AttemptNumber,
 ) -> Result<Response<Body>, BackendError> {
+    let Some(timeout) = request.hop_timeout() else {
+        return Err(BackendError::NotReached("no time is left".to_owned()));
+    };
     let url = format!("http://{}{}", server.address, request.route.path);
     let mut builder = context.backends.request(Method::POST, url.as_str());
-    *builder.headers_mut() = build_headers(context, request, attempt);
+    *builder.headers_mut() = build_headers(context, request, attempt, timeout);
     let sending = builder.body(Body::from(request.body.clone())).send::<Body>();
-    let response = match tokio::time::timeout(request.timeout, sending).await {
+    let response = match tokio::time::timeout(timeout, sending).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) if is_connect_error(&error) => {
-            return Err(BackendError::NotBegun(error.to_string()));
+            return Err(BackendError::NotReached(error.to_string()));
         }
         Ok(Err(error)) => return Err(BackendError::AnswerLost(error.to_string())),
         Err(_) => return Err(BackendError::AnswerLost("timeout".to_owned())),
     };
     if says_not_begun(&response) {
-        return Err(BackendError::NotBegun(format!("status {}", response.status())));
+        return Err(BackendError::Busy);
+    }
+    if response.status().is_server_error() {
+        return Err(BackendError::AnswerLost(format!("status {}", response.status())));
     }
     Ok(response)
 }
 
+/// Asks an engine for the answer of a request that it has begun, from one part on.
+///
+/// # Errors
+///
+/// Fails when the engine cannot be asked or does not have the request any more.
+pub async fn resume_at_backend(
+    context: &RouterContext,
+    request: &CallerRequest,
+    server: &ServerView,
+    attempt: AttemptNumber,
+    from_index: u64,
+) -> Result<Response<Body>, BackendError> {
+    let url = format!(
+        "http://{}/control/requests/stream?from={from_index}&stream={}",
+        server.address, request.is_stream
+    );
+    let bound = if request.is_stream { RESUME_TIMEOUT } else { Duration::MAX };
+    let timeout = bound.min(request.time_left());
+    let mut builder = context.backends.request(Method::GET, url.as_str());
+    *builder.headers_mut() = build_headers(context, request, attempt, timeout);
+    let sending = builder.body(Body::empty()).send::<Body>();
+    match tokio::time::timeout(timeout, sending).await {
+        Ok(Ok(response)) if response.status() == StatusCode::OK => Ok(response),
+        Ok(Ok(response)) => Err(BackendError::AnswerLost(format!("status {}", response.status()))),
+        Ok(Err(error)) => Err(BackendError::AnswerLost(error.to_string())),
+        Err(_) => Err(BackendError::AnswerLost("timeout".to_owned())),
+    }
+}
+
 /// Asks an engine to stop a request, and returns the answer's body, which holds its usage.
 ///
 /// # Errors
@@ -70,11 +122,14 @@
     context: &RouterContext,
     server: &ServerView,
     key: &str,
+    attempt: AttemptNumber,
 ) -> Result<bytes::Bytes, HttpCallError> {
+    let mut headers = request_headers(context, key);
+    insert(&mut headers, ATTEMPT_HEADER, &attempt.to_string());
     let call = HttpCall {
         method: Method::POST,
         url: format!("http://{}/control/requests/cancel", server.address),
-        headers: request_headers(context, key),
+        headers,
         body: bytes::Bytes::new(),
         timeout: CANCEL_TIMEOUT,
     };
@@ -93,12 +148,13 @@
     context: &RouterContext,
     request: &CallerRequest,
     attempt: AttemptNumber,
+    timeout: Duration,
 ) -> HeaderMap {
     let mut headers = request_headers(context, &request.key);
     insert(&mut headers, ATTEMPT_HEADER, &attempt.to_string());
     insert(&mut headers, "x-priority", &request.priority.to_string());
     insert(&mut headers, "x-max-tokens", &request.max_output_tokens.to_string());
-    insert(&mut headers, "x-timeout-ms", &request.timeout.as_millis().to_string());
+    insert(&mut headers, "x-timeout-ms", &timeout.as_millis().to_string());
     insert(&mut headers, "idempotency-key", &request.key);
     headers
 }
--- a/crates/sassafrashoist/src/ops/handle_request.rs
+++ b/crates/sassafrashoist/src/ops/handle_request.rs
@@ -5,151 +5,86 @@
 //! request that must be followed to its end.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::Response;
 use tokio::sync::oneshot;
 use volo_http::body::Body;
 
+use crate::core::answer_sink::AnswerSink;
 use crate::core::caller_request::CallerRequest;
+use crate::core::drain_gate::{InFlightMark, mark_answer};
 use crate::core::refusal::Refusal;
 use crate::core::router_context::RouterContext;
-use crate::ops::admit_request::{admit_request, redirect_request};
-use crate::ops::call_backend::{BackendError, call_backend};
+use crate::ops::admit_request::admit_request;
 use crate::ops::choose_backend::choose_backend;
+use crate::ops::end_request::release_in_doubt;
 use crate::ops::follow_known_key::follow_known_key;
-use crate::ops::pass_answer::pass_answer;
-use crate::ops::settle_request::settle_request;
+use crate::ops::run_attempts::{RequestRun, run_attempts};
 use crate::util::http_answer::build_refusal;
-use sassafrashoist_core::ids::AttemptNumber;
 use sassafrashoist_core::owner::admit::AdmitDecision;
-use sassafrashoist_core::owner::settle::SettleOutcome;
-use sassafrashoist_core::requests::life_cycle::{Admitted, Request};
-use sassafrashoist_core::result_code::ResultCode;
-use sassafrashoist_core::routing::server_view::ServerView;
+use sassafrashoist_core::requests::life_cycle::{Request, Undispatched};
+use sassafrashoist_core::result_code::{Outcome, ResultCode};
 
-/// The most attempts of one request.
-const MAX_ATTEMPTS: AttemptNumber = 4;
-
-/// Hands the head of the answer to the caller's connection.
-pub type AnswerSender = oneshot::Sender<Response<Body>>;
+/// The wait suggested to a caller of a VM that shuts down; the balancer knows by then.
+const DRAINING_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Serves a checked request and returns its answer.
 pub async fn handle_request(
     context: &Arc<RouterContext>,
     request: CallerRequest,
 ) -> Response<Body> {
-    if !context.drain_gate.try_enter() {
-        return build_refusal(&request.key, &Refusal::of(ResultCode::Draining));
-    }
+    let Some(mark) = context.drain_gate.try_enter() else {
+        let refusal = Refusal::of(ResultCode::Draining).retry_after(Some(DRAINING_RETRY_AFTER));
+        return build_refusal(&request.key, &refusal);
+    };
     let (sender, receiver) = oneshot::channel();
     let key = request.key.clone();
-    let task_context = Arc::clone(context);
-    tokio::spawn(async move {
-        serve_request(&task_context, &request, sender).await;
-        task_context.drain_gate.leave();
-    });
-    match receiver.await {
+    let sink = AnswerSink::new(key.clone(), request.is_keyed, request.deadline, sender);
+    let run = RequestRun::new(Arc::clone(context), request, sink);
+    let task_mark = Arc::clone(&mark);
+    tokio::spawn(serve_request(run, task_mark));
+    let response = match receiver.await {
         Ok(response) => response,
         Err(_) => build_refusal(&key, &Refusal::of(ResultCode::OutcomeUnknown)),
-    }
+    };
+    mark_answer(response, mark)
 }
 
-async fn serve_request(context: &RouterContext, request: &CallerRequest, sender: AnswerSender) {
-    let server = match choose_backend(context, request, &[]) {
+async fn serve_request(mut run: RequestRun, _mark: Arc<InFlightMark>) {
+    let context = Arc::clone(&run.context);
+    let request = Arc::clone(&run.request);
+    let server = match choose_backend(&context, &request, &[]) {
         Ok(server) => server,
-        Err(refusal) => return answer_refusal(request, sender, &refusal),
+        Err(refusal) => return run.sink.refuse(&refusal).await,
     };
-    let decision = match admit_request(context, request, &server.server_id).await {
+    let running_mark = context.registry.mark_running(&request.key);
+    let decision = match admit_request(&context, &request, &server.server_id).await {
         Ok(decision) => decision,
         Err(error) => {
-            let refusal = Refusal::new(ResultCode::OwnerOutOfReach, error.to_string());
-            return answer_refusal(request, sender, &refusal);
+            let mut refusal = Refusal::new(ResultCode::OwnerOutOfReach, error.to_string())
+                .retry_after(Some(Duration::from_secs(1)));
+            if !request.is_keyed {
+                release_in_doubt(&run);
+                refusal.outcome = Outcome::NotRun;
+            }
+            return run.sink.refuse(&refusal).await;
         }
     };
     match decision {
         AdmitDecision::Admitted { attempt } => {
-            let admitted =
-                Request::new(request.key.clone()).admit(request.worst_case_tokens, attempt);
-            run_attempts(context, request, admitted, attempt, server, sender).await;
-        }
-        AdmitDecision::Known(state) => follow_known_key(context, request, state, sender).await,
-        AdmitDecision::Refused { code, retry_after } => {
-            answer_refusal(request, sender, &Refusal::of(code).retry_after(retry_after));
-        }
-    }
-}
-
-async fn run_attempts(
-    context: &RouterContext,
-    request: &CallerRequest,
-    mut admitted: Request<Admitted>,
-    mut attempt: AttemptNumber,
-    mut server: ServerView,
-    sender: AnswerSender,
-) {
-    let mut excluded = Vec::new();
-    loop {
-        let dispatched = admitted.dispatch(server.server_id.clone());
-        context.tables.lock_routing().begin_attempt(&server.server_id);
-        let answer = call_backend(context, request, &server, attempt).await;
-        let error = match answer {
-            Ok(response) => {
-                pass_answer(context, request, &server, dispatched, response, sender).await;
-                context.tables.lock_routing().end_attempt(&server.server_id);
-                return;
-            }
-            Err(error) => error,
-        };
-        context.tables.lock_routing().end_attempt(&server.server_id);
-        log::warn!(key = request.key, server = server.server_id; "attempt {attempt}: {error}");
-        let is_begun = matches!(error, BackendError::AnswerLost(_));
-        if is_begun && !request.route.is_idempotent {
-            return end_unknown(context, request, attempt, sender).await;
+            let (account_id, route_id) = (&request.account.id, &request.route.id);
+            context.tables.lock_retry_budgets().record_first_attempt(account_id, route_id);
+            let received = Request::new(request.key.clone());
+            let admitted = received.admit(request.worst_case_tokens, attempt);
+            run_attempts(&mut run, Undispatched::Admitted(admitted), server).await;
         }
-        admitted = dispatched.return_unbegun();
-        excluded.push(server.server_id.clone());
-        let next = choose_backend(context, request, &excluded);
-        let Ok(next) = next else {
-            return end_not_run(context, request, attempt, admitted, sender).await;
-        };
-        if attempt >= MAX_ATTEMPTS {
-            return end_not_run(context, request, attempt, admitted, sender).await;
+        AdmitDecision::Known(state) => {
+            drop(running_mark);
+            follow_known_key(&mut run, state).await;
         }
-        match redirect_request(context, request, attempt, &next.server_id).await {
-            Ok(Some(next_attempt)) => attempt = next_attempt,
-            _ => return end_not_run(context, request, attempt, admitted, sender).await,
+        AdmitDecision::Refused { code, retry_after } => {
+            run.sink.refuse(&Refusal::of(code).retry_after(retry_after)).await;
         }
-        server = next;
     }
 }
-
-async fn end_unknown(
-    context: &RouterContext,
-    request: &CallerRequest,
-    attempt: AttemptNumber,
-    sender: AnswerSender,
-) {
-    let code = ResultCode::OutcomeUnknown;
-    settle_request(context, request, attempt, SettleOutcome::Unknown, code).await;
-    answer_refusal(request, sender, &Refusal::of(code));
-}
-
-async fn end_not_run(
-    context: &RouterContext,
-    request: &CallerRequest,
-    attempt: AttemptNumber,
-    admitted: Request<Admitted>,
-    sender: AnswerSender,
-) {
-    let code = ResultCode::AttemptsFailed;
-    settle_request(context, request, attempt, SettleOutcome::NotRun, code).await;
-    let (_, outcome) = admitted.refuse(code);
-    let mut refusal = Refusal::of(code);
-    refusal.outcome = outcome;
-    answer_refusal(request, sender, &refusal);
-}
-
-/// Answers with a refusal; a caller that is gone needs none.
-pub fn answer_refusal(request: &CallerRequest, sender: AnswerSender, refusal: &Refusal) {
-    let _ = sender.send(build_refusal(&request.key, refusal));
-}
--- a/crates/sassafrashoist/src/ops/pass_answer.rs
+++ b/crates/sassafrashoist/src/ops/pass_answer.rs
@@ -1,4 +1,4 @@
-//! Passes a backend server's answer on to the caller and settles it.
+//! Reads a backend server's answer, and checks that it is whole and the request's own.
 
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
@@ -7,23 +7,14 @@
 use serde::Deserialize;
 use volo_http::body::Body;
 
+use crate::core::answer_sink::EVENT_STREAM_TYPE;
 use crate::core::caller_request::CallerRequest;
-use crate::core::refusal::Refusal;
-use crate::core::router_context::RouterContext;
 use crate::ops::call_backend::ATTEMPT_HEADER;
-use crate::ops::handle_request::{AnswerSender, answer_refusal};
 use crate::ops::pass_stream::pass_stream;
-use crate::ops::settle_request::settle_request;
-use crate::util::http_answer::{REQUEST_ID_HEADER, build_answer, set_result};
+use crate::ops::run_attempts::RequestRun;
+use crate::util::http_answer::REQUEST_ID_HEADER;
 use sassafrashoist_core::ids::{AttemptNumber, Tokens};
-use sassafrashoist_core::owner::settle::SettleOutcome;
-use sassafrashoist_core::requests::key_entry::KeptAnswer;
 use sassafrashoist_core::requests::life_cycle::{Dispatched, Request};
-use sassafrashoist_core::result_code::ResultCode;
-use sassafrashoist_core::routing::server_view::ServerView;
-
-/// The content type of server-sent events.
-pub const EVENT_STREAM_TYPE: &str = "text/event-stream";
 
 /// The tokens that an engine says a request used.
 #[derive(Debug, Clone, Copy, Deserialize)]
@@ -32,50 +23,71 @@
     pub total_tokens: Tokens,
 }
 
+/// An answer that is whole and the request's own.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// What it cost.
+    pub used_tokens: Tokens,
+    /// Whether it is a stream, all of which but the last event was passed on.
+    pub is_stream: bool,
+    /// The HTTP status.
+    pub http_status: u16,
+    /// The value of the `Content-Type` header.
+    pub content_type: String,
+    /// The body, or the last event of a stream.
+    pub body: Bytes,
+}
+
+/// How an answer ended.
+#[derive(Debug)]
+pub enum PassEnd {
+    /// It is whole.
+    Whole(WholeAnswer),
+    /// The caller does not read it any more, and nobody can ask for it again.
+    CallerGone,
+    /// It ended early or was not the request's own.
+    Lost(String),
+}
+
 #[derive(Debug, Deserialize)]
-struct WholeAnswer {
+struct ModelAnswer {
     id: String,
     attempt: AttemptNumber,
     usage: Usage,
 }
 
-/// Passes an answer on and settles the request.
+/// Reads an answer; a stream is passed on part by part.
 pub async fn pass_answer(
-    context: &RouterContext,
-    request: &CallerRequest,
-    server: &ServerView,
-    dispatched: Request<Dispatched>,
+    run: &mut RequestRun,
+    dispatched: &Request<Dispatched>,
     response: Response<Body>,
-    sender: AnswerSender,
-) {
+) -> PassEnd {
     let content_type = read_header(response.headers(), CONTENT_TYPE.as_str());
     if content_type.starts_with(EVENT_STREAM_TYPE) {
-        return pass_stream(context, request, server, dispatched, response, sender).await;
+        return pass_stream(run, dispatched.attempt(), response.into_body()).await;
     }
-    let attempt = dispatched.attempt();
     let (head, body) = response.into_parts();
-    let collected = tokio::time::timeout(request.timeout, body.collect()).await;
-    let Ok(Ok(collected)) = collected else {
-        let code = ResultCode::OutcomeUnknown;
-        settle_request(context, request, attempt, SettleOutcome::Unknown, code).await;
-        return answer_refusal(request, sender, &Refusal::of(code));
+    let collected = match tokio::time::timeout(run.request.time_left(), body.collect()).await {
+        Ok(Ok(collected)) => collected,
+        Ok(Err(error)) => return PassEnd::Lost(error.to_string()),
+        Err(_) => return PassEnd::Lost("timeout".to_owned()),
     };
     let body = collected.to_bytes();
-    let Some(used_tokens) = read_cost(request, attempt, &head.headers, &body) else {
-        let code = ResultCode::BackendRefused;
-        settle_request(context, request, attempt, SettleOutcome::Unknown, code).await;
-        return answer_refusal(request, sender, &Refusal::of(code));
+    let attempt = dispatched.attempt();
+    let is_refused = run.request.is_model() && head.status.is_client_error();
+    let cost =
+        if is_refused { Some(0) } else { read_cost(&run.request, attempt, &head.headers, &body) };
+    let Some(used_tokens) = cost else {
+        metrics::counter!("sassafrashoist_crossed_parts_dropped_total").increment(1);
+        return PassEnd::Lost("answer is not the request's own".to_owned());
     };
-    let answer = request.is_keyed.then(|| KeptAnswer {
+    PassEnd::Whole(WholeAnswer {
+        used_tokens,
+        is_stream: false,
         http_status: head.status.as_u16(),
-        content_type: content_type.clone(),
-        body: body.to_vec(),
-    });
-    let outcome = SettleOutcome::Ran { used_tokens, answer };
-    settle_request(context, request, attempt, outcome, ResultCode::Done).await;
-    let mut answer = build_answer(head.status.as_u16(), &content_type, body);
-    set_result(&mut answer, &request.key, ResultCode::Done);
-    let _ = sender.send(answer);
+        content_type,
+        body,
+    })
 }
 
 /// Returns the cost of a whole answer, or `None` when it is not this request's or has no cost.
@@ -90,7 +102,7 @@
             && read_header(headers, ATTEMPT_HEADER) == attempt.to_string();
         return is_own.then_some(price_tokens);
     }
-    let answer: WholeAnswer = serde_json::from_slice(body).ok()?;
+    let answer: ModelAnswer = serde_json::from_slice(body).ok()?;
     let is_own = answer.id == request.key && answer.attempt == attempt;
     is_own.then_some(answer.usage.total_tokens)
 }
--- a/crates/sassafrashoist/src/ops/read_request.rs
+++ b/crates/sassafrashoist/src/ops/read_request.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde::Deserialize;
+use tokio::time::Instant;
 use volo_http::body::Body;
 
 use crate::core::active_bundle::ActiveBundle;
@@ -34,6 +35,7 @@
 #[derive(Debug, Deserialize)]
 struct ModelBody {
     max_tokens: Option<Tokens>,
+    stream: Option<bool>,
 }
 
 /// Checks a caller's request.
@@ -46,6 +48,7 @@
     bundle: &ActiveBundle,
     request: Request<Body>,
 ) -> Result<CallerRequest, Refusal> {
+    let received_at = Instant::now();
     let (head, body) = request.into_parts();
     let account = authenticate(bundle, &head.headers)?;
     let route =
@@ -60,7 +63,9 @@
         return Err(Refusal::of(ResultCode::MissingIdempotencyKey));
     }
     let body = read_body(body).await?;
-    let max_output_tokens = read_max_tokens(&head.headers, &route, &body)?;
+    let model_body = read_model_body(&route, &body)?;
+    let asked_tokens = model_body.as_ref().and_then(|body| body.max_tokens);
+    let max_output_tokens = read_max_tokens(&head.headers, &route, asked_tokens)?;
     let worst_case_tokens = worst_case(&route, &body, max_output_tokens);
     let priority =
         read_number(&head.headers, "x-priority")?.unwrap_or(u64::from(route.default_priority));
@@ -89,7 +94,8 @@
         max_output_tokens,
         worst_case_tokens,
         priority: priority as u8,
-        timeout,
+        deadline: received_at + timeout,
+        is_stream: model_body.and_then(|body| body.stream).unwrap_or(false),
         body,
     })
 }
@@ -170,13 +176,24 @@
     }
 }
 
-fn read_max_tokens(headers: &HeaderMap, route: &Route, body: &Bytes) -> Result<Tokens, Refusal> {
+fn read_model_body(route: &Route, body: &Bytes) -> Result<Option<ModelBody>, Refusal> {
+    let RouteKind::Model { .. } = route.kind else {
+        return Ok(None);
+    };
+    serde_json::from_slice(body)
+        .map(Some)
+        .map_err(|error| Refusal::new(ResultCode::MalformedBody, error.to_string()))
+}
+
+fn read_max_tokens(
+    headers: &HeaderMap,
+    route: &Route,
+    asked_tokens: Option<Tokens>,
+) -> Result<Tokens, Refusal> {
     let RouteKind::Model { max_output_tokens, .. } = route.kind else {
         return Ok(0);
     };
-    let parsed: ModelBody = serde_json::from_slice(body)
-        .map_err(|error| Refusal::new(ResultCode::MalformedBody, error.to_string()))?;
-    let asked = read_number(headers, "x-max-tokens")?.or(parsed.max_tokens);
+    let asked = read_number(headers, "x-max-tokens")?.or(asked_tokens);
     let bound = asked.unwrap_or(max_output_tokens);
     if bound == 0 {
         return Err(Refusal::new(
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/run_attempts.rs
@@ -0,0 +1,238 @@
+//! Sends a request to backend servers, one attempt after the other, until its outcome is known.
+//!
+//! The typestates of [`sassafrashoist_core::requests::life_cycle`] say how a request may end: one
+//! that no backend server can have begun ends as not run, one that was in doubt never does.
+
+use std::sync::Arc;
+
+use http::Response;
+use volo_http::body::Body;
+
+use crate::core::answer_sink::AnswerSink;
+use crate::core::caller_request::CallerRequest;
+use crate::core::router_context::RouterContext;
+use crate::ops::admit_request::redirect_request;
+use crate::ops::call_backend::{BackendError, call_backend, cancel_at_backend, resume_at_backend};
+use crate::ops::choose_backend::choose_backend;
+use crate::ops::end_request::{end_cancelled, end_whole, give_up};
+use crate::ops::pass_answer::{PassEnd, Usage, pass_answer};
+use sassafrashoist_core::ids::{BackendServerId, Tokens};
+use sassafrashoist_core::invariants::Promise;
+use sassafrashoist_core::requests::backoff::{hop_timeout, retry_delay};
+use sassafrashoist_core::requests::life_cycle::{Dispatched, Request, Undispatched};
+use sassafrashoist_core::requests::recovery::{AttemptFailure, repeat_cause};
+use sassafrashoist_core::result_code::ResultCode;
+use sassafrashoist_core::routing::server_view::ServerView;
+
+/// One request with all that its attempts share.
+pub struct RequestRun {
+    /// The context of this process.
+    pub context: Arc<RouterContext>,
+    /// The request.
+    pub request: Arc<CallerRequest>,
+    /// The caller's end.
+    pub sink: AnswerSink,
+    /// Backend servers that failed it.
+    pub excluded: Vec<BackendServerId>,
+}
+
+impl RequestRun {
+    /// Creates a run without attempts.
+    pub fn new(context: Arc<RouterContext>, request: CallerRequest, sink: AnswerSink) -> Self {
+        Self { context, request: Arc::new(request), sink, excluded: Vec::new() }
+    }
+
+    /// Returns whether the work of a caller that is gone is stopped: nobody can ask for it again.
+    fn stops_with_caller(&self) -> bool {
+        self.request.is_model() && self.request.route.is_idempotent && !self.request.is_keyed
+    }
+}
+
+/// How an attempt ended.
+enum AttemptEnd {
+    /// The request has its outcome.
+    Closed,
+    /// The attempt failed.
+    Failed(AttemptFailure, Undispatched),
+}
+
+/// Sends attempts until the request has its outcome.
+pub async fn run_attempts(run: &mut RequestRun, first: Undispatched, first_server: ServerView) {
+    let mut undispatched = first;
+    let mut server = first_server;
+    loop {
+        check_repeat(run, &undispatched);
+        let dispatched = undispatched.dispatch(server.server_id.clone());
+        let (failure, failed) = match send_attempt(run, &server, dispatched).await {
+            AttemptEnd::Closed => return,
+            AttemptEnd::Failed(failure, failed) => (failure, failed),
+        };
+        run.excluded.push(server.server_id.clone());
+        match prepare_retry(run, failure, failed).await {
+            Ok((next, next_server)) => {
+                undispatched = next;
+                server = next_server;
+            }
+            Err((code, failed)) => return give_up(run, failed, code).await,
+        }
+    }
+}
+
+/// Passes on the answer of a backend server that already has the request.
+///
+/// Returns the request when the answer was lost.
+pub async fn pass_resumed(
+    run: &mut RequestRun,
+    server: &ServerView,
+    dispatched: Request<Dispatched>,
+    response: Response<Body>,
+) -> Option<Undispatched> {
+    match follow_answer(run, server, dispatched, Ok(response)).await {
+        AttemptEnd::Closed => None,
+        AttemptEnd::Failed(_, failed) => Some(failed),
+    }
+}
+
+fn check_repeat(run: &RequestRun, undispatched: &Undispatched) {
+    let is_first_run = matches!(undispatched, Undispatched::Admitted(_));
+    let is_allowed = is_first_run || run.request.repeat_rules().may_repeat();
+    run.context.invariants.check(is_allowed, Promise::DoubleRuns, &run.request.key);
+}
+
+async fn send_attempt(
+    run: &mut RequestRun,
+    server: &ServerView,
+    dispatched: Request<Dispatched>,
+) -> AttemptEnd {
+    let context = Arc::clone(&run.context);
+    let request = Arc::clone(&run.request);
+    context.tables.lock_routing().begin_attempt(&server.server_id);
+    let stops_with_caller = run.stops_with_caller();
+    let answer = tokio::select! {
+        answer = call_backend(&context, &request, server, dispatched.attempt()) => Some(answer),
+        () = run.sink.wait_caller_gone(), if stops_with_caller => None,
+    };
+    let end = match answer {
+        Some(answer) => follow_answer(run, server, dispatched, answer).await,
+        None => stop_attempt(run, server, dispatched).await,
+    };
+    context.tables.lock_routing().end_attempt(&server.server_id);
+    end
+}
+
+/// Follows an answer to its end, across one lost connection where the engine has the request still.
+async fn follow_answer(
+    run: &mut RequestRun,
+    server: &ServerView,
+    dispatched: Request<Dispatched>,
+    first_answer: Result<Response<Body>, BackendError>,
+) -> AttemptEnd {
+    let mut answer = first_answer;
+    let mut was_resumed = false;
+    loop {
+        let error = match answer {
+            Ok(response) => match pass_answer(run, &dispatched, response).await {
+                PassEnd::Whole(whole) => {
+                    end_whole(run, dispatched, whole).await;
+                    return AttemptEnd::Closed;
+                }
+                PassEnd::CallerGone => return stop_attempt(run, server, dispatched).await,
+                PassEnd::Lost(reason) => BackendError::AnswerLost(reason),
+            },
+            Err(error) => error,
+        };
+        let attempt = dispatched.attempt();
+        log::warn!(key = run.request.key, server = server.server_id; "attempt {attempt}: {error}");
+        let failure = error.failure();
+        if failure != AttemptFailure::AnswerLost {
+            return AttemptEnd::Failed(failure, dispatched.return_unbegun());
+        }
+        let has_time = run.request.hop_timeout().is_some();
+        if was_resumed || !has_time || !run.request.is_model() {
+            return lose_attempt(run, server, dispatched).await;
+        }
+        was_resumed = true;
+        let from_index = run.sink.next_index();
+        answer = resume_at_backend(&run.context, &run.request, server, attempt, from_index).await;
+        if answer.is_err() {
+            return lose_attempt(run, server, dispatched).await;
+        }
+    }
+}
+
+/// Ends an attempt whose answer is lost, and stops it at the engine.
+async fn lose_attempt(
+    run: &RequestRun,
+    server: &ServerView,
+    dispatched: Request<Dispatched>,
+) -> AttemptEnd {
+    let spent_tokens = stop_at_engine(run, server, &dispatched).await;
+    let in_doubt = dispatched.lose_answer(spent_tokens.unwrap_or(0));
+    AttemptEnd::Failed(AttemptFailure::AnswerLost, Undispatched::InDoubt(in_doubt))
+}
+
+/// Stops an attempt whose caller is gone, and bills what it used.
+async fn stop_attempt(
+    run: &mut RequestRun,
+    server: &ServerView,
+    dispatched: Request<Dispatched>,
+) -> AttemptEnd {
+    let spent_tokens = stop_at_engine(run, server, &dispatched).await;
+    let bound_tokens = run.request.cost_bound(run.sink.next_index());
+    let used_tokens = spent_tokens.unwrap_or(bound_tokens);
+    end_cancelled(run, dispatched, used_tokens).await;
+    AttemptEnd::Closed
+}
+
+/// Stops a request at its engine and returns the tokens that the engine says it used.
+async fn stop_at_engine(
+    run: &RequestRun,
+    server: &ServerView,
+    dispatched: &Request<Dispatched>,
+) -> Option<Tokens> {
+    if !run.request.is_model() {
+        return None;
+    }
+    let key = &run.request.key;
+    let body = cancel_at_backend(&run.context, server, key, dispatched.attempt()).await.ok()?;
+    let usage: Usage = serde_json::from_slice(&body).ok()?;
+    Some(usage.total_tokens)
+}
+
+/// Waits, chooses the next backend server and records the next attempt at the owner.
+///
+/// Fails with the code to end with.
+async fn prepare_retry(
+    run: &RequestRun,
+    failure: AttemptFailure,
+    failed: Undispatched,
+) -> Result<(Undispatched, ServerView), (ResultCode, Undispatched)> {
+    let request = &run.request;
+    let code = match failure {
+        AttemptFailure::Busy => ResultCode::Overloaded,
+        AttemptFailure::NotReached | AttemptFailure::AnswerLost => ResultCode::AttemptsFailed,
+    };
+    let attempt = failed.attempt();
+    let Some(cause) = repeat_cause(failure, request.repeat_rules(), attempt) else {
+        return Err((code, failed));
+    };
+    let delay = retry_delay(run.context.incarnation, &request.key, attempt);
+    if hop_timeout(request.time_left().saturating_sub(delay)).is_none() {
+        return Err((code, failed));
+    }
+    let Ok(next_server) = choose_backend(&run.context, request, &run.excluded) else {
+        return Err((code, failed));
+    };
+    let (account_id, route_id) = (&request.account.id, &request.route.id);
+    if !run.context.tables.lock_retry_budgets().try_retry(account_id, route_id, cause) {
+        return Err((code, failed));
+    }
+    metrics::counter!("sassafrashoist_retries_total").increment(1);
+    tokio::time::sleep(delay).await;
+    let earlier = failed.earlier();
+    let server_id = &next_server.server_id;
+    match redirect_request(&run.context, request, attempt, earlier, server_id).await {
+        Ok(Some(next_attempt)) => Ok((failed.with_attempt(next_attempt), next_server)),
+        Ok(None) | Err(_) => Err((code, failed)),
+    }
+}
--- a/crates/sassafrashoist/src/ops/serve_fleet.rs
+++ b/crates/sassafrashoist/src/ops/serve_fleet.rs
@@ -3,7 +3,9 @@
 use tonic::{Request, Status};
 
 use super::serve_peers::{PeerAnswer, PeerService};
+use crate::ops::probe_runner::answer_sightings;
 use sassafrashoist_core::ids::RequestKey;
+use sassafrashoist_core::requests::sightings::SightingsCall;
 use sassafrashoist_proto::v1::Envelope;
 use sassafrashoist_proto::v1::fleet_server::Fleet;
 
@@ -21,8 +23,10 @@
         Err(Status::unimplemented("snapshot"))
     }
 
-    async fn sightings(&self, _request: Request<Envelope>) -> PeerAnswer {
-        Err(Status::unimplemented("sightings"))
+    async fn sightings(&self, request: Request<Envelope>) -> PeerAnswer {
+        let call: SightingsCall = self.open(request)?;
+        let answer = answer_sightings(&self.context, call);
+        self.close(&answer)
     }
 
     async fn explain(&self, request: Request<Envelope>) -> PeerAnswer {
