--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,7 +1,8 @@
 //! The tables that the workers share.
 //!
-//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `membership`, `decisions`. A
-//! worker that holds one lock takes only locks to its right, and no lock is held over an await.
+//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `membership`,
+//! `retry_budgets`, `decisions`. A worker that holds one lock takes only locks to its right, and no
+//! lock is held over an await.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
@@ -12,6 +13,7 @@
 use sassafrashoist_core::membership::member_table::MemberTable;
 use sassafrashoist_core::owner::budget_owner::BudgetOwner;
 use sassafrashoist_core::requests::key_table::KeyTableLimits;
+use sassafrashoist_core::requests::retry_budget::RetryBudgets;
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
 use super::active_bundle::ActiveBundle;
@@ -31,6 +33,7 @@
     owner: Mutex<BudgetOwner>,
     routing: Mutex<RoutingTable>,
     membership: Mutex<MemberTable>,
+    retry_budgets: Mutex<RetryBudgets>,
     decisions: Mutex<DecisionLog>,
 }
 
@@ -53,6 +56,7 @@
             owner: Mutex::new(BudgetOwner::new(KeyTableLimits::default())),
             routing: Mutex::new(RoutingTable::default()),
             membership: Mutex::new(build_members(settings, incarnation)),
+            retry_budgets: Mutex::new(RetryBudgets::default()),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
         }
     }
@@ -64,6 +68,7 @@
 
     /// Puts a bundle in force.
     pub fn set_bundle(&self, bundle: Arc<ActiveBundle>) {
+        self.lock_owner().set_retry_windows(bundle.retry_windows());
         *self.bundle.write().unwrap_or_else(PoisonError::into_inner) = Some(bundle);
     }
 
@@ -92,6 +97,11 @@
         lock(&self.membership)
     }
 
+    /// Locks the retry budgets.
+    pub fn lock_retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.retry_budgets)
+    }
+
     /// Locks the decision log.
     pub fn lock_decisions(&self) -> MutexGuard<'_, DecisionLog> {
         lock(&self.decisions)
