Relay log streams within a data centre

Every VM read every stream from the platform, so the platform's load grew with the fleet. The VMs of a data centre now rank themselves by the same hash for each stream; the first reads the platform and the others read from it over Fleet.Relay. Who finds the reader quiet asks the next in rank and reads the platform when there is none. An answer carries the time since the platform was heard, so two VMs that read from each other turn quiet instead of keeping each other current.

Control messages and their payload bytes are counted by kind, in metrics and in the state dump. Tests kill the reader and cut it off; the others go on.

--- a/crates/sassafrashoist-core/src/membership/mod.rs
+++ b/crates/sassafrashoist-core/src/membership/mod.rs
@@ -18,3 +18,4 @@
 pub mod member_table;
 pub mod member_update;
 pub mod membership_timing;
+pub mod reader_choice;
--- a/crates/sassafrashoist/src/core/mod.rs
+++ b/crates/sassafrashoist/src/core/mod.rs
@@ -3,11 +3,15 @@
 pub mod active_bundle;
 pub mod caller_request;
 pub mod clock;
+pub mod control_traffic;
 pub mod drain_gate;
 pub mod peer_clients;
 pub mod process_state;
 pub mod readiness;
 pub mod refusal;
+pub mod relay_messages;
+pub mod relay_stream;
+pub mod relay_table;
 pub mod request_registry;
 pub mod router_context;
 pub mod settings;
--- a/crates/sassafrashoist/src/core/process_state.rs
+++ b/crates/sassafrashoist/src/core/process_state.rs
@@ -4,7 +4,9 @@
 
 use serde::Serialize;
 
+use super::control_traffic::TrafficCount;
 use super::readiness::ReadinessStep;
+use super::relay_stream::StreamView;
 use sassafrashoist_core::budgets::escrow_account::EscrowAccount;
 use sassafrashoist_core::decision_log::Decision;
 use sassafrashoist_core::ids::{
@@ -42,6 +44,10 @@
     pub backend_servers: Vec<ServerView>,
     /// The other VMs as this VM sees them.
     pub members: Vec<MemberView>,
+    /// The log streams that this VM follows and relays.
+    pub streams: BTreeMap<String, StreamView>,
+    /// What this VM sent and received for control, by kind.
+    pub control_traffic: BTreeMap<&'static str, TrafficCount>,
     /// The counters that must stay 0.
     pub promises: BTreeMap<&'static str, u64>,
     /// The newest decisions.
--- a/crates/sassafrashoist/src/core/router_context.rs
+++ b/crates/sassafrashoist/src/core/router_context.rs
@@ -6,6 +6,7 @@
 use volo_http::client::Client;
 
 use super::clock::{read_clock, start_incarnation};
+use super::control_traffic::ControlTraffic;
 use super::drain_gate::DrainGate;
 use super::peer_clients::PeerClients;
 use super::request_registry::RequestRegistry;
@@ -30,6 +31,8 @@
     pub platform: PlatformClient,
     /// Connections to backend servers.
     pub backends: Client,
+    /// Counts what this VM sends and receives for control.
+    pub traffic: ControlTraffic,
     /// Connections to the other VMs.
     pub peers: PeerClients,
     /// Requests in progress.
@@ -52,6 +55,7 @@
                 settings.data_centre_id.clone(),
             ),
             backends: Client::default(),
+            traffic: ControlTraffic::default(),
             peers: PeerClients::new(&settings, incarnation),
             drain_gate: DrainGate::default(),
             registry: RequestRegistry::new(&settings.vm_id, incarnation),
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,10 +1,13 @@
 //! The tables that the workers share.
 //!
-//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `membership`, `decisions`. A
-//! worker that holds one lock takes only locks to its right, and no lock is held over an await.
+//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `membership`, `relay`,
+//! `decisions`. A worker that holds one lock takes only locks to its right, and no lock is held
+//! over an await.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
+use tokio::sync::Notify;
+
 use sassafrashoist_bundle::bundle_record::BundleChain;
 use sassafrashoist_core::budgets::ledger::Ledger;
 use sassafrashoist_core::decision_log::DecisionLog;
@@ -17,6 +20,7 @@
 use super::active_bundle::ActiveBundle;
 use super::clock::read_clock;
 use super::readiness::ReadinessStep;
+use super::relay_table::RelayTable;
 use super::settings::Settings;
 
 /// Decisions kept for state dumps and explanations.
@@ -31,7 +35,10 @@
     owner: Mutex<BudgetOwner>,
     routing: Mutex<RoutingTable>,
     membership: Mutex<MemberTable>,
+    relay: Mutex<RelayTable>,
     decisions: Mutex<DecisionLog>,
+    /// Wakes the calls that wait for a record to relay.
+    pub relay_arrived: Notify,
 }
 
 /// The ledger and whether it was read up to the log's end once.
@@ -53,7 +60,9 @@
             owner: Mutex::new(BudgetOwner::new(KeyTableLimits::default())),
             routing: Mutex::new(RoutingTable::default()),
             membership: Mutex::new(build_members(settings, incarnation)),
+            relay: Mutex::default(),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
+            relay_arrived: Notify::new(),
         }
     }
 
@@ -92,6 +101,11 @@
         lock(&self.membership)
     }
 
+    /// Locks the table of relayed streams.
+    pub fn lock_relay(&self) -> MutexGuard<'_, RelayTable> {
+        lock(&self.relay)
+    }
+
     /// Locks the decision log.
     pub fn lock_decisions(&self) -> MutexGuard<'_, DecisionLog> {
         lock(&self.decisions)
--- a/crates/sassafrashoist/src/ops/dump_state.rs
+++ b/crates/sassafrashoist/src/ops/dump_state.rs
@@ -1,5 +1,6 @@
 //! Dumps the state of this process.
 
+use crate::core::clock::read_clock;
 use crate::core::process_state::ProcessState;
 use crate::core::router_context::RouterContext;
 
@@ -27,6 +28,8 @@
         key_entry_count,
         backend_servers: context.tables.lock_routing().servers().cloned().collect(),
         members: context.tables.lock_membership().view(),
+        streams: context.tables.lock_relay().view(read_clock()),
+        control_traffic: context.traffic.read_all(),
         promises: context.invariants.counts(),
         decisions: context.tables.lock_decisions().newest(DUMPED_DECISIONS),
     }
--- a/crates/sassafrashoist/src/ops/exchange_heartbeats.rs
+++ b/crates/sassafrashoist/src/ops/exchange_heartbeats.rs
@@ -8,6 +8,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::core::clock::read_clock;
+use crate::core::control_traffic::ControlKind;
 use crate::core::peer_clients::{PeerError, unwrap_answer};
 use crate::core::router_context::RouterContext;
 use sassafrashoist_core::decision_log::DecisionKind;
@@ -97,10 +98,14 @@
 ) -> Result<HeartbeatAnswer, PeerError> {
     let timeout = context.settings.membership.probe_timeout * hop_count;
     let request = context.peers.request_within(call, timeout)?;
+    context.traffic.count(ControlKind::Heartbeat, request.get_ref().payload.len());
     let mut client = context.peers.fleet_client(vm_id)?;
     let answer = tokio::time::timeout(timeout, client.heartbeat(request))
         .await
         .unwrap_or_else(|_| Err(tonic::Status::deadline_exceeded("heartbeat")));
+    if let Ok(envelope) = &answer {
+        context.traffic.count(ControlKind::Heartbeat, envelope.get_ref().payload.len());
+    }
     unwrap_answer(vm_id, answer)
 }
 
--- a/crates/sassafrashoist/src/ops/mod.rs
+++ b/crates/sassafrashoist/src/ops/mod.rs
@@ -25,4 +25,5 @@
 pub mod serve_fleet;
 pub mod serve_owner;
 pub mod serve_peers;
+pub mod serve_relay;
 pub mod settle_request;
--- a/crates/sassafrashoist/src/ops/serve_fleet.rs
+++ b/crates/sassafrashoist/src/ops/serve_fleet.rs
@@ -1,24 +1,48 @@
 //! The calls of other VMs that keep the fleet in step.
 
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tonic::{Request, Status};
 
 use super::serve_peers::{PeerAnswer, PeerService};
+use crate::core::control_traffic::ControlKind;
+use crate::core::relay_messages::RelayCall;
 use crate::ops::exchange_heartbeats::answer_heartbeat;
+use crate::ops::serve_relay::serve_relay;
 use sassafrashoist_core::ids::RequestKey;
 use sassafrashoist_core::membership::heartbeat::HeartbeatCall;
 use sassafrashoist_proto::v1::Envelope;
 use sassafrashoist_proto::v1::fleet_server::Fleet;
 
+impl PeerService {
+    fn open_control<T: DeserializeOwned>(
+        &self,
+        kind: ControlKind,
+        request: Request<Envelope>,
+    ) -> Result<T, Status> {
+        self.context.traffic.count(kind, request.get_ref().payload.len());
+        self.open(request)
+    }
+
+    fn close_control<T: Serialize>(&self, kind: ControlKind, payload: &T) -> PeerAnswer {
+        let answer = self.close(payload)?;
+        self.context.traffic.count(kind, answer.get_ref().payload.len());
+        Ok(answer)
+    }
+}
+
 #[tonic::async_trait]
 impl Fleet for PeerService {
     async fn heartbeat(&self, request: Request<Envelope>) -> PeerAnswer {
-        let call: HeartbeatCall = self.open(request)?;
+        let call: HeartbeatCall = self.open_control(ControlKind::Heartbeat, request)?;
         let answer = answer_heartbeat(&self.context, call).await;
-        self.close(&answer)
+        self.close_control(ControlKind::Heartbeat, &answer)
     }
 
-    async fn relay(&self, _request: Request<Envelope>) -> PeerAnswer {
-        Err(Status::unimplemented("relay"))
+    async fn relay(&self, request: Request<Envelope>) -> PeerAnswer {
+        let call: RelayCall = self.open_control(ControlKind::Relay, request)?;
+        let answer = serve_relay(&self.context, &call).await;
+        self.close_control(ControlKind::Relay, &answer)
     }
 
     async fn snapshot(&self, _request: Request<Envelope>) -> PeerAnswer {
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -4,4 +4,7 @@
 
 mod bad_requests;
 mod processes;
+mod relay;
+mod relay_stream;
 mod settings;
+mod waiting;
