--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,11 +1,22 @@
 //! The tables that the workers share.
 //!
-//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `membership`,
-//! `retry_budgets`, `decisions`. A worker that holds one lock takes only locks to its right, and no
-//! lock is held over an await.
+//! Lock order, first to last; a worker that holds one lock takes only locks further down, and no lock
+//! is held over an await:
+//!
+//! - `bundle`
+//! - `bundle_chain`
+//! - `ledger`
+//! - `owner`
+//! - `routing`
+//! - `membership`
+//! - `relay`
+//! - `retry_budgets`
+//! - `decisions`
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
+use tokio::sync::Notify;
+
 use sassafrashoist_bundle::bundle_record::BundleChain;
 use sassafrashoist_core::budgets::ledger::Ledger;
 use sassafrashoist_core::decision_log::DecisionLog;
@@ -19,6 +30,7 @@
 use super::active_bundle::ActiveBundle;
 use super::clock::read_clock;
 use super::readiness::ReadinessStep;
+use super::relay_table::RelayTable;
 use super::settings::Settings;
 
 /// Decisions kept for state dumps and explanations.
@@ -34,7 +46,10 @@
     routing: Mutex<RoutingTable>,
     membership: Mutex<MemberTable>,
     retry_budgets: Mutex<RetryBudgets>,
+    relay: Mutex<RelayTable>,
     decisions: Mutex<DecisionLog>,
+    /// Wakes the calls that wait for a record to relay.
+    pub relay_arrived: Notify,
 }
 
 /// The ledger and whether it was read up to the log's end once.
@@ -57,7 +72,9 @@
             routing: Mutex::new(RoutingTable::default()),
             membership: Mutex::new(build_members(settings, incarnation)),
             retry_budgets: Mutex::new(RetryBudgets::default()),
+            relay: Mutex::default(),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
+            relay_arrived: Notify::new(),
         }
     }
 
@@ -102,6 +119,11 @@
         lock(&self.retry_budgets)
     }
 
+    /// Locks the table of relayed streams.
+    pub fn lock_relay(&self) -> MutexGuard<'_, RelayTable> {
+        lock(&self.relay)
+    }
+
     /// Locks the decision log.
     pub fn lock_decisions(&self) -> MutexGuard<'_, DecisionLog> {
         lock(&self.decisions)
