Test request outcomes over real sockets

Cause: takeovers, lost and crossed answers, callers that are gone and drains were only reasoned about.

Change: ten tests that kill a router mid-stream, crash an engine mid-stream, drop and cross a plain service's answer, abort callers, and drain a router with twelve streams open.

--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -3,5 +3,6 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod bad_requests;
+mod outcomes;
 mod processes;
 mod settings;
--- /dev/null
+++ b/crates/sassafrashoist/tests/testsuite/outcomes.rs
@@ -0,0 +1,262 @@
+use std::time::Duration;
+
+use sassafrashoist_core::ids::VmId;
+use sassafrashoist_testkit::client::caller::{Answer, Call};
+use sassafrashoist_testkit::engine::answer_tokens::whole_answer;
+use sassafrashoist_testkit::engine::engine_settings::EngineSettings;
+use sassafrashoist_testkit::fleet::audit::{Audit, BudgetSums, sum_budgets};
+use sassafrashoist_testkit::fleet::fleet_bundle::{APPRAISAL_PATH, BID_PATH};
+use sassafrashoist_testkit::fleet::fleet_plan::FleetPlan;
+use sassafrashoist_testkit::fleet::running_fleet::RunningFleet;
+
+const PROMPT: &str = "lot 21, dimb, two flitches";
+const STEP: Duration = Duration::from_millis(10);
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
+async fn start_fleet(vm_count: usize, engine_count: usize) -> RunningFleet {
+    let engine = EngineSettings { step_time: STEP, ..EngineSettings::default() };
+    let mut plan = FleetPlan::new(&["plateau"], vm_count, engine.clone());
+    plan.data_centres[0].engines = vec![engine; engine_count];
+    RunningFleet::start(plan).await.unwrap()
+}
+
+fn appraisal(token_count: u64, is_stream: bool, key: Option<&str>) -> Call {
+    let body = serde_json::json!({
+        "model": "appraiser", "prompt": PROMPT, "max_tokens": token_count, "stream": is_stream,
+    });
+    Call {
+        path: APPRAISAL_PATH.into(),
+        body: body.to_string(),
+        idempotency_key: key.map(str::to_owned),
+        ..Call::default()
+    }
+}
+
+fn bid(key: &str) -> Call {
+    Call {
+        path: BID_PATH.into(),
+        body: r#"{"lot":21,"amount_xof":90000}"#.into(),
+        idempotency_key: Some(key.to_owned()),
+        ..Call::default()
+    }
+}
+
+/// Returns the indexes of a VM that does not own the budget, and of one that does.
+fn other_and_owner(fleet: &RunningFleet) -> (usize, usize) {
+    let context = fleet.vms[0].context().unwrap();
+    let owner: VmId = context.owner_vm(&"plateau".into(), "fippu-budget").unwrap();
+    let is_owner = |index: &usize| fleet.vms[*index].settings.vm_id == owner;
+    let owner_index = (0..fleet.vms.len()).find(is_owner).unwrap();
+    let other_index = (0..fleet.vms.len()).find(|index| !is_owner(index)).unwrap();
+    (other_index, owner_index)
+}
+
+fn begun_count(fleet: &RunningFleet) -> u64 {
+    fleet.engines.iter().map(|engine| engine.stand_in.lock().begun_count).sum()
+}
+
+fn made_tokens(fleet: &RunningFleet) -> u64 {
+    fleet.engines.iter().map(|engine| engine.stand_in.lock().made_tokens).sum()
+}
+
+async fn wait_until(is_met: impl Fn() -> bool) {
+    while !is_met() {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+fn sums(fleet: &RunningFleet) -> BudgetSums {
+    sum_budgets(fleet).get("fippu-budget").copied().unwrap_or_default()
+}
+
+fn assert_whole(answer: &Answer, token_count: u64) {
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    assert_eq!(answer.text, whole_answer(PROMPT, token_count));
+}
+
+fn assert_clean(fleet: &RunningFleet) {
+    let audit = Audit::take(fleet);
+    assert!(audit.is_clean(), "{:?}", audit.promises);
+}
+
+async fn assert_resumed_after_kill(is_stream: bool) {
+    let mut fleet = start_fleet(2, 1).await;
+    let (killed, survivor) = other_and_owner(&fleet);
+    let call = appraisal(60, is_stream, Some("k-1"));
+    let caller = fleet.caller(killed).unwrap();
+    let first_call = call.clone();
+    let first = tokio::spawn(async move { caller.post(&first_call).await });
+    wait_until(|| made_tokens(&fleet) >= 10).await;
+
+    fleet.vms[killed].kill();
+    let second = fleet.caller(survivor).unwrap().post(&call).await.unwrap();
+    let third = fleet.caller(survivor).unwrap().post(&call).await.unwrap();
+
+    assert!(first.await.unwrap().map_or(true, |answer| !answer.is_whole));
+    assert_whole(&second, 60);
+    assert_eq!(third.result_code(), 1001);
+    assert_eq!(third.body, second.body);
+    assert_eq!(begun_count(&fleet), 1);
+    assert_eq!(sums(&fleet).settled_tokens, second.used_tokens);
+    assert_eq!(sums(&fleet).reserved_tokens, 0);
+    assert_clean(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_of_a_killed_router_is_resumed_by_another_vm() {
+    assert_resumed_after_kill(true).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_without_a_stream_of_a_killed_router_is_resumed_by_another_vm() {
+    assert_resumed_after_kill(false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bid_of_a_killed_router_is_unknown_and_never_runs_again() {
+    let mut fleet = start_fleet(2, 1).await;
+    let (killed, survivor) = other_and_owner(&fleet);
+    fleet.services[0].stand_in.set_faults(|faults| faults.slowness = Duration::from_millis(400));
+    let caller = fleet.caller(killed).unwrap();
+    let first = tokio::spawn(async move { caller.post(&bid("b-1")).await });
+    wait_until(|| fleet.services[0].stand_in.run_count("fippu/b-1") == 1).await;
+
+    fleet.vms[killed].kill();
+    let second = fleet.caller(survivor).unwrap().post(&bid("b-1")).await.unwrap();
+
+    assert!(first.await.unwrap().map_or(true, |answer| answer.status != 200));
+    assert_eq!((second.result_code(), second.outcome()), (7001, "unknown"));
+    assert_eq!(fleet.services[0].stand_in.run_count("fippu/b-1"), 1);
+    assert_eq!(sums(&fleet).reserved_tokens, 10);
+    assert_clean(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bid_whose_answer_is_lost_is_unknown_and_never_runs_again() {
+    let fleet = start_fleet(2, 1).await;
+    fleet.services[0].stand_in.set_faults(|faults| faults.dropped_answers = 1);
+
+    let first = fleet.caller(0).unwrap().post(&bid("b-1")).await.unwrap();
+    let second = fleet.caller(1).unwrap().post(&bid("b-1")).await.unwrap();
+    let state = fleet.caller(1).unwrap().get("/v1/requests/b-1").await.unwrap();
+
+    assert_eq!((first.result_code(), first.outcome()), (7001, "unknown"));
+    assert_eq!((second.result_code(), second.outcome()), (7001, "unknown"));
+    assert!(String::from_utf8_lossy(&state.body).contains("unknown"));
+    assert_eq!(fleet.services[0].stand_in.run_count("fippu/b-1"), 1);
+    assert_eq!(sums(&fleet).reserved_tokens, 10);
+    assert_clean(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_another_request_never_reaches_the_caller() {
+    let fleet = start_fleet(1, 1).await;
+    fleet.services[0].stand_in.set_faults(|faults| faults.crossed_answers = 1);
+
+    let crossed = fleet.caller(0).unwrap().post(&bid("b-1")).await.unwrap();
+    let own = fleet.caller(0).unwrap().post(&bid("b-2")).await.unwrap();
+
+    assert_eq!((crossed.result_code(), crossed.outcome()), (7001, "unknown"));
+    assert!(!String::from_utf8_lossy(&crossed.body).contains("accepted"));
+    assert_eq!(own.status, 200);
+    assert_clean(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_crashed_engine_goes_on_from_another_engine() {
+    let fleet = start_fleet(1, 2).await;
+    let caller = fleet.caller(0).unwrap();
+    let asking = tokio::spawn(async move { caller.post(&appraisal(60, true, None)).await });
+    wait_until(|| made_tokens(&fleet) >= 10).await;
+
+    let runner = fleet.engines.iter().find(|engine| engine.stand_in.lock().made_tokens > 0);
+    runner.unwrap().stand_in.crash();
+    let answer = asking.await.unwrap().unwrap();
+
+    assert_whole(&answer, 60);
+    assert_eq!(begun_count(&fleet), 2);
+    assert_eq!(sums(&fleet).settled_tokens, answer.used_tokens);
+    assert_eq!(sums(&fleet).reserved_tokens, 0);
+    assert_clean(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn model_work_of_a_caller_that_is_gone_is_stopped_and_billed() {
+    let fleet = start_fleet(1, 1).await;
+    let caller = fleet.caller(0).unwrap();
+    let asking = tokio::spawn(async move { caller.post(&appraisal(500, true, None)).await });
+    wait_until(|| made_tokens(&fleet) >= 5).await;
+
+    asking.abort();
+    wait_until(|| sums(&fleet).reserved_tokens == 0).await;
+    let made_at_stop = made_tokens(&fleet);
+    tokio::time::sleep(STEP * 5).await;
+
+    assert!(made_tokens(&fleet) <= made_at_stop + 1);
+    assert!(made_at_stop < 500);
+    assert!(sums(&fleet).settled_tokens >= 5);
+    assert_clean(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bid_of_a_caller_that_is_gone_is_finished_and_its_answer_kept() {
+    let fleet = start_fleet(1, 1).await;
+    let service = &fleet.services[0].stand_in;
+    service.set_faults(|faults| faults.slowness = Duration::from_millis(150));
+    let caller = fleet.caller(0).unwrap();
+    let asking = tokio::spawn(async move { caller.post(&bid("b-1")).await });
+    wait_until(|| service.run_count("fippu/b-1") == 1).await;
+
+    asking.abort();
+    let answer = fleet.caller(0).unwrap().post(&bid("b-1")).await.unwrap();
+
+    assert_eq!((answer.status, answer.result_code()), (200, 1001));
+    assert_eq!(service.run_count("fippu/b-1"), 1);
+    assert_clean(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn second_attempt_gets_the_answer_of_the_running_first() {
+    let fleet = start_fleet(2, 1).await;
+    let call = appraisal(40, true, Some("k-1"));
+    let (first_caller, second_caller) = (fleet.caller(0).unwrap(), fleet.caller(1).unwrap());
+
+    let (first, second) = tokio::join!(first_caller.post(&call), second_caller.post(&call));
+    let (first, second) = (first.unwrap(), second.unwrap());
+
+    assert_whole(&first, 40);
+    assert_eq!(first.body, second.body);
+    assert_eq!(begun_count(&fleet), 1);
+    assert_clean(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_under_load_cuts_no_request() {
+    let mut fleet = start_fleet(2, 1).await;
+    let caller = fleet.caller(0).unwrap();
+    let admin_address = fleet.vms[0].admin_address().unwrap();
+    let load: Vec<_> = (0..12)
+        .map(|_| {
+            let caller = caller.clone();
+            tokio::spawn(async move { caller.post(&appraisal(50, true, None)).await })
+        })
+        .collect();
+    wait_until(|| begun_count(&fleet) == 12).await;
+    let context = fleet.vms[0].context().unwrap();
+
+    let late = async {
+        wait_until(|| context.drain_gate.is_draining()).await;
+        let ready = caller.at(admin_address).get("/ready").await.unwrap();
+        (ready, caller.post(&appraisal(1, true, None)).await.unwrap())
+    };
+    let (drained, (ready, refused)) = tokio::join!(fleet.vms[0].drain(), late);
+    drained.unwrap();
+
+    for request in load {
+        assert_whole(&request.await.unwrap().unwrap(), 50);
+    }
+    assert_eq!((ready.status, ready.body.as_ref()), (503, b"draining\n".as_slice()));
+    assert_eq!((refused.result_code(), refused.outcome()), (6004, "not-run"));
+    assert_eq!(context.invariants.counts()["drain_cuts"], 0);
+    assert_clean(&fleet);
+}
