--- a/crates/sassafrasctl/src/ops/commands/push_bundle.rs
+++ b/crates/sassafrasctl/src/ops/commands/push_bundle.rs
@@ -36,22 +36,23 @@
     if let Err(refusal) = before.chain.check(&signed) {
         bail!(explain_refusal(&refusal.to_string(), before.chain.in_force(), &signed));
     }
-    let payload = serde_json::to_vec(&BundleRecord::new(signed.clone()))?;
+    let record = BundleRecord::propose(before.chain.in_force(), signed.clone());
+    let payload = serde_json::to_vec(&record)?;
     let expected = payload.clone();
     context
         .platform
         .append_once(BUNDLE_STREAM, payload, |found| found == expected.as_slice())
         .await
-        .wrap_err("failed to push the bundle")?;
+        .wrap_err(
+            "failed to push the bundle; push it again, which first looks for it in the log",
+        )?;
     let after = read_bundle_chain(context).await?;
     match after.offset_of(&signed.digest_sha256) {
         Some(offset) => Ok(PushedBundle { version: signed.bundle.version, offset }),
         None => {
-            let reason = match after.chain.check(&signed) {
-                Err(refusal) => refusal.to_string(),
-                Ok(()) => "not found in the log".to_owned(),
-            };
-            Err(eyre!(explain_refusal(&reason, after.chain.in_force(), &signed)))
+            let refusal = after.refusal_of(&signed.digest_sha256);
+            let reason = refusal.unwrap_or("not found in the log; push it again");
+            Err(eyre!(explain_refusal(reason, after.chain.in_force(), &signed)))
         }
     }
 }
--- a/crates/sassafrasctl/src/ops/queries/read_bundle_chain.rs
+++ b/crates/sassafrasctl/src/ops/queries/read_bundle_chain.rs
@@ -6,9 +6,12 @@
 use serde::Serialize;
 
 use crate::core::ctl_context::CtlContext;
-use sassafrashoist_bundle::bundle_record::{BUNDLE_RECORD_VERSION, BundleChain, BundleRecord};
+use crate::ops::queries::read_vm_state::read_admin;
+use sassafrashoist_bundle::bundle_chain::{BundleChain, Folded};
+use sassafrashoist_bundle::bundle_record::{BundleEvent, BundleRecord};
+use sassafrashoist_bundle::bundle_snapshot::BundleSnapshot;
 use sassafrashoist_core::ids::{BundleVersion, LogOffset, OperatorId};
-use sassafrashoist_platform::log_client::ReadRange;
+use sassafrashoist_platform::log_client::{ReadError, ReadRange};
 use sassafrashoist_platform::streams::BUNDLE_STREAM;
 
 /// Records read at once.
@@ -41,15 +44,26 @@
 impl BundleState {
     /// Returns the offset at which a digest was accepted.
     pub fn offset_of(&self, digest_sha256: &str) -> Option<LogOffset> {
-        self.proposals
+        let accepted = self
+            .proposals
             .iter()
             .find(|report| report.refusal.is_none() && report.digest_sha256 == digest_sha256)
-            .map(|report| report.offset)
+            .map(|report| report.offset);
+        let in_force = self.chain.in_force().filter(|signed| signed.digest_sha256 == digest_sha256);
+        accepted.or_else(|| in_force.map(|_| self.chain.next_offset().saturating_sub(1)))
+    }
+
+    /// Returns why a digest was refused, the last time that it was proposed.
+    pub fn refusal_of(&self, digest_sha256: &str) -> Option<&str> {
+        let mut proposals = self.proposals.iter().rev();
+        proposals.find(|report| report.digest_sha256 == digest_sha256)?.refusal.as_deref()
     }
 }
 
 /// Reads the bundle stream to its end.
 ///
+/// Where the log has forgotten its start and holds no snapshot yet, a VM is asked for one.
+///
 /// # Errors
 ///
 /// Fails when the log does not answer.
@@ -57,39 +71,60 @@
     let chain = BundleChain::new(context.settings.root_operators.clone());
     let mut state = BundleState { chain, proposals: Vec::new() };
     loop {
-        let from_offset = state.chain.next_offset;
+        let from_offset = state.chain.next_offset();
         let range = ReadRange { from_offset, max_count: PAGE_COUNT, wait: Duration::ZERO };
-        let page = context
-            .platform
-            .read(BUNDLE_STREAM, range)
-            .await
-            .wrap_err("failed to read the bundle stream")?;
+        let page = match context.platform.read(BUNDLE_STREAM, range).await {
+            Err(ReadError::Trimmed { earliest_offset }) => {
+                state.chain.skip_to(earliest_offset);
+                continue;
+            }
+            page => page.wrap_err("failed to read the bundle stream")?,
+        };
         if page.records.is_empty() {
-            return Ok(state);
+            break;
         }
         for record in page.records {
             fold_payload(&mut state, record.offset, &record.payload);
         }
     }
+    if !state.chain.is_anchored() {
+        take_snapshot(context, &mut state).await;
+    }
+    Ok(state)
+}
+
+async fn take_snapshot(context: &CtlContext, state: &mut BundleState) {
+    for vm_id in context.settings.vm_admin_addresses.keys() {
+        let answer = read_admin::<Option<BundleSnapshot>>(context, vm_id, "/bundle").await;
+        if let Ok(Some(snapshot)) = answer
+            && state.chain.adopt(snapshot).is_ok()
+            && state.chain.is_anchored()
+        {
+            return;
+        }
+    }
 }
 
 fn fold_payload(state: &mut BundleState, offset: LogOffset, payload: &[u8]) {
-    let decoded = serde_json::from_slice::<BundleRecord>(payload)
-        .ok()
-        .filter(|record| record.record_version == BUNDLE_RECORD_VERSION);
-    let Some(record) = decoded else {
-        state.chain.next_offset = offset + 1;
-        return;
+    let Ok(event) = BundleRecord::decode(payload) else {
+        return state.chain.skip_record(offset);
+    };
+    let (version, author_id, digest_sha256) = match &event {
+        BundleEvent::Proposal(signed) => {
+            (signed.bundle.version, signed.author.operator_id.clone(), signed.digest_sha256.clone())
+        }
+        BundleEvent::Delta(delta) => {
+            (delta.delta.version, delta.author_id().clone(), delta.digest_sha256.clone())
+        }
+        BundleEvent::Snapshot(_) => {
+            state.chain.fold(offset, event);
+            return;
+        }
     };
-    let report = ProposalReport {
-        offset,
-        version: record.proposal.bundle.version,
-        author_id: record.proposal.author.operator_id.clone(),
-        digest_sha256: record.proposal.digest_sha256.clone(),
-        refusal: None,
+    let refusal = match state.chain.fold(offset, event) {
+        Folded::Accepted => None,
+        Folded::Refused(refusal) => Some(refusal.to_string()),
+        Folded::Held | Folded::Known => Some("not judged, older records are trimmed".to_owned()),
     };
-    let refusal = state.chain.apply(offset, record.proposal).err();
-    state
-        .proposals
-        .push(ProposalReport { refusal: refusal.map(|refusal| refusal.to_string()), ..report });
+    state.proposals.push(ProposalReport { offset, version, author_id, digest_sha256, refusal });
 }
--- a/crates/sassafrashoist-bundle/src/bundle_record.rs
+++ b/crates/sassafrashoist-bundle/src/bundle_record.rs
@@ -1,98 +1,79 @@
-//! Records of the bundle stream, and the rule by which every VM accepts the same ones.
+//! Records of the bundle stream.
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
-use crate::bundle::Operator;
-use crate::signed_bundle::{BundleRefusal, SignedBundle};
-use crate::validate_bundle::validate_bundle;
-use sassafrashoist_core::ids::LogOffset;
+use crate::bundle_delta::SignedDelta;
+use crate::bundle_snapshot::BundleSnapshot;
+use crate::signed_bundle::SignedBundle;
 
 /// The record version that this code writes and reads.
-pub const BUNDLE_RECORD_VERSION: u16 = 1;
+pub const BUNDLE_RECORD_VERSION: u16 = 2;
 
 /// One record of the bundle stream.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BundleRecord {
     /// The version of the record's form.
     pub record_version: u16,
-    /// The proposed bundle.
-    pub proposal: SignedBundle,
+    /// What it says.
+    pub event: BundleEvent,
 }
 
-impl BundleRecord {
-    /// Wraps a proposal in the current version.
-    pub fn new(proposal: SignedBundle) -> Self {
-        Self { record_version: BUNDLE_RECORD_VERSION, proposal }
-    }
+/// What a record of the bundle stream says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BundleEvent {
+    /// Proposes a bundle.
+    Proposal(Box<SignedBundle>),
+    /// Proposes a bundle as its difference from the one in force.
+    Delta(Box<SignedDelta>),
+    /// Repeats the bundle in force, so that older records can be trimmed.
+    Snapshot(Box<BundleSnapshot>),
 }
 
-/// The chain of accepted bundles, folded in the log's order.
-#[derive(Debug, Clone)]
-pub struct BundleChain {
-    root_operators: Vec<Operator>,
-    in_force: Option<SignedBundle>,
-    /// The offset of the next record to fold.
-    pub next_offset: LogOffset,
+/// Why a record cannot be folded.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum BundleRecordError {
+    /// It is not of the form that this code knows.
+    #[error("record cannot be decoded: {0}")]
+    Undecodable(String),
+    /// Its version is not known.
+    #[error("record version {0} is not known")]
+    UnknownVersion(u16),
 }
 
-impl BundleChain {
-    /// Starts a chain; the root operators sign the first bundle.
-    pub fn new(root_operators: Vec<Operator>) -> Self {
-        Self { root_operators, in_force: None, next_offset: 0 }
-    }
-
-    /// Returns the bundle in force.
-    pub fn in_force(&self) -> Option<&SignedBundle> {
-        self.in_force.as_ref()
+impl BundleRecord {
+    /// Wraps an event in the current version.
+    pub fn new(event: BundleEvent) -> Self {
+        Self { record_version: BUNDLE_RECORD_VERSION, event }
     }
 
-    /// Folds a proposal: it is in force afterwards, or refused with a reason.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the reason; the bundle in force then stays.
-    pub fn apply(
-        &mut self,
-        offset: LogOffset,
-        proposal: SignedBundle,
-    ) -> Result<(), BundleRefusal> {
-        self.next_offset = self.next_offset.max(offset + 1);
-        self.check(&proposal)?;
-        self.in_force = Some(proposal);
-        Ok(())
+    /// Wraps a proposal: as a delta where that is smaller, else whole.
+    pub fn propose(base: Option<&SignedBundle>, signed: SignedBundle) -> Self {
+        let whole = Self::new(BundleEvent::Proposal(Box::new(signed.clone())));
+        let Some(base) = base else { return whole };
+        let delta = Self::new(BundleEvent::Delta(Box::new(SignedDelta::between(base, &signed))));
+        let size = |record: &Self| serde_json::to_vec(record).map_or(usize::MAX, |json| json.len());
+        if size(&delta) < size(&whole) { delta } else { whole }
     }
 
-    /// Decides whether a proposal would be accepted now.
+    /// Decodes a record's payload.
     ///
     /// # Errors
     ///
-    /// Fails with the reason to refuse it.
-    pub fn check(&self, proposal: &SignedBundle) -> Result<(), BundleRefusal> {
-        let operators = match &self.in_force {
-            Some(signed) => &signed.bundle.operators,
-            None => &self.root_operators,
-        };
-        proposal.verify(operators)?;
-        self.check_version(proposal)?;
-        let problems = validate_bundle(&proposal.bundle);
-        if let Some(problem) = problems.first() {
-            return Err(BundleRefusal::Invalid(problem.to_string()));
-        }
-        Ok(())
-    }
-
-    fn check_version(&self, proposal: &SignedBundle) -> Result<(), BundleRefusal> {
-        let version_in_force = self.in_force.as_ref().map_or(0, |signed| signed.bundle.version);
-        let based_on_version = proposal.bundle.based_on_version;
-        if based_on_version == version_in_force {
-            return Ok(());
+    /// Fails when the payload is of another form or version.
+    pub fn decode(payload: &[u8]) -> Result<BundleEvent, BundleRecordError> {
+        #[derive(Deserialize)]
+        struct VersionOnly {
+            record_version: u16,
         }
-        match &self.in_force {
-            Some(winner) if based_on_version < version_in_force => Err(BundleRefusal::Lost {
-                winner_version: version_in_force,
-                winner_operator_id: winner.author.operator_id.clone(),
-            }),
-            _ => Err(BundleRefusal::WrongBase { based_on_version, version_in_force }),
+        let undecodable =
+            |error: serde_json::Error| BundleRecordError::Undecodable(error.to_string());
+        let version: VersionOnly = serde_json::from_slice(payload).map_err(undecodable)?;
+        if version.record_version != BUNDLE_RECORD_VERSION {
+            return Err(BundleRecordError::UnknownVersion(version.record_version));
         }
+        let record: Self = serde_json::from_slice(payload).map_err(undecodable)?;
+        Ok(record.event)
     }
 }
--- a/crates/sassafrashoist-bundle/src/signed_bundle.rs
+++ b/crates/sassafrashoist-bundle/src/signed_bundle.rs
@@ -1,14 +1,14 @@
 //! A bundle with its author's signature and its approval.
 //!
-//! The canonical form is the bundle's JSON as this package writes it: fields in their declared
-//! order, no blanks. The digest is its SHA-256. The author signs the text `author:DIGEST`, the
-//! approver `approve:DIGEST`, so that neither signature can stand in for the other.
+//! The digest is that of the bundle's manifest, see [`crate::bundle_manifest`]. The author signs
+//! the text `author:DIGEST`, the approver `approve:DIGEST`, so that neither signature can stand in
+//! for the other.
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 use thiserror::Error;
 
 use crate::bundle::{Bundle, Operator};
+use crate::bundle_manifest::BundleManifest;
 use crate::operator_keys::{is_signature_valid, sign_message};
 use ed25519_dalek::SigningKey;
 use sassafrashoist_core::ids::{BundleVersion, OperatorId};
@@ -78,16 +78,58 @@
         /// The version in force.
         version_in_force: BundleVersion,
     },
+    /// The delta was made for another bundle than the one in force.
+    #[error("delta was made for another bundle than the one in force")]
+    BaseDigestMismatch,
+    /// The proof of who might sign has a gap.
+    #[error("proof of operators is broken at version {0}")]
+    BrokenOperatorChain(BundleVersion),
+    /// Another bundle of the same version is in force.
+    #[error("another bundle of version {0} is in force")]
+    OtherContent(BundleVersion),
+    /// A snapshot says that a bundle was accepted which was not.
+    #[error("version {0} was never accepted")]
+    NeverAccepted(BundleVersion),
     /// Its content is invalid.
     #[error("bundle is invalid: {0}")]
     Invalid(String),
 }
 
-/// Returns the SHA-256 of the canonical form, in hexadecimal.
+/// Returns the digest of a bundle, in hexadecimal.
 pub fn digest_bundle(bundle: &Bundle) -> String {
-    let canonical = serde_json::to_vec(bundle).unwrap_or_default();
-    let digest = Sha256::digest(&canonical);
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+    BundleManifest::of(bundle).digest()
+}
+
+/// Checks the signatures of an author and of another operator over a digest.
+///
+/// # Errors
+///
+/// Fails with the first reason to refuse them.
+pub fn verify_signatures(
+    digest_sha256: &str,
+    author: &OperatorSignature,
+    approval: Option<&OperatorSignature>,
+    operators: &[Operator],
+) -> Result<(), BundleRefusal> {
+    let author_id = &author.operator_id;
+    let author_key = find_key(operators, author_id)
+        .ok_or_else(|| BundleRefusal::UnknownAuthor(author_id.clone()))?;
+    let message = author_message(digest_sha256);
+    if !is_signature_valid(author_key, message.as_bytes(), &author.signature_base64) {
+        return Err(BundleRefusal::WrongAuthorSignature(author_id.clone()));
+    }
+    let approval = approval.ok_or(BundleRefusal::NotApproved)?;
+    let approver_id = &approval.operator_id;
+    if approver_id == author_id {
+        return Err(BundleRefusal::SelfApproved(approver_id.clone()));
+    }
+    let approver_key = find_key(operators, approver_id)
+        .ok_or_else(|| BundleRefusal::UnknownApprover(approver_id.clone()))?;
+    let message = approval_message(digest_sha256);
+    if !is_signature_valid(approver_key, message.as_bytes(), &approval.signature_base64) {
+        return Err(BundleRefusal::WrongApproverSignature(approver_id.clone()));
+    }
+    Ok(())
 }
 
 impl SignedBundle {
@@ -115,29 +157,7 @@
         if digest_bundle(&self.bundle) != self.digest_sha256 {
             return Err(BundleRefusal::DigestMismatch);
         }
-        let author_id = &self.author.operator_id;
-        let author_key = find_key(operators, author_id)
-            .ok_or_else(|| BundleRefusal::UnknownAuthor(author_id.clone()))?;
-        let message = author_message(&self.digest_sha256);
-        if !is_signature_valid(author_key, message.as_bytes(), &self.author.signature_base64) {
-            return Err(BundleRefusal::WrongAuthorSignature(author_id.clone()));
-        }
-        self.verify_approval(operators)
-    }
-
-    fn verify_approval(&self, operators: &[Operator]) -> Result<(), BundleRefusal> {
-        let approval = self.approval.as_ref().ok_or(BundleRefusal::NotApproved)?;
-        let approver_id = &approval.operator_id;
-        if *approver_id == self.author.operator_id {
-            return Err(BundleRefusal::SelfApproved(approver_id.clone()));
-        }
-        let approver_key = find_key(operators, approver_id)
-            .ok_or_else(|| BundleRefusal::UnknownApprover(approver_id.clone()))?;
-        let message = approval_message(&self.digest_sha256);
-        if !is_signature_valid(approver_key, message.as_bytes(), &approval.signature_base64) {
-            return Err(BundleRefusal::WrongApproverSignature(approver_id.clone()));
-        }
-        Ok(())
+        verify_signatures(&self.digest_sha256, &self.author, self.approval.as_ref(), operators)
     }
 }
 
--- /dev/null
+++ b/crates/sassafrashoist-bundle/tests/testsuite/bundle_stream.rs
@@ -0,0 +1,268 @@
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use sassafrashoist_bundle::bundle_chain::{BundleChain, Folded};
+use sassafrashoist_bundle::bundle_record::{BundleEvent, BundleRecord};
+use sassafrashoist_bundle::signed_bundle::BundleRefusal;
+
+use crate::fixtures::{marked_bundle, operator, operators, sign};
+
+/// What happens next to the stream or to one of the VMs that follow it.
+#[derive(Debug, Clone)]
+enum Step {
+    /// An operator proposes on top of what it last read, maybe changing the operators.
+    Propose { author: u8, mark: u8, changes_operators: bool, is_repeated: bool },
+    /// An operator reads the stream.
+    Read { author: u8 },
+    /// A VM reads the stream, up to some records.
+    Follow { vm: usize, count: usize },
+    /// A VM writes a snapshot.
+    Snapshot { vm: usize },
+    /// A VM takes the snapshot of another.
+    Mend { from: usize, to: usize },
+    /// The log forgets its oldest records.
+    Trim { count: usize },
+    /// A VM starts again with nothing.
+    Restart { vm: usize },
+}
+
+const VM_COUNT: usize = 3;
+
+/// A stream that was folded from its start by nobody but the test.
+struct Stream {
+    payloads: Vec<Vec<u8>>,
+    earliest: usize,
+}
+
+impl Stream {
+    fn follow(&self, chain: &mut BundleChain, count: usize) {
+        chain.skip_to(self.earliest as u64);
+        let from = chain.next_offset() as usize;
+        for (offset, payload) in self.payloads.iter().enumerate().skip(from).take(count) {
+            chain.fold(offset as u64, BundleRecord::decode(payload).unwrap());
+        }
+    }
+
+    fn append(&mut self, record: &BundleRecord) {
+        self.payloads.push(serde_json::to_vec(record).unwrap());
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let vm = 0..VM_COUNT;
+    let step = prop_oneof![
+        4 => (1..3u8, any::<u8>(), any::<bool>(), any::<bool>()).prop_map(
+            |(author, mark, changes_operators, is_repeated)| {
+                Step::Propose { author, mark, changes_operators, is_repeated }
+            }
+        ),
+        2 => (1..3u8).prop_map(|author| Step::Read { author }),
+        4 => (vm.clone(), 1..6usize).prop_map(|(vm, count)| Step::Follow { vm, count }),
+        2 => vm.clone().prop_map(|vm| Step::Snapshot { vm }),
+        1 => (vm.clone(), vm.clone()).prop_map(|(from, to)| Step::Mend { from, to }),
+        1 => (1..4usize).prop_map(|count| Step::Trim { count }),
+        1 => vm.prop_map(|vm| Step::Restart { vm }),
+    ];
+    prop::collection::vec(step, 1..40)
+}
+
+/// Records every version that a VM had in force, and fails on a second digest for one version.
+fn check_version(
+    digests: &mut BTreeMap<u64, String>,
+    newest: &mut u64,
+    chain: &BundleChain,
+) -> Result<(), TestCaseError> {
+    prop_assert!(chain.version() >= *newest, "{} after {}", chain.version(), newest);
+    *newest = chain.version();
+    if let Some(signed) = chain.in_force() {
+        let digest = digests.entry(signed.bundle.version).or_insert(signed.digest_sha256.clone());
+        prop_assert_eq!(&*digest, &signed.digest_sha256);
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(192))]
+
+    #[test]
+    fn bundle_stream_gives_one_order_and_no_reversal_on_any_vm(steps in steps()) {
+        let mut stream = Stream { payloads: Vec::new(), earliest: 0 };
+        let mut truth = BundleChain::new(operators());
+        let mut readers = [1, 2].map(|_| BundleChain::new(operators()));
+        let mut vms = [0; VM_COUNT].map(|_| BundleChain::new(operators()));
+        let mut newest = [0; VM_COUNT];
+        let mut digests = BTreeMap::new();
+
+        for step in &steps {
+            match *step {
+                Step::Propose { author, mark, changes_operators, is_repeated } => {
+                    let reader = &readers[usize::from(author) - 1];
+                    let mut listed = operators();
+                    if changes_operators {
+                        listed.push(operator(mark));
+                        listed.sort_by(|a, b| a.id.cmp(&b.id));
+                        listed.dedup_by(|a, b| a.id == b.id);
+                    }
+                    let bundle = marked_bundle(reader.version() + 1, mark, listed);
+                    let signed = sign(bundle, author, 3 - author);
+                    let record = BundleRecord::propose(reader.in_force(), signed);
+                    stream.append(&record);
+                    if is_repeated {
+                        stream.append(&record);
+                    }
+                    stream.follow(&mut truth, usize::MAX);
+                }
+                Step::Read { author } => readers[usize::from(author) - 1] = truth.clone(),
+                Step::Follow { vm, count } => stream.follow(&mut vms[vm], count),
+                Step::Snapshot { vm } => {
+                    if let Some(snapshot) = vms[vm].snapshot() {
+                        stream.append(&BundleRecord::new(BundleEvent::Snapshot(Box::new(snapshot))));
+                        stream.follow(&mut truth, usize::MAX);
+                    }
+                }
+                Step::Mend { from, to } => {
+                    if let Some(snapshot) = vms[from].snapshot() {
+                        vms[to].adopt(snapshot).unwrap();
+                    }
+                }
+                Step::Trim { count } => {
+                    stream.earliest = (stream.earliest + count).min(stream.payloads.len());
+                }
+                Step::Restart { vm } => {
+                    vms[vm] = BundleChain::new(operators());
+                    newest[vm] = 0;
+                }
+            }
+            check_version(&mut digests, &mut 0, &truth)?;
+            for (vm, chain) in vms.iter().enumerate() {
+                check_version(&mut digests, &mut newest[vm], chain)?;
+            }
+        }
+
+        // A VM that reads on and is given a snapshot by one that read everything agrees with it.
+        for chain in &mut vms {
+            stream.follow(chain, usize::MAX);
+            if let Some(snapshot) = truth.snapshot() {
+                chain.adopt(snapshot).unwrap();
+            }
+            prop_assert_eq!(chain.in_force(), truth.in_force());
+        }
+    }
+
+    #[test]
+    fn bundle_record_decoder_does_not_panic_on_arbitrary_bytes(
+        bytes in prop::collection::vec(any::<u8>(), 0..200),
+    ) {
+        let decoded = BundleRecord::decode(&bytes);
+
+        prop_assert!(decoded.is_err());
+    }
+
+    #[test]
+    fn bundle_record_with_a_changed_byte_is_never_accepted_as_another_bundle(
+        at in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let signed = sign(marked_bundle(1, 7, operators()), 1, 2);
+        let mut payload =
+            serde_json::to_vec(&BundleRecord::propose(None, signed.clone())).unwrap();
+        let index = at.index(payload.len());
+        payload[index] = byte;
+        let mut chain = BundleChain::new(operators());
+
+        if let Ok(event) = BundleRecord::decode(&payload) {
+            chain.fold(0, event);
+        }
+
+        let in_force = chain.in_force().map(|accepted| &accepted.digest_sha256);
+        prop_assert!(in_force.is_none() || in_force == Some(&signed.digest_sha256));
+    }
+}
+
+fn fold_versions(chain: &mut BundleChain, versions: std::ops::RangeInclusive<u64>) {
+    for version in versions {
+        let signed = sign(marked_bundle(version, version as u8, operators()), 1, 2);
+        let record = BundleRecord::propose(chain.in_force(), signed);
+        assert_eq!(chain.fold(chain.next_offset(), record.event), Folded::Accepted);
+    }
+}
+
+#[test]
+fn bundle_delta_is_smaller_than_the_bundle_and_rebuilds_it() {
+    let mut chain = BundleChain::new(operators());
+    fold_versions(&mut chain, 1..=1);
+    let next = sign(marked_bundle(2, 9, operators()), 2, 1);
+
+    let record = BundleRecord::propose(chain.in_force(), next.clone());
+    let folded = chain.fold(1, record.event.clone());
+
+    assert!(matches!(record.event, BundleEvent::Delta(_)));
+    assert_eq!(folded, Folded::Accepted);
+    assert_eq!(chain.in_force().unwrap().digest_sha256, next.digest_sha256);
+}
+
+#[test]
+fn bundle_snapshot_proves_operators_who_came_after_the_root_operators() {
+    let mut chain = BundleChain::new(operators());
+    let later = vec![operator(3), operator(4)];
+    let first = sign(marked_bundle(1, 1, later.clone()), 1, 2);
+    chain.fold(0, BundleRecord::propose(None, first).event);
+    let second = sign(marked_bundle(2, 2, later), 3, 4);
+    chain.fold(1, BundleRecord::propose(chain.in_force(), second).event);
+    let snapshot = chain.snapshot().unwrap();
+    let mut fresh = BundleChain::new(operators());
+    let mut forged = snapshot.clone();
+    forged.operator_changes.clear();
+
+    let refused = fresh.clone().adopt(forged);
+    let adopted = fresh.adopt(snapshot);
+
+    assert_eq!(refused, Err(BundleRefusal::UnknownAuthor("op-3".into())));
+    assert_eq!(adopted, Ok(true));
+    assert_eq!(fresh.version(), 2);
+}
+
+#[test]
+fn bundle_snapshot_that_is_older_changes_nothing() {
+    let mut chain = BundleChain::new(operators());
+    fold_versions(&mut chain, 1..=1);
+    let older = chain.snapshot().unwrap();
+    fold_versions(&mut chain, 2..=3);
+
+    let adopted = chain.adopt(older);
+
+    assert_eq!(adopted, Ok(false));
+    assert_eq!(chain.version(), 3);
+}
+
+#[test]
+fn bundle_snapshot_of_a_bundle_that_lost_is_refused() {
+    let mut chain = BundleChain::new(operators());
+    fold_versions(&mut chain, 1..=1);
+    let mut other = chain.clone();
+    let lost = sign(marked_bundle(2, 99, operators()), 2, 1);
+    other.fold(1, BundleRecord::propose(other.in_force(), lost).event);
+    fold_versions(&mut chain, 2..=2);
+
+    let refused = chain.adopt(other.snapshot().unwrap());
+
+    assert_eq!(refused, Err(BundleRefusal::OtherContent(2)));
+}
+
+#[test]
+fn bundle_chain_with_a_gap_holds_records_until_a_snapshot() {
+    let mut chain = BundleChain::new(operators());
+    fold_versions(&mut chain, 1..=2);
+    let snapshot = chain.snapshot().unwrap();
+    let third = sign(marked_bundle(3, 3, operators()), 1, 2);
+    let record = BundleRecord::propose(chain.in_force(), third);
+    let mut late = BundleChain::new(operators());
+    late.skip_to(2);
+
+    let held = late.fold(2, record.event);
+    let folded = late.fold(3, BundleEvent::Snapshot(Box::new(snapshot)));
+
+    assert_eq!(held, Folded::Held);
+    assert_eq!(folded, Folded::Accepted);
+    assert_eq!((late.version(), late.next_offset()), (3, 4));
+}
--- a/crates/sassafrashoist-core/src/result_code.rs
+++ b/crates/sassafrashoist-core/src/result_code.rs
@@ -138,6 +138,8 @@
     BackendRefused = 7008, 502, Ran;
     /// This VM has no bundle or ledger yet.
     NotReady = 8001, 503, NotRun;
+    /// A proposed bundle was refused and the one in force stays.
+    BundleRefused = 8101, 409, NotRun;
     /// This VM met an internal fault before the request could run.
     InternalFault = 9001, 500, NotRun;
 }
--- a/crates/sassafrashoist/src/core/peer_clients.rs
+++ b/crates/sassafrashoist/src/core/peer_clients.rs
@@ -22,6 +22,9 @@
 /// How long a call to another VM may take.
 const PEER_CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The largest message between VMs that serves control: a snapshot of the bundle.
+pub const MAX_FLEET_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+
 /// Why a call to another VM failed.
 #[derive(Debug, Error)]
 pub enum PeerError {
@@ -98,7 +101,8 @@
     ///
     /// Fails when the VM is not known.
     pub fn fleet_client(&self, vm_id: &str) -> Result<FleetClient<Channel>, PeerError> {
-        Ok(FleetClient::new(self.channel(vm_id)?))
+        let client = FleetClient::new(self.channel(vm_id)?);
+        Ok(client.max_decoding_message_size(MAX_FLEET_MESSAGE_BYTES))
     }
 
     /// Wraps a payload in a call with the usual deadline.
--- a/crates/sassafrashoist/src/core/settings.rs
+++ b/crates/sassafrashoist/src/core/settings.rs
@@ -43,6 +43,11 @@
     /// The times and bounds of membership.
     #[serde(default)]
     pub membership: MembershipTiming,
+    /// Time between two snapshots of the bundle in the log; well below the time that the log keeps
+    /// records.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "bundle_snapshot_interval_ms", default = "default_snapshot_interval")]
+    pub bundle_snapshot_interval: Duration,
     /// How backend servers are chosen.
     #[serde(default)]
     pub routing_policy: RoutingPolicy,
@@ -80,6 +85,7 @@
             log: LogSettings::default(),
             drain_bound: default_drain_bound(),
             membership: MembershipTiming::default(),
+            bundle_snapshot_interval: default_snapshot_interval(),
             routing_policy: RoutingPolicy::default(),
         }
     }
@@ -137,6 +143,10 @@
     Debug,
 }
 
+fn default_snapshot_interval() -> Duration {
+    Duration::from_secs(600)
+}
+
 fn default_drain_bound() -> Duration {
     Duration::from_secs(30)
 }
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,6 +1,6 @@
 //! The tables that the workers share.
 //!
-//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `membership`, `relay`,
+//! Lock order: `bundle_chain`, `bundle`, `ledger`, `owner`, `routing`, `membership`, `relay`,
 //! `decisions`. A worker that holds one lock takes only locks to its right, and no lock is held
 //! over an await.
 
@@ -8,7 +8,7 @@
 
 use tokio::sync::Notify;
 
-use sassafrashoist_bundle::bundle_record::BundleChain;
+use sassafrashoist_bundle::bundle_chain::BundleChain;
 use sassafrashoist_core::budgets::ledger::Ledger;
 use sassafrashoist_core::decision_log::DecisionLog;
 use sassafrashoist_core::ids::Incarnation;
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/put_bundle.rs
@@ -0,0 +1,115 @@
+//! Changes the chain of bundles and puts what it accepts in force.
+
+use std::sync::Arc;
+
+use crate::core::active_bundle::ActiveBundle;
+use crate::core::clock::read_clock;
+use crate::core::router_context::RouterContext;
+use sassafrashoist_bundle::backend_server::BackendServer;
+use sassafrashoist_bundle::bundle_chain::{BundleChain, Folded};
+use sassafrashoist_bundle::bundle_record::BundleEvent;
+use sassafrashoist_bundle::bundle_snapshot::BundleSnapshot;
+use sassafrashoist_bundle::signed_bundle::{BundleRefusal, SignedBundle};
+use sassafrashoist_core::decision_log::DecisionKind;
+use sassafrashoist_core::ids::{LogOffset, Timestamp, VmId};
+use sassafrashoist_core::invariants::Promise;
+use sassafrashoist_core::result_code::ResultCode;
+use sassafrashoist_core::routing::server_view::{LoadReport, ServerView};
+
+/// Folds a record of the bundle stream.
+pub fn fold_bundle_record(context: &RouterContext, offset: LogOffset, event: BundleEvent) {
+    let folded = {
+        let mut chain = context.tables.lock_bundle_chain();
+        let folded = chain.fold(offset, event);
+        put_in_force(context, &chain);
+        folded
+    };
+    match folded {
+        Folded::Refused(refusal) => record_refusal(context, &format!("offset {offset}"), &refusal),
+        Folded::Held => log::warn!("bundle record at offset {offset} waits for a snapshot"),
+        Folded::Accepted | Folded::Known => {}
+    }
+}
+
+/// Takes over the snapshot of another VM.
+pub fn adopt_bundle_snapshot(context: &RouterContext, from: &VmId, snapshot: BundleSnapshot) {
+    let version = snapshot.version();
+    let adopted = {
+        let mut chain = context.tables.lock_bundle_chain();
+        let adopted = chain.adopt(snapshot);
+        put_in_force(context, &chain);
+        adopted
+    };
+    match adopted {
+        Ok(true) => {
+            let reason = format!("version {version} taken from VM {from}");
+            context.record_decision("", DecisionKind::Bundle, ResultCode::Done, reason);
+        }
+        Ok(false) => {}
+        Err(refusal) => {
+            let is_other = matches!(refusal, BundleRefusal::OtherContent(_));
+            let subject = format!("bundle {version} of VM {from}");
+            context.invariants.check(!is_other, Promise::RevertedBundles, &subject);
+            record_refusal(context, &subject, &refusal);
+        }
+    }
+}
+
+/// Passes over a record that cannot be decoded.
+pub fn skip_bundle_record(context: &RouterContext, offset: LogOffset, reason: &str) {
+    context.tables.lock_bundle_chain().skip_record(offset);
+    let reason = format!("offset {offset} refused: {reason}");
+    context.record_decision("", DecisionKind::Bundle, ResultCode::BundleRefused, reason);
+}
+
+fn record_refusal(context: &RouterContext, what: &str, refusal: &BundleRefusal) {
+    log::warn!("bundle at {what} refused: {refusal}");
+    let reason = format!("{what} refused: {refusal}");
+    context.record_decision("", DecisionKind::Bundle, ResultCode::BundleRefused, reason);
+}
+
+/// Puts the chain's bundle in force; the caller holds the chain's lock, so that two callers cannot
+/// put their bundles in force in the wrong order.
+fn put_in_force(context: &RouterContext, chain: &BundleChain) {
+    let Some(accepted) = chain.in_force() else { return };
+    let version = accepted.bundle.version;
+    if let Some(active) = context.tables.bundle() {
+        let is_same = active.signed.digest_sha256 == accepted.digest_sha256;
+        if is_same {
+            return;
+        }
+        let is_newer = version > active.version();
+        context.invariants.check(is_newer, Promise::RevertedBundles, &format!("bundle {version}"));
+        if !is_newer {
+            return;
+        }
+    }
+    activate(context, accepted.clone());
+}
+
+fn activate(context: &RouterContext, signed: SignedBundle) {
+    let bundle = ActiveBundle::new(signed);
+    let version = bundle.version();
+    let now = read_clock();
+    let servers =
+        bundle.signed.bundle.backend_servers.iter().map(|server| view_server(server, now));
+    context.tables.lock_routing().replace_servers(servers.collect());
+    context.tables.set_bundle(Arc::new(bundle));
+    let reason = format!("version {version} is in force");
+    context.record_decision("", DecisionKind::Bundle, ResultCode::Done, reason);
+    log::info!(version = version; "bundle is in force");
+}
+
+fn view_server(server: &BackendServer, now: Timestamp) -> ServerView {
+    ServerView {
+        server_id: server.id.clone(),
+        data_centre_id: server.data_centre_id.clone(),
+        pool_id: server.pool_id.clone(),
+        address: server.address.to_string(),
+        model_ids: server.kind.model_ids().iter().cloned().collect(),
+        slot_count: server.kind.slot_count(),
+        leaving_since: server.is_leaving.then_some(now),
+        load: LoadReport::default(),
+        in_flight_count: 0,
+    }
+}
--- a/crates/sassafrashoist/src/ops/run_router.rs
+++ b/crates/sassafrashoist/src/ops/run_router.rs
@@ -11,10 +11,12 @@
 use crate::ops::exchange_heartbeats::exchange_heartbeats;
 use crate::ops::follow_bundles::follow_bundles;
 use crate::ops::follow_ledger::follow_ledger;
+use crate::ops::mend_bundles::mend_bundles;
 use crate::ops::poll_backends::poll_backends;
 use crate::ops::serve_admin::build_admin_handler;
 use crate::ops::serve_callers::build_caller_handler;
 use crate::ops::serve_peers::serve_peers;
+use crate::ops::write_snapshots::write_snapshots;
 use crate::util::http_server::{bind_listener, serve_http};
 use crate::util::metrics_page::init_metrics;
 
@@ -50,6 +52,8 @@
     tokio::spawn(exchange_heartbeats(Arc::clone(&context)));
     tokio::spawn(follow_bundles(Arc::clone(&context)));
     tokio::spawn(follow_ledger(Arc::clone(&context)));
+    tokio::spawn(mend_bundles(Arc::clone(&context)));
+    tokio::spawn(write_snapshots(Arc::clone(&context)));
     tokio::spawn(poll_backends(Arc::clone(&context)));
     log::info!(
         callers = caller_address.to_string(),
--- a/crates/sassafrashoist/src/ops/serve_admin.rs
+++ b/crates/sassafrashoist/src/ops/serve_admin.rs
@@ -32,9 +32,12 @@
     }
     match path {
         "/state" => build_json(200, &dump_state(context)),
+        "/bundle" => build_json(200, &context.tables.lock_bundle_chain().snapshot()),
         "/metrics" => build_answer(200, "text/plain; version=0.0.4", render_metrics()),
         "/ready" => answer_ready(context),
-        _ => build_answer(404, "text/plain", "paths: /ready /state /metrics /explain/KEY\n"),
+        _ => {
+            build_answer(404, "text/plain", "paths: /ready /state /bundle /metrics /explain/KEY\n")
+        }
     }
 }
 
--- a/crates/sassafrashoist/src/ops/serve_fleet.rs
+++ b/crates/sassafrashoist/src/ops/serve_fleet.rs
@@ -45,8 +45,12 @@
         self.close_control(ControlKind::Relay, &answer)
     }
 
-    async fn snapshot(&self, _request: Request<Envelope>) -> PeerAnswer {
-        Err(Status::unimplemented("snapshot"))
+    async fn snapshot(&self, request: Request<Envelope>) -> PeerAnswer {
+        let () = self.open_control(ControlKind::Snapshot, request)?;
+        let snapshot = self.context.tables.lock_bundle_chain().snapshot();
+        let json =
+            serde_json::to_vec(&snapshot).map_err(|error| Status::internal(error.to_string()))?;
+        self.close_control(ControlKind::Snapshot, &json)
     }
 
     async fn sightings(&self, _request: Request<Envelope>) -> PeerAnswer {
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod bad_requests;
+mod bundles;
 mod processes;
 mod relay;
 mod relay_stream;
