--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,8 +1,8 @@
 //! The tables that the workers share.
 //!
 //! Lock order: `bundle_chain`, `bundle`, `ledger`, `owner`, `routing`, `membership`, `relay`,
-//! `decisions`. A worker that holds one lock takes only locks to its right, and no lock is held
-//! over an await.
+//! `retry_budgets`, `decisions`. A worker that holds one lock takes only locks to its right, and no
+//! lock is held over an await.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
@@ -15,6 +15,7 @@
 use sassafrashoist_core::membership::member_table::MemberTable;
 use sassafrashoist_core::owner::budget_owner::BudgetOwner;
 use sassafrashoist_core::requests::key_table::KeyTableLimits;
+use sassafrashoist_core::requests::retry_budget::RetryBudgets;
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
 use super::active_bundle::ActiveBundle;
@@ -36,6 +37,7 @@
     routing: Mutex<RoutingTable>,
     membership: Mutex<MemberTable>,
     relay: Mutex<RelayTable>,
+    retry_budgets: Mutex<RetryBudgets>,
     decisions: Mutex<DecisionLog>,
     /// Wakes the calls that wait for a record to relay.
     pub relay_arrived: Notify,
@@ -61,6 +63,7 @@
             routing: Mutex::new(RoutingTable::default()),
             membership: Mutex::new(build_members(settings, incarnation)),
             relay: Mutex::default(),
+            retry_budgets: Mutex::new(RetryBudgets::default()),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
             relay_arrived: Notify::new(),
         }
@@ -73,6 +76,7 @@
 
     /// Puts a bundle in force.
     pub fn set_bundle(&self, bundle: Arc<ActiveBundle>) {
+        self.lock_owner().set_retry_windows(bundle.retry_windows());
         *self.bundle.write().unwrap_or_else(PoisonError::into_inner) = Some(bundle);
     }
 
@@ -106,6 +110,11 @@
         lock(&self.relay)
     }
 
+    /// Locks the retry budgets.
+    pub fn lock_retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.retry_budgets)
+    }
+
     /// Locks the decision log.
     pub fn lock_decisions(&self) -> MutexGuard<'_, DecisionLog> {
         lock(&self.decisions)
--- a/crates/sassafrashoist/src/ops/serve_fleet.rs
+++ b/crates/sassafrashoist/src/ops/serve_fleet.rs
@@ -8,9 +8,11 @@
 use crate::core::control_traffic::ControlKind;
 use crate::core::relay_messages::RelayCall;
 use crate::ops::exchange_heartbeats::answer_heartbeat;
+use crate::ops::probe_runner::answer_sightings;
 use crate::ops::serve_relay::serve_relay;
 use sassafrashoist_core::ids::RequestKey;
 use sassafrashoist_core::membership::heartbeat::HeartbeatCall;
+use sassafrashoist_core::requests::sightings::SightingsCall;
 use sassafrashoist_proto::v1::Envelope;
 use sassafrashoist_proto::v1::fleet_server::Fleet;
 
@@ -53,8 +55,10 @@
         self.close_control(ControlKind::Snapshot, &json)
     }
 
-    async fn sightings(&self, _request: Request<Envelope>) -> PeerAnswer {
-        Err(Status::unimplemented("sightings"))
+    async fn sightings(&self, request: Request<Envelope>) -> PeerAnswer {
+        let call: SightingsCall = self.open(request)?;
+        let answer = answer_sightings(&self.context, call);
+        self.close(&answer)
     }
 
     async fn explain(&self, request: Request<Envelope>) -> PeerAnswer {
