--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -3,8 +3,8 @@
 //! Lock order, first to last; a worker that holds one lock takes only locks further down, and no lock
 //! is held over an await:
 //!
-//! - `bundle`
 //! - `bundle_chain`
+//! - `bundle`
 //! - `ledger`
 //! - `owner`
 //! - `routing`
@@ -17,7 +17,7 @@
 
 use tokio::sync::Notify;
 
-use sassafrashoist_bundle::bundle_record::BundleChain;
+use sassafrashoist_bundle::bundle_chain::BundleChain;
 use sassafrashoist_core::budgets::ledger::Ledger;
 use sassafrashoist_core::decision_log::DecisionLog;
 use sassafrashoist_core::ids::Incarnation;
@@ -45,8 +45,8 @@
     owner: Mutex<BudgetOwner>,
     routing: Mutex<RoutingTable>,
     membership: Mutex<MemberTable>,
-    retry_budgets: Mutex<RetryBudgets>,
     relay: Mutex<RelayTable>,
+    retry_budgets: Mutex<RetryBudgets>,
     decisions: Mutex<DecisionLog>,
     /// Wakes the calls that wait for a record to relay.
     pub relay_arrived: Notify,
@@ -71,8 +71,8 @@
             owner: Mutex::new(BudgetOwner::new(KeyTableLimits::default())),
             routing: Mutex::new(RoutingTable::default()),
             membership: Mutex::new(build_members(settings, incarnation)),
-            retry_budgets: Mutex::new(RetryBudgets::default()),
             relay: Mutex::default(),
+            retry_budgets: Mutex::new(RetryBudgets::default()),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
             relay_arrived: Notify::new(),
         }
@@ -114,16 +114,16 @@
         lock(&self.membership)
     }
 
-    /// Locks the retry budgets.
-    pub fn lock_retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
-        lock(&self.retry_budgets)
-    }
-
     /// Locks the table of relayed streams.
     pub fn lock_relay(&self) -> MutexGuard<'_, RelayTable> {
         lock(&self.relay)
     }
 
+    /// Locks the retry budgets.
+    pub fn lock_retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.retry_budgets)
+    }
+
     /// Locks the decision log.
     pub fn lock_decisions(&self) -> MutexGuard<'_, DecisionLog> {
         lock(&self.decisions)
