--- a/crates/sassafrashoist-core/src/owner/shard_replica.rs
+++ b/crates/sassafrashoist-core/src/owner/shard_replica.rs
@@ -15,6 +15,7 @@
 //! nor a repeated record credits a draw twice.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::budget_owner::BudgetOwner;
 use super::replica_delta::{DeltaAnswer, ReplicaDelta, Sequence};
@@ -24,7 +25,7 @@
 use crate::budgets::record::{Draw, LedgerEvent, LedgerRecord};
 use crate::budgets::shard::{ShardPlace, shard_of};
 use crate::budgets::view::View;
-use crate::ids::{BudgetId, Epoch, Incarnation, Timestamp, Tokens, VmId};
+use crate::ids::{BudgetId, Epoch, Incarnation, RouteId, Timestamp, Tokens, VmId};
 use crate::owner::draw_policy::choose_draw;
 use crate::requests::key_table::KeyTableLimits;
 
@@ -66,6 +67,7 @@
     lost_count: ChangeNumber,
     transfers_change: ChangeNumber,
     short_tokens: BTreeMap<BudgetId, Tokens>,
+    retry_windows: BTreeMap<RouteId, Duration>,
 }
 
 /// What became of a change.
@@ -101,9 +103,16 @@
             lost_count: 0,
             transfers_change: 0,
             short_tokens: BTreeMap::new(),
+            retry_windows: BTreeMap::new(),
         }
     }
 
+    /// Sets how long closed entries of each route are kept.
+    pub fn set_retry_windows(&mut self, retry_windows: BTreeMap<RouteId, Duration>) {
+        self.owner.set_retry_windows(retry_windows.clone());
+        self.retry_windows = retry_windows;
+    }
+
     /// Returns its role.
     pub fn role(&self) -> &ReplicaRole {
         &self.role
@@ -263,6 +272,7 @@
         self.role = ReplicaRole::None;
         self.state_epoch = None;
         self.owner = BudgetOwner::new(KeyTableLimits::default());
+        self.owner.set_retry_windows(self.retry_windows.clone());
         self.transfers = TransferTable::default();
         self.pending = None;
         self.change_count += 1;
--- a/crates/sassafrashoist-core/src/owner/shard_table.rs
+++ b/crates/sassafrashoist-core/src/owner/shard_table.rs
@@ -1,6 +1,7 @@
 //! The replicas of all shards that one VM may hold.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::admit::{AdmitDecision, AdmitRequest};
 use super::rebalance::BalanceReport;
@@ -10,7 +11,7 @@
 use crate::budgets::escrow_account::EscrowAccount;
 use crate::budgets::ledger::{Ledger, LedgerChange};
 use crate::budgets::shard::{SHARD_COUNT, ShardId, ShardPlace, shard_of};
-use crate::ids::{AttemptNumber, BudgetId, DataCentreId, Incarnation, Timestamp, VmId};
+use crate::ids::{AttemptNumber, BudgetId, DataCentreId, Incarnation, RouteId, Timestamp, VmId};
 use crate::invariants::Invariants;
 use crate::requests::key_entry::KeyEntry;
 
@@ -58,6 +59,13 @@
         &self.replicas
     }
 
+    /// Sets how long closed entries of each route are kept.
+    pub fn set_retry_windows(&mut self, retry_windows: &BTreeMap<RouteId, Duration>) {
+        for replica in self.replicas.values_mut() {
+            replica.set_retry_windows(retry_windows.clone());
+        }
+    }
+
     /// Takes up a change of the ledger.
     pub fn follow(&mut self, ledger: &Ledger, change: &LedgerChange) {
         match change {
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -3,7 +3,10 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod budget_owner;
+mod key_table;
 mod ledger;
+mod membership;
+mod request_rules;
 mod result_codes;
 mod shard_model;
 mod shard_world;
--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -5,6 +5,7 @@
 pub mod budget_exhaustion;
 pub mod budget_load;
 pub mod budget_partition;
+pub mod capacity;
 pub mod load;
 pub mod options;
 pub mod path;
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -4,6 +4,7 @@
 
 use super::budget_exhaustion;
 use super::budget_partition;
+use super::capacity;
 use super::options::ExperimentOptions;
 use super::path;
 use super::platform_outage;
@@ -11,7 +12,7 @@
 
 /// The names of all experiments.
 pub const EXPERIMENT_NAMES: &[&str] =
-    &["budget-exhaustion", "budget-partition", "path", "platform-outage"];
+    &["budget-exhaustion", "budget-partition", "capacity", "path", "platform-outage"];
 
 /// Runs an experiment.
 ///
@@ -23,6 +24,7 @@
         "budget-exhaustion" => budget_exhaustion::run(options).await,
         "budget-partition" => budget_partition::run(options).await,
         "platform-outage" => platform_outage::run(options).await,
+        "capacity" => capacity::run(options).await,
         "path" => path::run(options).await,
         _ => bail!("no experiment {name:?}; one of: {}", EXPERIMENT_NAMES.join(", ")),
     }
--- a/crates/sassafrashoist/src/core/process_state.rs
+++ b/crates/sassafrashoist/src/core/process_state.rs
@@ -4,12 +4,15 @@
 
 use serde::Serialize;
 
+use super::control_traffic::TrafficCount;
 use super::readiness::ReadinessStep;
+use super::relay_stream::StreamView;
 use sassafrashoist_core::budgets::escrow_account::EscrowAccount;
 use sassafrashoist_core::decision_log::Decision;
 use sassafrashoist_core::ids::{
     BudgetId, BundleVersion, DataCentreId, Incarnation, LogOffset, VmId,
 };
+use sassafrashoist_core::membership::member::MemberView;
 use sassafrashoist_core::routing::server_view::ServerView;
 
 /// The state of one process.
@@ -39,6 +42,12 @@
     pub key_entry_count: usize,
     /// The backend servers as this VM sees them.
     pub backend_servers: Vec<ServerView>,
+    /// The other VMs as this VM sees them.
+    pub members: Vec<MemberView>,
+    /// The log streams that this VM follows and relays.
+    pub streams: BTreeMap<String, StreamView>,
+    /// What this VM sent and received for control, by kind.
+    pub control_traffic: BTreeMap<&'static str, TrafficCount>,
     /// The counters that must stay 0.
     pub promises: BTreeMap<&'static str, u64>,
     /// The newest decisions.
--- a/crates/sassafrashoist/src/core/router_context.rs
+++ b/crates/sassafrashoist/src/core/router_context.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use volo_http::client::Client;
 
 use super::clock::{read_clock, start_incarnation};
+use super::control_traffic::ControlTraffic;
 use super::drain_gate::DrainGate;
 use super::peer_clients::PeerClients;
 use super::request_registry::RequestRegistry;
@@ -23,8 +25,8 @@
 pub struct RouterContext {
     /// The settings.
     pub settings: Settings,
-    /// The incarnation of this process.
-    pub incarnation: Incarnation,
+    /// The incarnation in which this process started, with empty memory; it never changes.
+    pub process_incarnation: Incarnation,
     /// The tables that the workers share.
     pub tables: Tables,
     /// The counters that must stay 0.
@@ -33,14 +35,18 @@
     pub platform: PlatformClient,
     /// Connections to backend servers.
     pub backends: Client,
+    /// Counts what this VM sends and receives for control.
+    pub traffic: ControlTraffic,
     /// Connections to the other VMs.
     pub peers: PeerClients,
     /// Whose turn it is to replicate or to look for tokens.
     pub shard_turns: ShardTurns,
     /// Requests in progress.
-    pub drain_gate: DrainGate,
+    pub drain_gate: Arc<DrainGate>,
     /// Numbers requests without a caller's key.
     pub registry: RequestRegistry,
+    /// Settlements that their callers do not wait for any more.
+    pub settlements: TaskTracker,
     /// Stops every task of the process.
     pub cancel: CancellationToken,
 }
@@ -50,7 +56,7 @@
     pub fn new(settings: Settings, cancel: CancellationToken) -> Arc<Self> {
         let incarnation = start_incarnation();
         Arc::new(Self {
-            incarnation,
+            process_incarnation: incarnation,
             tables: Tables::new(&settings, incarnation),
             invariants: Invariants::new(report_breach),
             platform: PlatformClient::new(
@@ -58,15 +64,23 @@
                 settings.data_centre_id.clone(),
             ),
             backends: Client::default(),
+            traffic: ControlTraffic::default(),
             peers: PeerClients::new(&settings, incarnation),
             shard_turns: ShardTurns::default(),
-            drain_gate: DrainGate::default(),
+            drain_gate: Arc::default(),
             registry: RequestRegistry::new(&settings.vm_id, incarnation),
+            settlements: TaskTracker::new(),
             settings,
             cancel,
         })
     }
 
+    /// Returns the incarnation in which this process acts; it grows when the process finds that
+    /// others may have declared it gone.
+    pub fn incarnation(&self) -> Incarnation {
+        self.tables.lock_membership().incarnation()
+    }
+
     /// Returns the VM that decides for a budget in a data centre, as the ledger names it.
     pub fn owner_vm(&self, data_centre_id: &DataCentreId, budget_id: &str) -> Option<VmId> {
         let table = self.tables.lock_ledger();
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,22 +1,38 @@
 //! The tables that the workers share.
 //!
-//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `contacts`,
-//! `routing`, `decisions`. A worker that
-//! holds one lock takes only locks to its right, and no lock is held over an await.
+//! Lock order, first to last; a worker that holds one lock takes only locks further down, and no lock
+//! is held over an await:
+//!
+//! - `bundle_chain`
+//! - `bundle`
+//! - `ledger`
+//! - `owner`
+//! - `contacts`
+//! - `routing`
+//! - `membership`
+//! - `relay`
+//! - `retry_budgets`
+//! - `decisions`
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
-use sassafrashoist_bundle::bundle_record::BundleChain;
+use tokio::sync::Notify;
+
+use sassafrashoist_bundle::bundle_chain::BundleChain;
 use sassafrashoist_core::budgets::ledger::Ledger;
 use sassafrashoist_core::budgets::shard::SHARD_COUNT;
 use sassafrashoist_core::decision_log::DecisionLog;
 use sassafrashoist_core::ids::{DataCentreId, Incarnation};
+use sassafrashoist_core::membership::member_table::MemberTable;
 use sassafrashoist_core::owner::shard_table::ShardTable;
+use sassafrashoist_core::requests::retry_budget::RetryBudgets;
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
 use super::active_bundle::ActiveBundle;
+use super::clock::read_clock;
 use super::contact_table::ContactTable;
 use super::readiness::ReadinessStep;
+use super::relay_table::RelayTable;
 use super::settings::Settings;
 
 /// Decisions kept for state dumps and explanations.
@@ -32,7 +48,12 @@
     owner: Mutex<ShardTable>,
     contacts: Mutex<ContactTable>,
     routing: Mutex<RoutingTable>,
+    membership: Mutex<MemberTable>,
+    relay: Mutex<RelayTable>,
+    retry_budgets: Mutex<RetryBudgets>,
     decisions: Mutex<DecisionLog>,
+    /// Wakes the calls that wait for a record to relay.
+    pub relay_arrived: Notify,
 }
 
 /// The ledger and whether it was read up to the log's end once.
@@ -57,7 +78,11 @@
             owner: Mutex::new(owner),
             contacts: Mutex::new(ContactTable::default()),
             routing: Mutex::new(RoutingTable::default()),
+            membership: Mutex::new(build_members(settings, incarnation)),
+            relay: Mutex::default(),
+            retry_budgets: Mutex::new(RetryBudgets::default()),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
+            relay_arrived: Notify::new(),
         }
     }
 
@@ -68,6 +93,7 @@
 
     /// Puts a bundle in force.
     pub fn set_bundle(&self, bundle: Arc<ActiveBundle>) {
+        self.lock_owner().set_retry_windows(&bundle.retry_windows());
         *self.bundle.write().unwrap_or_else(PoisonError::into_inner) = Some(bundle);
     }
 
@@ -96,6 +122,21 @@
         lock(&self.routing)
     }
 
+    /// Locks the table of members.
+    pub fn lock_membership(&self) -> MutexGuard<'_, MemberTable> {
+        lock(&self.membership)
+    }
+
+    /// Locks the table of relayed streams.
+    pub fn lock_relay(&self) -> MutexGuard<'_, RelayTable> {
+        lock(&self.relay)
+    }
+
+    /// Locks the retry budgets.
+    pub fn lock_retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.retry_budgets)
+    }
+
     /// Locks the decision log.
     pub fn lock_decisions(&self) -> MutexGuard<'_, DecisionLog> {
         lock(&self.decisions)
@@ -123,6 +164,19 @@
     }
 }
 
+fn build_members(settings: &Settings, incarnation: Incarnation) -> MemberTable {
+    let mut members = MemberTable::new(
+        settings.vm_id.clone(),
+        settings.data_centre_id.clone(),
+        incarnation,
+        settings.membership.clone(),
+    );
+    for peer in &settings.peers {
+        members.add_peer(peer.vm_id.clone(), peer.data_centre_id.clone(), read_clock());
+    }
+    members
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/sassafrashoist/src/ops/admit_request.rs
+++ b/crates/sassafrashoist/src/ops/admit_request.rs
@@ -12,7 +12,9 @@
 use sassafrashoist_core::ids::{AttemptNumber, BackendServerId, BudgetId, RequestKey, VmId};
 use sassafrashoist_core::owner::admit::{AdmitDecision, AdmitRequest};
 use sassafrashoist_core::owner::settle::RedirectRequest;
-use sassafrashoist_core::requests::key_entry::{AttemptRunner, KeyEntry, KeyState};
+use sassafrashoist_core::requests::key_entry::{
+    AttemptRunner, EarlierAttempts, KeyEntry, KeyState,
+};
 use sassafrashoist_core::result_code::ResultCode;
 
 /// How long a request waits until a VM that can decide is found.
@@ -38,7 +40,7 @@
         is_idempotent: request.route.is_idempotent,
         runner: own_runner(context, server_id),
     };
-    let deadline = Instant::now() + request.timeout.min(OWNER_BOUND);
+    let deadline = Instant::now() + request.time_left().min(OWNER_BOUND);
     loop {
         let error = match try_admit(context, request, &admit).await {
             Ok(decision) => return Ok(decision),
@@ -98,11 +100,13 @@
     context: &RouterContext,
     request: &CallerRequest,
     from_attempt: AttemptNumber,
+    earlier: EarlierAttempts,
     server_id: &BackendServerId,
 ) -> Result<Option<AttemptNumber>, PeerError> {
     let redirect = RedirectRequest {
         key: request.key.clone(),
         from_attempt,
+        earlier,
         runner: own_runner(context, server_id),
     };
     let owner_vm_id = find_owner(context, request)?;
@@ -149,7 +153,7 @@
 fn own_runner(context: &RouterContext, server_id: &BackendServerId) -> AttemptRunner {
     AttemptRunner {
         vm_id: context.settings.vm_id.clone(),
-        incarnation: context.incarnation,
+        incarnation: context.incarnation(),
         server_id: server_id.clone(),
     }
 }
--- a/crates/sassafrashoist/src/ops/keep_shards.rs
+++ b/crates/sassafrashoist/src/ops/keep_shards.rs
@@ -95,7 +95,7 @@
         return Vec::new();
     }
     let owner = context.tables.lock_owner();
-    let own = (&context.settings.vm_id, context.incarnation);
+    let own = (&context.settings.vm_id, context.process_incarnation);
     let mut records = Vec::new();
     for (shard, replica) in owner.replicas() {
         let place =
@@ -125,7 +125,7 @@
         let mut fact = contacts.fact(vm_id, shard);
         if vm_id == own_vm_id {
             fact.is_reachable = true;
-            fact.incarnation = Some(context.incarnation);
+            fact.incarnation = Some(context.process_incarnation);
         }
         fact
     });
--- a/crates/sassafrashoist/src/ops/run_router.rs
+++ b/crates/sassafrashoist/src/ops/run_router.rs
@@ -8,13 +8,16 @@
 
 use crate::core::router_context::RouterContext;
 use crate::core::settings::Settings;
+use crate::ops::exchange_heartbeats::exchange_heartbeats;
 use crate::ops::follow_bundles::follow_bundles;
 use crate::ops::follow_ledger::follow_ledger;
 use crate::ops::keep_shards::keep_shards;
+use crate::ops::mend_bundles::mend_bundles;
 use crate::ops::poll_backends::poll_backends;
 use crate::ops::serve_admin::build_admin_handler;
 use crate::ops::serve_callers::build_caller_handler;
 use crate::ops::serve_peers::serve_peers;
+use crate::ops::write_snapshots::write_snapshots;
 use crate::util::http_server::{bind_listener, serve_http};
 use crate::util::metrics_page::init_metrics;
 
@@ -47,9 +50,12 @@
     serve_http(callers, build_caller_handler(Arc::clone(&context)), cancel.clone());
     serve_http(admin, build_admin_handler(Arc::clone(&context)), cancel);
     serve_peers(Arc::clone(&context), peers);
+    tokio::spawn(exchange_heartbeats(Arc::clone(&context)));
     tokio::spawn(follow_bundles(Arc::clone(&context)));
     tokio::spawn(follow_ledger(Arc::clone(&context)));
     tokio::spawn(keep_shards(Arc::clone(&context)));
+    tokio::spawn(mend_bundles(Arc::clone(&context)));
+    tokio::spawn(write_snapshots(Arc::clone(&context)));
     tokio::spawn(poll_backends(Arc::clone(&context)));
     log::info!(
         callers = caller_address.to_string(),
--- a/crates/sassafrashoist/src/ops/serve_owner.rs
+++ b/crates/sassafrashoist/src/ops/serve_owner.rs
@@ -66,7 +66,7 @@
         let mut owner = self.context.tables.lock_owner();
         let reply = match call {
             ReplicaCall::Report => {
-                ReplicaReply::Report(ShardReport::of(self.context.incarnation, &owner))
+                ReplicaReply::Report(ShardReport::of(self.context.process_incarnation, &owner))
             }
             ReplicaCall::Delta(delta) => {
                 let replica = owner
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -3,5 +3,10 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod bad_requests;
+mod bundles;
+mod outcomes;
 mod processes;
+mod relay;
+mod relay_stream;
 mod settings;
+mod waiting;
