--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -9,5 +9,6 @@
 mod request_rules;
 mod result_codes;
 mod shard_model;
+mod shard_pair;
 mod shard_world;
 mod split;
--- a/crates/sassafrashoist-core/tests/testsuite/shard_world.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/shard_world.rs
@@ -68,6 +68,7 @@
     cut_pairs: BTreeSet<(usize, usize)>,
     cut_logs: BTreeSet<usize>,
     top_up_count: u64,
+    pub sent_deltas: Vec<ReplicaDelta>,
 }
 
 pub fn data_centre_id(index: usize) -> String {
@@ -87,6 +88,7 @@
             cut_pairs: BTreeSet::new(),
             cut_logs: BTreeSet::new(),
             top_up_count: 0,
+            sent_deltas: Vec::new(),
         }
     }
 
@@ -198,6 +200,17 @@
         self.cut_log(index, true);
     }
 
+    /// Sends a copy of every message that is on its way.
+    pub fn repeat_messages(&mut self) {
+        let copies = self.messages.clone();
+        self.messages.extend(copies);
+    }
+
+    /// Brings a VM a delta that was on its way for long.
+    pub fn apply_delta(&mut self, index: usize, delta: ReplicaDelta) -> DeltaAnswer {
+        self.replica_mut(index).apply_delta(delta, NOW)
+    }
+
     /// Returns what a VM holds as the primary.
     pub fn held_tokens(&self, index: usize) -> Tokens {
         self.nodes[index].table.account(BUDGET).held_tokens
@@ -342,6 +355,9 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: Message) {
+        if let Message::Delta(delta) = &message {
+            self.sent_deltas.push(delta.clone());
+        }
         let to_incarnation = self.nodes[to].incarnation;
         let envelope = Envelope { from, to, to_incarnation, message };
         if !self.messages.contains(&envelope) {
