Read the ledger before a refusal and add up budget show exactly

Cause: after a partition a primary refused while a top-up was in the log that its hanging poll had not brought, and budget show called undrawn shares unaccounted.

Change: before a refusal the ledger is read to its end, at most five times a second; a refusal says out of reach when the log does not answer. budget show lists undrawn, in transfer and stranded tokens.

--- a/crates/sassafrasctl/src/ops/queries/show_budget.rs
+++ b/crates/sassafrasctl/src/ops/queries/show_budget.rs
@@ -9,6 +9,8 @@
 use crate::ops::queries::read_ledger::read_ledger;
 use crate::ops::queries::read_vm_state::read_admin;
 use sassafrashoist_core::budgets::escrow_account::EscrowAccount;
+use sassafrashoist_core::budgets::ledger::BudgetLedger;
+use sassafrashoist_core::budgets::share::Share;
 use sassafrashoist_core::ids::{BudgetId, DataCentreId, LogOffset, Tokens, VmId};
 
 /// Where the tokens of a budget are.
@@ -26,6 +28,13 @@
     pub reserved_tokens: Tokens,
     /// The tokens held in each data centre.
     pub held_tokens: BTreeMap<DataCentreId, Tokens>,
+    /// The tokens of each data centre's share that its primary has yet to take.
+    pub undrawn_tokens: BTreeMap<DataCentreId, Tokens>,
+    /// The tokens sent by one data centre and not yet received by another; negative when a VM
+    /// answered before the other sent, or lost its state after it received.
+    pub in_transfer_tokens: i128,
+    /// The tokens that primaries whose state was lost may have left unspent.
+    pub stranded_tokens: Tokens,
     /// The tokens that no VM accounts for: those of VMs that did not answer.
     pub unaccounted_tokens: Tokens,
     /// The VMs that did not answer.
@@ -57,25 +66,51 @@
         settled_tokens: 0,
         reserved_tokens: 0,
         held_tokens: BTreeMap::new(),
+        undrawn_tokens: BTreeMap::new(),
+        in_transfer_tokens: 0,
+        stranded_tokens: 0,
         unaccounted_tokens: 0,
         silent_vm_ids: Vec::new(),
     };
+    add_shares(&mut report, budget);
     for vm_id in context.settings.vm_admin_addresses.keys() {
         match read_admin::<OwnerState>(context, vm_id, "/state").await {
-            Ok(state) => add_owner(&mut report, &state),
+            Ok(state) => add_owner(&mut report, budget, &state),
             Err(_) => report.silent_vm_ids.push(vm_id.clone()),
         }
     }
     let held_tokens: Tokens = report.held_tokens.values().sum();
-    let accounted_tokens = report.settled_tokens + report.reserved_tokens + held_tokens;
-    report.unaccounted_tokens = report.paid_tokens.saturating_sub(accounted_tokens);
+    let undrawn_tokens: Tokens = report.undrawn_tokens.values().sum();
+    let claimed_tokens = report.settled_tokens + report.reserved_tokens;
+    let free_tokens = held_tokens + undrawn_tokens + report.stranded_tokens;
+    let accounted_tokens = i128::from(claimed_tokens + free_tokens) + report.in_transfer_tokens;
+    let unaccounted_tokens = i128::from(report.paid_tokens) - accounted_tokens;
+    report.unaccounted_tokens = Tokens::try_from(unaccounted_tokens).unwrap_or(0);
     Ok(report)
 }
 
-fn add_owner(report: &mut BudgetReport, state: &OwnerState) {
+/// Adds what the ledger says of the shares; what their primaries drew comes by [`add_owner`].
+fn add_shares(report: &mut BudgetReport, budget: &BudgetLedger) {
+    for (data_centre_id, share) in &budget.shares {
+        report.undrawn_tokens.insert(data_centre_id.clone(), share.undrawn_tokens());
+        report.stranded_tokens += share.stranded_tokens();
+        report.settled_tokens += share.lost_reported.settled_tokens;
+        report.in_transfer_tokens += i128::from(share.lost_reported.sent_tokens);
+        report.in_transfer_tokens -= i128::from(share.lost_reported.received_tokens);
+    }
+}
+
+fn add_owner(report: &mut BudgetReport, budget: &BudgetLedger, state: &OwnerState) {
     let Some(account) = state.accounts.get(&report.budget_id) else {
         return;
     };
+    let undrawn_tokens = report.undrawn_tokens.entry(state.data_centre_id.clone()).or_default();
+    // What the ledger has drawn and the primary has not counted yet is on its way to it.
+    let live_drawn_tokens =
+        budget.shares.get(&state.data_centre_id).map_or(0, Share::live_drawn_tokens);
+    *undrawn_tokens += live_drawn_tokens.saturating_sub(account.drawn_tokens);
+    report.in_transfer_tokens += i128::from(account.sent_tokens);
+    report.in_transfer_tokens -= i128::from(account.received_tokens);
     report.settled_tokens += account.settled_tokens;
     report.reserved_tokens += account.reserved_tokens;
     *report.held_tokens.entry(state.data_centre_id.clone()).or_default() += account.held_tokens;
@@ -94,6 +129,11 @@
     for (data_centre_id, tokens) in &report.held_tokens {
         text.push_str(&format!("  held         {tokens:>12}  in {data_centre_id}\n"));
     }
+    for (data_centre_id, tokens) in &report.undrawn_tokens {
+        text.push_str(&format!("  undrawn      {tokens:>12}  in {data_centre_id}\n"));
+    }
+    text.push_str(&format!("  in transfer  {:>12}\n", report.in_transfer_tokens));
+    text.push_str(&format!("  stranded     {:>12}\n", report.stranded_tokens));
     text.push_str(&format!("  unaccounted  {:>12}\n", report.unaccounted_tokens));
     for vm_id in &report.silent_vm_ids {
         text.push_str(&format!("  VM {vm_id} did not answer\n"));
--- a/crates/sassafrashoist-testkit/src/experiments/budget_load.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/budget_load.rs
@@ -36,7 +36,7 @@
 }
 
 /// What became of the requests.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct LoadCounts {
     /// Requests sent.
     pub requests: u64,
@@ -56,6 +56,8 @@
     pub other_failures: u64,
     /// Tokens settled when the first justified refusal was answered.
     pub sold_at_first_justified_refusal: Option<Tokens>,
+    /// What is known of the first false refusal within reach.
+    pub first_false_refusal: Option<String>,
 }
 
 /// What the experiment's script shares with its load.
@@ -151,7 +153,7 @@
         AnswerCheck::Refused => {
             let code = answer.map(|answer| answer.result_code()).unwrap_or(0);
             if BUDGET_CODES.contains(&code) {
-                count_refusal(fleet, state, counts, data_centre, &appraisal);
+                count_refusal(fleet, state, counts, data_centre, &appraisal, code);
             } else {
                 counts.other_failures += 1;
             }
@@ -165,6 +167,7 @@
     counts: &mut LoadCounts,
     data_centre: usize,
     appraisal: &Appraisal,
+    code: u16,
 ) {
     let worst_case_tokens = appraisal.call.body.len() as u64 + appraisal.answer_tokens;
     let budget_id = fleet.plan.accounts[0].budget_id();
@@ -180,6 +183,11 @@
         counts.false_refusals_cut_off += 1;
     } else {
         counts.false_refusals_reachable += 1;
+        let held_tokens = held_in(fleet, data_centre, &budget_id);
+        counts.first_false_refusal.get_or_insert(format!(
+            "code {code} after {} requests in {} for {worst_case_tokens} tokens, {held_tokens} held there, {sums:?}",
+            counts.requests, fleet.plan.data_centres[data_centre].id
+        ));
     }
 }
 
@@ -223,6 +231,7 @@
     report.set("justified_refusals", counts.justified_refusals);
     report.set("false_refusals_reachable", counts.false_refusals_reachable);
     report.set("false_refusals_cut_off", counts.false_refusals_cut_off);
+    report.set("first_false_refusal", counts.first_false_refusal.clone());
     report.set("other_failures", counts.other_failures);
     report.set("appends", fleet.platform.appended_count());
     report.require(
--- a/crates/sassafrashoist/src/ops/find_tokens.rs
+++ b/crates/sassafrashoist/src/ops/find_tokens.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::core::router_context::RouterContext;
+use crate::ops::follow_ledger::refresh_ledger;
 use crate::ops::move_tokens::{AskOutcome, ask_for_tokens};
 use sassafrashoist_core::budgets::shard::shard_of;
 use sassafrashoist_core::ids::{DataCentreId, Tokens};
@@ -14,6 +15,10 @@
 
 /// How long a request waits for tokens before it is refused.
 const SEARCH_BOUND: Duration = Duration::from_millis(1_000);
+/// How long a request waits for a draw before it asks other data centres.
+const FIRST_DRAW_BOUND: Duration = Duration::from_millis(400);
+/// How long a request waits for a draw of tokens that the log is known to hold.
+const DRAW_BOUND: Duration = Duration::from_millis(1_500);
 /// Time between two looks at tokens that are on the way.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(20);
 /// When to try again while other requests hold reservations.
@@ -50,7 +55,7 @@
         return TokenSearch::TryAgain;
     }
     let is_over = started_at.elapsed() >= SEARCH_BOUND;
-    if !is_over && read_undrawn(context, budget_id) > 0 {
+    if started_at.elapsed() < FIRST_DRAW_BOUND && read_undrawn(context, budget_id) > 0 {
         if let Some(replica) = context.tables.lock_owner().replica_mut(shard_of(budget_id)) {
             replica.note_short(budget_id, wanted_tokens - account.held_tokens);
         }
@@ -74,7 +79,12 @@
     if !is_over && (has_reserved || received_tokens > 0) {
         return wait_once().await;
     }
-    refuse(is_cut_off, has_reserved)
+    let is_ledger_read = refresh_ledger(context).await;
+    if started_at.elapsed() < DRAW_BOUND && read_undrawn(context, budget_id) > 0 {
+        context.shard_turns.shard_work.notify_one();
+        return wait_once().await;
+    }
+    refuse(is_cut_off || !is_ledger_read, has_reserved)
 }
 
 fn refuse(is_cut_off: bool, has_reserved: bool) -> TokenSearch {
--- a/crates/sassafrashoist/src/ops/follow_ledger.rs
+++ b/crates/sassafrashoist/src/ops/follow_ledger.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::timeout;
+
 use crate::core::router_context::RouterContext;
 use crate::ops::read_stream::read_stream;
 use sassafrashoist_core::budgets::ledger::LedgerChange;
@@ -15,6 +17,8 @@
 const PAGE_COUNT: usize = 500;
 /// How long a read waits for a new record.
 const READ_WAIT: Duration = Duration::from_secs(1);
+/// How long a read before a refusal may take.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time before a failed read is tried again.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -37,6 +41,22 @@
     }
 }
 
+/// Reads the ledger to its end at once; false when the log does not answer in time.
+pub async fn refresh_ledger(context: &RouterContext) -> bool {
+    if let Some(is_read) = context.shard_turns.recent_refresh() {
+        return is_read;
+    }
+    let from_offset = context.tables.lock_ledger().ledger.next_offset;
+    let range = ReadRange { from_offset, max_count: PAGE_COUNT, wait: Duration::ZERO };
+    let read = timeout(REFRESH_TIMEOUT, context.platform.read(LEDGER_STREAM, range)).await;
+    let is_read = match read {
+        Ok(Ok(page)) => fold_page(context, &page).is_ok(),
+        _ => false,
+    };
+    context.shard_turns.record_refresh(is_read);
+    is_read
+}
+
 fn fold_page(context: &RouterContext, page: &RecordPage) -> Result<(), LedgerRecordError> {
     for record in &page.records {
         let decoded = decode_record(record)?;
