--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -8,5 +8,6 @@
 mod processes;
 mod relay;
 mod relay_stream;
+mod router_process;
 mod settings;
 mod waiting;
--- /dev/null
+++ b/crates/sassafrashoist/tests/testsuite/router_process.rs
@@ -0,0 +1,105 @@
+//! The fixture: the router program as a process of its own.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use sassafrashoist::core::settings::{ListenAddresses, LogLevel, Peer, Settings};
+use sassafrashoist_testkit::client::caller::Caller;
+use sassafrashoist_testkit::fleet::operators::operators;
+
+static NEXT_FILE: AtomicU64 = AtomicU64::new(1);
+
+/// The router program as a process of its own; killed when dropped.
+pub struct RouterProcess {
+    pub settings: Settings,
+    child: Child,
+    settings_path: PathBuf,
+}
+
+impl RouterProcess {
+    pub fn start(settings: Settings) -> Self {
+        let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+        let name = format!("router-process-{}-{number}.json", std::process::id());
+        let settings_path = std::env::temp_dir().join(name);
+        let text = serde_json::to_vec(&settings).unwrap();
+        std::fs::File::create(&settings_path).unwrap().write_all(&text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_sassafrashoist"))
+            .args(["run", "--settings"])
+            .arg(&settings_path)
+            .spawn()
+            .unwrap();
+        Self { settings, child, settings_path }
+    }
+
+    pub fn caller(&self, caller_key: &str) -> Caller {
+        Caller::new(self.settings.caller_address, caller_key)
+    }
+
+    pub async fn wait_ready(&self) {
+        let admin = Caller::new(self.settings.admin_address, "none");
+        while admin.get("/ready").await.map_or(0, |answer| answer.status) != 200 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub async fn read_state(&self) -> serde_json::Value {
+        let admin = Caller::new(self.settings.admin_address, "none");
+        serde_json::from_slice(&admin.get("/state").await.unwrap().body).unwrap()
+    }
+
+    /// Sends a signal by its name, such as `TERM` or `STOP`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap();
+        assert!(status.success());
+    }
+
+    pub fn wait_exit(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for RouterProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings_path);
+    }
+}
+
+/// Plans settings with free loopback ports.
+pub fn plan_process(vm_id: &str, data_centre_id: &str, platform_address: SocketAddr) -> Settings {
+    let addresses =
+        ListenAddresses { callers: free_address(), admin: free_address(), peers: free_address() };
+    let mut settings = Settings::new(
+        vm_id.to_owned(),
+        data_centre_id.to_owned(),
+        addresses,
+        platform_address,
+        operators(),
+    );
+    settings.log.level = LogLevel::Error;
+    settings
+}
+
+/// Makes each of two planned processes the other's peer.
+pub fn introduce(first: &mut Settings, second: &mut Settings) {
+    first.peers.push(as_peer(second));
+    second.peers.push(as_peer(first));
+}
+
+fn as_peer(settings: &Settings) -> Peer {
+    Peer {
+        vm_id: settings.vm_id.clone(),
+        data_centre_id: settings.data_centre_id.clone(),
+        address: settings.peer_address,
+    }
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
