Number attempts on across releases, and measure crashes and drains

Cause: the property test of two routers and an owner found that a late "not run" settlement of an earlier request released the reservation of the next request under the same key, whose attempts were numbered from 1 again; that request ran and was forgotten.

Change: the key table remembers the last attempt number of a released key for the time in which late messages may come. Experiments router-crash (routers that own no budget are killed and come back) and drain (routers are replaced in turn), with callers that try again.

--- a/crates/sassafrashoist-core/src/owner/budget_owner.rs
+++ b/crates/sassafrashoist-core/src/owner/budget_owner.rs
@@ -76,18 +76,19 @@
         if !account.try_reserve(request.worst_case_tokens) {
             return refuse(ResultCode::BudgetShortHere);
         }
+        let attempt = self.keys.first_attempt(&request.key);
         let entry = KeyEntry {
             binding: request.binding,
             budget_id: request.budget_id,
             reserved_tokens: request.worst_case_tokens,
             is_idempotent: request.is_idempotent,
-            last_attempt: 1,
+            last_attempt: attempt,
             earlier: EarlierAttempts::default(),
             changed_at: now,
-            state: KeyState::Running { attempt: 1, runner: request.runner },
+            state: KeyState::Running { attempt, runner: request.runner },
         };
         self.keys.insert(request.key, entry);
-        AdmitDecision::Admitted { attempt: 1 }
+        AdmitDecision::Admitted { attempt }
     }
 
     /// Moves a request to its next attempt; `None` when another attempt took over.
@@ -129,7 +130,7 @@
                 self.keys.mark_unknown(&request.key, now);
                 SettleDecision::Settled { billed_tokens: 0 }
             }
-            SettleOutcome::NotRun => self.release(&request.key),
+            SettleOutcome::NotRun => self.release(&request.key, now),
             SettleOutcome::Unknown => {
                 self.keys.mark_unknown(&request.key, now);
                 SettleDecision::Settled { billed_tokens: 0 }
@@ -141,12 +142,12 @@
         }
     }
 
-    fn release(&mut self, key: &str) -> SettleDecision {
+    fn release(&mut self, key: &str, now: Timestamp) -> SettleDecision {
         if let Some(entry) = self.keys.entry(key) {
             let account = self.accounts.entry(entry.budget_id.clone()).or_default();
             account.settle(entry.reserved_tokens, 0);
         }
-        self.keys.remove(key);
+        self.keys.release(key, now);
         SettleDecision::Settled { billed_tokens: 0 }
     }
 
--- a/crates/sassafrashoist-core/src/requests/key_table.rs
+++ b/crates/sassafrashoist-core/src/requests/key_table.rs
@@ -4,6 +4,9 @@
 //! the kept answers grow too large; the outcome stays. An entry that is not closed is never
 //! dropped: a full table refuses new keys instead. The entry of a request without a caller's key is
 //! kept only as long as late messages about it may come, since no caller can ask for it again.
+//!
+//! A key whose request provably did not run is free again, but the numbers of its attempts go on for
+//! a while: a late settlement of the earlier request must not match an attempt of the next one.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
@@ -48,6 +51,13 @@
     Full,
 }
 
+/// What is remembered of a request that provably did not run.
+#[derive(Debug, Clone, Copy)]
+struct Release {
+    last_attempt: AttemptNumber,
+    forgotten_at: Timestamp,
+}
+
 /// The entries of request keys.
 #[derive(Debug)]
 pub struct KeyTable {
@@ -55,6 +65,8 @@
     expiry_order: BTreeSet<(Timestamp, RequestKey)>,
     answer_order: VecDeque<RequestKey>,
     answer_bytes: usize,
+    released: HashMap<RequestKey, Release>,
+    released_order: VecDeque<(Timestamp, RequestKey)>,
     limits: KeyTableLimits,
     retry_windows: BTreeMap<RouteId, Duration>,
 }
@@ -67,6 +79,8 @@
             expiry_order: BTreeSet::new(),
             answer_order: VecDeque::new(),
             answer_bytes: 0,
+            released: HashMap::new(),
+            released_order: VecDeque::new(),
             limits,
             retry_windows: BTreeMap::new(),
         }
@@ -118,10 +132,22 @@
         self.entries.insert(key, entry);
     }
 
+    /// Returns the number of the first attempt of a new request.
+    pub fn first_attempt(&self, key: &str) -> AttemptNumber {
+        self.released.get(key).map_or(1, |release| release.last_attempt + 1)
+    }
+
     /// Removes an entry whose request provably did not run.
-    pub fn remove(&mut self, key: &str) {
-        self.drop_answer(key);
-        self.entries.remove(key);
+    pub fn release(&mut self, key: &str, now: Timestamp) {
+        if let Some(entry) = self.entries.remove(key) {
+            let forgotten_at = now + LATE_MESSAGE_WINDOW;
+            let release = Release { last_attempt: entry.last_attempt, forgotten_at };
+            self.released.insert(key.to_owned(), release);
+            self.released_order.push_back((forgotten_at, key.to_owned()));
+        }
+        while self.released_order.len() > self.limits.max_entries {
+            self.forget_oldest_release();
+        }
     }
 
     /// Moves a request to its next attempt; `None` when another attempt took over.
@@ -217,11 +243,25 @@
             }
             let key = key.clone();
             self.expiry_order.pop_first();
-            self.remove(&key);
+            self.drop_answer(&key);
+            self.entries.remove(&key);
+        }
+        while self.released_order.front().is_some_and(|(expires_at, _)| *expires_at <= now) {
+            self.forget_oldest_release();
         }
         self.forget_dropped_answers();
     }
 
+    fn forget_oldest_release(&mut self) {
+        let Some((forgotten_at, key)) = self.released_order.pop_front() else {
+            return;
+        };
+        let newest = self.released.get(&key).map(|release| release.forgotten_at);
+        if newest == Some(forgotten_at) {
+            self.released.remove(&key);
+        }
+    }
+
     /// Keeps the order of answers no longer than the entries that it speaks of.
     fn forget_dropped_answers(&mut self) {
         while self.answer_order.front().is_some_and(|key| !self.has_answer(key)) {
--- a/crates/sassafrashoist-core/src/requests/recovery.rs
+++ b/crates/sassafrashoist-core/src/requests/recovery.rs
@@ -7,10 +7,9 @@
 use std::time::Duration;
 
 use super::retry_budget::RetryCause;
-use crate::ids::AttemptNumber;
 
-/// The most attempts of one request.
-pub const MAX_ATTEMPTS: AttemptNumber = 4;
+/// The most attempts of one request by one VM.
+pub const MAX_ATTEMPTS: u32 = 4;
 /// How long a VM may be silent before its requests are taken over.
 pub const SILENT_RUNNER_BOUND: Duration = Duration::from_secs(1);
 
@@ -42,12 +41,14 @@
 }
 
 /// Returns why a failed attempt may be repeated, or `None` when it may not.
+///
+/// `failed_count` counts the attempts of this VM that failed, with the last one.
 pub fn repeat_cause(
     failure: AttemptFailure,
     rules: RepeatRules,
-    attempt: AttemptNumber,
+    failed_count: u32,
 ) -> Option<RetryCause> {
-    if attempt >= MAX_ATTEMPTS {
+    if failed_count >= MAX_ATTEMPTS {
         return None;
     }
     match failure {
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod budget_owner;
 mod key_table;
 mod ledger;
+mod request_life;
 mod request_rules;
 mod result_codes;
 mod split;
--- a/crates/sassafrashoist-testkit/src/client/caller.rs
+++ b/crates/sassafrashoist-testkit/src/client/caller.rs
@@ -51,6 +51,11 @@
 }
 
 impl Answer {
+    /// Whether it is a success that says that it is complete.
+    pub fn is_success(&self) -> bool {
+        self.status == 200 && self.is_whole
+    }
+
     /// The numbered result.
     pub fn result_code(&self) -> u16 {
         self.header("x-result-code").parse().unwrap_or(0)
--- a/crates/sassafrashoist-testkit/src/client/mod.rs
+++ b/crates/sassafrashoist-testkit/src/client/mod.rs
@@ -1,3 +1,4 @@
-//! A caller of the fleet.
+//! Callers of a fleet.
 
 pub mod caller;
+pub mod retrying_caller;
--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -2,9 +2,12 @@
 //!
 //! Each experiment is a file with a `run` function; [`registry`] lists them by name.
 
+pub mod drain;
 pub mod load;
 pub mod options;
+pub mod outcome_load;
 pub mod path;
 pub mod percentiles;
 pub mod registry;
 pub mod report;
+pub mod router_crash;
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -3,11 +3,11 @@
 use eyre::{Result, bail};
 
 use super::options::ExperimentOptions;
-use super::path;
 use super::report::ExperimentReport;
+use super::{drain, path, router_crash};
 
 /// The names of all experiments.
-pub const EXPERIMENT_NAMES: &[&str] = &["path"];
+pub const EXPERIMENT_NAMES: &[&str] = &["drain", "path", "router-crash"];
 
 /// Runs an experiment.
 ///
@@ -16,7 +16,9 @@
 /// Fails when no experiment has the name or its fleet cannot start.
 pub async fn run_experiment(name: &str, options: &ExperimentOptions) -> Result<ExperimentReport> {
     match name {
+        "drain" => drain::run(options).await,
         "path" => path::run(options).await,
+        "router-crash" => router_crash::run(options).await,
         _ => bail!("no experiment {name:?}; one of: {}", EXPERIMENT_NAMES.join(", ")),
     }
 }
--- a/crates/sassafrashoist/src/ops/run_attempts.rs
+++ b/crates/sassafrashoist/src/ops/run_attempts.rs
@@ -213,10 +213,11 @@
         AttemptFailure::NotReached | AttemptFailure::AnswerLost => ResultCode::AttemptsFailed,
     };
     let attempt = failed.attempt();
-    let Some(cause) = repeat_cause(failure, request.repeat_rules(), attempt) else {
+    let failed_count = run.excluded.len() as u32;
+    let Some(cause) = repeat_cause(failure, request.repeat_rules(), failed_count) else {
         return Err((code, failed));
     };
-    let delay = retry_delay(run.context.incarnation, &request.key, attempt);
+    let delay = retry_delay(run.context.incarnation, &request.key, failed_count);
     if hop_timeout(request.time_left().saturating_sub(delay)).is_none() {
         return Err((code, failed));
     }
