--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -3,12 +3,20 @@
 use eyre::{Result, bail};
 
 use super::capacity;
+use super::drain;
 use super::options::ExperimentOptions;
 use super::path;
 use super::report::ExperimentReport;
+use super::router_crash;
 
 /// The names of all experiments.
-pub const EXPERIMENT_NAMES: &[&str] = &["capacity", "path"];
+#[rustfmt::skip]
+pub const EXPERIMENT_NAMES: &[&str] = &[
+    "capacity",
+    "drain",
+    "path",
+    "router-crash",
+];
 
 /// Runs an experiment.
 ///
@@ -18,7 +26,9 @@
 pub async fn run_experiment(name: &str, options: &ExperimentOptions) -> Result<ExperimentReport> {
     match name {
         "capacity" => capacity::run(options).await,
+        "drain" => drain::run(options).await,
         "path" => path::run(options).await,
+        "router-crash" => router_crash::run(options).await,
         _ => bail!("no experiment {name:?}; one of: {}", EXPERIMENT_NAMES.join(", ")),
     }
 }
