Show the fleet as one: status, explanations and readiness steps

An operator had to read each VM's state dump alone. The command 'sassafrasctl fleet status' joins them: versions in force, what needs attention first (silent VMs, VMs cut off from the platform, broken promises, disagreeing views), who relays each stream, and each VM's streams. /ready names the step that a starting VM waits for, the VMs it has heard and its streams.

--- a/crates/sassafrasctl/src/bin/sassafrasctl/cli.rs
+++ b/crates/sassafrasctl/src/bin/sassafrasctl/cli.rs
@@ -9,7 +9,7 @@
 use sassafrasctl::core::ctl_settings::read_ctl_settings;
 use sassafrasctl::util::shell::{OutputForm, Shell};
 
-use crate::commands::{budget, bundle, explain, vm};
+use crate::commands::{budget, bundle, explain, fleet, vm};
 
 /// Exit code of a command that failed.
 const EXIT_FAILED: u8 = 1;
@@ -42,6 +42,9 @@
     #[command(subcommand)]
     Vm(vm::Vm),
     Explain(explain::Explain),
+    /// The fleet as a whole.
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
 }
 
 impl Cli {
@@ -65,6 +68,7 @@
                 Command::Bundle(bundle) => bundle.exec(&context).await,
                 Command::Budget(budget) => budget.exec(&context).await,
                 Command::Vm(vm) => vm.exec(&context).await,
+                Command::Fleet(fleet) => fleet.exec(&context).await,
                 Command::Explain(explain) => explain.exec(&context).await,
             }
         })
--- a/crates/sassafrasctl/src/bin/sassafrasctl/commands/mod.rs
+++ b/crates/sassafrasctl/src/bin/sassafrasctl/commands/mod.rs
@@ -3,4 +3,5 @@
 pub mod budget;
 pub mod bundle;
 pub mod explain;
+pub mod fleet;
 pub mod vm;
--- a/crates/sassafrasctl/src/core/mod.rs
+++ b/crates/sassafrasctl/src/core/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod ctl_context;
 pub mod ctl_settings;
+pub mod fleet_vm_state;
--- a/crates/sassafrasctl/src/ops/queries/explain_request.rs
+++ b/crates/sassafrasctl/src/ops/queries/explain_request.rs
@@ -28,7 +28,7 @@
             Err(_) => explanation.silent_vm_ids.push(vm_id.clone()),
         }
     }
-    explanation.decisions.sort_by_key(|decision| decision.at);
+    explanation.decisions.sort_by(|a, b| (a.at, &a.vm_id).cmp(&(b.at, &b.vm_id)));
     explanation
 }
 
--- a/crates/sassafrasctl/src/ops/queries/mod.rs
+++ b/crates/sassafrasctl/src/ops/queries/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod check_bundle;
 pub mod explain_request;
+pub mod fleet_status;
+pub mod format_fleet;
 pub mod list_vms;
 pub mod read_bundle_chain;
 pub mod read_ledger;
--- a/crates/sassafrasctl/tests/testsuite/main.rs
+++ b/crates/sassafrasctl/tests/testsuite/main.rs
@@ -5,3 +5,4 @@
 mod budget_commands;
 mod bundle_commands;
 mod ctl_process;
+mod fleet_status;
--- a/crates/sassafrashoist-core/src/membership/member.rs
+++ b/crates/sassafrashoist-core/src/membership/member.rs
@@ -1,6 +1,6 @@
 //! What a VM knows of one other VM.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::flap_damping::FlapDamping;
 use super::heartbeat::BundleInForce;
@@ -9,7 +9,7 @@
 use crate::ids::{BundleVersion, DataCentreId, Incarnation, Timestamp, VmId};
 
 /// What the platform's list says of a VM; the list lags.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ListedAs {
     /// It was never on the list.
@@ -94,7 +94,7 @@
 }
 
 /// A member in a state dump.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberView {
     /// The VM.
     pub vm_id: VmId,
--- a/crates/sassafrashoist/src/ops/serve_admin.rs
+++ b/crates/sassafrashoist/src/ops/serve_admin.rs
@@ -6,6 +6,7 @@
 use http::{Request, Response};
 use volo_http::body::Body;
 
+use crate::core::clock::read_clock;
 use crate::core::readiness::ReadinessStep;
 use crate::core::router_context::RouterContext;
 use crate::ops::dump_state::dump_state;
@@ -47,6 +48,28 @@
     }
     match context.tables.readiness() {
         ReadinessStep::Ready => build_answer(200, "text/plain", "ready\n"),
-        step => build_answer(503, "text/plain", format!("{step:?}\n")),
+        step => build_answer(503, "text/plain", explain_step(context, step)),
     }
 }
+
+/// Says what the process waits for, and which of the places that it can come from were heard.
+fn explain_step(context: &RouterContext, step: ReadinessStep) -> String {
+    let mut text = format!("{}\n", step.describe());
+    let version = context.tables.bundle().map_or(0, |bundle| bundle.version());
+    text.push_str(&format!("bundle version: {version}\n"));
+    let (heard_count, member_count) = {
+        let members = context.tables.lock_membership();
+        let heard = members.members().filter(|member| member.update.incarnation > 0).count();
+        (heard, members.members().count())
+    };
+    text.push_str(&format!("other VMs heard: {heard_count} of {member_count}\n"));
+    let streams = context.tables.lock_relay().view(read_clock());
+    if streams.is_empty() {
+        text.push_str("platform: never heard\n");
+    }
+    for (name, stream) in streams {
+        let heard = if stream.is_quiet { "not heard lately" } else { "heard" };
+        text.push_str(&format!("stream {name}: {} behind, {heard}\n", stream.lag_records));
+    }
+    text
+}
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod bad_requests;
 mod bundles;
 mod processes;
+mod recovery;
 mod relay;
 mod relay_stream;
 mod settings;
