Measure races for bundles and the traffic of control

The experiment bundle-race lets two operators race for 25 versions over fleets of 4, 8 and 16 VMs in 2 and 4 data centres, with lost append answers, a relay that dies and a data centre that is cut off.

--- a/crates/sassafrashoist-testkit/src/experiments/capacity/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/capacity/mod.rs
@@ -7,7 +7,7 @@
 mod bundle_size;
 mod idle_fleet;
 mod ledger_size;
-mod linear_fit;
+pub mod linear_fit;
 mod request_cost;
 
 use eyre::Result;
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -2,13 +2,14 @@
 
 use eyre::{Result, bail};
 
+use super::bundle_race;
 use super::capacity;
 use super::options::ExperimentOptions;
 use super::path;
 use super::report::ExperimentReport;
 
 /// The names of all experiments.
-pub const EXPERIMENT_NAMES: &[&str] = &["capacity", "path"];
+pub const EXPERIMENT_NAMES: &[&str] = &["bundle-race", "capacity", "path"];
 
 /// Runs an experiment.
 ///
@@ -17,6 +18,7 @@
 /// Fails when no experiment has the name or its fleet cannot start.
 pub async fn run_experiment(name: &str, options: &ExperimentOptions) -> Result<ExperimentReport> {
     match name {
+        "bundle-race" => bundle_race::run(options).await,
         "capacity" => capacity::run(options).await,
         "path" => path::run(options).await,
         _ => bail!("no experiment {name:?}; one of: {}", EXPERIMENT_NAMES.join(", ")),
