--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -2,6 +2,7 @@
 
 use eyre::{Result, bail};
 
+use super::bundle_race;
 use super::capacity;
 use super::drain;
 use super::options::ExperimentOptions;
@@ -12,6 +13,7 @@
 /// The names of all experiments.
 #[rustfmt::skip]
 pub const EXPERIMENT_NAMES: &[&str] = &[
+    "bundle-race",
     "capacity",
     "drain",
     "path",
@@ -25,6 +27,7 @@
 /// Fails when no experiment has the name or its fleet cannot start.
 pub async fn run_experiment(name: &str, options: &ExperimentOptions) -> Result<ExperimentReport> {
     match name {
+        "bundle-race" => bundle_race::run(options).await,
         "capacity" => capacity::run(options).await,
         "drain" => drain::run(options).await,
         "path" => path::run(options).await,
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod bundles;
 mod outcomes;
 mod processes;
+mod recovery;
 mod relay;
 mod relay_stream;
 mod router_process;
