--- a/crates/sassafrashoist-core/src/requests/key_table.rs
+++ b/crates/sassafrashoist-core/src/requests/key_table.rs
@@ -150,6 +150,24 @@
         }
     }
 
+    /// Puts in place what another VM's table has for a key; `None` removes the entry.
+    pub fn restore(&mut self, key: RequestKey, entry: Option<KeyEntry>, now: Timestamp) {
+        self.expire(now);
+        self.drop_answer(&key);
+        let Some(mut entry) = entry else {
+            return self.release(&key, now);
+        };
+        self.entries.remove(&key);
+        let state = entry.state.clone();
+        if !matches!(state, KeyState::Done { .. }) {
+            self.entries.insert(key, entry);
+            return;
+        }
+        entry.state = KeyState::Unknown;
+        self.entries.insert(key.clone(), entry);
+        let _ = self.close(&key, state, now);
+    }
+
     /// Moves a request to its next attempt; `None` when another attempt took over.
     ///
     /// A request that ended as unknown may go on where it is idempotent; `earlier` is all that its
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -9,4 +9,7 @@
 mod request_life;
 mod request_rules;
 mod result_codes;
+mod shard_model;
+mod shard_pair;
+mod shard_world;
 mod split;
--- a/crates/sassafrashoist/src/core/router_context.rs
+++ b/crates/sassafrashoist/src/core/router_context.rs
@@ -12,11 +12,12 @@
 use super::peer_clients::PeerClients;
 use super::request_registry::RequestRegistry;
 use super::settings::Settings;
+use super::shard_turns::ShardTurns;
 use super::tables::Tables;
+use sassafrashoist_core::budgets::shard::shard_of;
 use sassafrashoist_core::decision_log::{Decision, DecisionKind};
 use sassafrashoist_core::ids::{DataCentreId, Incarnation, VmId};
 use sassafrashoist_core::invariants::{Breach, Invariants};
-use sassafrashoist_core::rendezvous::choose_owner;
 use sassafrashoist_core::result_code::ResultCode;
 use sassafrashoist_platform::platform_client::PlatformClient;
 
@@ -24,6 +25,8 @@
 pub struct RouterContext {
     /// The settings.
     pub settings: Settings,
+    /// The incarnation in which this process started, with empty memory; it never changes.
+    pub process_incarnation: Incarnation,
     /// The tables that the workers share.
     pub tables: Tables,
     /// The counters that must stay 0.
@@ -36,6 +39,8 @@
     pub traffic: ControlTraffic,
     /// Connections to the other VMs.
     pub peers: PeerClients,
+    /// Whose turn it is to replicate or to look for tokens.
+    pub shard_turns: ShardTurns,
     /// Requests in progress.
     pub drain_gate: Arc<DrainGate>,
     /// Numbers requests without a caller's key.
@@ -51,6 +56,7 @@
     pub fn new(settings: Settings, cancel: CancellationToken) -> Arc<Self> {
         let incarnation = start_incarnation();
         Arc::new(Self {
+            process_incarnation: incarnation,
             tables: Tables::new(&settings, incarnation),
             invariants: Invariants::new(report_breach),
             platform: PlatformClient::new(
@@ -60,6 +66,7 @@
             backends: Client::default(),
             traffic: ControlTraffic::default(),
             peers: PeerClients::new(&settings, incarnation),
+            shard_turns: ShardTurns::default(),
             drain_gate: Arc::default(),
             registry: RequestRegistry::new(&settings.vm_id, incarnation),
             settlements: TaskTracker::new(),
@@ -74,12 +81,11 @@
         self.tables.lock_membership().incarnation()
     }
 
-    /// Returns the VM that owns a budget in a data centre.
+    /// Returns the VM that decides for a budget in a data centre, as the ledger names it.
     pub fn owner_vm(&self, data_centre_id: &DataCentreId, budget_id: &str) -> Option<VmId> {
-        let is_own = *data_centre_id == self.settings.data_centre_id;
-        let own = is_own.then_some(self.settings.vm_id.as_str());
-        let candidates = self.peers.vms_of(data_centre_id).chain(own);
-        choose_owner(budget_id, candidates).map(str::to_owned)
+        let table = self.tables.lock_ledger();
+        let view = table.ledger.view(data_centre_id, shard_of(budget_id))?;
+        Some(view.primary_vm_id.clone())
     }
 
     /// Records a decision and its reason.
--- a/crates/sassafrashoist/src/core/settings.rs
+++ b/crates/sassafrashoist/src/core/settings.rs
@@ -7,6 +7,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use sassafrashoist_bundle::bundle::Operator;
+use sassafrashoist_core::budgets::policy::BudgetPolicy;
 use sassafrashoist_core::ids::{DataCentreId, VmId};
 use sassafrashoist_core::membership::membership_timing::MembershipTiming;
 use sassafrashoist_core::routing::policy::RoutingPolicy;
@@ -51,6 +52,9 @@
     /// How backend servers are chosen.
     #[serde(default)]
     pub routing_policy: RoutingPolicy,
+    /// How budgets are held.
+    #[serde(default)]
+    pub budget_policy: BudgetPolicy,
 }
 
 /// Where a router process listens.
@@ -87,6 +91,7 @@
             membership: MembershipTiming::default(),
             bundle_snapshot_interval: default_snapshot_interval(),
             routing_policy: RoutingPolicy::default(),
+            budget_policy: BudgetPolicy::default(),
         }
     }
 }
--- a/crates/sassafrashoist/src/ops/run_router.rs
+++ b/crates/sassafrashoist/src/ops/run_router.rs
@@ -11,6 +11,7 @@
 use crate::ops::exchange_heartbeats::exchange_heartbeats;
 use crate::ops::follow_bundles::follow_bundles;
 use crate::ops::follow_ledger::follow_ledger;
+use crate::ops::keep_shards::keep_shards;
 use crate::ops::mend_bundles::mend_bundles;
 use crate::ops::poll_backends::poll_backends;
 use crate::ops::serve_admin::build_admin_handler;
@@ -52,6 +53,7 @@
     tokio::spawn(exchange_heartbeats(Arc::clone(&context)));
     tokio::spawn(follow_bundles(Arc::clone(&context)));
     tokio::spawn(follow_ledger(Arc::clone(&context)));
+    tokio::spawn(keep_shards(Arc::clone(&context)));
     tokio::spawn(mend_bundles(Arc::clone(&context)));
     tokio::spawn(write_snapshots(Arc::clone(&context)));
     tokio::spawn(poll_backends(Arc::clone(&context)));
