--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -2,12 +2,23 @@
 
 use eyre::{Result, bail};
 
+use super::capacity;
+use super::drain;
 use super::options::ExperimentOptions;
+use super::path;
 use super::report::ExperimentReport;
-use super::{drain, path, retry_storm, router_crash};
+use super::retry_storm;
+use super::router_crash;
 
 /// The names of all experiments.
-pub const EXPERIMENT_NAMES: &[&str] = &["drain", "path", "retry-storm", "router-crash"];
+#[rustfmt::skip]
+pub const EXPERIMENT_NAMES: &[&str] = &[
+    "capacity",
+    "drain",
+    "path",
+    "retry-storm",
+    "router-crash",
+];
 
 /// Runs an experiment.
 ///
@@ -16,6 +27,7 @@
 /// Fails when no experiment has the name or its fleet cannot start.
 pub async fn run_experiment(name: &str, options: &ExperimentOptions) -> Result<ExperimentReport> {
     match name {
+        "capacity" => capacity::run(options).await,
         "drain" => drain::run(options).await,
         "path" => path::run(options).await,
         "retry-storm" => retry_storm::run(options).await,
--- a/crates/sassafrashoist/src/core/settings.rs
+++ b/crates/sassafrashoist/src/core/settings.rs
@@ -8,6 +8,7 @@
 
 use sassafrashoist_bundle::bundle::Operator;
 use sassafrashoist_core::ids::{DataCentreId, VmId};
+use sassafrashoist_core::membership::membership_timing::MembershipTiming;
 use sassafrashoist_core::routing::policy::RoutingPolicy;
 
 /// The settings of one router process.
@@ -39,6 +40,14 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "drain_bound_ms", default = "default_drain_bound")]
     pub drain_bound: Duration,
+    /// The times and bounds of membership.
+    #[serde(default)]
+    pub membership: MembershipTiming,
+    /// Time between two snapshots of the bundle in the log; well below the time that the log keeps
+    /// records.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "bundle_snapshot_interval_ms", default = "default_snapshot_interval")]
+    pub bundle_snapshot_interval: Duration,
     /// How backend servers are chosen.
     #[serde(default)]
     pub routing_policy: RoutingPolicy,
@@ -75,6 +84,8 @@
             root_operators,
             log: LogSettings::default(),
             drain_bound: default_drain_bound(),
+            membership: MembershipTiming::default(),
+            bundle_snapshot_interval: default_snapshot_interval(),
             routing_policy: RoutingPolicy::default(),
         }
     }
@@ -132,6 +143,10 @@
     Debug,
 }
 
+fn default_snapshot_interval() -> Duration {
+    Duration::from_secs(600)
+}
+
 fn default_drain_bound() -> Duration {
     Duration::from_secs(30)
 }
--- a/crates/sassafrashoist/src/ops/probe_runner.rs
+++ b/crates/sassafrashoist/src/ops/probe_runner.rs
@@ -32,7 +32,7 @@
         key: &str,
     ) -> RunnerHealth {
         if runner.vm_id == context.settings.vm_id {
-            let is_own_run = runner.incarnation == context.incarnation;
+            let is_own_run = runner.incarnation == context.incarnation();
             let is_running = is_own_run && context.registry.is_running(key);
             return if is_running { RunnerHealth::Alive } else { RunnerHealth::Gone };
         }
--- a/crates/sassafrashoist/src/ops/run_attempts.rs
+++ b/crates/sassafrashoist/src/ops/run_attempts.rs
@@ -217,7 +217,7 @@
     let Some(cause) = repeat_cause(failure, request.repeat_rules(), failed_count) else {
         return Err((code, failed));
     };
-    let delay = retry_delay(run.context.incarnation, &request.key, failed_count);
+    let delay = retry_delay(run.context.incarnation(), &request.key, failed_count);
     if hop_timeout(request.time_left().saturating_sub(delay)).is_none() {
         return Err((code, failed));
     }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -3,6 +3,11 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod bad_requests;
+mod bundles;
 mod outcomes;
 mod processes;
+mod relay;
+mod relay_stream;
+mod router_process;
 mod settings;
+mod waiting;
