Quarantine requests that crash backend servers, and no others

Cause: a request that crashes each engine that runs it went from engine to engine until its attempts were used up, and again with each copy.

Change: a crash (the engine is gone, or up and without the request) is remembered by account and body hash, and told to the other VMs over Fleet.Sightings. A suspect is tried on its own; after a second crash it is refused with 7004 for ten minutes, as not run or, where its key may have run, as unknown. Copies of a request that is not yet known to be harmless go to one server. An attempt that finds a server already down has no part in that.

A first run of the new socket test quarantined a neighbour: claiming a server for a trial was not atomic, and an attempt sent to a server that was down already counted as a crash.

--- a/crates/sassafrashoist-core/src/requests/mod.rs
+++ b/crates/sassafrashoist-core/src/requests/mod.rs
@@ -4,6 +4,7 @@
 pub mod key_entry;
 pub mod key_table;
 pub mod life_cycle;
+pub mod quarantine;
 pub mod recovery;
 pub mod request_hash;
 pub mod retry_budget;
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod key_table;
 mod ledger;
 mod membership;
+mod quarantine;
 mod request_life;
 mod request_rules;
 mod result_codes;
--- a/crates/sassafrashoist/src/core/caller_request.rs
+++ b/crates/sassafrashoist/src/core/caller_request.rs
@@ -11,6 +11,7 @@
 use sassafrashoist_core::ids::{BudgetId, DataCentreId, RequestKey, Tokens};
 use sassafrashoist_core::requests::backoff::hop_timeout;
 use sassafrashoist_core::requests::key_entry::KeyBinding;
+use sassafrashoist_core::requests::quarantine::RequestMark;
 use sassafrashoist_core::requests::recovery::RepeatRules;
 
 /// A caller's request after its headers and body were checked.
@@ -53,6 +54,12 @@
         }
     }
 
+    /// Returns what is the same in every copy of it.
+    pub fn mark(&self) -> RequestMark {
+        let account_id = self.account.id.clone();
+        RequestMark { account_id, body_hash: self.binding.body_hash }
+    }
+
     /// Returns whether a model engine runs it.
     pub fn is_model(&self) -> bool {
         matches!(self.route.kind, RouteKind::Model { .. })
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -24,6 +24,7 @@
 use sassafrashoist_core::membership::member_table::MemberTable;
 use sassafrashoist_core::owner::budget_owner::BudgetOwner;
 use sassafrashoist_core::requests::key_table::KeyTableLimits;
+use sassafrashoist_core::requests::quarantine::QuarantineTable;
 use sassafrashoist_core::requests::retry_budget::RetryBudgets;
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
@@ -47,6 +48,7 @@
     membership: Mutex<MemberTable>,
     relay: Mutex<RelayTable>,
     retry_budgets: Mutex<RetryBudgets>,
+    quarantine: Mutex<QuarantineTable>,
     decisions: Mutex<DecisionLog>,
     /// Wakes the calls that wait for a record to relay.
     pub relay_arrived: Notify,
@@ -73,6 +75,7 @@
             membership: Mutex::new(build_members(settings, incarnation)),
             relay: Mutex::default(),
             retry_budgets: Mutex::new(RetryBudgets::default()),
+            quarantine: Mutex::new(QuarantineTable::default()),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
             relay_arrived: Notify::new(),
         }
@@ -124,6 +127,11 @@
         lock(&self.retry_budgets)
     }
 
+    /// Locks what is known of requests that crash backend servers.
+    pub fn lock_quarantine(&self) -> MutexGuard<'_, QuarantineTable> {
+        lock(&self.quarantine)
+    }
+
     /// Locks the decision log.
     pub fn lock_decisions(&self) -> MutexGuard<'_, DecisionLog> {
         lock(&self.decisions)
--- a/crates/sassafrashoist/src/ops/call_backend.rs
+++ b/crates/sassafrashoist/src/ops/call_backend.rs
@@ -33,18 +33,26 @@
     /// The backend server provably did not see the request.
     #[error("backend server was not reached: {0}")]
     NotReached(String),
+    /// The backend server is up and does not know a request that it had.
+    #[error("backend server has lost the request")]
+    RequestGone,
     /// The backend server may have begun the request.
     #[error("answer of the backend server was lost: {0}")]
     AnswerLost(String),
 }
 
 impl BackendError {
+    /// Returns whether a server that was asked for a request it had is gone or has lost it.
+    pub fn says_server_crashed(&self) -> bool {
+        matches!(self, BackendError::NotReached(_) | BackendError::RequestGone)
+    }
+
     /// Returns what is known of the attempt.
     pub fn failure(&self) -> AttemptFailure {
         match self {
             BackendError::Busy => AttemptFailure::Busy,
             BackendError::NotReached(_) => AttemptFailure::NotReached,
-            BackendError::AnswerLost(_) => AttemptFailure::AnswerLost,
+            BackendError::RequestGone | BackendError::AnswerLost(_) => AttemptFailure::AnswerLost,
         }
     }
 }
@@ -107,8 +115,11 @@
     let sending = builder.body(Body::empty()).send::<Body>();
     match tokio::time::timeout(timeout, sending).await {
         Ok(Ok(response)) if response.status() == StatusCode::OK => Ok(response),
+        Ok(Ok(response)) if response.status() == StatusCode::NOT_FOUND => {
+            Err(BackendError::RequestGone)
+        }
         Ok(Ok(response)) => Err(BackendError::AnswerLost(format!("status {}", response.status()))),
-        Ok(Err(error)) => Err(BackendError::AnswerLost(error.to_string())),
+        Ok(Err(error)) => Err(BackendError::NotReached(error.to_string())),
         Err(_) => Err(BackendError::AnswerLost("timeout".to_owned())),
     }
 }
--- a/crates/sassafrashoist/src/ops/end_request.rs
+++ b/crates/sassafrashoist/src/ops/end_request.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::core::answer_sink::EVENT_STREAM_TYPE;
+use crate::core::clock::read_clock;
 use crate::core::refusal::Refusal;
 use crate::ops::pass_answer::WholeAnswer;
 use crate::ops::run_attempts::RequestRun;
@@ -19,7 +20,7 @@
 use sassafrashoist_core::requests::life_cycle::{
     Admitted, Dispatched, InDoubt, Request, Undispatched,
 };
-use sassafrashoist_core::result_code::ResultCode;
+use sassafrashoist_core::result_code::{Outcome, ResultCode};
 
 /// How long a caller waits for the owner to take a settlement.
 const SETTLE_WAIT: Duration = Duration::from_millis(300);
@@ -36,6 +37,7 @@
     let request = &run.request;
     let (account_id, route_id) = (&request.account.id, &request.route.id);
     run.context.tables.lock_retry_budgets().record_success(account_id, route_id);
+    run.context.tables.lock_quarantine().record_harmless(&request.mark(), read_clock());
     metrics::counter!("sassafrashoist_tokens_billed_total").increment(billed_tokens);
     if whole.is_stream {
         return run.sink.end_stream(whole.body).await;
@@ -62,7 +64,7 @@
 pub async fn give_up(run: &mut RequestRun, failed: Undispatched, code: ResultCode) {
     match failed {
         Undispatched::Admitted(admitted) => end_not_run(run, admitted, code).await,
-        Undispatched::InDoubt(in_doubt) => end_in_doubt(run, in_doubt).await,
+        Undispatched::InDoubt(in_doubt) => end_in_doubt(run, in_doubt, code).await,
     }
 }
 
@@ -95,13 +97,18 @@
 
 /// A request without a key cannot be asked for again, so its known cost closes it; any other stays
 /// unknown with its reservation, until a later attempt or a late answer closes it.
-async fn end_in_doubt(run: &mut RequestRun, in_doubt: Request<InDoubt>) {
+async fn end_in_doubt(run: &mut RequestRun, in_doubt: Request<InDoubt>, cause: ResultCode) {
     let spent_tokens = in_doubt.spent_tokens();
     let number = Undispatched::InDoubt(in_doubt).attempt();
     let has_passed_parts = run.sink.has_passed_parts();
-    let code = if has_passed_parts { ResultCode::AnswerCut } else { ResultCode::OutcomeUnknown };
+    let is_quarantined = cause == ResultCode::Quarantined;
+    let code = match (is_quarantined, has_passed_parts) {
+        (true, _) => ResultCode::Quarantined,
+        (false, true) => ResultCode::AnswerCut,
+        (false, false) => ResultCode::OutcomeUnknown,
+    };
     let may_repeat = run.request.repeat_rules().may_repeat();
-    let outcome = if may_repeat && !run.request.is_keyed {
+    let outcome = if may_repeat && (!run.request.is_keyed || is_quarantined) {
         let bound_tokens =
             if has_passed_parts { run.request.cost_bound(run.sink.next_index()) } else { 0 };
         let used_tokens = spent_tokens.max(bound_tokens).min(run.request.worst_case_tokens);
@@ -110,8 +117,12 @@
         SettleOutcome::Unknown
     };
     settle(run, number, outcome, code).await;
-    let retry_after = may_repeat.then_some(GIVEN_UP_RETRY_AFTER);
-    run.sink.refuse(&Refusal::of(code).retry_after(retry_after)).await;
+    let retry_after = (may_repeat && !is_quarantined).then_some(GIVEN_UP_RETRY_AFTER);
+    let mut refusal = Refusal::of(code).retry_after(retry_after);
+    if is_quarantined {
+        refusal.outcome = Outcome::Unknown;
+    }
+    run.sink.refuse(&refusal).await;
 }
 
 fn keep_answer(run: &mut RequestRun, whole: &WholeAnswer) -> Option<KeptAnswer> {
--- a/crates/sassafrashoist/src/ops/handle_request.rs
+++ b/crates/sassafrashoist/src/ops/handle_request.rs
@@ -17,10 +17,10 @@
 use crate::core::refusal::Refusal;
 use crate::core::router_context::RouterContext;
 use crate::ops::admit_request::admit_request;
-use crate::ops::choose_backend::choose_backend;
 use crate::ops::end_request::release_in_doubt;
 use crate::ops::follow_known_key::follow_known_key;
 use crate::ops::run_attempts::{RequestRun, run_attempts};
+use crate::ops::watch_suspects::place_request;
 use crate::util::http_answer::build_refusal;
 use sassafrashoist_core::owner::admit::AdmitDecision;
 use sassafrashoist_core::requests::life_cycle::{Request, Undispatched};
@@ -54,8 +54,8 @@
 async fn serve_request(mut run: RequestRun, _mark: Arc<InFlightMark>) {
     let context = Arc::clone(&run.context);
     let request = Arc::clone(&run.request);
-    let server = match choose_backend(&context, &request, &[]) {
-        Ok(server) => server,
+    let (server, placement) = match place_request(&run).await {
+        Ok(placed) => placed,
         Err(refusal) => return run.sink.refuse(&refusal).await,
     };
     let running_mark = context.registry.mark_running(&request.key);
@@ -77,10 +77,11 @@
             context.tables.lock_retry_budgets().record_first_attempt(account_id, route_id);
             let received = Request::new(request.key.clone());
             let admitted = received.admit(request.worst_case_tokens, attempt);
-            run_attempts(&mut run, Undispatched::Admitted(admitted), server).await;
+            let undispatched = Undispatched::Admitted(admitted);
+            run_attempts(&mut run, undispatched, server, placement).await;
         }
         AdmitDecision::Known(state) => {
-            drop(running_mark);
+            drop((running_mark, placement));
             follow_known_key(&mut run, state).await;
         }
         AdmitDecision::Refused { code, retry_after } => {
--- a/crates/sassafrashoist/src/ops/mod.rs
+++ b/crates/sassafrashoist/src/ops/mod.rs
@@ -33,4 +33,5 @@
 pub mod serve_peers;
 pub mod serve_relay;
 pub mod settle_request;
+pub mod watch_suspects;
 pub mod write_snapshots;
--- a/crates/sassafrashoist/src/ops/probe_runner.rs
+++ b/crates/sassafrashoist/src/ops/probe_runner.rs
@@ -55,7 +55,18 @@
 /// Answers another VM's question about the requests that this VM runs.
 pub fn answer_sightings(context: &RouterContext, call: SightingsCall) -> SightingsAnswer {
     let is_running = call.running_key.is_some_and(|key| context.registry.is_running(&key));
-    SightingsAnswer { is_running }
+    let mut quarantine = context.tables.lock_quarantine();
+    for sighting in &call.sightings {
+        quarantine.record(sighting);
+    }
+    let Some(mark) = call.mark else {
+        return SightingsAnswer { is_running, ..SightingsAnswer::default() };
+    };
+    SightingsAnswer {
+        is_running,
+        sightings: quarantine.sightings(&mark),
+        trial_server_ids: quarantine.trial_servers(&mark),
+    }
 }
 
 async fn ask_runner(
@@ -64,7 +75,10 @@
     key: &str,
 ) -> Result<(Incarnation, bool), PeerError> {
     let vm_id = &runner.vm_id;
-    let mut call = context.peers.request(&SightingsCall { running_key: Some(key.to_owned()) })?;
+    let mut call = context.peers.request(&SightingsCall {
+        running_key: Some(key.to_owned()),
+        ..SightingsCall::default()
+    })?;
     call.set_timeout(PROBE_TIMEOUT);
     let mut client = context.peers.fleet_client(vm_id)?;
     let answered = tokio::time::timeout(PROBE_TIMEOUT, client.sightings(call)).await;
--- a/crates/sassafrashoist/src/ops/recover_request.rs
+++ b/crates/sassafrashoist/src/ops/recover_request.rs
@@ -8,10 +8,10 @@
 
 use crate::ops::admit_request::redirect_request;
 use crate::ops::call_backend::resume_at_backend;
-use crate::ops::choose_backend::choose_backend;
 use crate::ops::end_request::give_up;
 use crate::ops::follow_known_key::FollowStep;
 use crate::ops::run_attempts::{RequestRun, pass_resumed, run_attempts};
+use crate::ops::watch_suspects::place_request;
 use sassafrashoist_core::decision_log::DecisionKind;
 use sassafrashoist_core::ids::{AttemptNumber, BackendServerId};
 use sassafrashoist_core::requests::key_entry::{EarlierAttempts, KeyEntry, KeyState};
@@ -59,8 +59,8 @@
 /// Runs a request again that ended as unknown, where that is allowed.
 pub async fn repeat_unknown(run: &mut RequestRun, entry: &KeyEntry) -> FollowStep {
     let _running = run.context.registry.mark_running(&run.request.key);
-    let server = match choose_backend(&run.context, &run.request, &[]) {
-        Ok(server) => server,
+    let (server, placement) = match place_request(run).await {
+        Ok(placed) => placed,
         Err(mut refusal) => {
             refusal.outcome = sassafrashoist_core::result_code::Outcome::Unknown;
             run.sink.refuse(&refusal).await;
@@ -71,7 +71,7 @@
     let Some(taken_over) = take_over(run, entry, from_attempt, &server.server_id).await else {
         return FollowStep::LookAgain;
     };
-    run_attempts(run, taken_over, server).await;
+    run_attempts(run, taken_over, server, placement).await;
     FollowStep::Answered
 }
 
@@ -93,7 +93,7 @@
 /// Sends a request again that an earlier attempt may have begun.
 async fn repeat(run: &mut RequestRun, undispatched: Undispatched) {
     let from_attempt = undispatched.attempt();
-    let Ok(server) = choose_backend(&run.context, &run.request, &run.excluded) else {
+    let Ok((server, placement)) = place_request(run).await else {
         return give_up(run, undispatched, ResultCode::AttemptsFailed).await;
     };
     let earlier = undispatched.earlier();
@@ -103,7 +103,7 @@
     let Ok(Some(attempt)) = redirected else {
         return give_up(run, undispatched, ResultCode::AttemptsFailed).await;
     };
-    run_attempts(run, undispatched.with_attempt(attempt), server).await;
+    run_attempts(run, undispatched.with_attempt(attempt), server, placement).await;
 }
 
 fn lose(dispatched: Request<Dispatched>) -> Undispatched {
--- a/crates/sassafrashoist/src/ops/run_attempts.rs
+++ b/crates/sassafrashoist/src/ops/run_attempts.rs
@@ -10,13 +10,14 @@
 
 use crate::core::answer_sink::AnswerSink;
 use crate::core::caller_request::CallerRequest;
+use crate::core::clock::read_clock;
 use crate::core::router_context::RouterContext;
 use crate::ops::admit_request::redirect_request;
 use crate::ops::call_backend::{BackendError, call_backend, cancel_at_backend, resume_at_backend};
-use crate::ops::choose_backend::choose_backend;
 use crate::ops::end_request::{end_cancelled, end_whole, give_up};
 use crate::ops::pass_answer::{PassEnd, Usage, pass_answer};
-use sassafrashoist_core::ids::{BackendServerId, Tokens};
+use crate::ops::watch_suspects::{PlacementMark, place_request, report_crash};
+use sassafrashoist_core::ids::{BackendServerId, Timestamp, Tokens};
 use sassafrashoist_core::invariants::Promise;
 use sassafrashoist_core::requests::backoff::{hop_timeout, retry_delay};
 use sassafrashoist_core::requests::life_cycle::{Dispatched, Request, Undispatched};
@@ -34,12 +35,23 @@
     pub sink: AnswerSink,
     /// Backend servers that failed it.
     pub excluded: Vec<BackendServerId>,
+    /// When the last attempt was sent.
+    pub sent_at: Timestamp,
+    /// Whether the last attempt ended with a crash of its backend server.
+    pub has_crashed_server: bool,
 }
 
 impl RequestRun {
     /// Creates a run without attempts.
     pub fn new(context: Arc<RouterContext>, request: CallerRequest, sink: AnswerSink) -> Self {
-        Self { context, request: Arc::new(request), sink, excluded: Vec::new() }
+        Self {
+            context,
+            request: Arc::new(request),
+            sink,
+            excluded: Vec::new(),
+            sent_at: read_clock(),
+            has_crashed_server: false,
+        }
     }
 
     /// Returns whether the work of a caller that is gone is stopped: nobody can ask for it again.
@@ -48,6 +60,13 @@
     }
 }
 
+/// The next attempt of a request.
+struct NextAttempt {
+    undispatched: Undispatched,
+    server: ServerView,
+    placement: PlacementMark,
+}
+
 /// How an attempt ended.
 enum AttemptEnd {
     /// The request has its outcome.
@@ -57,9 +76,15 @@
 }
 
 /// Sends attempts until the request has its outcome.
-pub async fn run_attempts(run: &mut RequestRun, first: Undispatched, first_server: ServerView) {
+pub async fn run_attempts(
+    run: &mut RequestRun,
+    first: Undispatched,
+    first_server: ServerView,
+    first_placement: PlacementMark,
+) {
     let mut undispatched = first;
     let mut server = first_server;
+    let mut placement = first_placement;
     loop {
         check_repeat(run, &undispatched);
         let dispatched = undispatched.dispatch(server.server_id.clone());
@@ -68,10 +93,12 @@
             AttemptEnd::Failed(failure, failed) => (failure, failed),
         };
         run.excluded.push(server.server_id.clone());
+        drop(placement);
         match prepare_retry(run, failure, failed).await {
-            Ok((next, next_server)) => {
-                undispatched = next;
-                server = next_server;
+            Ok(next) => {
+                undispatched = next.undispatched;
+                server = next.server;
+                placement = next.placement;
             }
             Err((code, failed)) => return give_up(run, failed, code).await,
         }
@@ -107,6 +134,7 @@
     let context = Arc::clone(&run.context);
     let request = Arc::clone(&run.request);
     context.tables.lock_routing().begin_attempt(&server.server_id);
+    run.sent_at = read_clock();
     let stops_with_caller = run.stops_with_caller();
     let answer = tokio::select! {
         answer = call_backend(&context, &request, server, dispatched.attempt()) => Some(answer),
@@ -129,6 +157,7 @@
 ) -> AttemptEnd {
     let mut answer = first_answer;
     let mut was_resumed = false;
+    let sent_at = run.sent_at;
     loop {
         let error = match answer {
             Ok(response) => match pass_answer(run, &dispatched, response).await {
@@ -154,7 +183,11 @@
         was_resumed = true;
         let from_index = run.sink.next_index();
         answer = resume_at_backend(&run.context, &run.request, server, attempt, from_index).await;
-        if answer.is_err() {
+        if let Err(error) = &answer {
+            if error.says_server_crashed() {
+                run.has_crashed_server = true;
+                report_crash(run, &server.server_id, sent_at).await;
+            }
             return lose_attempt(run, server, dispatched).await;
         }
     }
@@ -203,10 +236,11 @@
 ///
 /// Fails with the code to end with.
 async fn prepare_retry(
-    run: &RequestRun,
+    run: &mut RequestRun,
     failure: AttemptFailure,
     failed: Undispatched,
-) -> Result<(Undispatched, ServerView), (ResultCode, Undispatched)> {
+) -> Result<NextAttempt, (ResultCode, Undispatched)> {
+    let after_crash = std::mem::take(&mut run.has_crashed_server);
     let request = &run.request;
     let code = match failure {
         AttemptFailure::Busy => ResultCode::Overloaded,
@@ -221,19 +255,28 @@
     if hop_timeout(request.time_left().saturating_sub(delay)).is_none() {
         return Err((code, failed));
     }
-    let Ok(next_server) = choose_backend(&run.context, request, &run.excluded) else {
-        return Err((code, failed));
-    };
     let (account_id, route_id) = (&request.account.id, &request.route.id);
-    if !run.context.tables.lock_retry_budgets().try_retry(account_id, route_id, cause) {
+    let has_budget = after_crash
+        || run.context.tables.lock_retry_budgets().try_retry(account_id, route_id, cause);
+    if !has_budget {
         return Err((code, failed));
     }
     metrics::counter!("sassafrashoist_retries_total").increment(1);
     tokio::time::sleep(delay).await;
+    let (server, placement) = match place_request(run).await {
+        Ok(placed) => placed,
+        Err(refusal) if refusal.code == ResultCode::Quarantined => {
+            return Err((refusal.code, failed));
+        }
+        Err(_) => return Err((code, failed)),
+    };
     let earlier = failed.earlier();
-    let server_id = &next_server.server_id;
+    let server_id = &server.server_id;
     match redirect_request(&run.context, request, attempt, earlier, server_id).await {
-        Ok(Some(next_attempt)) => Ok((failed.with_attempt(next_attempt), next_server)),
+        Ok(Some(next_attempt)) => {
+            let undispatched = failed.with_attempt(next_attempt);
+            Ok(NextAttempt { undispatched, server, placement })
+        }
         Ok(None) | Err(_) => Err((code, failed)),
     }
 }
--- a/crates/sassafrashoist/tests/testsuite/outcomes.rs
+++ b/crates/sassafrashoist/tests/testsuite/outcomes.rs
@@ -260,3 +260,37 @@
     assert_eq!(context.invariants.counts()["drain_cuts"], 0);
     assert_clean(&fleet);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashes_two_engines_is_quarantined_and_its_neighbours_are_served() {
+    let poison = r#"{"model":"appraiser","prompt":"poison lot","max_tokens":5,"stream":true}"#;
+    let engine = EngineSettings {
+        step_time: STEP,
+        crash_marker: Some("poison".into()),
+        ..EngineSettings::default()
+    };
+    let mut plan = FleetPlan::new(&["plateau"], 2, engine.clone());
+    plan.data_centres[0].engines = vec![engine; 4];
+    let fleet = RunningFleet::start(plan).await.unwrap();
+    let poison_call = Call { path: APPRAISAL_PATH.into(), body: poison.into(), ..Call::default() };
+    let neighbours: Vec<_> = (0..8)
+        .map(|number| {
+            let caller = fleet.caller(number % 2).unwrap();
+            let call = appraisal(30 + number as u64, true, None);
+            tokio::spawn(async move { caller.post(&call).await })
+        })
+        .collect();
+    wait_until(|| begun_count(&fleet) == 8).await;
+
+    let first = fleet.caller(0).unwrap().post(&poison_call).await.unwrap();
+    let second = fleet.caller(1).unwrap().post(&poison_call).await.unwrap();
+
+    let crashed = fleet.engines.iter().filter(|engine| engine.stand_in.lock().life > 0).count();
+    assert_eq!(crashed, 2);
+    assert_eq!((first.result_code(), first.outcome()), (7004, "unknown"));
+    assert_eq!((second.result_code(), second.outcome()), (7004, "not-run"));
+    for (number, neighbour) in neighbours.into_iter().enumerate() {
+        assert_whole(&neighbour.await.unwrap().unwrap(), 30 + number as u64);
+    }
+    assert_clean(&fleet);
+}
