--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -16,4 +16,5 @@
 pub mod platform_outage;
 pub mod registry;
 pub mod report;
+pub mod retry_storm;
 pub mod router_crash;
