Halve the rate of heartbeats and measure sizes of bundles

At 16 VMs heartbeats took 8.4 of the 14 KB a second that a node may spend on control. A round is now 1 s; the suspect timeout stays at 3 s, and the half-life of flap penalties is doubled so that damping still counts rounds. bundle-race also measures records, folds and the table of members by size.

--- a/crates/sassafrashoist-core/src/membership/flap_damping.rs
+++ b/crates/sassafrashoist-core/src/membership/flap_damping.rs
@@ -13,7 +13,7 @@
 /// The most that a penalty grows to, so that damping ends.
 const MAX_PENALTY: u64 = 8_000;
 /// The time in which a penalty falls to half.
-const HALF_LIFE: Duration = Duration::from_secs(15);
+const HALF_LIFE: Duration = Duration::from_secs(30);
 
 /// The decaying penalty of one VM.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/crates/sassafrashoist-core/src/membership/membership_timing.rs
+++ b/crates/sassafrashoist-core/src/membership/membership_timing.rs
@@ -31,8 +31,8 @@
 impl Default for MembershipTiming {
     fn default() -> Self {
         Self {
-            round_interval: Duration::from_millis(500),
-            probe_timeout: Duration::from_millis(400),
+            round_interval: Duration::from_secs(1),
+            probe_timeout: Duration::from_millis(500),
             suspect_timeout: Duration::from_secs(3),
             fan_out: 2,
             max_updates: 8,
--- a/crates/sassafrashoist-testkit/src/experiments/bundle_race.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/bundle_race/mod.rs
@@ -2,6 +2,8 @@
 //! answers, a reader that dies and a data centre that is cut off; and what the VMs exchange while
 //! nothing changes.
 
+mod sizes;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -81,6 +83,7 @@
         late_vm_count: 0,
         points: BTreeMap::new(),
     };
+    sizes::measure(&mut race.report)?;
     for (data_centre_count, vm_count) in FLEETS {
         race.run_fleet(data_centre_count, vm_count).await?;
     }
