--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -4,9 +4,12 @@
 
 pub mod bundle_race;
 pub mod capacity;
+pub mod drain;
 pub mod load;
 pub mod options;
+pub mod outcome_load;
 pub mod path;
 pub mod percentiles;
 pub mod registry;
 pub mod report;
+pub mod router_crash;
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -4,12 +4,21 @@
 
 use super::bundle_race;
 use super::capacity;
+use super::drain;
 use super::options::ExperimentOptions;
 use super::path;
 use super::report::ExperimentReport;
+use super::router_crash;
 
 /// The names of all experiments.
-pub const EXPERIMENT_NAMES: &[&str] = &["bundle-race", "capacity", "path"];
+#[rustfmt::skip]
+pub const EXPERIMENT_NAMES: &[&str] = &[
+    "bundle-race",
+    "capacity",
+    "drain",
+    "path",
+    "router-crash",
+];
 
 /// Runs an experiment.
 ///
@@ -20,7 +29,9 @@
     match name {
         "bundle-race" => bundle_race::run(options).await,
         "capacity" => capacity::run(options).await,
+        "drain" => drain::run(options).await,
         "path" => path::run(options).await,
+        "router-crash" => router_crash::run(options).await,
         _ => bail!("no experiment {name:?}; one of: {}", EXPERIMENT_NAMES.join(", ")),
     }
 }
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,8 +1,17 @@
 //! The tables that the workers share.
 //!
-//! Lock order: `bundle_chain`, `bundle`, `ledger`, `owner`, `routing`, `membership`, `relay`,
-//! `retry_budgets`, `decisions`. A worker that holds one lock takes only locks to its right, and no
-//! lock is held over an await.
+//! Lock order, first to last; a worker that holds one lock takes only locks further down, and no lock
+//! is held over an await:
+//!
+//! - `bundle_chain`
+//! - `bundle`
+//! - `ledger`
+//! - `owner`
+//! - `routing`
+//! - `membership`
+//! - `relay`
+//! - `retry_budgets`
+//! - `decisions`
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -4,9 +4,11 @@
 
 mod bad_requests;
 mod bundles;
+mod outcomes;
 mod processes;
 mod recovery;
 mod relay;
 mod relay_stream;
+mod router_process;
 mod settings;
 mod waiting;
