Refuse requests on a VM that was paused, until it has a new incarnation

A paused VM answered requests on its old state until its next round. Its readiness now says that it was paused, requests are refused as not run, and the next round gives it a new incarnation; a test stops and continues a router process.

--- a/crates/sassafrashoist-testkit/src/experiments/bundle_race/sizes.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/bundle_race/sizes.rs
@@ -35,6 +35,8 @@
 ///
 /// Fails when the process's memory cannot be read.
 pub fn measure(report: &mut ExperimentReport) -> Result<()> {
+    // First, so that no memory freed by the bundles is used again unseen.
+    report.set("member_table_bytes_at_340_vms", measure_member_table()?);
     let mut whole_bytes = Vec::new();
     let mut delta_bytes = Vec::new();
     let mut fold_ms = Vec::new();
@@ -61,7 +63,6 @@
     report.set("whole_record_bytes_over_budgets", fit_line(&whole_bytes));
     report.set("delta_record_bytes_over_budgets", fit_line(&delta_bytes));
     report.set("delta_fold_ms_over_budgets", fit_line(&fold_ms));
-    report.set("member_table_bytes_at_340_vms", measure_member_table()?);
     Ok(())
 }
 
--- a/crates/sassafrashoist/src/core/readiness.rs
+++ b/crates/sassafrashoist/src/core/readiness.rs
@@ -15,6 +15,9 @@
     WaitsForBundle,
     /// Waits for the ledger from the platform or another VM.
     WaitsForLedger,
+    /// Was paused for so long that others may have declared it gone; waits for its next round of
+    /// heartbeats, which gives it a new incarnation.
+    Paused,
     /// Serves.
     Ready,
 }
@@ -25,6 +28,7 @@
         match self {
             Self::WaitsForBundle => "waits for a bundle from the platform or another VM",
             Self::WaitsForLedger => "waits for the ledger from the platform or another VM",
+            Self::Paused => "was paused, waits for a new incarnation",
             Self::Ready => "ready",
         }
     }
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -137,6 +137,9 @@
         if !self.lock_ledger().is_established {
             return ReadinessStep::WaitsForLedger;
         }
+        if !self.lock_membership().may_act(read_clock()) {
+            return ReadinessStep::Paused;
+        }
         ReadinessStep::Ready
     }
 }
--- a/crates/sassafrashoist/tests/testsuite/recovery.rs
+++ b/crates/sassafrashoist/tests/testsuite/recovery.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use sassafrasctl::ops::queries::fleet_status::read_fleet_status;
 use sassafrashoist_core::membership::member_state::MemberState;
 use sassafrashoist_platform::streams::BUNDLE_STREAM;
@@ -7,8 +9,11 @@
 use sassafrashoist_testkit::fleet::operators::AUTHOR_ID;
 use sassafrashoist_testkit::fleet::running_fleet::RunningFleet;
 
+use crate::router_process::{RouterProcess, plan_process};
 use crate::waiting::wait_until;
 
+const PAUSE: Duration = Duration::from_secs(1);
+
 fn plan(vm_count: usize) -> FleetPlan {
     FleetPlan::new(&["plateau", "rufisque"], vm_count, EngineSettings::default())
 }
@@ -25,7 +30,7 @@
     wait_until("the other VM and the platform are heard", || {
         let context = fleet.vms[0].context().unwrap();
         let is_heard = context.tables.lock_membership().members().all(|m| m.update.incarnation > 0);
-        is_heard && context.tables.lock_relay().view(std::time::Duration::ZERO).len() == 2
+        is_heard && context.tables.lock_relay().view(Duration::ZERO).len() == 2
     })
     .await;
 
@@ -88,3 +93,25 @@
     assert!(fleet.vms[0].context().unwrap().incarnation() > before);
     assert!(is_gone(&fleet, 3));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn membership_gives_a_process_that_was_paused_a_new_incarnation() {
+    let stand_ins = RunningFleet::start(plan(0)).await.unwrap();
+    let mut settings = plan_process("vm-1", "plateau", stand_ins.platform.address);
+    settings.membership.suspect_timeout = PAUSE / 2;
+    settings.membership.round_interval = PAUSE / 10;
+    let process = RouterProcess::start(settings);
+    process.wait_ready().await;
+    let before = process.read_state().await["incarnation"].as_u64().unwrap();
+
+    process.signal("STOP");
+    tokio::time::sleep(PAUSE).await;
+    process.signal("CONT");
+    process.wait_ready().await;
+
+    let state = process.read_state().await;
+    let decisions = state["decisions"].as_array().unwrap();
+    let is_pause = |reason: &str| reason.starts_with("VM vm-1 ") && reason.ends_with(": Paused");
+    assert!(state["incarnation"].as_u64().unwrap() > before);
+    assert!(decisions.iter().any(|decision| is_pause(decision["reason"].as_str().unwrap())));
+}
