--- a/crates/sassafrashoist-core/tests/testsuite/key_table.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/key_table.rs
@@ -20,7 +20,7 @@
         max_entries: MAX_ENTRIES,
         max_answer_bytes: MAX_ANSWER_BYTES,
     });
-    owner.grant("b", 1_000_000);
+    owner.count_drawn("b", 1_000_000);
     owner
 }
 
--- a/crates/sassafrashoist-core/tests/testsuite/request_life.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/request_life.rs
@@ -74,7 +74,7 @@
 impl World {
     fn new(is_idempotent: bool) -> Self {
         let mut owner = BudgetOwner::new(KeyTableLimits::default());
-        owner.grant("b", GRANTED_TOKENS);
+        owner.count_drawn("b", GRANTED_TOKENS);
         Self {
             rules: RepeatRules { is_idempotent, service_deduplicates: false },
             owner,
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -7,6 +7,7 @@
 //! - `bundle`
 //! - `ledger`
 //! - `owner`
+//! - `contacts`
 //! - `routing`
 //! - `membership`
 //! - `relay`
@@ -19,16 +20,17 @@
 
 use sassafrashoist_bundle::bundle_chain::BundleChain;
 use sassafrashoist_core::budgets::ledger::Ledger;
+use sassafrashoist_core::budgets::shard::SHARD_COUNT;
 use sassafrashoist_core::decision_log::DecisionLog;
-use sassafrashoist_core::ids::Incarnation;
+use sassafrashoist_core::ids::{DataCentreId, Incarnation};
 use sassafrashoist_core::membership::member_table::MemberTable;
-use sassafrashoist_core::owner::budget_owner::BudgetOwner;
-use sassafrashoist_core::requests::key_table::KeyTableLimits;
+use sassafrashoist_core::owner::shard_table::ShardTable;
 use sassafrashoist_core::requests::retry_budget::RetryBudgets;
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
 use super::active_bundle::ActiveBundle;
 use super::clock::read_clock;
+use super::contact_table::ContactTable;
 use super::readiness::ReadinessStep;
 use super::relay_table::RelayTable;
 use super::settings::Settings;
@@ -39,10 +41,12 @@
 /// The tables that the workers share.
 #[derive(Debug)]
 pub struct Tables {
+    data_centre_id: DataCentreId,
     bundle: RwLock<Option<Arc<ActiveBundle>>>,
     bundle_chain: Mutex<BundleChain>,
     ledger: Mutex<LedgerTable>,
-    owner: Mutex<BudgetOwner>,
+    owner: Mutex<ShardTable>,
+    contacts: Mutex<ContactTable>,
     routing: Mutex<RoutingTable>,
     membership: Mutex<MemberTable>,
     relay: Mutex<RelayTable>,
@@ -64,11 +68,15 @@
 impl Tables {
     /// Creates empty tables.
     pub fn new(settings: &Settings, incarnation: Incarnation) -> Self {
+        let owner =
+            ShardTable::new(settings.data_centre_id.clone(), settings.vm_id.clone(), incarnation);
         Self {
+            data_centre_id: settings.data_centre_id.clone(),
             bundle: RwLock::new(None),
             bundle_chain: Mutex::new(BundleChain::new(settings.root_operators.clone())),
             ledger: Mutex::new(LedgerTable::default()),
-            owner: Mutex::new(BudgetOwner::new(KeyTableLimits::default())),
+            owner: Mutex::new(owner),
+            contacts: Mutex::new(ContactTable::default()),
             routing: Mutex::new(RoutingTable::default()),
             membership: Mutex::new(build_members(settings, incarnation)),
             relay: Mutex::default(),
@@ -85,7 +93,7 @@
 
     /// Puts a bundle in force.
     pub fn set_bundle(&self, bundle: Arc<ActiveBundle>) {
-        self.lock_owner().set_retry_windows(bundle.retry_windows());
+        self.lock_owner().set_retry_windows(&bundle.retry_windows());
         *self.bundle.write().unwrap_or_else(PoisonError::into_inner) = Some(bundle);
     }
 
@@ -100,10 +108,15 @@
     }
 
     /// Locks the owner's table.
-    pub fn lock_owner(&self) -> MutexGuard<'_, BudgetOwner> {
+    pub fn lock_owner(&self) -> MutexGuard<'_, ShardTable> {
         lock(&self.owner)
     }
 
+    /// Locks what is known of the other VMs of the data centre.
+    pub fn lock_contacts(&self) -> MutexGuard<'_, ContactTable> {
+        lock(&self.contacts)
+    }
+
     /// Locks the routing table.
     pub fn lock_routing(&self) -> MutexGuard<'_, RoutingTable> {
         lock(&self.routing)
@@ -129,12 +142,22 @@
         lock(&self.decisions)
     }
 
+    /// Returns whether each shard of this data centre has its VMs.
+    fn has_all_views(&self) -> bool {
+        let table = self.lock_ledger();
+        table
+            .ledger
+            .views
+            .get(&self.data_centre_id)
+            .is_some_and(|shards| shards.len() == usize::from(SHARD_COUNT))
+    }
+
     /// Returns the step that the start has reached.
     pub fn readiness(&self) -> ReadinessStep {
         if self.bundle().is_none() {
             return ReadinessStep::WaitsForBundle;
         }
-        if !self.lock_ledger().is_established {
+        if !self.lock_ledger().is_established || !self.has_all_views() {
             return ReadinessStep::WaitsForLedger;
         }
         if !self.lock_membership().may_act(read_clock()) {
--- a/crates/sassafrashoist/src/ops/follow_known_key.rs
+++ b/crates/sassafrashoist/src/ops/follow_known_key.rs
@@ -92,7 +92,7 @@
     };
     let owner_vm_id =
         find_owner(context, request).map_err(|error| out_of_reach(error.to_string()))?;
-    let entry = lookup_request(context, &owner_vm_id, &request.key)
+    let entry = lookup_request(context, &owner_vm_id, &request.budget_id, &request.key)
         .await
         .map_err(|error| out_of_reach(error.to_string()))?;
     let entry = entry.ok_or_else(|| {
