--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -168,6 +168,9 @@
         if !self.lock_ledger().is_established || !self.has_all_views() {
             return ReadinessStep::WaitsForLedger;
         }
+        if !self.lock_membership().may_act(read_clock()) {
+            return ReadinessStep::Paused;
+        }
         ReadinessStep::Ready
     }
 }
