--- a/crates/sassafrashoist-core/src/owner/budget_owner.rs
+++ b/crates/sassafrashoist-core/src/owner/budget_owner.rs
@@ -142,19 +142,20 @@
         if !account.try_reserve(request.worst_case_tokens) {
             return refuse(ResultCode::BudgetShortHere);
         }
+        let attempt = self.keys.first_attempt(&request.key);
         let entry = KeyEntry {
             binding: request.binding,
             budget_id: request.budget_id,
             reserved_tokens: request.worst_case_tokens,
             is_idempotent: request.is_idempotent,
-            last_attempt: 1,
+            last_attempt: attempt,
             earlier: EarlierAttempts::default(),
             changed_at: now,
-            state: KeyState::Running { attempt: 1, runner: request.runner },
+            state: KeyState::Running { attempt, runner: request.runner },
         };
         self.changed_keys.insert(request.key.clone());
         self.keys.insert(request.key, entry);
-        AdmitDecision::Admitted { attempt: 1 }
+        AdmitDecision::Admitted { attempt }
     }
 
     /// Moves a request to its next attempt; `None` when another attempt took over.
@@ -198,7 +199,7 @@
                 self.keys.mark_unknown(&request.key, now);
                 SettleDecision::Settled { billed_tokens: 0 }
             }
-            SettleOutcome::NotRun => self.release(&request.key),
+            SettleOutcome::NotRun => self.release(&request.key, now),
             SettleOutcome::Unknown => {
                 self.keys.mark_unknown(&request.key, now);
                 SettleDecision::Settled { billed_tokens: 0 }
@@ -210,13 +211,13 @@
         }
     }
 
-    fn release(&mut self, key: &str) -> SettleDecision {
+    fn release(&mut self, key: &str, now: Timestamp) -> SettleDecision {
         if let Some(entry) = self.keys.entry(key) {
             let reserved_tokens = entry.reserved_tokens;
             let budget_id = entry.budget_id.clone();
             self.change_account(&budget_id).settle(reserved_tokens, 0);
         }
-        self.keys.remove(key);
+        self.keys.release(key, now);
         SettleDecision::Settled { billed_tokens: 0 }
     }
 
--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -5,11 +5,16 @@
 pub mod budget_exhaustion;
 pub mod budget_load;
 pub mod budget_partition;
+pub mod bundle_race;
 pub mod capacity;
+pub mod drain;
 pub mod load;
 pub mod options;
+pub mod outcome_load;
 pub mod path;
 pub mod percentiles;
 pub mod platform_outage;
 pub mod registry;
 pub mod report;
+pub mod retry_storm;
+pub mod router_crash;
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -4,15 +4,29 @@
 
 use super::budget_exhaustion;
 use super::budget_partition;
+use super::bundle_race;
 use super::capacity;
+use super::drain;
 use super::options::ExperimentOptions;
 use super::path;
 use super::platform_outage;
 use super::report::ExperimentReport;
+use super::retry_storm;
+use super::router_crash;
 
 /// The names of all experiments.
-pub const EXPERIMENT_NAMES: &[&str] =
-    &["budget-exhaustion", "budget-partition", "capacity", "path", "platform-outage"];
+#[rustfmt::skip]
+pub const EXPERIMENT_NAMES: &[&str] = &[
+    "budget-exhaustion",
+    "budget-partition",
+    "bundle-race",
+    "capacity",
+    "drain",
+    "path",
+    "platform-outage",
+    "retry-storm",
+    "router-crash",
+];
 
 /// Runs an experiment.
 ///
@@ -23,9 +37,13 @@
     match name {
         "budget-exhaustion" => budget_exhaustion::run(options).await,
         "budget-partition" => budget_partition::run(options).await,
-        "platform-outage" => platform_outage::run(options).await,
+        "bundle-race" => bundle_race::run(options).await,
         "capacity" => capacity::run(options).await,
+        "drain" => drain::run(options).await,
         "path" => path::run(options).await,
+        "platform-outage" => platform_outage::run(options).await,
+        "retry-storm" => retry_storm::run(options).await,
+        "router-crash" => router_crash::run(options).await,
         _ => bail!("no experiment {name:?}; one of: {}", EXPERIMENT_NAMES.join(", ")),
     }
 }
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -25,6 +25,7 @@
 use sassafrashoist_core::ids::{DataCentreId, Incarnation};
 use sassafrashoist_core::membership::member_table::MemberTable;
 use sassafrashoist_core::owner::shard_table::ShardTable;
+use sassafrashoist_core::requests::quarantine::QuarantineTable;
 use sassafrashoist_core::requests::retry_budget::RetryBudgets;
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
@@ -51,6 +52,7 @@
     membership: Mutex<MemberTable>,
     relay: Mutex<RelayTable>,
     retry_budgets: Mutex<RetryBudgets>,
+    quarantine: Mutex<QuarantineTable>,
     decisions: Mutex<DecisionLog>,
     /// Wakes the calls that wait for a record to relay.
     pub relay_arrived: Notify,
@@ -81,6 +83,7 @@
             membership: Mutex::new(build_members(settings, incarnation)),
             relay: Mutex::default(),
             retry_budgets: Mutex::new(RetryBudgets::default()),
+            quarantine: Mutex::new(QuarantineTable::default()),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
             relay_arrived: Notify::new(),
         }
@@ -137,6 +140,11 @@
         lock(&self.retry_budgets)
     }
 
+    /// Locks what is known of requests that crash backend servers.
+    pub fn lock_quarantine(&self) -> MutexGuard<'_, QuarantineTable> {
+        lock(&self.quarantine)
+    }
+
     /// Locks the decision log.
     pub fn lock_decisions(&self) -> MutexGuard<'_, DecisionLog> {
         lock(&self.decisions)
@@ -160,6 +168,9 @@
         if !self.lock_ledger().is_established || !self.has_all_views() {
             return ReadinessStep::WaitsForLedger;
         }
+        if !self.lock_membership().may_act(read_clock()) {
+            return ReadinessStep::Paused;
+        }
         ReadinessStep::Ready
     }
 }
