--- a/crates/sassafrashoist-core/src/owner/shard_replica.rs
+++ b/crates/sassafrashoist-core/src/owner/shard_replica.rs
@@ -309,11 +309,6 @@
 
     /// Returns the record by which the primary draws tokens that its budgets run short of.
     pub fn propose_draw(&self, ledger: &Ledger, policy: BudgetPolicy) -> Option<LedgerRecord> {
-        let shards = ledger.views.get(&self.place.data_centre_id)?;
-        let in_force = shards.get(&self.place.shard)?;
-        if !self.is_primary() || in_force.view.epoch != self.view_epoch {
-            return None;
-        }
         let budget_ids = ledger.budgets.keys().filter(|id| shard_of(id) == self.place.shard);
         let drawn_tokens: BTreeMap<BudgetId, Tokens> = budget_ids
             .filter_map(|budget_id| {
@@ -327,8 +322,44 @@
         if drawn_tokens.is_empty() {
             return None;
         }
-        let checkpoint =
-            drawn_tokens.keys().map(|id| (id.clone(), self.owner.account(id))).collect();
+        let budget_ids: Vec<BudgetId> = drawn_tokens.keys().cloned().collect();
+        self.build_draw(ledger, drawn_tokens, budget_ids)
+    }
+
+    /// Returns the record by which the primary reports accounts without drawing.
+    pub fn propose_checkpoint(
+        &self,
+        ledger: &Ledger,
+        budget_ids: &[BudgetId],
+    ) -> Option<LedgerRecord> {
+        let own_ids = budget_ids.iter().filter(|id| shard_of(id) == self.place.shard);
+        let is_unreported = |id: &&BudgetId| {
+            let share = ledger.share(&self.place.data_centre_id, id);
+            self.owner.account(id).settled_tokens != share.checkpoint.settled_tokens
+        };
+        let unreported: Vec<BudgetId> = own_ids.filter(is_unreported).cloned().collect();
+        if unreported.is_empty() {
+            return None;
+        }
+        self.build_draw(ledger, BTreeMap::new(), unreported)
+    }
+
+    fn build_draw(
+        &self,
+        ledger: &Ledger,
+        drawn_tokens: BTreeMap<BudgetId, Tokens>,
+        reported: Vec<BudgetId>,
+    ) -> Option<LedgerRecord> {
+        let shards = ledger.views.get(&self.place.data_centre_id)?;
+        let in_force = shards.get(&self.place.shard)?;
+        if !self.is_primary() || in_force.view.epoch != self.view_epoch {
+            return None;
+        }
+        let accounts = reported.into_iter().map(|id| {
+            let account = self.owner.account(&id);
+            (id, account)
+        });
+        let checkpoint = accounts.collect();
         Some(LedgerRecord::new(LedgerEvent::Draw(Draw {
             place: self.place.clone(),
             epoch: self.view_epoch,
--- a/crates/sassafrashoist-core/src/owner/shard_table.rs
+++ b/crates/sassafrashoist-core/src/owner/shard_table.rs
@@ -142,6 +142,11 @@
         budget_ids.filter(|budget_id| self.is_primary_for(budget_id)).cloned().collect()
     }
 
+    /// Returns the budgets in use, as counted last.
+    pub fn budgets_in_use(&self) -> Vec<BudgetId> {
+        self.recent_use.budgets().cloned().collect()
+    }
+
     /// Returns what this VM holds of a budget as the primary and how much was used lately.
     pub fn balance(&self, budget_id: &str) -> BalanceReport {
         BalanceReport {
--- a/crates/sassafrashoist-core/tests/testsuite/shard_pair.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/shard_pair.rs
@@ -168,3 +168,22 @@
     assert!(is_first_taken && is_second_taken);
     assert!(!is_first_taken_again);
 }
+
+#[test]
+fn checkpoint_takes_settled_tokens_off_what_a_lost_pair_strands() {
+    let mut world = world_with_pair(1, 2);
+    let primary = primary_of(&world, 0);
+    world.admit(primary, "k", 500);
+    world.run_all(4);
+    world.settle(0, 600);
+    world.run_all(4);
+    world.checkpoint(primary);
+
+    world.crash(0);
+    world.crash(1);
+    world.run_all(8);
+
+    let lost = world.whole_ledger().share("dc0", BUDGET);
+    assert_eq!(lost.lost_reported.settled_tokens, 300);
+    assert_eq!(lost.stranded_tokens(), PAID - 300);
+}
--- a/crates/sassafrashoist-core/tests/testsuite/shard_world.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/shard_world.rs
@@ -211,6 +211,13 @@
         self.replica_mut(index).apply_delta(delta, NOW)
     }
 
+    /// Lets a VM report its account to the log.
+    pub fn checkpoint(&mut self, index: usize) {
+        let ledger = &self.nodes[index].ledger;
+        let record = self.replica(index).propose_checkpoint(ledger, &[BUDGET.to_owned()]);
+        self.log.extend(record);
+    }
+
     /// Returns what a VM holds as the primary.
     pub fn held_tokens(&self, index: usize) -> Tokens {
         self.nodes[index].table.account(BUDGET).held_tokens
--- a/crates/sassafrashoist/src/ops/keep_shards.rs
+++ b/crates/sassafrashoist/src/ops/keep_shards.rs
@@ -31,14 +31,29 @@
 /// Time between two deliveries of a transfer that is not acknowledged.
 const TRANSFER_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two reports of the accounts in use to the log.
+const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(10);
+
+/// What may be proposed besides draws.
+#[derive(Debug, Clone, Copy)]
+struct Due {
+    views: bool,
+    checkpoints: bool,
+}
+
 /// Looks after the shards until the process stops.
 pub async fn keep_shards(context: Arc<RouterContext>) {
     let started_at = Instant::now();
+    let mut checkpointed_at = started_at;
     tokio::spawn(context.cancel.clone().run_until_cancelled_owned(repeat_all(context.clone())));
     while !context.cancel.is_cancelled() {
         collect_reports(&context).await;
         let may_propose = started_at.elapsed() >= START_GRACE;
-        append_proposals(&context, may_propose).await;
+        let checkpoints = checkpointed_at.elapsed() >= CHECKPOINT_INTERVAL;
+        if checkpoints {
+            checkpointed_at = Instant::now();
+        }
+        append_proposals(&context, Due { views: may_propose, checkpoints }).await;
         let _ = timeout(REPORT_TIMEOUT, replicate_all(&context)).await;
         let _ = timeout(KEEP_INTERVAL, context.shard_turns.shard_work.notified()).await;
     }
@@ -74,8 +89,8 @@
 }
 
 /// Appends the views and draws that are due, in one batch.
-async fn append_proposals(context: &RouterContext, may_propose: bool) {
-    let records = collect_proposals(context, may_propose);
+async fn append_proposals(context: &RouterContext, due: Due) {
+    let records = collect_proposals(context, due);
     if records.is_empty() {
         return;
     }
@@ -89,13 +104,14 @@
     }
 }
 
-fn collect_proposals(context: &RouterContext, may_propose: bool) -> Vec<LedgerRecord> {
+fn collect_proposals(context: &RouterContext, due: Due) -> Vec<LedgerRecord> {
     let table = context.tables.lock_ledger();
     if !table.is_established {
         return Vec::new();
     }
     let owner = context.tables.lock_owner();
     let own = (&context.settings.vm_id, context.process_incarnation);
+    let in_use = owner.budgets_in_use();
     let mut records = Vec::new();
     for (shard, replica) in owner.replicas() {
         let place =
@@ -106,10 +122,12 @@
         if !context.settings.budget_policy.has_backup() {
             view = view.filter(|view| view.is_fresh).map(|v| View { backup_vm_id: None, ..v });
         }
-        if let Some(view) = view.filter(|_| may_propose) {
+        if let Some(view) = view.filter(|_| due.views) {
             records.push(LedgerRecord::new(LedgerEvent::View(view)));
         }
-        records.extend(replica.propose_draw(&table.ledger, context.settings.budget_policy));
+        let draw = replica.propose_draw(&table.ledger, context.settings.budget_policy);
+        let checkpoint = || replica.propose_checkpoint(&table.ledger, &in_use);
+        records.extend(if due.checkpoints { draw.or_else(checkpoint) } else { draw });
     }
     records
 }
