--- a/crates/sassafrashoist/src/ops/find_tokens.rs
+++ b/crates/sassafrashoist/src/ops/find_tokens.rs
@@ -17,7 +17,7 @@
 const SEARCH_BOUND: Duration = Duration::from_millis(1_000);
 /// How long a request waits for a draw before it asks other data centres.
 const FIRST_DRAW_BOUND: Duration = Duration::from_millis(400);
-/// How long a request waits for tokens that the log holds or that arrive from data centres.
+/// How long a request waits for a draw of tokens that the log is known to hold.
 const DRAW_BOUND: Duration = Duration::from_millis(1_500);
 /// Time between two looks at tokens that are on the way.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(20);
@@ -76,8 +76,7 @@
     let is_cut_off = !moves_tokens || outcomes.iter().any(|outcome| outcome.is_out_of_reach);
     let reserved_elsewhere: Tokens = outcomes.iter().map(|outcome| outcome.reserved_tokens).sum();
     let has_reserved = account.reserved_tokens + reserved_elsewhere > 0;
-    let is_gathering = received_tokens > 0 && started_at.elapsed() < DRAW_BOUND;
-    if is_gathering || (!is_over && has_reserved) {
+    if !is_over && (has_reserved || received_tokens > 0) {
         return wait_once().await;
     }
     let is_ledger_read = refresh_ledger(context).await;
