Explain crashes by quarantined requests, and measure poison

Change: a crash at which a request was present that reached its bound earlier does not count against the others. Experiment poison.

--- a/crates/sassafrashoist-core/src/requests/quarantine.rs
+++ b/crates/sassafrashoist-core/src/requests/quarantine.rs
@@ -3,7 +3,8 @@
 //! A request that was on a backend server when it crashed is a suspect. A suspect is tried again on
 //! its own: no other suspect is on the same server, over all VMs of the data centre that can be
 //! reached. So when a second server crashes under it, it is the cause and is quarantined, while the
-//! requests that only ran beside it end well on their next try and are suspects no more.
+//! requests that only ran beside it end well on their next try and are suspects no more. A crash
+//! that a quarantined request explains does not count against the others.
 //!
 //! Copies of one request that is not yet known to be harmless go to one server, so that however
 //! often it is sent at once, one VM lets it crash one server at a time.
@@ -83,6 +84,7 @@
 
     /// Records a crash; false when it was known.
     pub fn record(&mut self, sighting: &CrashSighting) -> bool {
+        self.crashed_servers.retain(|_, at| sighting.seen_at < *at + SERVER_DOWN_TIME);
         let crashed_at = self.crashed_servers.entry(sighting.server_id.clone()).or_default();
         *crashed_at = sighting.seen_at.max(*crashed_at);
         self.harmless.remove(&sighting.mark);
@@ -90,12 +92,10 @@
             self.crashes.pop_first();
         }
         let crashes = self.crashes.entry(sighting.mark.clone()).or_default();
-        let is_known = crashes.iter().any(|(server_id, seen_at)| {
-            let gap = seen_at.abs_diff(sighting.seen_at);
-            *server_id == sighting.server_id && gap < SERVER_DOWN_TIME
-        });
+        let crash = (sighting.server_id.clone(), sighting.seen_at);
+        let is_known = crashes.iter().any(|seen| is_same_crash(seen, &crash));
         if !is_known {
-            crashes.push((sighting.server_id.clone(), sighting.seen_at));
+            crashes.push(crash);
         }
         !is_known
     }
@@ -110,10 +110,29 @@
         if ends_at <= now {
             return Suspicion::None;
         }
-        if crashes.len() >= MAX_CRASHES {
-            return Suspicion::Quarantined(ends_at);
+        let explained_count = crashes.iter().filter(|crash| self.is_explained(mark, crash)).count();
+        match crashes.len() - explained_count {
+            0 => Suspicion::None,
+            MAX_CRASHES.. => Suspicion::Quarantined(ends_at),
+            _ => Suspicion::Suspect,
         }
-        Suspicion::Suspect
+    }
+
+    /// Returns whether another request that reached its bound earlier was on the server too.
+    fn is_explained(&self, mark: &RequestMark, crash: &(BackendServerId, Timestamp)) -> bool {
+        let reached_at = self.reached_bound_at(mark).unwrap_or(Timestamp::MAX);
+        self.crashes.iter().any(|(other, crashes)| {
+            other != mark
+                && self.reached_bound_at(other).is_some_and(|at| at < reached_at)
+                && crashes.iter().any(|seen| is_same_crash(seen, crash))
+        })
+    }
+
+    /// Returns when the number of crashes under a request reached the bound.
+    fn reached_bound_at(&self, mark: &RequestMark) -> Option<Timestamp> {
+        let mut times: Vec<_> = self.crashes.get(mark)?.iter().map(|(_, at)| *at).collect();
+        times.sort_unstable();
+        times.get(MAX_CRASHES - 1).copied()
     }
 
     /// Returns the crashes seen under a request.
@@ -197,3 +216,7 @@
         }
     }
 }
+
+fn is_same_crash(one: &(BackendServerId, Timestamp), other: &(BackendServerId, Timestamp)) -> bool {
+    one.0 == other.0 && one.1.abs_diff(other.1) < SERVER_DOWN_TIME
+}
--- a/crates/sassafrashoist-core/tests/testsuite/quarantine.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/quarantine.rs
@@ -50,6 +50,24 @@
     assert_eq!(table.suspicion(&mark(1), NOW), Suspicion::Suspect);
 }
 
+#[test]
+fn quarantine_does_not_count_a_crash_that_another_request_explains() {
+    let mut table = QuarantineTable::default();
+    let at = |seconds: u64, sighting: CrashSighting| CrashSighting {
+        seen_at: NOW + Duration::from_secs(seconds),
+        ..sighting
+    };
+    let now = NOW + Duration::from_secs(20);
+    table.record(&crash(1, "s1"));
+    table.record(&crash(2, "s1"));
+    table.record(&at(5, crash(1, "s2")));
+
+    table.record(&at(10, crash(2, "s3")));
+
+    assert!(matches!(table.suspicion(&mark(1), now), Suspicion::Quarantined(_)));
+    assert_eq!(table.suspicion(&mark(2), now), Suspicion::Suspect);
+}
+
 #[test]
 fn copies_of_a_request_go_to_one_server_until_it_is_harmless() {
     let mut table = QuarantineTable::default();
--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -9,6 +9,7 @@
 pub mod outcome_load;
 pub mod path;
 pub mod percentiles;
+pub mod poison;
 pub mod registry;
 pub mod report;
 pub mod retry_storm;
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -6,6 +6,7 @@
 use super::drain;
 use super::options::ExperimentOptions;
 use super::path;
+use super::poison;
 use super::report::ExperimentReport;
 use super::retry_storm;
 use super::router_crash;
@@ -16,6 +17,7 @@
     "capacity",
     "drain",
     "path",
+    "poison",
     "retry-storm",
     "router-crash",
 ];
@@ -30,6 +32,7 @@
         "capacity" => capacity::run(options).await,
         "drain" => drain::run(options).await,
         "path" => path::run(options).await,
+        "poison" => poison::run(options).await,
         "retry-storm" => retry_storm::run(options).await,
         "router-crash" => router_crash::run(options).await,
         _ => bail!("no experiment {name:?}; one of: {}", EXPERIMENT_NAMES.join(", ")),
