--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -2,6 +2,10 @@
 //!
 //! Each experiment is a file with a `run` function; [`registry`] lists them by name.
 
+pub mod budget_exhaustion;
+pub mod budget_load;
+pub mod budget_partition;
+pub mod bundle_race;
 pub mod capacity;
 pub mod drain;
 pub mod load;
@@ -9,6 +13,7 @@
 pub mod outcome_load;
 pub mod path;
 pub mod percentiles;
+pub mod platform_outage;
 pub mod poison;
 pub mod registry;
 pub mod report;
--- a/crates/sassafrashoist/src/ops/watch_suspects.rs
+++ b/crates/sassafrashoist/src/ops/watch_suspects.rs
@@ -109,7 +109,8 @@
     let Ok(owner_vm_id) = find_owner(&run.context, &run.request) else {
         return false;
     };
-    let entry = lookup_request(&run.context, &owner_vm_id, &run.request.key).await;
+    let entry =
+        lookup_request(&run.context, &owner_vm_id, &run.request.budget_id, &run.request.key).await;
     matches!(entry, Ok(None))
 }
 
