--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -12,6 +12,7 @@
 //! - `membership`
 //! - `relay`
 //! - `retry_budgets`
+//! - `quarantine`
 //! - `decisions`
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
