--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -14,6 +14,7 @@
 pub mod path;
 pub mod percentiles;
 pub mod platform_outage;
+pub mod poison;
 pub mod registry;
 pub mod report;
 pub mod retry_storm;
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -10,6 +10,7 @@
 use super::options::ExperimentOptions;
 use super::path;
 use super::platform_outage;
+use super::poison;
 use super::report::ExperimentReport;
 use super::retry_storm;
 use super::router_crash;
@@ -24,6 +25,7 @@
     "drain",
     "path",
     "platform-outage",
+    "poison",
     "retry-storm",
     "router-crash",
 ];
@@ -42,6 +44,7 @@
         "drain" => drain::run(options).await,
         "path" => path::run(options).await,
         "platform-outage" => platform_outage::run(options).await,
+        "poison" => poison::run(options).await,
         "retry-storm" => retry_storm::run(options).await,
         "router-crash" => router_crash::run(options).await,
         _ => bail!("no experiment {name:?}; one of: {}", EXPERIMENT_NAMES.join(", ")),
