Start a VM without the platform: the ledger from its peers too

A VM that started while the platform was away had the bundle and then waited for the ledger, because VMs relayed only what was fresh. A VM that cannot reach the platform now takes what another last heard, with its age, and so knows as much as the VMs that run; views name incarnations, so it is no owner of what it held before. A test starts a VM in an outage and waits until it is ready with the same ledger.

--- a/crates/sassafrashoist/src/core/relay_messages.rs
+++ b/crates/sassafrashoist/src/core/relay_messages.rs
@@ -17,6 +17,9 @@
     pub max_count: u32,
     /// How long to wait for the first record.
     pub wait: Duration,
+    /// Whether to answer although the platform was not heard lately, because the caller cannot
+    /// reach it either.
+    pub accepts_stale: bool,
 }
 
 /// A record on its way from VM to VM.
--- a/crates/sassafrashoist/src/core/relay_stream.rs
+++ b/crates/sassafrashoist/src/core/relay_stream.rs
@@ -84,7 +84,8 @@
 
     /// Answers another VM.
     pub fn answer(&self, call: &RelayCall, now: Timestamp) -> RelayAnswer {
-        let Some(heard_at) = self.heard_at.filter(|at| !is_quiet(*at, now)) else {
+        let is_usable = |at: &Timestamp| call.accepts_stale || !is_quiet(*at, now);
+        let Some(heard_at) = self.heard_at.filter(is_usable) else {
             return RelayAnswer::Quiet;
         };
         let first_offset = self.records.front().map_or(self.next_offset, |record| record.offset);
--- a/crates/sassafrashoist/src/core/relay_table.rs
+++ b/crates/sassafrashoist/src/core/relay_table.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Returns whether a stream was ever heard.
+    pub fn has_heard(&self, stream: &str) -> bool {
+        self.streams.contains_key(stream)
+    }
+
     /// Describes every stream for state dumps.
     pub fn view(&self, now: Timestamp) -> BTreeMap<String, StreamView> {
         self.streams.iter().map(|(name, kept)| (name.clone(), kept.view(now))).collect()
--- a/crates/sassafrashoist/src/ops/read_stream.rs
+++ b/crates/sassafrashoist/src/ops/read_stream.rs
@@ -2,7 +2,9 @@
 //!
 //! One VM of a data centre reads a stream from the platform and the others read it from that VM, so
 //! the platform's load does not grow with the VMs of a data centre. A VM that finds the reader
-//! quiet asks the next in rank, and reads the platform itself when nobody else can help.
+//! quiet asks the next in rank, and reads the platform itself when nobody else can help. A VM that
+//! cannot reach the platform either takes what another VM last heard, so that a VM that starts
+//! while the platform is away knows as much as the VMs that run.
 
 use std::time::Duration;
 
@@ -11,12 +13,14 @@
 use crate::core::peer_clients::{PeerError, unwrap_answer};
 use crate::core::relay_messages::{RelayAnswer, RelayCall, RelayedRecord};
 use crate::core::router_context::RouterContext;
-use sassafrashoist_core::ids::{Timestamp, VmId};
+use sassafrashoist_core::ids::{LogOffset, Timestamp, VmId};
 use sassafrashoist_platform::log_client::{ReadError, ReadRange};
 use sassafrashoist_platform::wire::{LogRecord, RecordPage};
 
 /// Time beyond a relay call's own wait after which the reader counts as quiet.
 const RELAY_GRACE: Duration = Duration::from_millis(800);
+/// VMs that are asked for what they last heard when the platform is out of reach.
+const MAX_STALE_SOURCES: usize = 2;
 
 /// Reads records of a stream, from another VM of the data centre or from the platform's log.
 ///
@@ -29,10 +33,9 @@
     range: ReadRange,
 ) -> Result<RecordPage, ReadError> {
     for vm_id in choose_readers(context, stream) {
-        match read_relay(context, &vm_id, stream, range).await {
+        match read_relay(context, &vm_id, make_call(stream, range, false)).await {
             Ok(RelayAnswer::Page { records, earliest_offset, end_offset, age }) => {
-                let records = records.into_iter().map(to_log_record).collect();
-                let page = RecordPage { records, earliest_offset, end_offset };
+                let page = to_record_page(records, earliest_offset, end_offset);
                 let heard_at = read_clock().saturating_sub(age);
                 store_page(context, stream, range, &page, Some(vm_id), heard_at);
                 return Ok(page);
@@ -43,9 +46,60 @@
             }
         }
     }
-    let page = context.platform.read(stream, range).await?;
-    store_page(context, stream, range, &page, None, read_clock());
-    Ok(page)
+    match context.platform.read(stream, range).await {
+        Ok(page) => {
+            store_page(context, stream, range, &page, None, read_clock());
+            Ok(page)
+        }
+        Err(ReadError::OutOfReach(reason)) => match read_stale(context, stream, range).await {
+            Some(page) => Ok(page),
+            None => Err(ReadError::OutOfReach(reason)),
+        },
+        Err(error) => Err(error),
+    }
+}
+
+/// Reads what another VM last heard of a stream, if that is news to this one.
+async fn read_stale(context: &RouterContext, stream: &str, range: ReadRange) -> Option<RecordPage> {
+    let is_known = context.tables.lock_relay().has_heard(stream);
+    for vm_id in choose_sources(context) {
+        let answer = read_relay(context, &vm_id, make_call(stream, range, true)).await;
+        let Ok(RelayAnswer::Page { records, earliest_offset, end_offset, age }) = answer else {
+            continue;
+        };
+        if records.is_empty() && is_known {
+            continue;
+        }
+        let page = to_record_page(records, earliest_offset, end_offset);
+        let heard_at = read_clock().saturating_sub(age);
+        store_page(context, stream, range, &page, Some(vm_id), heard_at);
+        return Some(page);
+    }
+    None
+}
+
+/// Returns VMs that answered this one, those of the own data centre first.
+fn choose_sources(context: &RouterContext) -> Vec<VmId> {
+    let own_data_centre_id = &context.settings.data_centre_id;
+    let members = context.tables.lock_membership();
+    let mut sources: Vec<(bool, VmId)> = members
+        .members()
+        .filter(|member| member.is_reachable)
+        .map(|member| (&member.update.data_centre_id != own_data_centre_id, &member.update.vm_id))
+        .map(|(is_elsewhere, vm_id)| (is_elsewhere, vm_id.clone()))
+        .collect();
+    sources.sort();
+    sources.into_iter().take(MAX_STALE_SOURCES).map(|(_, vm_id)| vm_id).collect()
+}
+
+fn make_call(stream: &str, range: ReadRange, accepts_stale: bool) -> RelayCall {
+    RelayCall {
+        stream: stream.to_owned(),
+        from_offset: range.from_offset,
+        max_count: range.max_count as u32,
+        wait: if accepts_stale { Duration::ZERO } else { range.wait },
+        accepts_stale,
+    }
 }
 
 fn choose_readers(context: &RouterContext, stream: &str) -> Vec<VmId> {
@@ -58,16 +112,9 @@
 async fn read_relay(
     context: &RouterContext,
     vm_id: &str,
-    stream: &str,
-    range: ReadRange,
+    call: RelayCall,
 ) -> Result<RelayAnswer, PeerError> {
-    let call = RelayCall {
-        stream: stream.to_owned(),
-        from_offset: range.from_offset,
-        max_count: range.max_count as u32,
-        wait: range.wait,
-    };
-    let timeout = range.wait + RELAY_GRACE;
+    let timeout = call.wait + RELAY_GRACE;
     let request = context.peers.request_within(&call, timeout)?;
     context.traffic.count(ControlKind::Relay, request.get_ref().payload.len());
     let mut client = context.peers.fleet_client(vm_id)?;
@@ -96,6 +143,14 @@
     }
 }
 
-fn to_log_record(record: RelayedRecord) -> LogRecord {
-    LogRecord { offset: record.offset, payload: record.payload }
+fn to_record_page(
+    records: Vec<RelayedRecord>,
+    earliest_offset: LogOffset,
+    end_offset: LogOffset,
+) -> RecordPage {
+    let records = records
+        .into_iter()
+        .map(|record| LogRecord { offset: record.offset, payload: record.payload })
+        .collect();
+    RecordPage { records, earliest_offset, end_offset }
 }
--- a/crates/sassafrashoist/tests/testsuite/recovery.rs
+++ b/crates/sassafrashoist/tests/testsuite/recovery.rs
@@ -1,10 +1,12 @@
 use std::time::Duration;
 
 use sassafrasctl::ops::queries::fleet_status::read_fleet_status;
+use sassafrashoist::core::readiness::ReadinessStep;
 use sassafrashoist_core::membership::member_state::MemberState;
 use sassafrashoist_platform::streams::BUNDLE_STREAM;
 use sassafrashoist_testkit::client::caller::Caller;
 use sassafrashoist_testkit::engine::engine_settings::EngineSettings;
+use sassafrashoist_testkit::fleet::audit::Audit;
 use sassafrashoist_testkit::fleet::fleet_plan::FleetPlan;
 use sassafrashoist_testkit::fleet::operators::AUTHOR_ID;
 use sassafrashoist_testkit::fleet::running_fleet::RunningFleet;
@@ -115,3 +117,22 @@
     assert!(state["incarnation"].as_u64().unwrap() > before);
     assert!(decisions.iter().any(|decision| is_pause(decision["reason"].as_str().unwrap())));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn recovery_without_the_platform_takes_bundle_and_ledger_from_peers() {
+    let mut fleet = RunningFleet::start(plan(2)).await.unwrap();
+
+    fleet.vms[0].kill();
+    fleet.platform.set_faults(|faults| faults.is_out = true);
+    fleet.start_vm(0).await.unwrap();
+
+    let context = fleet.vms[0].context().unwrap();
+    wait_until("the VM is ready", || context.tables.readiness() == ReadinessStep::Ready).await;
+    let paid = |index: usize| {
+        let context = fleet.vms[index].context().unwrap();
+        let table = context.tables.lock_ledger();
+        table.ledger.budgets["fippu-budget"].paid_tokens
+    };
+    assert_eq!(paid(0), paid(1));
+    assert!(Audit::take(&fleet).is_clean());
+}
--- a/crates/sassafrashoist/tests/testsuite/relay_stream.rs
+++ b/crates/sassafrashoist/tests/testsuite/relay_stream.rs
@@ -14,7 +14,13 @@
 }
 
 fn call(from_offset: u64) -> RelayCall {
-    RelayCall { stream: "s".into(), from_offset, max_count: 2, wait: Duration::ZERO }
+    RelayCall {
+        stream: "s".into(),
+        from_offset,
+        max_count: 2,
+        wait: Duration::ZERO,
+        accepts_stale: false,
+    }
 }
 
 fn stream_of(offsets: std::ops::Range<u64>) -> RelayStream {
@@ -43,6 +49,17 @@
     assert_eq!(answer, RelayAnswer::Quiet);
 }
 
+#[test]
+fn relay_stream_gives_what_it_last_heard_to_who_cannot_reach_the_platform_either() {
+    let stream = stream_of(5..9);
+    let stale = RelayCall { accepts_stale: true, ..call(6) };
+
+    let answer = stream.answer(&stale, HEARD_AT + Duration::from_secs(60));
+
+    let RelayAnswer::Page { age, .. } = answer else { panic!("{answer:?}") };
+    assert_eq!(age, Duration::from_secs(60));
+}
+
 #[test]
 fn relay_stream_does_not_answer_for_offsets_that_it_does_not_hold() {
     let stream = stream_of(5..9);
