Hold the traffic of control against the target of 16 VMs a data centre

bundle-race now also extrapolates all bytes on a VM's links over the VMs of a data centre and requires the target's 14,000 a second.

--- a/crates/sassafrashoist-testkit/src/experiments/bundle_race/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/bundle_race/mod.rs
@@ -48,10 +48,14 @@
 const IN_FORCE_BOUND: Duration = Duration::from_secs(7);
 /// The target's VMs.
 const TARGET_VM_COUNT: f64 = 340.0;
+/// The target's VMs in a data centre: 340 in 21.
+const TARGET_VMS_OF_DATA_CENTRE: f64 = TARGET_VM_COUNT / 21.0;
 /// The target for what a node spends on control.
 const MAX_CONTROL_BYTES_PER_SECOND: f64 = 14_000.0;
 /// Time between two looks at the versions in force.
 const LOOK_INTERVAL: Duration = Duration::from_millis(2);
+/// All bytes on a VM's links over the VMs of its data centre.
+const LINK_BYTES_FIGURE: &str = "link_bytes_per_second_per_vm_over_vms_of_a_data_centre";
 /// The longest that one operator waits before it pushes.
 const MAX_HEAD_START_MS: u64 = 5;
 
@@ -234,6 +238,7 @@
             self.add_point(&format!("link_bytes_per_second_per_vm_over_{over}"), *size, link_bytes);
             self.add_point(&format!("log_reads_per_second_over_{over}"), *size, reads);
         }
+        self.add_point(LINK_BYTES_FIGURE, vms / data_centre_count as f64, link_bytes);
         self.report.require(
             link_bytes <= MAX_CONTROL_BYTES_PER_SECOND,
             format!("{vms} VMs: {link_bytes:.0} bytes a second for control are within the target"),
@@ -253,7 +258,13 @@
         for (name, points) in &self.points {
             self.report.set(name, fit_line(points));
         }
-        let at_target = self.extrapolate("in_force_p99_ms_over_vms");
+        let bytes_at_target = self.extrapolate(LINK_BYTES_FIGURE, TARGET_VMS_OF_DATA_CENTRE);
+        self.report.set("link_bytes_per_second_at_target_by_slope", bytes_at_target);
+        self.report.require(
+            bytes_at_target <= MAX_CONTROL_BYTES_PER_SECOND,
+            "by its slope a VM of the target spends 14,000 bytes a second on control at most",
+        );
+        let at_target = self.extrapolate("in_force_p99_ms_over_vms", TARGET_VM_COUNT);
         self.report.set("in_force_p99_ms_at_340_vms_by_slope", at_target);
         self.report.require(self.late_vm_count == 0, "a bundle is in force within 7 s on every VM");
         self.report.require(self.unclear_count == 0, "every loser is told who won");
@@ -264,10 +275,10 @@
         self.report
     }
 
-    fn extrapolate(&self, name: &str) -> f64 {
+    fn extrapolate(&self, name: &str, size: f64) -> f64 {
         let line = self.points.get(name).map(|points| fit_line(points)).unwrap_or_default();
         let number = |field: &str| line[field].as_f64().unwrap_or(f64::MAX);
-        number("at_zero") + number("slope") * TARGET_VM_COUNT
+        number("at_zero") + number("slope") * size
     }
 }
 
