--- a/crates/sassafrashoist-core/src/membership/member_table.rs
+++ b/crates/sassafrashoist-core/src/membership/member_table.rs
@@ -4,6 +4,7 @@
 
 use super::heartbeat::{BundleInForce, Heartbeat};
 use super::member::{ListedAs, Member, MemberView};
+use super::member_change::{ChangeReason, MemberChange};
 use super::member_state::MemberState;
 use super::member_update::MemberUpdate;
 use super::membership_timing::MembershipTiming;
@@ -13,36 +14,6 @@
 /// How often an update is passed on for each doubling of the fleet.
 const SENDS_PER_DOUBLING: u32 = 3;
 
-/// A change of a member's state, for the decision log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MemberChange {
-    /// The VM.
-    pub vm_id: VmId,
-    /// Its incarnation.
-    pub incarnation: Incarnation,
-    /// Its new state.
-    pub state: MemberState,
-    /// Why.
-    pub reason: ChangeReason,
-}
-
-/// Why a member's state changed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ChangeReason {
-    /// Another VM said so.
-    Told,
-    /// It did not answer this VM or those that this VM asked.
-    NoAnswer,
-    /// It was suspect for too long.
-    SuspectTooLong,
-    /// The platform's list dropped it while it was suspect.
-    Unlisted,
-    /// This VM was declared gone.
-    DeclaredGone,
-    /// This VM was paused for so long that it may have been declared gone.
-    Paused,
-}
-
 /// The members of the fleet as one VM sees them, itself included.
 #[derive(Debug)]
 pub struct MemberTable {
--- a/crates/sassafrashoist-core/src/membership/mod.rs
+++ b/crates/sassafrashoist-core/src/membership/mod.rs
@@ -14,6 +14,7 @@
 pub mod flap_damping;
 pub mod heartbeat;
 pub mod member;
+pub mod member_change;
 pub mod member_state;
 pub mod member_table;
 pub mod member_update;
--- a/crates/sassafrashoist/src/ops/exchange_heartbeats.rs
+++ b/crates/sassafrashoist/src/ops/exchange_heartbeats.rs
@@ -16,7 +16,7 @@
 use sassafrashoist_core::membership::heartbeat::{
     BundleInForce, Heartbeat, HeartbeatAnswer, HeartbeatCall,
 };
-use sassafrashoist_core::membership::member_table::MemberChange;
+use sassafrashoist_core::membership::member_change::MemberChange;
 use sassafrashoist_core::result_code::ResultCode;
 
 /// VMs that are asked for one that does not answer.
