Choose backend servers from an index, with limits, breakers and a queue

The choice scanned every server of the bundle, knew no limit, no health and no prefix cache, and a request that found every server busy was pushed into an engine's queue.

The routing table now keeps, for each pool and model, the set of servers that may take one more request, updated as attempts begin and end. The chosen policy compares two random members with those that likely cache the prompt's prefix. Each server has an adaptive concurrency limit, a circuit breaker with half-open probes, a cap on ejections and a slow start. Requests that find no room wait in a queue by priority and, within one, by deficit round robin over accounts; those that would wait too long are refused at once. A place is held by a value whose drop frees it.

A request with a caller's key that gets no place is told "not run" only after its owner said that the key is unknown: before, a repetition could be told so while the first attempt ran.

--- a/crates/sassafrashoist-core/src/routing/choose.rs
+++ b/crates/sassafrashoist-core/src/routing/choose.rs
@@ -1,11 +1,25 @@
 //! The choice of a backend server for one attempt.
+//!
+//! Servers of the own data centre go first; others are used only while every local one is at its
+//! limit or gone, and this router's limit there starts at one, so overflow grows by measured steps.
+//! A choice reserves its place on the server at once.
+//!
+//! The chosen policy compares two servers drawn at random with those that likely cache the prompt's
+//! prefix. Random draws, and own requests that count at once while reports lag, keep routers with
+//! the same stale report from all sending to the same server.
 
 use super::policy::RoutingPolicy;
+use super::prefix_index::{BlockHash, PrefixMatch};
 use super::routing_table::RoutingTable;
+use super::server_entry::ServerIndex;
+use super::server_group::GroupKey;
 use super::server_view::ServerView;
-use crate::ids::{BackendServerId, DataCentreId, ModelId, PoolId};
+use crate::ids::{BackendServerId, ModelId, PoolId, Timestamp};
 use crate::result_code::ResultCode;
 
+/// The load, in thousandths of a server's slots, that a whole cached prompt outweighs.
+const PREFIX_WEIGHT_PER_MILLE: u64 = 500;
+
 /// What an attempt needs of its backend server.
 #[derive(Debug, Clone)]
 pub struct RouteNeed {
@@ -13,58 +27,122 @@
     pub pool_id: PoolId,
     /// The model that must be loaded; none for a plain service.
     pub model_id: Option<ModelId>,
-    /// The router's own data centre, whose servers go first.
-    pub data_centre_id: DataCentreId,
     /// Servers that failed this request before.
     pub excluded: Vec<BackendServerId>,
+    /// The blocks of the prompt; empty for a plain service.
+    pub blocks: Vec<BlockHash>,
 }
 
-/// Chooses a server; `draw` supplies random numbers.
+impl RouteNeed {
+    /// Names the group of servers that can serve the attempt.
+    pub fn group_key(&self, is_local: bool) -> GroupKey {
+        GroupKey { pool_id: self.pool_id.clone(), model_id: self.model_id.clone(), is_local }
+    }
+}
+
+/// A server with a place reserved for one attempt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The server.
+    pub server: ServerView,
+    /// Its load before this attempt, in thousandths of its slots.
+    pub load_per_mille: u64,
+    /// The part of the prompt that it is believed to cache, in thousandths.
+    pub prefix_per_mille: u64,
+}
+
+/// Chooses a server and reserves a place on it; `draw` supplies random numbers.
 ///
 /// # Errors
 ///
-/// Fails with the code to answer when no server can be used.
+/// Fails with [`ResultCode::Overloaded`] when every server that could serve the attempt is at its
+/// limit, and with [`ResultCode::NoBackendServer`] when there is none.
 pub fn choose_server(
     table: &mut RoutingTable,
     need: &RouteNeed,
     policy: RoutingPolicy,
+    now: Timestamp,
     mut draw: impl FnMut() -> u64,
-) -> Result<ServerView, ResultCode> {
-    table.turn = table.turn.wrapping_add(1);
-    let usable: Vec<&ServerView> =
-        table.servers().filter(|server| is_usable(server, need)).collect();
-    let local: Vec<&ServerView> = usable
-        .iter()
-        .copied()
-        .filter(|server| server.data_centre_id == need.data_centre_id)
-        .collect();
-    let candidates = if local.is_empty() { usable } else { local };
-    if candidates.is_empty() {
-        return Err(ResultCode::NoBackendServer);
+) -> Result<Choice, ResultCode> {
+    table.advance(now);
+    let excluded: Vec<ServerIndex> =
+        need.excluded.iter().filter_map(|server_id| table.index_of(server_id)).collect();
+    let mut has_servers = false;
+    for is_local in [true, false] {
+        let Some(group) = table.group_index_of(&need.group_key(is_local)) else {
+            continue;
+        };
+        has_servers |= table.groups[group].member_count > excluded.len();
+        let candidates = Candidates { table, group, excluded: &excluded, now };
+        let picked = match policy {
+            RoutingPolicy::Random => candidates.pick(draw()),
+            RoutingPolicy::RoundRobin => candidates.pick(table.groups[group].turn),
+            RoutingPolicy::LeastOutstanding => candidates.least_outstanding(),
+            RoutingPolicy::PowerOfTwoChoices => candidates.lighter([draw(), draw()], &[]),
+            RoutingPolicy::Chosen => {
+                let matches = table.prefixes.find(&need.blocks, now);
+                candidates.lighter([draw(), draw()], &matches)
+            }
+        };
+        if let Some(picked) = picked {
+            table.groups[group].turn = table.groups[group].turn.wrapping_add(1);
+            return Ok(reserve(table, need, picked, now));
+        }
     }
-    let drawn = |number: u64| candidates[(number % candidates.len() as u64) as usize];
-    let chosen = match policy {
-        RoutingPolicy::Random => drawn(draw()),
-        RoutingPolicy::RoundRobin => candidates[table.turn % candidates.len()],
-        RoutingPolicy::LeastOutstanding => lighter_of(&candidates),
-        RoutingPolicy::PowerOfTwoChoices => lighter_of(&[drawn(draw()), drawn(draw())]),
-    };
-    Ok(chosen.clone())
+    Err(if has_servers { ResultCode::Overloaded } else { ResultCode::NoBackendServer })
+}
+
+fn reserve(
+    table: &mut RoutingTable,
+    need: &RouteNeed,
+    picked: PrefixMatch,
+    now: Timestamp,
+) -> Choice {
+    let load_per_mille = table.entries[picked.server as usize].load_per_mille(now);
+    table.begin_attempt(picked.server, now);
+    table.prefixes.record_stored(picked.server, &need.blocks, now);
+    let server = table.entries[picked.server as usize].view.clone();
+    Choice { server, load_per_mille, prefix_per_mille: picked.expected_per_mille }
 }
 
-fn is_usable(server: &ServerView, need: &RouteNeed) -> bool {
-    server.pool_id == need.pool_id
-        && server.leaving_since.is_none()
-        && !need.excluded.contains(&server.server_id)
-        && need.model_id.as_ref().is_none_or(|model_id| server.model_ids.contains(model_id))
+struct Candidates<'a> {
+    table: &'a RoutingTable,
+    group: usize,
+    excluded: &'a [ServerIndex],
+    now: Timestamp,
 }
 
-fn lighter_of<'a>(servers: &[&'a ServerView]) -> &'a ServerView {
-    let mut lightest = servers[0];
-    for server in servers {
-        if server.load_per_mille() < lightest.load_per_mille() {
-            lightest = server;
-        }
+impl Candidates<'_> {
+    fn pick(&self, number: u64) -> Option<PrefixMatch> {
+        let server = self.table.groups[self.group].available.pick(number, self.excluded)?;
+        Some(PrefixMatch { server, expected_per_mille: 0 })
+    }
+
+    /// Looks at every server, for comparison only.
+    fn least_outstanding(&self) -> Option<PrefixMatch> {
+        let members = self.table.groups[self.group].available.members();
+        let usable = members.iter().filter(|member| !self.excluded.contains(member));
+        let server = usable.min_by_key(|member| {
+            let view = &self.table.entries[**member as usize].view;
+            let reported = view.load.running_count + view.load.queued_count;
+            reported.max(view.in_flight_count)
+        })?;
+        Some(PrefixMatch { server: *server, expected_per_mille: 0 })
+    }
+
+    fn lighter(&self, numbers: [u64; 2], matches: &[PrefixMatch]) -> Option<PrefixMatch> {
+        let available = &self.table.groups[self.group].available;
+        let cached = matches.iter().copied().filter(|found| {
+            available.contains(found.server) && !self.excluded.contains(&found.server)
+        });
+        let drawn = numbers.into_iter().filter_map(|number| self.pick(number));
+        cached.chain(drawn).min_by_key(|candidate| self.cost(candidate))
+    }
+
+    /// The load of a candidate less what its cached prefix saves; both in thousandths.
+    fn cost(&self, candidate: &PrefixMatch) -> i64 {
+        let load = self.table.entries[candidate.server as usize].load_per_mille(self.now);
+        let saved = candidate.expected_per_mille * PREFIX_WEIGHT_PER_MILLE / 1000;
+        load as i64 - saved as i64
     }
-    lightest
 }
--- a/crates/sassafrashoist-core/src/routing/mod.rs
+++ b/crates/sassafrashoist-core/src/routing/mod.rs
@@ -1,6 +1,20 @@
-//! Which backend server runs an attempt.
+//! Which backend server runs an attempt, and which request runs next when all are busy.
+//!
+//! [`routing_table::RoutingTable`] holds the servers and, for each pool and model, the set of those
+//! that may take one more request now. The set changes with each attempt that begins or ends, so a
+//! choice draws from it and never looks at all servers. A request that finds the set empty waits in
+//! an [`admission_queue::AdmissionQueue`] or is refused at once.
 
+pub mod admission_queue;
 pub mod choose;
+pub mod circuit_breaker;
+pub mod concurrency_limit;
+pub mod load_estimate;
+pub mod moving_average;
 pub mod policy;
+pub mod prefix_index;
 pub mod routing_table;
+pub mod sample_set;
+pub mod server_entry;
+pub mod server_group;
 pub mod server_view;
--- a/crates/sassafrashoist-core/src/routing/routing_table.rs
+++ b/crates/sassafrashoist-core/src/routing/routing_table.rs
@@ -1,69 +1,315 @@
 //! The backend servers as one router sees them.
+//!
+//! Each server belongs to the groups of its pool and of each model it has loaded. A group keeps the
+//! set of its servers that may take one more request; [`RoutingTable`] updates it whenever a request
+//! begins or ends, a breaker changes its state or a server leaves. A breaker's end of ejection is a
+//! timer in `probe_times`, so that it half-opens although no event of its server comes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
 
+use super::circuit_breaker::{AttemptVerdict, BreakerState};
+use super::concurrency_limit::LoadSignal;
+use super::prefix_index::{BlockHash, PrefixIndex};
+use super::server_entry::{GroupIndex, ServerEntry, ServerIndex};
+use super::server_group::{GroupKey, ServerGroup};
 use super::server_view::{LoadReport, ServerView};
-use crate::ids::{BackendServerId, Timestamp};
+use crate::ids::{BackendServerId, DataCentreId, Timestamp};
+
+/// How an attempt on a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptEnd {
+    /// What it says of the server's health.
+    pub verdict: AttemptVerdict,
+    /// What it says of the server's load.
+    pub signal: Option<LoadSignal>,
+    /// How long the server worked on it; none when it did not begin.
+    pub service_time: Option<Duration>,
+}
+
+impl AttemptEnd {
+    /// The end of an attempt that was never sent.
+    pub const NOT_SENT: AttemptEnd =
+        AttemptEnd { verdict: AttemptVerdict::Neutral, signal: None, service_time: None };
+}
 
 /// All backend servers of the bundle.
 #[derive(Debug, Default)]
 pub struct RoutingTable {
-    servers: BTreeMap<BackendServerId, ServerView>,
-    /// Counts choices, for the policy that takes servers in turn.
-    pub turn: usize,
+    /// Which servers likely cache a prompt's prefix.
+    pub prefixes: PrefixIndex,
+    pub(super) entries: Vec<ServerEntry>,
+    pub(super) groups: Vec<ServerGroup>,
+    group_index: HashMap<GroupKey, GroupIndex>,
+    index_by_id: BTreeMap<BackendServerId, ServerIndex>,
+    probe_times: BTreeSet<(Timestamp, ServerIndex)>,
+    free_places: Vec<ServerIndex>,
+    data_centre_id: DataCentreId,
+    router_count: u32,
 }
 
 impl RoutingTable {
+    /// Creates a table for one of `router_count` routers of a data centre.
+    pub fn new(data_centre_id: DataCentreId, router_count: u32) -> Self {
+        Self { data_centre_id, router_count, ..Self::default() }
+    }
+
     /// Takes over a bundle's servers and keeps what is known of those that stay.
+    ///
+    /// A server that is gone stays known until its last request has ended.
     pub fn replace_servers(&mut self, servers: Vec<ServerView>) {
-        let mut previous = std::mem::take(&mut self.servers);
-        for mut server in servers {
-            if let Some(known) = previous.remove(&server.server_id) {
-                server.load = known.load;
-                server.in_flight_count = known.in_flight_count;
-                server.leaving_since = server.leaving_since.or(known.leaving_since);
-            }
-            self.servers.insert(server.server_id.clone(), server);
+        self.group_index.clear();
+        self.groups.clear();
+        for entry in &mut self.entries {
+            entry.leave_groups();
         }
+        for view in servers {
+            let index = self.take_over(view);
+            self.join_groups(index);
+            self.update_availability(index);
+        }
+        self.forget_unlisted();
     }
 
     /// Returns all servers.
     pub fn servers(&self) -> impl Iterator<Item = &ServerView> {
-        self.servers.values()
+        let entries = self.index_by_id.values().map(|index| &self.entries[*index as usize]);
+        entries.filter(|entry| entry.is_listed).map(|entry| &entry.view)
     }
 
     /// Returns one server.
     pub fn server(&self, server_id: &str) -> Option<&ServerView> {
-        self.servers.get(server_id)
+        self.entry(server_id).map(|entry| &entry.view)
+    }
+
+    /// Returns the state of a server's circuit breaker.
+    pub fn breaker_state(&self, server_id: &str) -> Option<BreakerState> {
+        self.entry(server_id).map(|entry| entry.breaker.state())
+    }
+
+    /// Returns how many requests this router may have in progress on a server.
+    pub fn limit_count(&self, server_id: &str) -> Option<u32> {
+        self.entry(server_id).map(|entry| entry.limit.count())
+    }
+
+    /// Returns a group of servers, if the bundle has any in it.
+    pub fn group(&self, key: &GroupKey) -> Option<&ServerGroup> {
+        self.group_index.get(key).map(|index| &self.groups[*index])
     }
 
     /// Records a server's report unless a newer one is known.
-    pub fn record_load(&mut self, server_id: &str, load: LoadReport) {
-        if let Some(server) = self.servers.get_mut(server_id)
-            && server.load.taken_at <= load.taken_at
-        {
-            server.load = load;
+    pub fn record_load(&mut self, server_id: &str, load: LoadReport, now: Timestamp) {
+        let Some(entry) = self.entry_mut(server_id) else {
+            return;
+        };
+        if entry.load.record_report(load, now) {
+            entry.view.load = load;
+        }
+    }
+
+    /// Records that a server did not answer a load poll.
+    pub fn record_lost_report(&mut self, server_id: &str, now: Timestamp) {
+        if let Some(index) = self.index_by_id.get(server_id).copied() {
+            self.judge(index, AttemptVerdict::Failed, now);
         }
     }
 
     /// Records that the platform lists a server as leaving.
     pub fn record_leaving(&mut self, server_id: &str, now: Timestamp) {
-        if let Some(server) = self.servers.get_mut(server_id) {
-            server.leaving_since.get_or_insert(now);
+        let Some(index) = self.index_by_id.get(server_id).copied() else {
+            return;
+        };
+        let entry = &mut self.entries[index as usize];
+        if entry.view.leaving_since.is_none() {
+            entry.view.leaving_since = Some(now);
+            self.count_out(index);
+            self.update_availability(index);
         }
     }
 
-    /// Counts a request as sent to a server.
-    pub fn begin_attempt(&mut self, server_id: &str) {
-        if let Some(server) = self.servers.get_mut(server_id) {
-            server.in_flight_count += 1;
+    /// Records that a server holds the blocks of a prompt's prefix.
+    pub fn record_stored(&mut self, server_id: &str, blocks: &[BlockHash], now: Timestamp) {
+        if let Some(index) = self.index_by_id.get(server_id).copied() {
+            self.prefixes.record_stored(index, blocks, now);
         }
     }
 
-    /// Counts a request as ended on a server.
-    pub fn end_attempt(&mut self, server_id: &str) {
-        if let Some(server) = self.servers.get_mut(server_id) {
-            server.in_flight_count = server.in_flight_count.saturating_sub(1);
+    /// Records that a server dropped the blocks of a prompt's prefix.
+    pub fn record_evicted(&mut self, server_id: &str, blocks: &[BlockHash]) {
+        if let Some(index) = self.index_by_id.get(server_id).copied() {
+            self.prefixes.record_evicted(index, blocks);
+        }
+    }
+
+    /// Records that cache events of a server were lost.
+    pub fn record_gap(&mut self, server_id: &str, now: Timestamp) {
+        if let Some(index) = self.index_by_id.get(server_id).copied() {
+            self.prefixes.record_gap(index, now);
+        }
+    }
+
+    /// Reads from the head time of a streamed answer whether the request waited at the server.
+    pub fn read_head_time(&mut self, server_id: &str, head_time: Duration) -> Option<LoadSignal> {
+        self.entry_mut(server_id).map(|entry| entry.read_head_time(head_time))
+    }
+
+    /// Half-opens the breakers whose time has come.
+    pub fn advance(&mut self, now: Timestamp) {
+        while let Some((due_at, index)) = self.probe_times.first().copied() {
+            if due_at > now {
+                return;
+            }
+            self.probe_times.pop_first();
+            self.entries[index as usize].breaker.advance(now);
+            self.update_availability(index);
+        }
+    }
+
+    /// Counts a request as begun on a server.
+    pub fn begin_attempt(&mut self, index: ServerIndex, now: Timestamp) {
+        let entry = &mut self.entries[index as usize];
+        entry.view.in_flight_count += 1;
+        entry.load.begin(now);
+        entry.breaker.begin_attempt();
+        for group in &entry.groups {
+            self.groups[*group].in_flight_count += 1;
+        }
+        self.update_availability(index);
+    }
+
+    /// Counts a request as ended on a server and learns from its end.
+    pub fn end_attempt(&mut self, server_id: &str, end: AttemptEnd, now: Timestamp) {
+        let Some(index) = self.index_by_id.get(server_id).copied() else {
+            return;
+        };
+        let entry = &mut self.entries[index as usize];
+        if let Some(signal) = end.signal {
+            entry.limit.adapt(signal, entry.view.in_flight_count, now);
+        }
+        entry.view.in_flight_count = entry.view.in_flight_count.saturating_sub(1);
+        entry.load.end(now);
+        for group in &entry.groups {
+            let group = &mut self.groups[*group];
+            group.in_flight_count = group.in_flight_count.saturating_sub(1);
+            if let Some(service_time) = end.service_time {
+                group.service_time.record(service_time);
+            }
+        }
+        self.judge(index, end.verdict, now);
+    }
+
+    pub(super) fn index_of(&self, server_id: &str) -> Option<ServerIndex> {
+        self.index_by_id.get(server_id).copied()
+    }
+
+    pub(super) fn group_index_of(&self, key: &GroupKey) -> Option<GroupIndex> {
+        self.group_index.get(key).copied()
+    }
+
+    fn entry(&self, server_id: &str) -> Option<&ServerEntry> {
+        self.index_of(server_id).map(|index| &self.entries[index as usize])
+    }
+
+    fn entry_mut(&mut self, server_id: &str) -> Option<&mut ServerEntry> {
+        self.index_of(server_id).map(|index| &mut self.entries[index as usize])
+    }
+
+    fn take_over(&mut self, view: ServerView) -> ServerIndex {
+        let is_local = view.data_centre_id == self.data_centre_id;
+        if let Some(index) = self.index_of(&view.server_id) {
+            self.entries[index as usize].update_view(view, is_local);
+            return index;
+        }
+        let server_id = view.server_id.clone();
+        let entry = ServerEntry::new(view, is_local, self.router_count);
+        let index = match self.free_places.pop() {
+            Some(index) => {
+                self.entries[index as usize] = entry;
+                index
+            }
+            None => {
+                self.entries.push(entry);
+                (self.entries.len() - 1) as ServerIndex
+            }
+        };
+        self.index_by_id.insert(server_id, index);
+        index
+    }
+
+    /// Frees the places of servers that are gone and idle.
+    fn forget_unlisted(&mut self) {
+        let entries = &self.entries;
+        let gone: Vec<(BackendServerId, ServerIndex)> = self
+            .index_by_id
+            .iter()
+            .filter(|(_, index)| entries[**index as usize].is_gone())
+            .map(|(server_id, index)| (server_id.clone(), *index))
+            .collect();
+        for (server_id, index) in gone {
+            self.index_by_id.remove(&server_id);
+            self.prefixes.forget_server(index);
+            self.probe_times.retain(|(_, probed)| *probed != index);
+            self.free_places.push(index);
+        }
+    }
+
+    fn join_groups(&mut self, index: ServerIndex) {
+        let entry = &mut self.entries[index as usize];
+        let model_ids = entry.view.model_ids.iter().cloned().map(Some);
+        for model_id in model_ids.chain([None]) {
+            let key = GroupKey {
+                pool_id: entry.view.pool_id.clone(),
+                model_id,
+                is_local: entry.is_local,
+            };
+            let group = *self.group_index.entry(key).or_insert_with(|| {
+                self.groups.push(ServerGroup::default());
+                self.groups.len() - 1
+            });
+            self.groups[group].member_count += usize::from(entry.view.leaving_since.is_none());
+            self.groups[group].in_flight_count += entry.view.in_flight_count;
+            entry.groups.push(group);
+        }
+    }
+
+    fn count_out(&mut self, index: ServerIndex) {
+        for group in &self.entries[index as usize].groups {
+            self.groups[*group].member_count -= 1;
+        }
+    }
+
+    fn judge(&mut self, index: ServerIndex, verdict: AttemptVerdict, now: Timestamp) {
+        let entry = &mut self.entries[index as usize];
+        let may_eject = entry.groups.iter().all(|group| self.groups[*group].may_eject());
+        let was_ejected = entry.breaker.is_ejected();
+        entry.breaker.end_attempt(verdict, may_eject, now);
+        if let BreakerState::Open { until } = entry.breaker.state() {
+            self.probe_times.insert((until, index));
+        }
+        if was_ejected && !entry.breaker.is_ejected() {
+            entry.limit.restart();
+        }
+        self.update_availability(index);
+    }
+
+    fn update_availability(&mut self, index: ServerIndex) {
+        let entry = &mut self.entries[index as usize];
+        let is_ejected = entry.breaker.is_ejected() && entry.view.leaving_since.is_none();
+        let is_available = entry.may_take_one();
+        for group in &entry.groups {
+            let group = &mut self.groups[*group];
+            match (entry.is_counted_ejected, is_ejected) {
+                (false, true) => group.ejected_count += 1,
+                (true, false) => group.ejected_count -= 1,
+                _ => {}
+            }
+            match (entry.is_available, is_available) {
+                (false, true) => group.available.insert(index),
+                (true, false) => group.available.remove(index),
+                _ => {}
+            }
         }
+        entry.is_counted_ejected = is_ejected;
+        entry.is_available = is_available;
     }
 }
--- /dev/null
+++ b/crates/sassafrashoist-core/tests/testsuite/admission_queue.rs
@@ -0,0 +1,142 @@
+//! Who waits for a backend server, who goes next and who is refused.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use sassafrashoist_core::ids::Timestamp;
+use sassafrashoist_core::routing::admission_queue::{
+    AdmissionQueue, MAX_WAITING, OfferOutcome, Waiting, spread_retry_delay,
+};
+
+const NOW: Timestamp = Duration::from_secs(1_000);
+const SERVICE_TIME: Duration = Duration::from_millis(10);
+
+fn waiting(ticket: u64, account_id: &str, priority: u8) -> Waiting {
+    Waiting {
+        ticket,
+        account_id: account_id.to_owned(),
+        priority,
+        cost_tokens: 100,
+        give_up_at: NOW + Duration::from_secs(1),
+    }
+}
+
+fn estimate(ahead: usize) -> Duration {
+    SERVICE_TIME * ahead as u32
+}
+
+fn no_delay(_: usize) -> Duration {
+    Duration::ZERO
+}
+
+fn drain(queue: &mut AdmissionQueue) -> Vec<Waiting> {
+    std::iter::from_fn(|| queue.take_next()).collect()
+}
+
+#[test]
+fn queue_sends_more_urgent_requests_first() {
+    let mut queue = AdmissionQueue::default();
+    for (ticket, priority) in [(1, 9), (2, 5), (3, 0), (4, 5)] {
+        queue.offer(waiting(ticket, "a", priority), NOW, no_delay);
+    }
+
+    let order: Vec<_> = drain(&mut queue).iter().map(|waiting| waiting.ticket).collect();
+
+    assert_eq!(order, [3, 2, 4, 1]);
+}
+
+#[test]
+fn queue_refuses_only_the_account_whose_own_queue_is_long() {
+    let mut queue = AdmissionQueue::default();
+    for ticket in 0..200 {
+        queue.offer(waiting(ticket, "large", 5), NOW, estimate);
+    }
+
+    let large = queue.offer(waiting(1_000, "large", 5), NOW, estimate);
+    let small = queue.offer(waiting(1_001, "small", 5), NOW, estimate);
+
+    assert!(matches!(large, OfferOutcome::Refused { .. }));
+    assert_eq!(small, OfferOutcome::Queued);
+}
+
+#[test]
+fn queue_shares_turns_evenly_between_a_large_and_a_small_account() {
+    let mut queue = AdmissionQueue::default();
+    for ticket in 0..90 {
+        queue.offer(waiting(ticket, "large", 5), NOW, no_delay);
+    }
+    for ticket in 100..130 {
+        queue.offer(waiting(ticket, "small", 5), NOW, no_delay);
+    }
+
+    let first: Vec<_> = drain(&mut queue).into_iter().take(40).collect();
+
+    let small = first.iter().filter(|waiting| waiting.account_id == "small").count();
+    assert!((15..=25).contains(&small), "{small} of 40");
+}
+
+#[test]
+fn full_queue_makes_room_for_a_more_urgent_request() {
+    let mut queue = AdmissionQueue::default();
+    for ticket in 0..MAX_WAITING as u64 {
+        queue.offer(waiting(ticket, "large", 9), NOW, no_delay);
+    }
+
+    let urgent = queue.offer(waiting(9_000, "large", 0), NOW, no_delay);
+    let same = queue.offer(waiting(9_001, "large", 9), NOW, no_delay);
+
+    assert!(matches!(urgent, OfferOutcome::QueuedInPlaceOf(_)));
+    assert!(matches!(same, OfferOutcome::Refused { .. }));
+    assert_eq!(queue.len(), MAX_WAITING);
+}
+
+#[test]
+fn retry_delays_are_spread() {
+    let delays: BTreeSet<_> =
+        (0..100).map(|draw| spread_retry_delay(Duration::ZERO, draw * 37)).collect();
+
+    assert!(delays.len() > 50);
+    assert!(delays.iter().all(|delay| (1..=3).contains(&delay.as_secs())));
+}
+
+proptest! {
+    /// Each request that was taken in comes out once or is removed once, and none other does.
+    #[test]
+    fn queue_loses_and_doubles_nothing(
+        steps in prop::collection::vec((0..4u8, 0..5usize, 0..10u8, 1..20_000u64), 1..300),
+    ) {
+        let mut queue = AdmissionQueue::default();
+        let mut inside = BTreeSet::new();
+        for (ticket, (kind, account, priority, cost_tokens)) in steps.into_iter().enumerate() {
+            let ticket = ticket as u64;
+            match kind {
+                0 | 1 => {
+                    let request = Waiting {
+                        cost_tokens,
+                        ..waiting(ticket, ["a", "b", "c", "d", "e"][account], priority)
+                    };
+                    if queue.offer(request, NOW, estimate) == OfferOutcome::Queued {
+                        inside.insert((ticket, priority));
+                    }
+                }
+                2 => {
+                    let next = queue.take_next();
+                    let most_urgent = inside.iter().map(|(_, priority)| *priority).min();
+                    prop_assert_eq!(next.as_ref().map(|next| next.priority), most_urgent);
+                    if let Some(next) = next {
+                        prop_assert!(inside.remove(&(next.ticket, next.priority)));
+                    }
+                }
+                _ => {
+                    if let Some((ticket, priority)) = inside.pop_first() {
+                        prop_assert!(queue.remove(ticket, priority));
+                        prop_assert!(!queue.remove(ticket, priority));
+                    }
+                }
+            }
+            prop_assert_eq!(queue.len(), inside.len());
+        }
+        prop_assert_eq!(drain(&mut queue).len(), inside.len());
+    }
+}
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -2,7 +2,9 @@
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod admission_queue;
 mod budget_owner;
 mod ledger;
 mod result_codes;
+mod routing_table;
 mod split;
--- a/crates/sassafrashoist/src/core/mod.rs
+++ b/crates/sassafrashoist/src/core/mod.rs
@@ -1,7 +1,9 @@
 //! What the router process is made of.
 
 pub mod active_bundle;
+pub mod backend_dispatcher;
 pub mod caller_request;
+pub mod chosen_server;
 pub mod clock;
 pub mod drain_gate;
 pub mod peer_clients;
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,6 +1,6 @@
 //! The tables that the workers share.
 //!
-//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `routing`, `decisions`. A worker that
+//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `admission`, `routing`, `decisions`. A worker that
 //! holds one lock takes only locks to its right, and no lock is held over an await.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
@@ -13,6 +13,7 @@
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
 use super::active_bundle::ActiveBundle;
+use super::backend_dispatcher::BackendDispatcher;
 use super::readiness::ReadinessStep;
 use super::settings::Settings;
 
@@ -26,7 +27,7 @@
     bundle_chain: Mutex<BundleChain>,
     ledger: Mutex<LedgerTable>,
     owner: Mutex<BudgetOwner>,
-    routing: Mutex<RoutingTable>,
+    dispatcher: Arc<BackendDispatcher>,
     decisions: Mutex<DecisionLog>,
 }
 
@@ -47,7 +48,11 @@
             bundle_chain: Mutex::new(BundleChain::new(settings.root_operators.clone())),
             ledger: Mutex::new(LedgerTable::default()),
             owner: Mutex::new(BudgetOwner::new(KeyTableLimits::default())),
-            routing: Mutex::new(RoutingTable::default()),
+            dispatcher: BackendDispatcher::new(
+                settings.data_centre_id.clone(),
+                count_routers(settings),
+                settings.routing_policy,
+            ),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
         }
     }
@@ -77,9 +82,14 @@
         lock(&self.owner)
     }
 
+    /// Returns what hands out places on backend servers; its tables are `admission` and `routing`.
+    pub fn dispatcher(&self) -> &Arc<BackendDispatcher> {
+        &self.dispatcher
+    }
+
     /// Locks the routing table.
     pub fn lock_routing(&self) -> MutexGuard<'_, RoutingTable> {
-        lock(&self.routing)
+        self.dispatcher.lock_routing()
     }
 
     /// Locks the decision log.
@@ -99,6 +109,12 @@
     }
 }
 
+/// Counts the routers of the own data centre, which share its backend servers.
+fn count_routers(settings: &Settings) -> u32 {
+    let own = &settings.data_centre_id;
+    1 + settings.peers.iter().filter(|peer| peer.data_centre_id == *own).count() as u32
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/sassafrashoist/src/ops/call_backend.rs
+++ b/crates/sassafrashoist/src/ops/call_backend.rs
@@ -27,6 +27,9 @@
     /// The backend server provably did not begin the request.
     #[error("backend server did not begin the request: {0}")]
     NotBegun(String),
+    /// The backend server has no room and did not begin the request.
+    #[error("backend server refused the request: {0}")]
+    Refused(String),
     /// The backend server may have begun the request.
     #[error("answer of the backend server was lost: {0}")]
     AnswerLost(String),
@@ -56,7 +59,7 @@
         Err(_) => return Err(BackendError::AnswerLost("timeout".to_owned())),
     };
     if says_not_begun(&response) {
-        return Err(BackendError::NotBegun(format!("status {}", response.status())));
+        return Err(BackendError::Refused(format!("status {}", response.status())));
     }
     Ok(response)
 }
--- a/crates/sassafrashoist/src/ops/choose_backend.rs
+++ b/crates/sassafrashoist/src/ops/choose_backend.rs
@@ -1,51 +1,118 @@
 //! Chooses the backend server of an attempt.
 
+use serde::Deserialize;
+
+use crate::core::backend_dispatcher::{PlaceRefusal, PlaceRequest};
 use crate::core::caller_request::CallerRequest;
+use crate::core::chosen_server::ChosenServer;
 use crate::core::refusal::Refusal;
 use crate::core::router_context::RouterContext;
 use sassafrashoist_bundle::route::RouteKind;
 use sassafrashoist_core::decision_log::DecisionKind;
-use sassafrashoist_core::ids::BackendServerId;
+use sassafrashoist_core::ids::{BackendServerId, ModelId};
 use sassafrashoist_core::result_code::ResultCode;
-use sassafrashoist_core::routing::choose::{RouteNeed, choose_server};
-use sassafrashoist_core::routing::server_view::ServerView;
+use sassafrashoist_core::routing::choose::RouteNeed;
+use sassafrashoist_core::routing::prefix_index::{BlockHash, hash_prompt_blocks};
+
+/// The part of a model request's body that names its prompt.
+#[derive(Debug, Deserialize)]
+struct PromptBody {
+    prompt: Option<String>,
+    #[serde(default)]
+    messages: Vec<PromptMessage>,
+}
+
+#[derive(Debug, Deserialize)]
+struct PromptMessage {
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
+/// Chooses the backend server of a request's first attempt, waiting for a place if that is worth
+/// while.
+///
+/// # Errors
+///
+/// Fails with the refusal to answer when none can be had in time.
+pub async fn choose_backend(
+    context: &RouterContext,
+    request: &CallerRequest,
+) -> Result<ChosenServer, Refusal> {
+    let place = PlaceRequest {
+        need: build_need(request, &[]),
+        account_id: request.account.id.clone(),
+        priority: request.priority,
+        cost_tokens: request.worst_case_tokens,
+        timeout: request.timeout,
+    };
+    let result = context.tables.dispatcher().get_place(place).await;
+    record_choice(context, request, result)
+}
 
-/// Chooses the backend server of an attempt.
+/// Chooses the backend server of a later attempt, which does not wait.
 ///
 /// # Errors
 ///
-/// Fails with the refusal to answer when none can be used.
-pub fn choose_backend(
+/// Fails with the refusal to answer when none can be used now.
+pub fn choose_next_backend(
     context: &RouterContext,
     request: &CallerRequest,
     excluded: &[BackendServerId],
-) -> Result<ServerView, Refusal> {
-    let model_id = match &request.route.kind {
-        RouteKind::Model { model_id, .. } => Some(model_id.clone()),
-        RouteKind::Service { .. } => None,
+) -> Result<ChosenServer, Refusal> {
+    let need = build_need(request, excluded);
+    let result = context.tables.dispatcher().get_place_now(&need);
+    record_choice(context, request, result)
+}
+
+fn build_need(request: &CallerRequest, excluded: &[BackendServerId]) -> RouteNeed {
+    let (model_id, blocks) = match &request.route.kind {
+        RouteKind::Model { model_id, .. } => {
+            (Some(ModelId::clone(model_id)), read_blocks(&request.body))
+        }
+        RouteKind::Service { .. } => (None, Vec::new()),
     };
-    let need = RouteNeed {
+    RouteNeed {
         pool_id: request.route.pool_id.clone(),
         model_id,
-        data_centre_id: context.settings.data_centre_id.clone(),
         excluded: excluded.to_vec(),
+        blocks,
+    }
+}
+
+/// Hashes the start of the prompt; a body without one has no blocks.
+fn read_blocks(body: &[u8]) -> Vec<BlockHash> {
+    let Ok(body) = serde_json::from_slice::<PromptBody>(body) else {
+        return Vec::new();
     };
-    let chosen = choose_server(
-        &mut context.tables.lock_routing(),
-        &need,
-        context.settings.routing_policy,
-        rand::random,
-    );
-    match chosen {
+    if let Some(prompt) = body.prompt {
+        return hash_prompt_blocks(prompt.as_bytes());
+    }
+    let contents = body.messages.iter().map(|message| match &message.content {
+        serde_json::Value::String(text) => text.clone(),
+        other => other.to_string(),
+    });
+    hash_prompt_blocks(contents.collect::<Vec<_>>().join("\n").as_bytes())
+}
+
+fn record_choice(
+    context: &RouterContext,
+    request: &CallerRequest,
+    result: Result<ChosenServer, PlaceRefusal>,
+) -> Result<ChosenServer, Refusal> {
+    match result {
         Ok(server) => {
-            let reason = format!("server {} at load {}", server.server_id, server.load_per_mille());
+            let choice = server.choice();
+            let reason = format!(
+                "server {} at load {} with {} of the prompt cached, in thousandths",
+                choice.server.server_id, choice.load_per_mille, choice.prefix_per_mille
+            );
             context.record_decision(&request.key, DecisionKind::Route, ResultCode::Done, reason);
             Ok(server)
         }
-        Err(code) => {
-            let reason = format!("no server of pool {} can be used", need.pool_id);
-            context.record_decision(&request.key, DecisionKind::Route, code, reason);
-            Err(Refusal::of(code).retry_after(Some(std::time::Duration::from_secs(1))))
+        Err(refusal) => {
+            let reason = format!("no server of pool {} can be used", request.route.pool_id);
+            context.record_decision(&request.key, DecisionKind::Route, refusal.code, reason);
+            Err(Refusal::of(refusal.code).retry_after(Some(refusal.retry_after)))
         }
     }
 }
--- a/crates/sassafrashoist/src/ops/handle_request.rs
+++ b/crates/sassafrashoist/src/ops/handle_request.rs
@@ -11,13 +11,15 @@
 use volo_http::body::Body;
 
 use crate::core::caller_request::CallerRequest;
+use crate::core::chosen_server::{ChosenServer, HeadResult};
 use crate::core::refusal::Refusal;
 use crate::core::router_context::RouterContext;
 use crate::ops::admit_request::{admit_request, redirect_request};
 use crate::ops::call_backend::{BackendError, call_backend};
-use crate::ops::choose_backend::choose_backend;
+use crate::ops::choose_backend::{choose_backend, choose_next_backend};
 use crate::ops::follow_known_key::follow_known_key;
-use crate::ops::pass_answer::pass_answer;
+use crate::ops::pass_answer::{EVENT_STREAM_TYPE, pass_answer};
+use crate::ops::refuse_place::refuse_place;
 use crate::ops::settle_request::settle_request;
 use crate::util::http_answer::build_refusal;
 use sassafrashoist_core::ids::AttemptNumber;
@@ -25,7 +27,6 @@
 use sassafrashoist_core::owner::settle::SettleOutcome;
 use sassafrashoist_core::requests::life_cycle::{Admitted, Request};
 use sassafrashoist_core::result_code::ResultCode;
-use sassafrashoist_core::routing::server_view::ServerView;
 
 /// The most attempts of one request.
 const MAX_ATTEMPTS: AttemptNumber = 4;
@@ -55,9 +56,9 @@
 }
 
 async fn serve_request(context: &RouterContext, request: &CallerRequest, sender: AnswerSender) {
-    let server = match choose_backend(context, request, &[]) {
+    let server = match choose_backend(context, request).await {
         Ok(server) => server,
-        Err(refusal) => return answer_refusal(request, sender, &refusal),
+        Err(refusal) => return refuse_place(context, request, &refusal, sender).await,
     };
     let decision = match admit_request(context, request, &server.server_id).await {
         Ok(decision) => decision,
@@ -84,23 +85,25 @@
     request: &CallerRequest,
     mut admitted: Request<Admitted>,
     mut attempt: AttemptNumber,
-    mut server: ServerView,
+    mut server: ChosenServer,
     sender: AnswerSender,
 ) {
     let mut excluded = Vec::new();
     loop {
         let dispatched = admitted.dispatch(server.server_id.clone());
-        context.tables.lock_routing().begin_attempt(&server.server_id);
-        let answer = call_backend(context, request, &server, attempt).await;
+        let answer = if server.try_begin(&context.invariants) {
+            call_backend(context, request, &server, attempt).await
+        } else {
+            Err(BackendError::Refused("it is leaving".to_owned()))
+        };
+        server.record_head(classify_head(&answer));
         let error = match answer {
             Ok(response) => {
                 pass_answer(context, request, &server, dispatched, response, sender).await;
-                context.tables.lock_routing().end_attempt(&server.server_id);
                 return;
             }
             Err(error) => error,
         };
-        context.tables.lock_routing().end_attempt(&server.server_id);
         log::warn!(key = request.key, server = server.server_id; "attempt {attempt}: {error}");
         let is_begun = matches!(error, BackendError::AnswerLost(_));
         if is_begun && !request.route.is_idempotent {
@@ -108,7 +111,7 @@
         }
         admitted = dispatched.return_unbegun();
         excluded.push(server.server_id.clone());
-        let next = choose_backend(context, request, &excluded);
+        let next = choose_next_backend(context, request, &excluded);
         let Ok(next) = next else {
             return end_not_run(context, request, attempt, admitted, sender).await;
         };
@@ -123,6 +126,22 @@
     }
 }
 
+/// Tells what an answer's head says of its backend server.
+fn classify_head(answer: &Result<Response<Body>, BackendError>) -> HeadResult {
+    match answer {
+        Ok(response) if response.status().is_server_error() => HeadResult::Failed,
+        Ok(response) if is_stream(response) => HeadResult::Stream,
+        Ok(_) => HeadResult::Whole,
+        Err(BackendError::Refused(_)) => HeadResult::Refused,
+        Err(BackendError::NotBegun(_) | BackendError::AnswerLost(_)) => HeadResult::Failed,
+    }
+}
+
+fn is_stream(response: &Response<Body>) -> bool {
+    let content_type = response.headers().get(http::header::CONTENT_TYPE);
+    content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM_TYPE.as_bytes()))
+}
+
 async fn end_unknown(
     context: &RouterContext,
     request: &CallerRequest,
--- a/crates/sassafrashoist/src/ops/mod.rs
+++ b/crates/sassafrashoist/src/ops/mod.rs
@@ -17,6 +17,7 @@
 pub mod query_request;
 pub mod read_request;
 pub mod read_stream;
+pub mod refuse_place;
 pub mod run_router;
 pub mod serve_admin;
 pub mod serve_callers;
--- a/crates/sassafrashoist/src/ops/poll_backends.rs
+++ b/crates/sassafrashoist/src/ops/poll_backends.rs
@@ -50,7 +50,7 @@
         .collect();
     let polls = servers.iter().map(|(server_id, address)| async move {
         if let Some(load) = read_report(context, address).await {
-            context.tables.lock_routing().record_load(server_id, load);
+            context.tables.lock_routing().record_load(server_id, load, read_clock());
         }
     });
     futures::future::join_all(polls).await;
