Read cache events, bound the polls, and measure overload

Routers asked every local server for its load in each round, so traffic grew with the data centre, and knew nothing of prefix caches but their own choices. A round now asks four servers for their load and one for its cache events, in turn. The engine stand-in publishes cache events late and with gaps. The VM list is read by a task of its own, so a platform that does not answer no longer delays the load reports.

Servers of the calls between VMs did not set TCP_NODELAY on the connections that they accept, which delays the second part of an answer; now they do.

New experiment overload.

--- a/crates/sassafrashoist-core/src/routing/mod.rs
+++ b/crates/sassafrashoist-core/src/routing/mod.rs
@@ -6,6 +6,7 @@
 //! an [`admission_queue::AdmissionQueue`] or is refused at once.
 
 pub mod admission_queue;
+pub mod cache_event;
 pub mod choose;
 pub mod circuit_breaker;
 pub mod concurrency_limit;
--- a/crates/sassafrashoist-core/src/routing/routing_table.rs
+++ b/crates/sassafrashoist-core/src/routing/routing_table.rs
@@ -8,9 +8,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
+use super::cache_event::{CacheChange, CacheEventPage};
 use super::circuit_breaker::{AttemptVerdict, BreakerState};
 use super::concurrency_limit::LoadSignal;
-use super::prefix_index::{BlockHash, PrefixIndex};
+use super::prefix_index::PrefixIndex;
 use super::server_entry::{GroupIndex, ServerEntry, ServerIndex};
 use super::server_group::{GroupKey, ServerGroup};
 use super::server_view::{LoadReport, ServerView};
@@ -127,25 +128,27 @@
         }
     }
 
-    /// Records that a server holds the blocks of a prompt's prefix.
-    pub fn record_stored(&mut self, server_id: &str, blocks: &[BlockHash], now: Timestamp) {
-        if let Some(index) = self.index_by_id.get(server_id).copied() {
-            self.prefixes.record_stored(index, blocks, now);
-        }
-    }
-
-    /// Records that a server dropped the blocks of a prompt's prefix.
-    pub fn record_evicted(&mut self, server_id: &str, blocks: &[BlockHash]) {
-        if let Some(index) = self.index_by_id.get(server_id).copied() {
-            self.prefixes.record_evicted(index, blocks);
-        }
+    /// Returns the number of a server's next cache event.
+    pub fn next_cache_sequence(&self, server_id: &str) -> u64 {
+        self.entry(server_id).map_or(0, |entry| entry.next_cache_sequence)
     }
 
-    /// Records that cache events of a server were lost.
-    pub fn record_gap(&mut self, server_id: &str, now: Timestamp) {
-        if let Some(index) = self.index_by_id.get(server_id).copied() {
+    /// Learns from a server's cache events.
+    pub fn record_cache_events(&mut self, server_id: &str, page: &CacheEventPage, now: Timestamp) {
+        let Some(index) = self.index_of(server_id) else {
+            return;
+        };
+        let entry = &mut self.entries[index as usize];
+        if page.has_gap(entry.next_cache_sequence) {
             self.prefixes.record_gap(index, now);
         }
+        entry.next_cache_sequence = page.next_sequence;
+        for event in &page.events {
+            match event.change {
+                CacheChange::Stored => self.prefixes.record_stored(index, &event.blocks, now),
+                CacheChange::Evicted => self.prefixes.record_evicted(index, &event.blocks),
+            }
+        }
     }
 
     /// Reads from the head time of a streamed answer whether the request waited at the server.
--- a/crates/sassafrashoist-core/src/routing/server_entry.rs
+++ b/crates/sassafrashoist-core/src/routing/server_entry.rs
@@ -44,6 +44,8 @@
     pub load: LoadEstimate,
     /// Time from sending a streamed request to the head of its answer.
     pub head_time: MovingAverage,
+    /// The number of the next cache event.
+    pub next_cache_sequence: u64,
     least_head_time: Option<Duration>,
 }
 
@@ -63,6 +65,7 @@
             breaker: CircuitBreaker::default(),
             load: LoadEstimate::default(),
             head_time: MovingAverage::default(),
+            next_cache_sequence: 0,
             least_head_time: None,
         }
     }
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod admission_queue;
 mod budget_owner;
 mod ledger;
+mod prefix_index;
 mod result_codes;
 mod routing_table;
 mod split;
--- /dev/null
+++ b/crates/sassafrashoist-testkit/src/engine/cache_events.rs
@@ -0,0 +1,49 @@
+//! The events by which an engine tells of its prefix cache, late and with gaps.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use sassafrashoist_core::routing::cache_event::{CacheChange, CacheEvent, CacheEventPage};
+use sassafrashoist_core::routing::prefix_index::hash_prompt_blocks;
+
+/// Events kept for readers.
+const KEPT_EVENTS: usize = 1_000;
+
+/// The events of one life of an engine.
+#[derive(Debug, Default)]
+pub struct CacheEvents {
+    events: VecDeque<(Instant, CacheEvent)>,
+    next_sequence: u64,
+}
+
+impl CacheEvents {
+    /// Adds an event; each `lost_every`th is lost, none if that is 0.
+    pub fn record(&mut self, change: CacheChange, prompt: &str, lost_every: u64) {
+        let blocks = hash_prompt_blocks(prompt.as_bytes());
+        let event = CacheEvent { sequence: self.next_sequence, change, blocks };
+        self.next_sequence += 1;
+        if lost_every > 0 && self.next_sequence.is_multiple_of(lost_every) {
+            return;
+        }
+        self.events.push_back((Instant::now(), event));
+        if self.events.len() > KEPT_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Reads events from a number on that are older than the lag, with at most `max_blocks` blocks.
+    pub fn read(&self, from: u64, max_blocks: usize, lag: Duration) -> CacheEventPage {
+        let from = if from > self.next_sequence { 0 } else { from };
+        let mut page = CacheEventPage { events: Vec::new(), next_sequence: from };
+        let mut block_count = 0;
+        for (at, event) in self.events.iter().filter(|(_, event)| event.sequence >= from) {
+            block_count += event.blocks.len();
+            if at.elapsed() < lag || block_count > max_blocks {
+                break;
+            }
+            page.next_sequence = event.sequence + 1;
+            page.events.push(event.clone());
+        }
+        page
+    }
+}
--- a/crates/sassafrashoist-testkit/src/engine/engine_settings.rs
+++ b/crates/sassafrashoist-testkit/src/engine/engine_settings.rs
@@ -19,6 +19,10 @@
     pub prefix_cache_tokens: usize,
     /// The age of the figures in a load report.
     pub report_lag: Duration,
+    /// The age of the newest cache event that readers see.
+    pub cache_event_lag: Duration,
+    /// One cache event of this many is lost; none if 0.
+    pub cache_event_lost_every: u64,
     /// A prompt with this text crashes the engine.
     pub crash_marker: Option<String>,
     /// How long a crashed engine is gone.
@@ -38,6 +42,8 @@
             prefill_time_per_token: Duration::from_micros(10),
             prefix_cache_tokens: 20_000,
             report_lag: Duration::from_millis(200),
+            cache_event_lag: Duration::from_millis(300),
+            cache_event_lost_every: 50,
             crash_marker: None,
             crash_down_time: Duration::from_millis(500),
             max_queue_length: 64,
--- a/crates/sassafrashoist-testkit/src/engine/engine_stand_in.rs
+++ b/crates/sassafrashoist-testkit/src/engine/engine_stand_in.rs
@@ -21,7 +21,7 @@
 use super::sequence::Sequence;
 use super::slot_queue::SlotOffer;
 use crate::http_util::{
-    bind_loopback, build_broken_answer, header_number, header_text, read_whole_body,
+    bind_loopback, build_broken_answer, header_number, header_text, query_number, read_whole_body,
 };
 use sassafrashoist::core::clock::read_clock;
 use sassafrashoist::util::http_answer::{build_answer, build_json, set_header};
@@ -32,6 +32,8 @@
 const PART_QUEUE_LENGTH: usize = 16;
 /// Tokens of an answer where the request names no bound.
 const DEFAULT_ANSWER_TOKENS: u64 = 64;
+/// Blocks of a page of cache events where the call names no bound.
+const DEFAULT_EVENT_BLOCKS: u64 = 100;
 /// The priority of requests that name none.
 const DEFAULT_PRIORITY: u64 = 5;
 
@@ -95,6 +97,7 @@
         let request_id = header_text(request.headers(), "x-request-id");
         match request.uri().path() {
             "/control/load" => self.report_load(),
+            "/control/cache-events" => self.report_cache_events(request.uri().query()),
             "/control/requests/cancel" => self.cancel(&request_id),
             "/control/requests/state" => self.read_state(&request_id),
             _ => self.generate(request).await,
@@ -111,6 +114,15 @@
         build_json(200, &state.lagging_report(current))
     }
 
+    fn report_cache_events(&self, query: Option<&str>) -> Response<Body> {
+        let query = query.unwrap_or_default();
+        let from = query_number(query, "from").unwrap_or(0);
+        let max_blocks = query_number(query, "max_blocks").unwrap_or(DEFAULT_EVENT_BLOCKS);
+        let state = self.lock();
+        let lag = state.settings.cache_event_lag;
+        build_json(200, &state.cache_events.read(from, max_blocks as usize, lag))
+    }
+
     fn cancel(&self, request_id: &str) -> Response<Body> {
         let Some(sequence) = self.lock().sequence(request_id) else {
             return build_answer(404, "text/plain", "no such request\n");
@@ -206,7 +218,7 @@
         state.begun_count += 1;
         state.prompt_tokens += prompt_tokens;
         state.cache_hit_tokens += covered_tokens;
-        state.cache.insert(&sequence.prompt);
+        state.cache_prompt(&sequence.prompt);
         let uncovered = (prompt_tokens - covered_tokens) as u32;
         (state.settings.prefill_time_per_token * uncovered, state.settings.step_time)
     }
--- a/crates/sassafrashoist-testkit/src/engine/engine_state.rs
+++ b/crates/sassafrashoist-testkit/src/engine/engine_state.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use super::cache_events::CacheEvents;
 use super::engine_settings::EngineSettings;
 use super::prefix_cache::PrefixCache;
 use super::sequence::Sequence;
 use super::slot_queue::SlotQueue;
+use sassafrashoist_core::routing::cache_event::CacheChange;
 use sassafrashoist_core::routing::server_view::LoadReport;
 
 /// Requests that an engine remembers after their end.
@@ -22,6 +24,8 @@
     pub slots: SlotQueue,
     /// The cached prompts.
     pub cache: PrefixCache,
+    /// The events of the cache.
+    pub cache_events: CacheEvents,
     /// Grows with each crash; work of an older life has no effect.
     pub life: u64,
     /// Until when the engine is gone.
@@ -45,6 +49,7 @@
         Self {
             slots: SlotQueue::new(settings.slot_count, settings.max_queue_length),
             cache: PrefixCache::new(settings.prefix_cache_tokens),
+            cache_events: CacheEvents::default(),
             settings,
             life: 0,
             down_until: None,
@@ -74,6 +79,19 @@
         self.sequence_order.clear();
         self.slots = SlotQueue::new(self.settings.slot_count, self.settings.max_queue_length);
         self.cache = PrefixCache::new(self.settings.prefix_cache_tokens);
+        self.cache_events = CacheEvents::default();
+    }
+
+    /// Caches a prompt and tells of it.
+    pub fn cache_prompt(&mut self, prompt: &str) {
+        let lost_every = self.settings.cache_event_lost_every;
+        let Some(dropped) = self.cache.insert(prompt) else {
+            return;
+        };
+        for prompt in dropped {
+            self.cache_events.record(CacheChange::Evicted, &prompt, lost_every);
+        }
+        self.cache_events.record(CacheChange::Stored, prompt, lost_every);
     }
 
     /// Remembers a request.
--- a/crates/sassafrashoist-testkit/src/engine/mod.rs
+++ b/crates/sassafrashoist-testkit/src/engine/mod.rs
@@ -5,6 +5,7 @@
 //! ([`answer_tokens`]), so a caller can check that an answer is whole and its own.
 
 pub mod answer_tokens;
+pub mod cache_events;
 pub mod engine_settings;
 pub mod engine_stand_in;
 pub mod engine_state;
--- a/crates/sassafrashoist-testkit/src/engine/prefix_cache.rs
+++ b/crates/sassafrashoist-testkit/src/engine/prefix_cache.rs
@@ -24,19 +24,22 @@
         count_prompt_tokens(&prompt[..longest.unwrap_or(0)])
     }
 
-    /// Adds a prompt.
-    pub fn insert(&mut self, prompt: &str) {
+    /// Adds a prompt and returns those dropped for it, or `None` when it is cached already.
+    pub fn insert(&mut self, prompt: &str) -> Option<Vec<String>> {
         if self.prompts.iter().any(|cached| cached == prompt) {
-            return;
+            return None;
         }
+        let mut dropped = Vec::new();
         self.prompts.push_back(prompt.to_owned());
         self.cached_tokens += count_prompt_tokens(prompt);
         while self.cached_tokens > self.max_tokens {
             let Some(oldest) = self.prompts.pop_front() else {
-                return;
+                break;
             };
             self.cached_tokens -= count_prompt_tokens(&oldest);
+            dropped.push(oldest);
         }
+        Some(dropped)
     }
 }
 
--- /dev/null
+++ b/crates/sassafrashoist-testkit/src/experiments/overload.rs
@@ -0,0 +1,221 @@
+//! `overload`: 2.5 times capacity with three priorities and one account that sends 60%, the fall
+//! back to half of it, and the policies side by side below capacity.
+
+use std::time::Duration;
+
+use eyre::Result;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::open_load::{DocumentMaker, LoadPlan, LoadResult, send_load};
+use super::options::ExperimentOptions;
+use super::report::ExperimentReport;
+use crate::client::caller::Caller;
+use crate::engine::engine_settings::EngineSettings;
+use crate::fleet::audit::Audit;
+use crate::fleet::fleet_plan::{AccountPlan, FleetPlan};
+use crate::fleet::running_fleet::RunningFleet;
+use sassafrashoist_core::routing::policy::RoutingPolicy;
+
+/// Routers of the data centre.
+const VM_COUNT: usize = 3;
+/// Engines of the data centre.
+const ENGINE_COUNT: usize = 4;
+/// Requests that an engine runs at once.
+const SLOT_COUNT: usize = 8;
+/// Documents that requests ask about.
+const DOCUMENT_COUNT: usize = 60;
+/// Tokens of an answer.
+const ANSWER_TOKENS: u64 = 20;
+/// The load, as a multiple of capacity.
+const OVERLOAD_FACTOR: f64 = 2.5;
+/// The load after the fall, as a part of capacity.
+const RECOVERY_FACTOR: f64 = 0.5;
+/// The load under which policies are compared, as a part of capacity.
+const COMPARISON_FACTOR: f64 = 0.6;
+/// The load under which the unloaded time to the first token is measured.
+const UNLOADED_FACTOR: f64 = 0.1;
+/// The least part of capacity that is served in overload.
+const MIN_GOODPUT_RATIO: f64 = 0.85;
+/// The most that the highest priority's first token may take in overload, of its unloaded time.
+const MAX_FIRST_TOKEN_RATIO: f64 = 1.5;
+/// The least part of the requests that is served after the fall.
+const MIN_RECOVERED_RATIO: f64 = 0.99;
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// Fails when the fleet cannot start or the policy is not known.
+pub async fn run(options: &ExperimentOptions) -> Result<ExperimentReport> {
+    let mut report = ExperimentReport::new("overload", options.seed);
+    let policy = match &options.policy {
+        Some(name) => serde_json::from_value(json!(name))?,
+        None => RoutingPolicy::Chosen,
+    };
+    report.policy = Some(policy.name().to_owned());
+    let fleet = RunningFleet::start(build_plan(policy)).await?;
+    let capacity = measure_capacity(&fleet, options.seed).await?;
+    report.set("capacity_per_s", capacity);
+    run_overload(&fleet, capacity, options.seed, &mut report).await?;
+    report.take_audit(&Audit::take(&fleet));
+    drop(fleet);
+    if options.policy.is_none() {
+        compare_policies(capacity, options.seed, &mut report).await?;
+    }
+    Ok(report)
+}
+
+fn build_plan(policy: RoutingPolicy) -> FleetPlan {
+    let engine = EngineSettings {
+        slot_count: SLOT_COUNT,
+        step_time: Duration::from_millis(4),
+        prefill_time_per_token: Duration::from_micros(100),
+        prefix_cache_tokens: 7_000,
+        ..EngineSettings::default()
+    };
+    let mut plan = FleetPlan::new(&["plateau"], VM_COUNT, engine.clone());
+    plan.data_centres[0].engines = vec![engine; ENGINE_COUNT];
+    plan.backend_delay = Duration::from_millis(1);
+    plan.routing_policy = policy;
+    plan.accounts = ["large", "small-1", "small-2", "small-3", "small-4"]
+        .map(|id| AccountPlan {
+            id: id.to_owned(),
+            paid_tokens: 100_000_000,
+            split_weights: Vec::new(),
+        })
+        .to_vec();
+    plan
+}
+
+fn plan_load(rate: f64, seconds: u64) -> LoadPlan {
+    LoadPlan {
+        rate,
+        duration: Duration::from_secs(seconds),
+        document_count: DOCUMENT_COUNT,
+        answer_tokens: ANSWER_TOKENS,
+        priorities: vec![(0, 150), (5, 350), (9, 500)],
+        accounts: vec![600, 100, 100, 100, 100],
+    }
+}
+
+/// Measures the requests a second of engines whose slots are always full and that each serve an
+/// own part of the documents, without any router.
+async fn measure_capacity(fleet: &RunningFleet, seed: u64) -> Result<f64> {
+    let duration = Duration::from_secs(3);
+    let mut tasks = JoinSet::new();
+    let started = Instant::now();
+    for worker in 0..ENGINE_COUNT * SLOT_COUNT {
+        let engine = worker % ENGINE_COUNT;
+        let caller = Caller::new(fleet.engines[engine].link.address, "none");
+        let mut maker = DocumentMaker::new(seed + worker as u64);
+        tasks.spawn(async move {
+            let mut answered: u64 = 0;
+            let mut document = engine;
+            while started.elapsed() < duration {
+                document = (document + ENGINE_COUNT) % DOCUMENT_COUNT;
+                let answer = caller.post(&maker.make_call(document, ANSWER_TOKENS, 5)).await;
+                answered += u64::from(answer.is_ok_and(|answer| answer.is_whole));
+            }
+            answered
+        });
+    }
+    let answered: u64 = tasks.join_all().await.iter().sum();
+    Ok(answered as f64 / started.elapsed().as_secs_f64())
+}
+
+async fn run_overload(
+    fleet: &RunningFleet,
+    capacity: f64,
+    seed: u64,
+    report: &mut ExperimentReport,
+) -> Result<()> {
+    let unloaded = send_load(fleet, &plan_load(capacity * UNLOADED_FACTOR, 3), seed).await?;
+    let overload = send_load(fleet, &plan_load(capacity * OVERLOAD_FACTOR, 6), seed + 1).await?;
+    let recovery = send_load(fleet, &plan_load(capacity * RECOVERY_FACTOR, 2), seed + 2).await?;
+    for result in [&unloaded, &overload, &recovery] {
+        report.requests += result.all.sent;
+        report.answered += result.all.answered;
+    }
+    let goodput_ratio = overload.goodput() / capacity;
+    let first_token_ratio = urgent_p95(&overload) / urgent_p95(&unloaded);
+    let recovered_ratio = recovery.all.answered_ratio();
+    report.set("goodput_ratio", goodput_ratio);
+    report.set("urgent_first_token_unloaded_p95_ms", urgent_p95(&unloaded));
+    report.set("urgent_first_token_overload_p95_ms", urgent_p95(&overload));
+    report.set("urgent_first_token_ratio", first_token_ratio);
+    report.set("urgent_answered_ratio", overload.by_priority[&0].answered_ratio());
+    report.set("refusal_time", overload.all.refusal_time.summary());
+    report.set("retry_after_s", json!(overload.retry_seconds));
+    report.set("fairness", summarise_fairness(&overload));
+    report.set("recovered_ratio", recovered_ratio);
+    let unexplained = overload.all.sent - overload.all.answered - overload.all.refused;
+    report.set("neither_answered_nor_not_run", unexplained);
+    report.require(
+        goodput_ratio >= MIN_GOODPUT_RATIO,
+        format!("goodput is at least {MIN_GOODPUT_RATIO} of capacity"),
+    );
+    report.require(
+        first_token_ratio <= MAX_FIRST_TOKEN_RATIO,
+        format!("urgent first token takes at most {MAX_FIRST_TOKEN_RATIO} of its unloaded time"),
+    );
+    report.require(
+        recovered_ratio >= MIN_RECOVERED_RATIO,
+        format!("at least {MIN_RECOVERED_RATIO} are served after the load fell"),
+    );
+    Ok(())
+}
+
+fn urgent_p95(result: &LoadResult) -> f64 {
+    result.by_priority.get(&0).map_or(f64::NAN, |count| count.first_token.at_ms(95.0))
+}
+
+/// Jain's index of the answers per account, and the part of each account's requests answered.
+fn summarise_fairness(result: &LoadResult) -> Value {
+    let answered: Vec<f64> =
+        result.by_account.values().map(|count| count.answered as f64).collect();
+    let sum: f64 = answered.iter().sum();
+    let squares: f64 = answered.iter().map(|count| count * count).sum();
+    let ratios: Vec<f64> = result.by_account.values().map(|c| c.answered_ratio()).collect();
+    json!({
+        "jain_index": sum * sum / (answered.len() as f64 * squares),
+        "answered_ratio_large": ratios[0],
+        "answered_ratio_least_small": ratios[1..].iter().copied().fold(f64::INFINITY, f64::min),
+    })
+}
+
+/// Runs every policy on a fresh fleet under the same requests.
+async fn compare_policies(capacity: f64, seed: u64, report: &mut ExperimentReport) -> Result<()> {
+    let mut figures = Vec::new();
+    for policy in RoutingPolicy::ALL {
+        let fleet = RunningFleet::start(build_plan(policy)).await?;
+        let load = plan_load(capacity * COMPARISON_FACTOR, 3);
+        let result = send_load(&fleet, &load, seed + 3).await?;
+        let first_token_ms = result.all.first_token.at_ms(95.0);
+        figures.push((policy, first_token_ms, prefix_hit_ratio(&fleet)));
+    }
+    let Some((_, chosen_ms, chosen_hits)) = figures.pop() else {
+        return Ok(());
+    };
+    report.set("chosen_first_token_p95_ms", chosen_ms);
+    report.set("chosen_prefix_hit_ratio", chosen_hits);
+    for (policy, first_token_ms, hits) in figures {
+        let name = policy.name();
+        report.set(&format!("first_token_p95_to_{name}"), chosen_ms / first_token_ms);
+        report.set(&format!("prefix_hits_to_{name}"), chosen_hits / hits);
+        report.require(chosen_ms <= first_token_ms, format!("first token is no later than {name}"));
+        report.require(chosen_hits >= hits, format!("prefix hits are no fewer than {name}"));
+    }
+    Ok(())
+}
+
+fn prefix_hit_ratio(fleet: &RunningFleet) -> f64 {
+    let (mut hits, mut tokens) = (0, 0);
+    for engine in &fleet.engines {
+        let state = engine.stand_in.lock();
+        hits += state.cache_hit_tokens;
+        tokens += state.prompt_tokens;
+    }
+    hits as f64 / tokens as f64
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/ops/follow_vm_list.rs
@@ -0,0 +1,28 @@
+//! Reads which VMs and backend servers the platform lists as leaving.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::core::clock::read_clock;
+use crate::core::router_context::RouterContext;
+use sassafrashoist_platform::wire::ListedState;
+
+/// Time between two reads of the list.
+const LIST_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Reads the list until the process stops.
+pub async fn follow_vm_list(context: Arc<RouterContext>) {
+    while !context.cancel.is_cancelled() {
+        match context.platform.list_vms().await {
+            Ok(vms) => {
+                let now = read_clock();
+                let mut routing = context.tables.lock_routing();
+                for vm in vms.iter().filter(|vm| vm.state == ListedState::Leaving) {
+                    routing.record_leaving(&vm.id, now);
+                }
+            }
+            Err(error) => log::debug!("VM list is out of reach: {error}"),
+        }
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
--- a/crates/sassafrashoist/src/ops/mod.rs
+++ b/crates/sassafrashoist/src/ops/mod.rs
@@ -9,6 +9,7 @@
 pub mod follow_bundles;
 pub mod follow_known_key;
 pub mod follow_ledger;
+pub mod follow_vm_list;
 pub mod handle_request;
 pub mod mint_key;
 pub mod pass_answer;
--- a/crates/sassafrashoist/src/ops/poll_backends.rs
+++ b/crates/sassafrashoist/src/ops/poll_backends.rs
@@ -1,4 +1,8 @@
-//! Reads backend servers' load reports and the platform's list of leaving VMs.
+//! Reads backend servers' load reports and cache events.
+//!
+//! Each round asks a bounded number of the data centre's servers, in turn, so that the traffic of a
+//! VM does not grow with the number of servers; between two reports of a server its load is
+//! estimated from this router's own requests.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,62 +12,109 @@
 
 use crate::core::clock::read_clock;
 use crate::core::router_context::RouterContext;
+use sassafrashoist_core::ids::BackendServerId;
+use sassafrashoist_core::routing::cache_event::CacheEventPage;
 use sassafrashoist_core::routing::server_view::LoadReport;
-use sassafrashoist_platform::http_client::{HttpCall, send_call};
-use sassafrashoist_platform::wire::ListedState;
+use sassafrashoist_platform::http_client::{HttpCall, HttpCallError, send_call};
 
 /// Time between two rounds of reports.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a report may take.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Servers that are asked for their load in one round.
+const REPORTS_PER_ROUND: usize = 4;
+/// Servers that are asked for their cache events in one round.
+const EVENT_PAGES_PER_ROUND: usize = 1;
+/// Blocks in one page of cache events.
+const MAX_EVENT_BLOCKS: usize = 100;
+
+/// A server that is asked in a round.
+#[derive(Debug, Clone)]
+struct PolledServer {
+    server_id: BackendServerId,
+    address: String,
+    has_models: bool,
+}
 
 /// Reads reports until the process stops.
 pub async fn poll_backends(context: Arc<RouterContext>) {
+    let mut round = 0;
     while !context.cancel.is_cancelled() {
-        poll_vm_list(&context).await;
-        poll_reports(&context).await;
+        poll_reports(&context, round).await;
+        poll_cache_events(&context, round).await;
+        context.tables.dispatcher().pump();
         tokio::time::sleep(POLL_INTERVAL).await;
+        round += 1;
     }
 }
 
-async fn poll_vm_list(context: &RouterContext) {
-    match context.platform.list_vms().await {
-        Ok(vms) => {
-            let now = read_clock();
-            let mut routing = context.tables.lock_routing();
-            for vm in vms.iter().filter(|vm| vm.state == ListedState::Leaving) {
-                routing.record_leaving(&vm.id, now);
-            }
+async fn poll_reports(context: &RouterContext, round: usize) {
+    let servers = list_local_servers(context);
+    let polls = take_turn(&servers, round, REPORTS_PER_ROUND).map(|server| async move {
+        let url = format!("http://{}/control/load", server.address);
+        let load: Result<Option<LoadReport>, HttpCallError> = read_json(context, url).await;
+        let mut routing = context.tables.lock_routing();
+        match load {
+            Ok(Some(load)) => routing.record_load(&server.server_id, load, read_clock()),
+            Ok(None) => log::debug!("server {} reports no load", server.server_id),
+            Err(_) => routing.record_lost_report(&server.server_id, read_clock()),
         }
-        Err(error) => log::debug!("VM list is out of reach: {error}"),
-    }
+    });
+    futures::future::join_all(polls).await;
 }
 
-async fn poll_reports(context: &RouterContext) {
-    let own = &context.settings.data_centre_id;
-    let servers: Vec<_> = context
-        .tables
-        .lock_routing()
-        .servers()
-        .filter(|server| server.data_centre_id == *own)
-        .map(|server| (server.server_id.clone(), server.address.clone()))
-        .collect();
-    let polls = servers.iter().map(|(server_id, address)| async move {
-        if let Some(load) = read_report(context, address).await {
-            context.tables.lock_routing().record_load(server_id, load, read_clock());
+async fn poll_cache_events(context: &RouterContext, round: usize) {
+    let mut servers = list_local_servers(context);
+    servers.retain(|server| server.has_models);
+    let polls = take_turn(&servers, round, EVENT_PAGES_PER_ROUND).map(|server| async move {
+        let from = context.tables.lock_routing().next_cache_sequence(&server.server_id);
+        let url = format!(
+            "http://{}/control/cache-events?from={from}&max_blocks={MAX_EVENT_BLOCKS}",
+            server.address
+        );
+        let page: Result<Option<CacheEventPage>, HttpCallError> = read_json(context, url).await;
+        if let Ok(Some(page)) = page {
+            let mut routing = context.tables.lock_routing();
+            routing.record_cache_events(&server.server_id, &page, read_clock());
         }
     });
     futures::future::join_all(polls).await;
 }
 
-async fn read_report(context: &RouterContext, address: &str) -> Option<LoadReport> {
+fn list_local_servers(context: &RouterContext) -> Vec<PolledServer> {
+    let own = &context.settings.data_centre_id;
+    let routing = context.tables.lock_routing();
+    let local = routing.servers().filter(|server| server.data_centre_id == *own);
+    let polled = local.map(|server| PolledServer {
+        server_id: server.server_id.clone(),
+        address: server.address.clone(),
+        has_models: !server.model_ids.is_empty(),
+    });
+    polled.collect()
+}
+
+/// Returns the servers whose turn it is; every server has its turn after enough rounds.
+fn take_turn(
+    servers: &[PolledServer],
+    round: usize,
+    count: usize,
+) -> impl Iterator<Item = PolledServer> {
+    let count = count.min(servers.len());
+    (0..count).map(move |step| servers[(round * count + step) % servers.len()].clone())
+}
+
+/// Reads a report; none when the server answers something else.
+async fn read_json<T: serde::de::DeserializeOwned>(
+    context: &RouterContext,
+    url: String,
+) -> Result<Option<T>, HttpCallError> {
     let call = HttpCall {
         method: Method::GET,
-        url: format!("http://{address}/control/load"),
+        url,
         headers: HeaderMap::new(),
         body: Bytes::new(),
         timeout: REPORT_TIMEOUT,
     };
-    let answer = send_call(&context.backends, call).await.ok()?;
-    serde_json::from_slice(&answer.body).ok()
+    let answer = send_call(&context.backends, call).await?;
+    Ok(serde_json::from_slice(&answer.body).ok())
 }
--- a/crates/sassafrashoist/src/ops/run_router.rs
+++ b/crates/sassafrashoist/src/ops/run_router.rs
@@ -10,6 +10,7 @@
 use crate::core::settings::Settings;
 use crate::ops::follow_bundles::follow_bundles;
 use crate::ops::follow_ledger::follow_ledger;
+use crate::ops::follow_vm_list::follow_vm_list;
 use crate::ops::poll_backends::poll_backends;
 use crate::ops::serve_admin::build_admin_handler;
 use crate::ops::serve_callers::build_caller_handler;
@@ -48,6 +49,7 @@
     serve_peers(Arc::clone(&context), peers);
     tokio::spawn(follow_bundles(Arc::clone(&context)));
     tokio::spawn(follow_ledger(Arc::clone(&context)));
+    tokio::spawn(follow_vm_list(Arc::clone(&context)));
     tokio::spawn(poll_backends(Arc::clone(&context)));
     log::info!(
         callers = caller_address.to_string(),
--- a/crates/sassafrashoist/src/ops/serve_peers.rs
+++ b/crates/sassafrashoist/src/ops/serve_peers.rs
@@ -5,8 +5,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 
 use crate::core::router_context::RouterContext;
@@ -24,7 +24,8 @@
         .add_service(OwnerServer::new(service.clone()))
         .add_service(FleetServer::new(service))
         .serve_with_incoming_shutdown(
-            TcpListenerStream::new(listener),
+            // Without it the kernel delays the second part of an answer by some 40 ms.
+            TcpIncoming::from(listener).with_nodelay(Some(true)),
             context.cancel.clone().cancelled_owned(),
         );
     tokio::spawn(async move {
