--- a/crates/sassafrashoist-core/src/routing/admission_queue.rs
+++ b/crates/sassafrashoist-core/src/routing/admission_queue.rs
@@ -1,13 +1,15 @@
 //! The requests that wait for a backend server, and who goes next.
 //!
 //! Admission goes by the estimated queueing delay: a request that would still wait when it has to
-//! give up is refused at once. Higher priorities go first. Within a priority, deficit round robin
+//! give up is refused at once. The estimate leaves to a priority the rate that more urgent requests,
+//! as they recently arrived, do not use. Higher priorities go first. Within a priority, deficit round robin
 //! shares by cost among accounts, and the estimate counts only those requests of other accounts
 //! that would go before, so the long queue of one account neither delays nor refuses the others.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::rate_meter::RateMeter;
 use crate::ids::{ClientAccountId, Timestamp, Tokens};
 
 /// Names a waiting request.
@@ -21,6 +23,8 @@
 const QUANTUM_TOKENS: Tokens = 1_024;
 /// What a request costs at most, so that a turn comes after a bounded number of rounds.
 const MAX_COST_TOKENS: Tokens = 16 * QUANTUM_TOKENS;
+/// The least part of the rate that is left to a priority in an estimate.
+const MIN_LEFT_PART: f64 = 0.02;
 /// The least that a refused caller is told to stay away.
 const MIN_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// The most that a refused caller is told to stay away, before the spread.
@@ -73,6 +77,7 @@
 #[derive(Debug, Default)]
 pub struct AdmissionQueue {
     levels: [PriorityLevel; PRIORITY_COUNT],
+    arrivals: [RateMeter; PRIORITY_COUNT],
     count: usize,
 }
 
@@ -94,15 +99,26 @@
         more_urgent + self.levels[level].count_ahead(account_id)
     }
 
-    /// Takes a request in, unless it would wait too long; `estimate` turns the number of requests
-    /// ahead into a delay.
-    pub fn offer(
-        &mut self,
-        waiting: Waiting,
-        now: Timestamp,
-        estimate: impl Fn(usize) -> Duration,
-    ) -> OfferOutcome {
-        let estimated_wait = estimate(self.count_ahead(&waiting.account_id, waiting.priority));
+    /// Counts a request as arrived, whether or not it waits.
+    pub fn record_arrival(&mut self, priority: u8, now: Timestamp) {
+        self.arrivals[level_index(priority)].record(now);
+    }
+
+    /// Returns how many requests a second arrived that go before those of a priority.
+    pub fn urgent_rate(&self, priority: u8, now: Timestamp) -> f64 {
+        let more_urgent = &self.arrivals[..level_index(priority)];
+        more_urgent.iter().map(|meter| meter.per_second(now)).sum()
+    }
+
+    /// Returns the priority of the request that goes next.
+    pub fn next_priority(&self) -> Option<u8> {
+        self.levels.iter().position(|level| level.count > 0).map(|level| level as u8)
+    }
+
+    /// Takes a request in, unless it would wait too long where `rate` requests a second are sent;
+    /// a rate of 0 is not known.
+    pub fn offer(&mut self, waiting: Waiting, now: Timestamp, rate: f64) -> OfferOutcome {
+        let estimated_wait = self.estimate_wait(&waiting, now, rate);
         if now + estimated_wait > waiting.give_up_at {
             return OfferOutcome::Refused { estimated_wait };
         }
@@ -140,6 +156,16 @@
         is_removed
     }
 
+    fn estimate_wait(&self, waiting: &Waiting, now: Timestamp, rate: f64) -> Duration {
+        if rate <= 0.0 {
+            return Duration::ZERO;
+        }
+        let ahead_count = self.count_ahead(&waiting.account_id, waiting.priority);
+        let left_rate = rate - self.urgent_rate(waiting.priority, now);
+        let seconds = ahead_count as f64 / left_rate.max(rate * MIN_LEFT_PART);
+        Duration::from_secs_f64(seconds)
+    }
+
     fn push(&mut self, waiting: Waiting) {
         self.levels[level_index(waiting.priority)].push(waiting);
         self.count += 1;
--- a/crates/sassafrashoist-core/src/routing/choose.rs
+++ b/crates/sassafrashoist-core/src/routing/choose.rs
@@ -20,6 +20,11 @@
 /// The load, in thousandths of a server's slots, that a whole cached prompt outweighs.
 const PREFIX_WEIGHT_PER_MILLE: u64 = 500;
 
+/// The part of a prompt that the server preferred for it is expected to cache, in thousandths.
+const PREFERRED_PER_MILLE: u64 = 500;
+/// The block that decides which server is preferred.
+const PREFERENCE_BLOCK: usize = 7;
+
 /// What an attempt needs of its backend server.
 #[derive(Debug, Clone)]
 pub struct RouteNeed {
@@ -31,6 +36,8 @@
     pub excluded: Vec<BackendServerId>,
     /// The blocks of the prompt; empty for a plain service.
     pub blocks: Vec<BlockHash>,
+    /// Local places that must stay free for more urgent requests.
+    pub reserved_count: u32,
 }
 
 impl RouteNeed {
@@ -73,6 +80,9 @@
             continue;
         };
         has_servers |= table.groups[group].member_count > excluded.len();
+        if is_local && table.groups[group].free_count <= need.reserved_count {
+            continue;
+        }
         let candidates = Candidates { table, group, excluded: &excluded, now };
         let picked = match policy {
             RoutingPolicy::Random => candidates.pick(draw()),
@@ -80,7 +90,7 @@
             RoutingPolicy::LeastOutstanding => candidates.least_outstanding(),
             RoutingPolicy::PowerOfTwoChoices => candidates.lighter([draw(), draw()], &[]),
             RoutingPolicy::Chosen => {
-                let matches = table.prefixes.find(&need.blocks, now);
+                let matches = candidates.likely_caches(&need.blocks);
                 candidates.lighter([draw(), draw()], &matches)
             }
         };
@@ -118,6 +128,20 @@
         Some(PrefixMatch { server, expected_per_mille: 0 })
     }
 
+    /// Returns the servers that likely cache a part of the prompt. Among them is the one that all
+    /// routers prefer for it, so that each does not warm a cache of its own.
+    fn likely_caches(&self, blocks: &[BlockHash]) -> Vec<PrefixMatch> {
+        let mut matches = self.table.prefixes.find(blocks, self.now);
+        let block = blocks.get(PREFERENCE_BLOCK).or(blocks.last());
+        let preferred = block.and_then(|block| self.table.groups[self.group].preferred(*block));
+        if let Some(server) = preferred
+            && !matches.iter().any(|known| known.server == server)
+        {
+            matches.push(PrefixMatch { server, expected_per_mille: PREFERRED_PER_MILLE });
+        }
+        matches
+    }
+
     /// Looks at every server, for comparison only.
     fn least_outstanding(&self) -> Option<PrefixMatch> {
         let members = self.table.groups[self.group].available.members();
--- a/crates/sassafrashoist-core/src/routing/mod.rs
+++ b/crates/sassafrashoist-core/src/routing/mod.rs
@@ -14,6 +14,7 @@
 pub mod moving_average;
 pub mod policy;
 pub mod prefix_index;
+pub mod rate_meter;
 pub mod routing_table;
 pub mod sample_set;
 pub mod server_entry;
--- a/crates/sassafrashoist-core/src/routing/routing_table.rs
+++ b/crates/sassafrashoist-core/src/routing/routing_table.rs
@@ -271,6 +271,7 @@
             });
             self.groups[group].member_count += usize::from(entry.view.leaving_since.is_none());
             self.groups[group].in_flight_count += entry.view.in_flight_count;
+            self.groups[group].members.push(index);
             entry.groups.push(group);
         }
     }
@@ -298,7 +299,8 @@
     fn update_availability(&mut self, index: ServerIndex) {
         let entry = &mut self.entries[index as usize];
         let is_ejected = entry.breaker.is_ejected() && entry.view.leaving_since.is_none();
-        let is_available = entry.may_take_one();
+        let free_count = entry.free_count();
+        let is_available = free_count > 0;
         for group in &entry.groups {
             let group = &mut self.groups[*group];
             match (entry.is_counted_ejected, is_ejected) {
@@ -306,6 +308,7 @@
                 (true, false) => group.ejected_count -= 1,
                 _ => {}
             }
+            group.free_count = group.free_count + free_count - entry.counted_free_count;
             match (entry.is_available, is_available) {
                 (false, true) => group.available.insert(index),
                 (true, false) => group.available.remove(index),
@@ -314,5 +317,6 @@
         }
         entry.is_counted_ejected = is_ejected;
         entry.is_available = is_available;
+        entry.counted_free_count = free_count;
     }
 }
--- a/crates/sassafrashoist-core/src/routing/server_entry.rs
+++ b/crates/sassafrashoist-core/src/routing/server_entry.rs
@@ -34,6 +34,8 @@
     pub is_listed: bool,
     /// Whether it is in the available sets of its groups.
     pub is_available: bool,
+    /// The free places that its groups count.
+    pub counted_free_count: u32,
     /// Whether the groups count it as ejected.
     pub is_counted_ejected: bool,
     /// The adaptive limit.
@@ -60,6 +62,7 @@
             groups: Vec::new(),
             is_listed: true,
             is_available: false,
+            counted_free_count: 0,
             is_counted_ejected: false,
             limit: ConcurrencyLimit::new(initial_count, max_count),
             breaker: CircuitBreaker::default(),
@@ -86,6 +89,7 @@
         self.groups.clear();
         self.is_listed = false;
         self.is_available = false;
+        self.counted_free_count = 0;
         self.is_counted_ejected = false;
     }
 
@@ -94,11 +98,13 @@
         !self.is_listed && self.view.in_flight_count == 0
     }
 
-    /// Returns whether one more request may go to the server.
-    pub fn may_take_one(&self) -> bool {
-        self.view.leaving_since.is_none()
-            && self.breaker.allows_attempt()
-            && self.view.in_flight_count < self.limit.count()
+    /// Returns how many more requests may go to the server.
+    pub fn free_count(&self) -> u32 {
+        if self.view.leaving_since.is_some() || !self.breaker.allows_attempt() {
+            return 0;
+        }
+        let free_count = self.limit.count().saturating_sub(self.view.in_flight_count);
+        if self.breaker.is_ejected() { free_count.min(1) } else { free_count }
     }
 
     /// Returns the estimated requests per slot, in thousandths.
--- a/crates/sassafrashoist-core/src/routing/server_group.rs
+++ b/crates/sassafrashoist-core/src/routing/server_group.rs
@@ -1,9 +1,9 @@
 //! The backend servers that can serve one kind of request.
 
-use std::time::Duration;
-
 use super::moving_average::MovingAverage;
+use super::prefix_index::BlockHash;
 use super::sample_set::SampleSet;
+use super::server_entry::ServerIndex;
 use crate::ids::{ModelId, PoolId};
 
 /// The largest part of a group that may be ejected, as a divisor.
@@ -25,6 +25,10 @@
 pub struct ServerGroup {
     /// Servers that may take one more request.
     pub available: SampleSet,
+    /// Places that are free on them.
+    pub free_count: u32,
+    /// All servers of the group, in the order of the bundle, which every router shares.
+    pub members: Vec<ServerIndex>,
     /// Servers that are not leaving.
     pub member_count: usize,
     /// Servers whose breaker is not closed.
@@ -43,9 +47,31 @@
         self.ejected_count < self.member_count / MAX_EJECTED_DIVISOR
     }
 
-    /// Estimates when a request with `ahead_count` others before it is sent.
-    pub fn estimate_wait(&self, ahead_count: usize) -> Duration {
-        let service_time = self.service_time.value().unwrap_or_default();
-        service_time * (ahead_count as u32 + 1) / self.in_flight_count.max(1)
+    /// Returns the server that every router prefers for prompts with this block, as long as none
+    /// is known to cache it.
+    pub fn preferred(&self, block: BlockHash) -> Option<ServerIndex> {
+        self.members.get(jump_hash(block, self.members.len())).copied()
+    }
+
+    /// Returns how many requests a second end while the servers are busy; 0 if that is not known.
+    pub fn service_rate(&self) -> f64 {
+        match self.service_time.value() {
+            Some(time) if !time.is_zero() => f64::from(self.in_flight_count) / time.as_secs_f64(),
+            _ => 0.0,
+        }
+    }
+}
+
+/// Maps a hash to one of `count` places; few hashes move when the count changes (Lamping and Veach's
+/// jump consistent hash).
+fn jump_hash(mut hash: u64, count: usize) -> usize {
+    let mut place = 0;
+    let mut next = 0;
+    while next < count {
+        place = next;
+        hash = hash.wrapping_mul(2_862_933_555_777_941_757).wrapping_add(1);
+        let scale = (1u64 << 31) as f64 / ((hash >> 33) + 1) as f64;
+        next = ((place + 1) as f64 * scale) as usize;
     }
+    place
 }
--- a/crates/sassafrashoist-core/tests/testsuite/routing_table.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/routing_table.rs
@@ -46,6 +46,7 @@
         model_id: Some(model_id.to_owned()),
         excluded: Vec::new(),
         blocks: Vec::new(),
+        reserved_count: 0,
     }
 }
 
@@ -76,6 +77,35 @@
     assert_eq!(result, Err(ResultCode::Overloaded));
 }
 
+#[test]
+fn choice_leaves_reserved_places_to_more_urgent_requests() {
+    let mut table = table(1, 0);
+    let reserving = RouteNeed { reserved_count: 1, ..need("m") };
+    for _ in 1..SLOT_COUNT {
+        choose_server(&mut table, &reserving, RoutingPolicy::Chosen, START, || 0).unwrap();
+    }
+
+    let less_urgent = choose_server(&mut table, &reserving, RoutingPolicy::Chosen, START, || 0);
+    let urgent = choose(&mut table, START, 0);
+
+    assert_eq!(less_urgent, Err(ResultCode::Overloaded));
+    assert!(urgent.is_ok());
+}
+
+#[test]
+fn routers_agree_on_the_server_of_a_prompt_that_none_has_seen() {
+    let mut need = need("m");
+    need.blocks = hash_prompt_blocks(&[b'p'; 1_024]);
+    let first_choice = |seed: u64| {
+        let mut random = StdRng::seed_from_u64(seed);
+        choose_server(&mut table(10, 0), &need, RoutingPolicy::Chosen, START, || random.random())
+    };
+
+    let chosen: Vec<_> = (0..20).map(|seed| first_choice(seed).unwrap().server.server_id).collect();
+
+    assert!(chosen.iter().all(|server_id| *server_id == chosen[0]));
+}
+
 #[test]
 fn choice_fails_without_server_when_no_server_has_the_model() {
     let mut table = table(2, 0);
--- a/crates/sassafrashoist/src/core/backend_dispatcher.rs
+++ b/crates/sassafrashoist/src/core/backend_dispatcher.rs
@@ -27,6 +27,11 @@
 /// The longest that a request waits for a backend server.
 const MAX_QUEUE_WAIT: Duration = Duration::from_secs(1);
 
+/// The rate of more urgent requests a second from which places are reserved for them.
+const MIN_URGENT_RATE: f64 = 1.0;
+/// The largest part of the places in use that is reserved, as a divisor.
+const MAX_RESERVED_DIVISOR: u32 = 8;
+
 /// What a request asks for.
 #[derive(Debug)]
 pub struct PlaceRequest {
@@ -153,9 +158,12 @@
         let now = read_clock();
         let key = request.need.group_key(true);
         let mut admission = self.lock_admission();
-        let is_queue_empty = admission.groups.get(&key).is_none_or(|group| group.queue.is_empty());
-        if is_queue_empty {
-            match self.choose(&request.need, now) {
+        let group = admission.groups.entry(key.clone()).or_default();
+        group.queue.record_arrival(request.priority, now);
+        if group.queue.next_priority().is_none_or(|waiting| waiting > request.priority) {
+            let reserved_count = self.count_reserved(&key, &group.queue, request.priority, now);
+            let need = RouteNeed { reserved_count, ..request.need.clone() };
+            match self.choose(&need, now) {
                 Err(ResultCode::Overloaded) => {}
                 result => {
                     return Entered::Placed(result.map_err(|code| refuse(code, Duration::ZERO)));
@@ -172,7 +180,7 @@
         request: PlaceRequest,
         now: Timestamp,
     ) -> Entered {
-        let (service_time, estimate) = self.read_estimate(&group_key);
+        let (service_time, rate) = self.read_service(&group_key);
         let spare = request.timeout.saturating_sub(service_time);
         if spare.is_zero() {
             return Entered::Placed(Err(refuse(ResultCode::DeadlineUnreachable, service_time)));
@@ -189,7 +197,7 @@
             cost_tokens: request.cost_tokens,
             give_up_at,
         };
-        match group.queue.offer(waiting, now, estimate) {
+        match group.queue.offer(waiting, now, rate) {
             OfferOutcome::Refused { estimated_wait } => {
                 return Entered::Placed(Err(refuse(ResultCode::Overloaded, estimated_wait)));
             }
@@ -214,11 +222,13 @@
         let now = read_clock();
         let mut matched = Vec::new();
         let mut admission = self.lock_admission();
-        for group in admission.groups.values_mut() {
+        for (key, group) in &mut admission.groups {
             while let Some(next) = group.queue.take_next() {
-                let Some(waiter) = group.waiters.remove(&next.ticket) else {
+                let Some(mut waiter) = group.waiters.remove(&next.ticket) else {
                     continue;
                 };
+                waiter.need.reserved_count =
+                    self.count_reserved(key, &group.queue, next.priority, now);
                 match self.choose(&waiter.need, now) {
                     Err(ResultCode::Overloaded) => {
                         group.queue.put_back(next.clone());
@@ -244,12 +254,35 @@
         Ok(ChosenServer::new(choice, Arc::clone(self)))
     }
 
-    fn read_estimate(&self, key: &GroupKey) -> (Duration, impl Fn(usize) -> Duration + use<>) {
+    /// Returns how long a request takes and how many a second end.
+    fn read_service(&self, key: &GroupKey) -> (Duration, f64) {
+        let routing = self.lock_routing();
+        let Some(group) = routing.group(key) else {
+            return (Duration::ZERO, 0.0);
+        };
+        (group.service_time.value().unwrap_or_default(), group.service_rate())
+    }
+
+    /// Counts the places that stay free for more urgent requests: as many as arrive until the next
+    /// place is freed, within a part of those in use.
+    fn count_reserved(
+        &self,
+        key: &GroupKey,
+        queue: &AdmissionQueue,
+        priority: u8,
+        now: Timestamp,
+    ) -> u32 {
+        let urgent_rate = queue.urgent_rate(priority, now);
         let routing = self.lock_routing();
-        let group = routing.group(key);
-        let service_time = group.and_then(|group| group.service_time.value()).unwrap_or_default();
-        let in_flight_count = group.map_or(1, |group| group.in_flight_count.max(1));
-        (service_time, move |ahead: usize| service_time * (ahead as u32 + 1) / in_flight_count)
+        let Some(group) = routing.group(key).filter(|group| group.in_flight_count > 0) else {
+            return 0;
+        };
+        let service_rate = group.service_rate();
+        if urgent_rate < MIN_URGENT_RATE || service_rate <= 0.0 {
+            return 0;
+        }
+        let wanted = (urgent_rate / service_rate).ceil() as u32;
+        wanted.min((group.in_flight_count / MAX_RESERVED_DIVISOR).max(1))
     }
 
     fn lock_admission(&self) -> MutexGuard<'_, AdmissionTable> {
--- a/crates/sassafrashoist/src/ops/choose_backend.rs
+++ b/crates/sassafrashoist/src/ops/choose_backend.rs
@@ -76,6 +76,7 @@
         model_id,
         excluded: excluded.to_vec(),
         blocks,
+        reserved_count: 0,
     }
 }
 
