Weigh crowded servers more and grow no limit on a full one

A limit no longer grows while all routers together fill the server, a report of waiting requests shrinks it, and load above 0.7 of a server's slots weighs more in a choice.

--- a/crates/sassafrashoist-core/src/routing/choose.rs
+++ b/crates/sassafrashoist-core/src/routing/choose.rs
@@ -20,6 +20,10 @@
 /// The load, in thousandths of a server's slots, that a whole cached prompt outweighs.
 const PREFIX_WEIGHT_PER_MILLE: u64 = 500;
 
+/// The load above which a request likely waits for a slot, in thousandths.
+const CROWDED_PER_MILLE: u64 = 700;
+/// How much more each thousandth above that weighs.
+const CROWDING_WEIGHT: u64 = 4;
 /// The part of a prompt that the server preferred for it is expected to cache, in thousandths.
 const PREFERRED_PER_MILLE: u64 = 500;
 /// The block that decides which server is preferred.
@@ -163,10 +167,12 @@
         cached.chain(drawn).min_by_key(|candidate| self.cost(candidate))
     }
 
-    /// The load of a candidate less what its cached prefix saves; both in thousandths.
+    /// The load of a candidate, which weighs more near its capacity, less what its cached prefix
+    /// saves; both in thousandths.
     fn cost(&self, candidate: &PrefixMatch) -> i64 {
         let load = self.table.entries[candidate.server as usize].load_per_mille(self.now);
+        let crowding = load.saturating_sub(CROWDED_PER_MILLE) * CROWDING_WEIGHT;
         let saved = candidate.expected_per_mille * PREFIX_WEIGHT_PER_MILLE / 1000;
-        load as i64 - saved as i64
+        (load + crowding) as i64 - saved as i64
     }
 }
--- a/crates/sassafrashoist-core/src/routing/routing_table.rs
+++ b/crates/sassafrashoist-core/src/routing/routing_table.rs
@@ -100,12 +100,18 @@
 
     /// Records a server's report unless a newer one is known.
     pub fn record_load(&mut self, server_id: &str, load: LoadReport, now: Timestamp) {
-        let Some(entry) = self.entry_mut(server_id) else {
+        let Some(index) = self.index_of(server_id) else {
             return;
         };
-        if entry.load.record_report(load, now) {
-            entry.view.load = load;
+        let entry = &mut self.entries[index as usize];
+        if !entry.load.record_report(load, now) {
+            return;
         }
+        entry.view.load = load;
+        if load.queued_count > 0 {
+            entry.limit.adapt(LoadSignal::Queueing, entry.view.in_flight_count, now);
+        }
+        self.update_availability(index);
     }
 
     /// Records that a server did not answer a load poll.
@@ -186,7 +192,7 @@
             return;
         };
         let entry = &mut self.entries[index as usize];
-        if let Some(signal) = end.signal {
+        if let Some(signal) = end.signal.filter(|signal| entry.believes(*signal, now)) {
             entry.limit.adapt(signal, entry.view.in_flight_count, now);
         }
         entry.view.in_flight_count = entry.view.in_flight_count.saturating_sub(1);
--- a/crates/sassafrashoist-core/src/routing/server_entry.rs
+++ b/crates/sassafrashoist-core/src/routing/server_entry.rs
@@ -16,6 +16,8 @@
 
 /// The part of a remote server's slots that one router may use, as a divisor.
 const REMOTE_SHARE_DIVISOR: u32 = 4;
+/// The load at which every slot is in use, in thousandths.
+const FULL_PER_MILLE: u64 = 1000;
 /// The least delay of an answer's head that counts as queueing.
 const MIN_QUEUEING_DELAY: Duration = Duration::from_millis(10);
 /// Grows the least head time by one part in this many per sample, to follow a slower path.
@@ -112,6 +114,12 @@
         self.load.total_per_mille(now) / u64::from(self.view.slot_count.max(1))
     }
 
+    /// Returns whether a signal may change the limit: a prompt answer shows no spare capacity while
+    /// all routers together fill the server.
+    pub fn believes(&self, signal: LoadSignal, now: Timestamp) -> bool {
+        signal != LoadSignal::Prompt || self.load_per_mille(now) < FULL_PER_MILLE
+    }
+
     /// Reads from the head time of a streamed answer whether the request waited at the server.
     pub fn read_head_time(&mut self, head_time: Duration) -> LoadSignal {
         self.head_time.record(head_time);
