Believe a load report by its age in service times

A report was half believed at an age of 2 s, although a request takes a tenth of that, so choices followed what other routers had done long ago. It is now half believed at the age of one service time, and the rest is replaced by the assumption that the other routers send as this one does.

A limit now grows only while a report shows a spare slot; not measured yet.

--- a/crates/sassafrashoist-core/src/routing/choose.rs
+++ b/crates/sassafrashoist-core/src/routing/choose.rs
@@ -8,6 +8,7 @@
 //! prefix. Random draws, and own requests that count at once while reports lag, keep routers with
 //! the same stale report from all sending to the same server.
 
+use super::load_estimate::EstimateBasis;
 use super::policy::RoutingPolicy;
 use super::prefix_index::{BlockHash, PrefixMatch};
 use super::routing_table::RoutingTable;
@@ -87,7 +88,8 @@
         if is_local && table.groups[group].free_count <= need.reserved_count {
             continue;
         }
-        let candidates = Candidates { table, group, excluded: &excluded, now };
+        let basis = table.estimate_basis(group, now);
+        let candidates = Candidates { table, group, excluded: &excluded, basis };
         let picked = match policy {
             RoutingPolicy::Random => candidates.pick(draw()),
             RoutingPolicy::RoundRobin => candidates.pick(table.groups[group].turn),
@@ -100,7 +102,7 @@
         };
         if let Some(picked) = picked {
             table.groups[group].turn = table.groups[group].turn.wrapping_add(1);
-            return Ok(reserve(table, need, picked, now));
+            return Ok(reserve(table, need, picked, &basis));
         }
     }
     Err(if has_servers { ResultCode::Overloaded } else { ResultCode::NoBackendServer })
@@ -110,11 +112,11 @@
     table: &mut RoutingTable,
     need: &RouteNeed,
     picked: PrefixMatch,
-    now: Timestamp,
+    basis: &EstimateBasis,
 ) -> Choice {
-    let load_per_mille = table.entries[picked.server as usize].load_per_mille(now);
-    table.begin_attempt(picked.server, now);
-    table.prefixes.record_stored(picked.server, &need.blocks, now);
+    let load_per_mille = table.entries[picked.server as usize].load_per_mille(basis);
+    table.begin_attempt(picked.server, basis.now);
+    table.prefixes.record_stored(picked.server, &need.blocks, basis.now);
     let server = table.entries[picked.server as usize].view.clone();
     Choice { server, load_per_mille, prefix_per_mille: picked.expected_per_mille }
 }
@@ -123,7 +125,7 @@
     table: &'a RoutingTable,
     group: usize,
     excluded: &'a [ServerIndex],
-    now: Timestamp,
+    basis: EstimateBasis,
 }
 
 impl Candidates<'_> {
@@ -135,7 +137,7 @@
     /// Returns the servers that likely cache a part of the prompt. Among them is the one that all
     /// routers prefer for it, so that each does not warm a cache of its own.
     fn likely_caches(&self, blocks: &[BlockHash]) -> Vec<PrefixMatch> {
-        let mut matches = self.table.prefixes.find(blocks, self.now);
+        let mut matches = self.table.prefixes.find(blocks, self.basis.now);
         let block = blocks.get(PREFERENCE_BLOCK).or(blocks.last());
         let preferred = block.and_then(|block| self.table.groups[self.group].preferred(*block));
         if let Some(server) = preferred
@@ -170,7 +172,7 @@
     /// The load of a candidate, which weighs more near its capacity, less what its cached prefix
     /// saves; both in thousandths.
     fn cost(&self, candidate: &PrefixMatch) -> i64 {
-        let load = self.table.entries[candidate.server as usize].load_per_mille(self.now);
+        let load = self.table.entries[candidate.server as usize].load_per_mille(&self.basis);
         let crowding = load.saturating_sub(CROWDED_PER_MILLE) * CROWDING_WEIGHT;
         let saved = candidate.expected_per_mille * PREFIX_WEIGHT_PER_MILLE / 1000;
         (load + crowding) as i64 - saved as i64
--- a/crates/sassafrashoist-core/src/routing/load_estimate.rs
+++ b/crates/sassafrashoist-core/src/routing/load_estimate.rs
@@ -2,7 +2,9 @@
 //!
 //! A report counts the requests of all routers at the time it was taken. Those of this router are
 //! taken out as they were then and put back as they are now. The share of other routers is believed
-//! less the older the report is, so that a report that stops coming neither attracts nor repels.
+//! half when the report is as old as a request takes, and less after. What is not believed is
+//! replaced by the assumption that the other routers of the data centre send as this one does, so a
+//! report that stops coming neither attracts nor repels.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -12,8 +14,19 @@
 
 /// Changes of the own count that are remembered.
 const MAX_CHANGES: usize = 64;
-/// The age at which a report is half believed.
-const HALF_BELIEF_AGE: Duration = Duration::from_secs(2);
+/// The age from which a report says nothing of spare capacity.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(5);
+
+/// What an estimate rests on besides the server itself.
+#[derive(Debug, Clone, Copy)]
+pub struct EstimateBasis {
+    /// The time.
+    pub now: Timestamp,
+    /// How long a request takes.
+    pub service_time: Duration,
+    /// The other routers that send to the server.
+    pub other_router_count: u32,
+}
 
 /// What one router knows of the requests on a server.
 #[derive(Debug, Clone, Default)]
@@ -52,12 +65,22 @@
         true
     }
 
-    /// Estimates all requests on the server, in thousandths of a request.
-    pub fn total_per_mille(&self, now: Timestamp) -> u64 {
-        let age = now.saturating_sub(self.taken_at).as_millis() as u64;
-        let half_age = HALF_BELIEF_AGE.as_millis() as u64;
+    /// Returns the requests of this router and those of others in the last report that is not too
+    /// old.
+    pub fn reported_count(&self, now: Timestamp) -> u32 {
+        let is_recent = now.saturating_sub(self.taken_at) < MAX_REPORT_AGE;
+        self.own_count + if is_recent { self.others_count } else { 0 }
+    }
+
+    /// Estimates all requests on the server now, in thousandths of a request.
+    pub fn expected_per_mille(&self, basis: &EstimateBasis) -> u64 {
+        let age = basis.now.saturating_sub(self.taken_at).as_micros() as u64;
+        let half_age = (basis.service_time.as_micros() as u64).max(1);
         let belief_per_mille = 1000 * half_age / (half_age + age);
-        u64::from(self.own_count) * 1000 + u64::from(self.others_count) * belief_per_mille
+        let own = u64::from(self.own_count);
+        let alike = own * u64::from(basis.other_router_count);
+        let others = u64::from(self.others_count) * belief_per_mille;
+        own * 1000 + others + alike * (1000 - belief_per_mille)
     }
 
     fn set_own(&mut self, own_count: u32, now: Timestamp) {
--- a/crates/sassafrashoist-core/src/routing/routing_table.rs
+++ b/crates/sassafrashoist-core/src/routing/routing_table.rs
@@ -11,12 +11,16 @@
 use super::cache_event::{CacheChange, CacheEventPage};
 use super::circuit_breaker::{AttemptVerdict, BreakerState};
 use super::concurrency_limit::LoadSignal;
+use super::load_estimate::EstimateBasis;
 use super::prefix_index::PrefixIndex;
 use super::server_entry::{GroupIndex, ServerEntry, ServerIndex};
 use super::server_group::{GroupKey, ServerGroup};
 use super::server_view::{LoadReport, ServerView};
 use crate::ids::{BackendServerId, DataCentreId, Timestamp};
 
+/// How long a request is taken to last before any was measured.
+const DEFAULT_SERVICE_TIME: Duration = Duration::from_secs(1);
+
 /// How an attempt on a server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptEnd {
@@ -207,6 +211,15 @@
         self.judge(index, end.verdict, now);
     }
 
+    /// Returns what estimates for a group's servers rest on.
+    pub(super) fn estimate_basis(&self, group: GroupIndex, now: Timestamp) -> EstimateBasis {
+        EstimateBasis {
+            now,
+            service_time: self.groups[group].service_time.value().unwrap_or(DEFAULT_SERVICE_TIME),
+            other_router_count: self.router_count.saturating_sub(1),
+        }
+    }
+
     pub(super) fn index_of(&self, server_id: &str) -> Option<ServerIndex> {
         self.index_by_id.get(server_id).copied()
     }
--- a/crates/sassafrashoist-core/src/routing/server_entry.rs
+++ b/crates/sassafrashoist-core/src/routing/server_entry.rs
@@ -4,7 +4,7 @@
 
 use super::circuit_breaker::CircuitBreaker;
 use super::concurrency_limit::{ConcurrencyLimit, LoadSignal};
-use super::load_estimate::LoadEstimate;
+use super::load_estimate::{EstimateBasis, LoadEstimate};
 use super::moving_average::MovingAverage;
 use super::server_view::ServerView;
 use crate::ids::Timestamp;
@@ -16,8 +16,6 @@
 
 /// The part of a remote server's slots that one router may use, as a divisor.
 const REMOTE_SHARE_DIVISOR: u32 = 4;
-/// The load at which every slot is in use, in thousandths.
-const FULL_PER_MILLE: u64 = 1000;
 /// The least delay of an answer's head that counts as queueing.
 const MIN_QUEUEING_DELAY: Duration = Duration::from_millis(10);
 /// Grows the least head time by one part in this many per sample, to follow a slower path.
@@ -110,14 +108,14 @@
     }
 
     /// Returns the estimated requests per slot, in thousandths.
-    pub fn load_per_mille(&self, now: Timestamp) -> u64 {
-        self.load.total_per_mille(now) / u64::from(self.view.slot_count.max(1))
+    pub fn load_per_mille(&self, basis: &EstimateBasis) -> u64 {
+        self.load.expected_per_mille(basis) / u64::from(self.view.slot_count.max(1))
     }
 
     /// Returns whether a signal may change the limit: a prompt answer shows no spare capacity while
     /// all routers together fill the server.
     pub fn believes(&self, signal: LoadSignal, now: Timestamp) -> bool {
-        signal != LoadSignal::Prompt || self.load_per_mille(now) < FULL_PER_MILLE
+        signal != LoadSignal::Prompt || self.load.reported_count(now) < self.view.slot_count
     }
 
     /// Reads from the head time of a streamed answer whether the request waited at the server.
--- a/crates/sassafrashoist-testkit/src/experiments/overload.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/overload.rs
@@ -32,6 +32,8 @@
 const CONTENDED_PRIORITY: u8 = 5;
 /// Accounts besides the large one.
 const SMALL_ACCOUNT_COUNT: usize = 4;
+/// Time between two looks at the engines.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
 /// The load, as a multiple of capacity.
 const OVERLOAD_FACTOR: f64 = 2.5;
 /// The load after the fall, as a part of capacity.
@@ -136,7 +138,11 @@
     report: &mut ExperimentReport,
 ) -> Result<()> {
     let unloaded = send_load(fleet, &plan_load(capacity * UNLOADED_FACTOR, 3), seed).await?;
-    let overload = send_load(fleet, &plan_load(capacity * OVERLOAD_FACTOR, 6), seed + 1).await?;
+    let overload_plan = plan_load(capacity * OVERLOAD_FACTOR, 6);
+    let (overload, queues) =
+        tokio::join!(send_load(fleet, &overload_plan, seed + 1), sample_queues(fleet, 6));
+    let overload = overload?;
+    report.set("engine_load", queues);
     let recovery = send_load(fleet, &plan_load(capacity * RECOVERY_FACTOR, 2), seed + 2).await?;
     for result in [&unloaded, &overload, &recovery] {
         report.requests += result.all.sent;
@@ -149,6 +155,8 @@
     report.set("urgent_first_token_unloaded_p95_ms", urgent_p95(&unloaded));
     report.set("urgent_first_token_overload_p95_ms", urgent_p95(&overload));
     report.set("urgent_first_token_ratio", first_token_ratio);
+    report.set("urgent_first_token_overload", overload.by_priority[&0].first_token.summary());
+    report.set("urgent_first_token_unloaded", unloaded.by_priority[&0].first_token.summary());
     report.set("urgent_answered_ratio", overload.by_priority[&0].answered_ratio());
     report.set("refusal_time", overload.all.refusal_time.summary());
     report.set("retry_after_s", json!(overload.retry_seconds));
@@ -171,6 +179,23 @@
     Ok(())
 }
 
+/// Samples how many requests wait in the engines and how many of their slots are in use.
+async fn sample_queues(fleet: &RunningFleet, seconds: u64) -> Value {
+    let (mut queued, mut running, mut samples) = (0, 0, 0);
+    let deadline = Instant::now() + Duration::from_secs(seconds);
+    while Instant::now() < deadline {
+        for engine in &fleet.engines {
+            let state = engine.stand_in.lock();
+            queued += state.slots.queued_count();
+            running += state.slots.running_count();
+            samples += 1;
+        }
+        tokio::time::sleep(SAMPLE_INTERVAL).await;
+    }
+    let mean = |sum: usize| sum as f64 / f64::from(samples);
+    json!({ "queued_mean": mean(queued), "running_mean": mean(running) })
+}
+
 fn urgent_p95(result: &LoadResult) -> f64 {
     result.by_priority.get(&0).map_or(f64::NAN, |count| count.first_token.at_ms(95.0))
 }
@@ -197,6 +222,7 @@
         let load = plan_load(capacity * COMPARISON_FACTOR, 3);
         let result = send_load(&fleet, &load, seed + 3).await?;
         let first_token_ms = result.all.first_token.at_ms(95.0);
+        report.set(&format!("first_token_{}", policy.name()), result.all.first_token.summary());
         figures.push((policy, first_token_ms, prefix_hit_ratio(&fleet)));
     }
     let Some((_, chosen_ms, chosen_hits)) = figures.pop() else {
