--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -4,8 +4,12 @@
 
 mod admission_queue;
 mod budget_owner;
+mod key_table;
 mod ledger;
+mod membership;
 mod prefix_index;
+mod request_life;
+mod request_rules;
 mod result_codes;
 mod routing_table;
 mod split;
--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -2,11 +2,16 @@
 //!
 //! Each experiment is a file with a `run` function; [`registry`] lists them by name.
 
+pub mod bundle_race;
+pub mod capacity;
+pub mod drain;
 pub mod load;
 pub mod open_load;
 pub mod options;
+pub mod outcome_load;
 pub mod overload;
 pub mod path;
 pub mod percentiles;
 pub mod registry;
 pub mod report;
+pub mod router_crash;
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -2,13 +2,25 @@
 
 use eyre::{Result, bail};
 
+use super::bundle_race;
+use super::capacity;
+use super::drain;
 use super::options::ExperimentOptions;
 use super::overload;
 use super::path;
 use super::report::ExperimentReport;
+use super::router_crash;
 
 /// The names of all experiments.
-pub const EXPERIMENT_NAMES: &[&str] = &["overload", "path"];
+#[rustfmt::skip]
+pub const EXPERIMENT_NAMES: &[&str] = &[
+    "bundle-race",
+    "capacity",
+    "drain",
+    "overload",
+    "path",
+    "router-crash",
+];
 
 /// Runs an experiment.
 ///
@@ -17,8 +29,12 @@
 /// Fails when no experiment has the name or its fleet cannot start.
 pub async fn run_experiment(name: &str, options: &ExperimentOptions) -> Result<ExperimentReport> {
     match name {
+        "bundle-race" => bundle_race::run(options).await,
+        "capacity" => capacity::run(options).await,
+        "drain" => drain::run(options).await,
         "overload" => overload::run(options).await,
         "path" => path::run(options).await,
+        "router-crash" => router_crash::run(options).await,
         _ => bail!("no experiment {name:?}; one of: {}", EXPERIMENT_NAMES.join(", ")),
     }
 }
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -1,20 +1,38 @@
 //! The tables that the workers share.
 //!
-//! Lock order: `bundle`, `bundle_chain`, `ledger`, `owner`, `admission`, `routing`, `decisions`. A worker that
-//! holds one lock takes only locks to its right, and no lock is held over an await.
+//! Lock order, first to last; a worker that holds one lock takes only locks further down, and no lock
+//! is held over an await:
+//!
+//! - `bundle_chain`
+//! - `bundle`
+//! - `ledger`
+//! - `owner`
+//! - `admission`
+//! - `routing`
+//! - `membership`
+//! - `relay`
+//! - `retry_budgets`
+//! - `decisions`
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
-use sassafrashoist_bundle::bundle_record::BundleChain;
+use tokio::sync::Notify;
+
+use sassafrashoist_bundle::bundle_chain::BundleChain;
 use sassafrashoist_core::budgets::ledger::Ledger;
 use sassafrashoist_core::decision_log::DecisionLog;
+use sassafrashoist_core::ids::Incarnation;
+use sassafrashoist_core::membership::member_table::MemberTable;
 use sassafrashoist_core::owner::budget_owner::BudgetOwner;
 use sassafrashoist_core::requests::key_table::KeyTableLimits;
+use sassafrashoist_core::requests::retry_budget::RetryBudgets;
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
 use super::active_bundle::ActiveBundle;
 use super::backend_dispatcher::BackendDispatcher;
+use super::clock::read_clock;
 use super::readiness::ReadinessStep;
+use super::relay_table::RelayTable;
 use super::settings::Settings;
 
 /// Decisions kept for state dumps and explanations.
@@ -28,7 +46,12 @@
     ledger: Mutex<LedgerTable>,
     owner: Mutex<BudgetOwner>,
     dispatcher: Arc<BackendDispatcher>,
+    membership: Mutex<MemberTable>,
+    relay: Mutex<RelayTable>,
+    retry_budgets: Mutex<RetryBudgets>,
     decisions: Mutex<DecisionLog>,
+    /// Wakes the calls that wait for a record to relay.
+    pub relay_arrived: Notify,
 }
 
 /// The ledger and whether it was read up to the log's end once.
@@ -42,7 +65,7 @@
 
 impl Tables {
     /// Creates empty tables.
-    pub fn new(settings: &Settings) -> Self {
+    pub fn new(settings: &Settings, incarnation: Incarnation) -> Self {
         Self {
             bundle: RwLock::new(None),
             bundle_chain: Mutex::new(BundleChain::new(settings.root_operators.clone())),
@@ -53,7 +76,11 @@
                 count_routers(settings),
                 settings.routing_policy,
             ),
+            membership: Mutex::new(build_members(settings, incarnation)),
+            relay: Mutex::default(),
+            retry_budgets: Mutex::new(RetryBudgets::default()),
             decisions: Mutex::new(DecisionLog::new(MAX_DECISIONS)),
+            relay_arrived: Notify::new(),
         }
     }
 
@@ -64,6 +91,7 @@
 
     /// Puts a bundle in force.
     pub fn set_bundle(&self, bundle: Arc<ActiveBundle>) {
+        self.lock_owner().set_retry_windows(bundle.retry_windows());
         *self.bundle.write().unwrap_or_else(PoisonError::into_inner) = Some(bundle);
     }
 
@@ -92,6 +120,21 @@
         self.dispatcher.lock_routing()
     }
 
+    /// Locks the table of members.
+    pub fn lock_membership(&self) -> MutexGuard<'_, MemberTable> {
+        lock(&self.membership)
+    }
+
+    /// Locks the table of relayed streams.
+    pub fn lock_relay(&self) -> MutexGuard<'_, RelayTable> {
+        lock(&self.relay)
+    }
+
+    /// Locks the retry budgets.
+    pub fn lock_retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.retry_budgets)
+    }
+
     /// Locks the decision log.
     pub fn lock_decisions(&self) -> MutexGuard<'_, DecisionLog> {
         lock(&self.decisions)
@@ -115,6 +158,19 @@
     1 + settings.peers.iter().filter(|peer| peer.data_centre_id == *own).count() as u32
 }
 
+fn build_members(settings: &Settings, incarnation: Incarnation) -> MemberTable {
+    let mut members = MemberTable::new(
+        settings.vm_id.clone(),
+        settings.data_centre_id.clone(),
+        incarnation,
+        settings.membership.clone(),
+    );
+    for peer in &settings.peers {
+        members.add_peer(peer.vm_id.clone(), peer.data_centre_id.clone(), read_clock());
+    }
+    members
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/sassafrashoist/src/ops/admit_request.rs
+++ b/crates/sassafrashoist/src/ops/admit_request.rs
@@ -8,7 +8,7 @@
 use sassafrashoist_core::ids::{AttemptNumber, BackendServerId, VmId};
 use sassafrashoist_core::owner::admit::{AdmitDecision, AdmitRequest};
 use sassafrashoist_core::owner::settle::RedirectRequest;
-use sassafrashoist_core::requests::key_entry::{AttemptRunner, KeyEntry};
+use sassafrashoist_core::requests::key_entry::{AttemptRunner, EarlierAttempts, KeyEntry};
 use sassafrashoist_core::result_code::ResultCode;
 
 /// Reserves a request's tokens at the owner.
@@ -52,11 +52,13 @@
     context: &RouterContext,
     request: &CallerRequest,
     from_attempt: AttemptNumber,
+    earlier: EarlierAttempts,
     server_id: &BackendServerId,
 ) -> Result<Option<AttemptNumber>, PeerError> {
     let redirect = RedirectRequest {
         key: request.key.clone(),
         from_attempt,
+        earlier,
         runner: own_runner(context, server_id),
     };
     let owner_vm_id = find_owner(context, request)?;
@@ -101,7 +103,7 @@
 fn own_runner(context: &RouterContext, server_id: &BackendServerId) -> AttemptRunner {
     AttemptRunner {
         vm_id: context.settings.vm_id.clone(),
-        incarnation: context.incarnation,
+        incarnation: context.incarnation(),
         server_id: server_id.clone(),
     }
 }
--- a/crates/sassafrashoist/src/ops/choose_backend.rs
+++ b/crates/sassafrashoist/src/ops/choose_backend.rs
@@ -43,7 +43,7 @@
         account_id: request.account.id.clone(),
         priority: request.priority,
         cost_tokens: request.worst_case_tokens,
-        timeout: request.timeout,
+        timeout: request.time_left(),
     };
     let result = context.tables.dispatcher().get_place(place).await;
     record_choice(context, request, result)
--- a/crates/sassafrashoist/src/ops/follow_vm_list.rs
+++ b/crates/sassafrashoist/src/ops/follow_vm_list.rs
@@ -5,6 +5,7 @@
 
 use crate::core::clock::read_clock;
 use crate::core::router_context::RouterContext;
+use crate::ops::join_vm_list::join_vm_list;
 use sassafrashoist_platform::wire::ListedState;
 
 /// Time between two reads of the list.
@@ -15,6 +16,7 @@
     while !context.cancel.is_cancelled() {
         match context.platform.list_vms().await {
             Ok(vms) => {
+                join_vm_list(&context, &vms);
                 let now = read_clock();
                 let mut routing = context.tables.lock_routing();
                 for vm in vms.iter().filter(|vm| vm.state == ListedState::Leaving) {
--- a/crates/sassafrashoist/src/ops/serve_peers.rs
+++ b/crates/sassafrashoist/src/ops/serve_peers.rs
@@ -20,14 +20,12 @@
 /// Serves other VMs until the process stops.
 pub fn serve_peers(context: Arc<RouterContext>, listener: TcpListener) {
     let service = PeerService { context: Arc::clone(&context) };
+    // Without this an answer's last frame waits for the caller's delayed acknowledgement.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let serving = Server::builder()
         .add_service(OwnerServer::new(service.clone()))
         .add_service(FleetServer::new(service))
-        .serve_with_incoming_shutdown(
-            // Without it the kernel delays the second part of an answer by some 40 ms.
-            TcpIncoming::from(listener).with_nodelay(Some(true)),
-            context.cancel.clone().cancelled_owned(),
-        );
+        .serve_with_incoming_shutdown(incoming, context.cancel.clone().cancelled_owned());
     tokio::spawn(async move {
         if let Err(error) = serving.await {
             log::error!("server for other VMs failed: {error}");
