--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -8,6 +8,7 @@
 use super::capacity;
 use super::drain;
 use super::options::ExperimentOptions;
+use super::overload;
 use super::path;
 use super::platform_outage;
 use super::report::ExperimentReport;
@@ -22,6 +23,7 @@
     "bundle-race",
     "capacity",
     "drain",
+    "overload",
     "path",
     "platform-outage",
     "retry-storm",
@@ -40,6 +42,7 @@
         "bundle-race" => bundle_race::run(options).await,
         "capacity" => capacity::run(options).await,
         "drain" => drain::run(options).await,
+        "overload" => overload::run(options).await,
         "path" => path::run(options).await,
         "platform-outage" => platform_outage::run(options).await,
         "retry-storm" => retry_storm::run(options).await,
--- a/crates/sassafrashoist/src/core/mod.rs
+++ b/crates/sassafrashoist/src/core/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod active_bundle;
 pub mod answer_sink;
+pub mod backend_dispatcher;
 pub mod caller_request;
+pub mod chosen_server;
 pub mod clock;
 pub mod contact_table;
 pub mod control_traffic;
--- a/crates/sassafrashoist/src/ops/watch_suspects.rs
+++ b/crates/sassafrashoist/src/ops/watch_suspects.rs
@@ -5,12 +5,13 @@
 
 use futures::future::join_all;
 
+use crate::core::chosen_server::ChosenServer;
 use crate::core::clock::read_clock;
 use crate::core::peer_clients::{PeerError, unwrap_answer};
 use crate::core::refusal::Refusal;
 use crate::core::router_context::RouterContext;
 use crate::ops::admit_request::{find_owner, lookup_request};
-use crate::ops::choose_backend::choose_backend;
+use crate::ops::choose_backend::{choose_backend, choose_next_backend};
 use crate::ops::run_attempts::RequestRun;
 use sassafrashoist_core::decision_log::DecisionKind;
 use sassafrashoist_core::ids::{BackendServerId, Timestamp, VmId};
@@ -18,7 +19,6 @@
 use sassafrashoist_core::requests::quarantine::{CrashSighting, RequestMark, Suspicion};
 use sassafrashoist_core::requests::sightings::{SightingsAnswer, SightingsCall};
 use sassafrashoist_core::result_code::{Outcome, ResultCode};
-use sassafrashoist_core::routing::server_view::ServerView;
 
 /// How long the other VMs may take to say what they know of a suspect.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -42,13 +42,13 @@
 /// # Errors
 ///
 /// Fails with the refusal to answer when no server can be used or the request is quarantined.
-pub async fn place_request(run: &RequestRun) -> Result<(ServerView, PlacementMark), Refusal> {
+pub async fn place_request(run: &RequestRun) -> Result<(ChosenServer, PlacementMark), Refusal> {
     let mark = run.request.mark();
     let mut tries = 0;
     loop {
         let suspicion = run.context.tables.lock_quarantine().suspicion(&mark, read_clock());
         match suspicion {
-            Suspicion::None => return place(run, &mark, &run.excluded, false),
+            Suspicion::None => return place_unsuspected(run, &mark).await,
             Suspicion::Suspect => {}
             Suspicion::Quarantined(_) => return Err(refuse_quarantined(run).await),
         }
@@ -115,7 +115,7 @@
 }
 
 /// Claims a server for a trial; `None` when another suspect is on it.
-async fn try_trial(run: &RequestRun, mark: &RequestMark) -> Option<(ServerView, PlacementMark)> {
+async fn try_trial(run: &RequestRun, mark: &RequestMark) -> Option<(ChosenServer, PlacementMark)> {
     let (unusable, crashed) = {
         let quarantine = run.context.tables.lock_quarantine();
         let taken = quarantine.trial_servers(mark);
@@ -125,7 +125,7 @@
     let crashed: Vec<_> = crashed.into_iter().map(|sighting| sighting.server_id).collect();
     let preferred = [run.excluded.as_slice(), &unusable, &crashed].concat();
     let (server, placement) =
-        place(run, mark, &preferred, true).or_else(|_| place(run, mark, &unusable, true)).ok()?;
+        place_trial(run, mark, &preferred).or_else(|_| place_trial(run, mark, &unusable)).ok()?;
     let answers = exchange(&run.context, mark, own_peers(&run.context)).await;
     let is_taken = answers.iter().any(|answer| answer.trial_server_ids.contains(&server.server_id));
     let suspicion = run.context.tables.lock_quarantine().suspicion(mark, read_clock());
@@ -133,27 +133,49 @@
     (!is_taken && !is_quarantined).then_some((server, placement))
 }
 
-fn place(
+/// Places a request that crashed nothing; its first attempt may wait for a place.
+async fn place_unsuspected(
     run: &RequestRun,
     mark: &RequestMark,
-    excluded: &[BackendServerId],
-    is_trial: bool,
-) -> Result<(ServerView, PlacementMark), Refusal> {
-    let context = &run.context;
-    let joined = context.tables.lock_quarantine().placed_at(mark).cloned();
-    let server = match joined {
-        Some(joined) => join_copies(run, excluded, &joined, is_trial)?,
-        None => choose_backend(context, &run.request, excluded)?,
+) -> Result<(ChosenServer, PlacementMark), Refusal> {
+    let is_joined = run.context.tables.lock_quarantine().placed_at(mark).is_some();
+    let server = if run.excluded.is_empty() && !is_joined {
+        choose_backend(&run.context, &run.request).await?
+    } else {
+        choose_joined(run, mark, &run.excluded, false)?
     };
-    let mut quarantine = context.tables.lock_quarantine();
-    if !is_trial {
-        quarantine.place(mark, &server.server_id, false);
-    } else if !quarantine.try_place_trial(mark, &server.server_id) {
+    run.context.tables.lock_quarantine().place(mark, &server.server_id, false);
+    Ok((server, mark_placement(run, mark)))
+}
+
+/// Places a suspect on a server that no other suspect is on.
+fn place_trial(
+    run: &RequestRun,
+    mark: &RequestMark,
+    excluded: &[BackendServerId],
+) -> Result<(ChosenServer, PlacementMark), Refusal> {
+    let server = choose_joined(run, mark, excluded, true)?;
+    if !run.context.tables.lock_quarantine().try_place_trial(mark, &server.server_id) {
         return Err(Refusal::of(ResultCode::NoBackendServer));
     }
-    drop(quarantine);
-    let placement = PlacementMark { context: Arc::clone(context), mark: mark.clone() };
-    Ok((server, placement))
+    Ok((server, mark_placement(run, mark)))
+}
+
+fn mark_placement(run: &RequestRun, mark: &RequestMark) -> PlacementMark {
+    PlacementMark { context: Arc::clone(&run.context), mark: mark.clone() }
+}
+
+fn choose_joined(
+    run: &RequestRun,
+    mark: &RequestMark,
+    excluded: &[BackendServerId],
+    is_trial: bool,
+) -> Result<ChosenServer, Refusal> {
+    let joined = run.context.tables.lock_quarantine().placed_at(mark).cloned();
+    match joined {
+        Some(joined) => join_copies(run, excluded, &joined, is_trial),
+        None => choose_next_backend(&run.context, &run.request, excluded),
+    }
 }
 
 /// Chooses the server that has copies of the request; a trial goes nowhere else.
@@ -162,15 +184,15 @@
     excluded: &[BackendServerId],
     joined: &BackendServerId,
     is_trial: bool,
-) -> Result<ServerView, Refusal> {
+) -> Result<ChosenServer, Refusal> {
     let all_but_joined: Vec<_> = {
         let routing = run.context.tables.lock_routing();
         let others = routing.servers().filter(|server| server.server_id != *joined);
         others.map(|server| server.server_id.clone()).chain(excluded.to_vec()).collect()
     };
-    let chosen = choose_backend(&run.context, &run.request, &all_but_joined);
+    let chosen = choose_next_backend(&run.context, &run.request, &all_but_joined);
     if chosen.is_err() && !is_trial {
-        return choose_backend(&run.context, &run.request, excluded);
+        return choose_next_backend(&run.context, &run.request, excluded);
     }
     chosen
 }
