--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -2,14 +2,17 @@
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod admission_queue;
 mod budget_owner;
 mod key_table;
 mod ledger;
 mod membership;
+mod prefix_index;
 mod quarantine;
 mod request_life;
 mod request_rules;
 mod result_codes;
+mod routing_table;
 mod shard_model;
 mod shard_pair;
 mod shard_world;
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -8,6 +8,7 @@
 use super::capacity;
 use super::drain;
 use super::options::ExperimentOptions;
+use super::overload;
 use super::path;
 use super::platform_outage;
 use super::poison;
@@ -23,6 +24,7 @@
     "bundle-race",
     "capacity",
     "drain",
+    "overload",
     "path",
     "platform-outage",
     "poison",
@@ -42,6 +44,7 @@
         "bundle-race" => bundle_race::run(options).await,
         "capacity" => capacity::run(options).await,
         "drain" => drain::run(options).await,
+        "overload" => overload::run(options).await,
         "path" => path::run(options).await,
         "platform-outage" => platform_outage::run(options).await,
         "poison" => poison::run(options).await,
--- a/crates/sassafrashoist/src/core/tables.rs
+++ b/crates/sassafrashoist/src/core/tables.rs
@@ -8,6 +8,7 @@
 //! - `ledger`
 //! - `owner`
 //! - `contacts`
+//! - `admission`
 //! - `routing`
 //! - `membership`
 //! - `relay`
@@ -31,6 +32,7 @@
 use sassafrashoist_core::routing::routing_table::RoutingTable;
 
 use super::active_bundle::ActiveBundle;
+use super::backend_dispatcher::BackendDispatcher;
 use super::clock::read_clock;
 use super::contact_table::ContactTable;
 use super::readiness::ReadinessStep;
@@ -49,7 +51,7 @@
     ledger: Mutex<LedgerTable>,
     owner: Mutex<ShardTable>,
     contacts: Mutex<ContactTable>,
-    routing: Mutex<RoutingTable>,
+    dispatcher: Arc<BackendDispatcher>,
     membership: Mutex<MemberTable>,
     relay: Mutex<RelayTable>,
     retry_budgets: Mutex<RetryBudgets>,
@@ -80,7 +82,11 @@
             ledger: Mutex::new(LedgerTable::default()),
             owner: Mutex::new(owner),
             contacts: Mutex::new(ContactTable::default()),
-            routing: Mutex::new(RoutingTable::default()),
+            dispatcher: BackendDispatcher::new(
+                settings.data_centre_id.clone(),
+                count_routers(settings),
+                settings.routing_policy,
+            ),
             membership: Mutex::new(build_members(settings, incarnation)),
             relay: Mutex::default(),
             retry_budgets: Mutex::new(RetryBudgets::default()),
@@ -121,9 +127,14 @@
         lock(&self.contacts)
     }
 
+    /// Returns what hands out places on backend servers; its tables are `admission` and `routing`.
+    pub fn dispatcher(&self) -> &Arc<BackendDispatcher> {
+        &self.dispatcher
+    }
+
     /// Locks the routing table.
     pub fn lock_routing(&self) -> MutexGuard<'_, RoutingTable> {
-        lock(&self.routing)
+        self.dispatcher.lock_routing()
     }
 
     /// Locks the table of members.
@@ -176,6 +187,12 @@
     }
 }
 
+/// Counts the routers of the own data centre, which share its backend servers.
+fn count_routers(settings: &Settings) -> u32 {
+    let own = &settings.data_centre_id;
+    1 + settings.peers.iter().filter(|peer| peer.data_centre_id == *own).count() as u32
+}
+
 fn build_members(settings: &Settings, incarnation: Incarnation) -> MemberTable {
     let mut members = MemberTable::new(
         settings.vm_id.clone(),
--- a/crates/sassafrashoist/src/ops/handle_request.rs
+++ b/crates/sassafrashoist/src/ops/handle_request.rs
@@ -19,6 +19,7 @@
 use crate::ops::admit_request::admit_request;
 use crate::ops::end_request::release_in_doubt;
 use crate::ops::follow_known_key::follow_known_key;
+use crate::ops::refuse_place::refuse_place;
 use crate::ops::run_attempts::{RequestRun, run_attempts};
 use crate::ops::watch_suspects::place_request;
 use crate::util::http_answer::build_refusal;
@@ -56,7 +57,7 @@
     let request = Arc::clone(&run.request);
     let (server, placement) = match place_request(&run).await {
         Ok(placed) => placed,
-        Err(refusal) => return run.sink.refuse(&refusal).await,
+        Err(refusal) => return refuse_place(&mut run, &refusal).await,
     };
     let running_mark = context.registry.mark_running(&request.key);
     let decision = match admit_request(&context, &request, &server.server_id).await {
--- a/crates/sassafrashoist/src/ops/run_attempts.rs
+++ b/crates/sassafrashoist/src/ops/run_attempts.rs
@@ -8,8 +8,9 @@
 use http::Response;
 use volo_http::body::Body;
 
-use crate::core::answer_sink::AnswerSink;
+use crate::core::answer_sink::{AnswerSink, EVENT_STREAM_TYPE};
 use crate::core::caller_request::CallerRequest;
+use crate::core::chosen_server::{ChosenServer, HeadResult};
 use crate::core::clock::read_clock;
 use crate::core::router_context::RouterContext;
 use crate::ops::admit_request::redirect_request;
@@ -63,7 +64,7 @@
 /// The next attempt of a request.
 struct NextAttempt {
     undispatched: Undispatched,
-    server: ServerView,
+    server: ChosenServer,
     placement: PlacementMark,
 }
 
@@ -79,7 +80,7 @@
 pub async fn run_attempts(
     run: &mut RequestRun,
     first: Undispatched,
-    first_server: ServerView,
+    first_server: ChosenServer,
     first_placement: PlacementMark,
 ) {
     let mut undispatched = first;
@@ -88,7 +89,7 @@
     loop {
         check_repeat(run, &undispatched);
         let dispatched = undispatched.dispatch(server.server_id.clone());
-        let (failure, failed) = match send_attempt(run, &server, dispatched).await {
+        let (failure, failed) = match send_attempt(run, &mut server, dispatched).await {
             AttemptEnd::Closed => return,
             AttemptEnd::Failed(failure, failed) => (failure, failed),
         };
@@ -128,26 +129,48 @@
 
 async fn send_attempt(
     run: &mut RequestRun,
-    server: &ServerView,
+    server: &mut ChosenServer,
     dispatched: Request<Dispatched>,
 ) -> AttemptEnd {
     let context = Arc::clone(&run.context);
     let request = Arc::clone(&run.request);
-    context.tables.lock_routing().begin_attempt(&server.server_id);
+    if !server.try_begin(&context.invariants) {
+        return AttemptEnd::Failed(AttemptFailure::Busy, dispatched.return_unbegun());
+    }
     run.sent_at = read_clock();
     let stops_with_caller = run.stops_with_caller();
     let answer = tokio::select! {
         answer = call_backend(&context, &request, server, dispatched.attempt()) => Some(answer),
         () = run.sink.wait_caller_gone(), if stops_with_caller => None,
     };
+    if let Some(answer) = &answer {
+        server.record_head(classify_head(answer));
+    }
     let end = match answer {
         Some(answer) => follow_answer(run, server, dispatched, answer).await,
         None => stop_attempt(run, server, dispatched).await,
     };
-    context.tables.lock_routing().end_attempt(&server.server_id);
+    if matches!(end, AttemptEnd::Failed(AttemptFailure::AnswerLost, _)) {
+        server.record_head(HeadResult::Failed);
+    }
     end
 }
 
+/// Tells what an answer's head says of its backend server.
+fn classify_head(answer: &Result<Response<Body>, BackendError>) -> HeadResult {
+    match answer {
+        Ok(response) if is_stream(response) => HeadResult::Stream,
+        Ok(_) => HeadResult::Whole,
+        Err(BackendError::Busy) => HeadResult::Refused,
+        Err(_) => HeadResult::Failed,
+    }
+}
+
+fn is_stream(response: &Response<Body>) -> bool {
+    let content_type = response.headers().get(http::header::CONTENT_TYPE);
+    content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM_TYPE.as_bytes()))
+}
+
 /// Follows an answer to its end, across one lost connection where the engine has the request still.
 async fn follow_answer(
     run: &mut RequestRun,
