--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Each experiment is a file with a `run` function; [`registry`] lists them by name.
 
+pub mod backend_leaving;
 pub mod bundle_race;
 pub mod capacity;
 pub mod drain;
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -2,6 +2,7 @@
 
 use eyre::{Result, bail};
 
+use super::backend_leaving;
 use super::bundle_race;
 use super::capacity;
 use super::drain;
@@ -14,6 +15,7 @@
 /// The names of all experiments.
 #[rustfmt::skip]
 pub const EXPERIMENT_NAMES: &[&str] = &[
+    "backend-leaving",
     "bundle-race",
     "capacity",
     "drain",
@@ -29,6 +31,7 @@
 /// Fails when no experiment has the name or its fleet cannot start.
 pub async fn run_experiment(name: &str, options: &ExperimentOptions) -> Result<ExperimentReport> {
     match name {
+        "backend-leaving" => backend_leaving::run(options).await,
         "bundle-race" => bundle_race::run(options).await,
         "capacity" => capacity::run(options).await,
         "drain" => drain::run(options).await,
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -10,5 +10,6 @@
 mod relay;
 mod relay_stream;
 mod router_process;
+mod routing;
 mod settings;
 mod waiting;
