--- a/crates/sassafrashoist-core/src/routing/routing_table.rs
+++ b/crates/sassafrashoist-core/src/routing/routing_table.rs
@@ -13,7 +13,7 @@
 use super::concurrency_limit::LoadSignal;
 use super::load_estimate::EstimateBasis;
 use super::prefix_index::PrefixIndex;
-use super::server_entry::{GroupIndex, ServerEntry, ServerIndex};
+use super::server_entry::{GroupIndex, ServerEntry, ServerIndex, ServerLimit};
 use super::server_group::{GroupKey, ServerGroup};
 use super::server_view::{LoadReport, ServerView};
 use crate::ids::{BackendServerId, DataCentreId, Timestamp};
@@ -82,9 +82,21 @@
         entries.filter(|entry| entry.is_listed).map(|entry| &entry.view)
     }
 
-    /// Returns one server.
+    /// Returns one server, if the bundle in force names it.
     pub fn server(&self, server_id: &str) -> Option<&ServerView> {
-        self.entry(server_id).map(|entry| &entry.view)
+        let entry = self.entry(server_id).filter(|entry| entry.is_listed);
+        entry.map(|entry| &entry.view)
+    }
+
+    /// Returns how much this router lets each server run.
+    pub fn limits(&self) -> BTreeMap<BackendServerId, ServerLimit> {
+        let listed = self.servers().filter_map(|view| self.entry(&view.server_id));
+        let limits = listed.map(|entry| {
+            let limit_count = entry.limit.count();
+            let breaker = entry.breaker.state();
+            (entry.view.server_id.clone(), ServerLimit { limit_count, breaker })
+        });
+        limits.collect()
     }
 
     /// Returns the state of a server's circuit breaker.
--- a/crates/sassafrashoist-core/src/routing/server_entry.rs
+++ b/crates/sassafrashoist-core/src/routing/server_entry.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use super::circuit_breaker::CircuitBreaker;
+use serde::{Deserialize, Serialize};
+
+use super::circuit_breaker::{BreakerState, CircuitBreaker};
 use super::concurrency_limit::{ConcurrencyLimit, LoadSignal};
 use super::load_estimate::{EstimateBasis, LoadEstimate};
 use super::moving_average::MovingAverage;
@@ -21,6 +23,15 @@
 /// Grows the least head time by one part in this many per sample, to follow a slower path.
 const LEAST_HEAD_GROWTH_DIVISOR: u32 = 256;
 
+/// How much one router lets a backend server run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerLimit {
+    /// The most requests in progress.
+    pub limit_count: u32,
+    /// The state of the circuit breaker.
+    pub breaker: BreakerState,
+}
+
 /// All that the routing table keeps of one backend server.
 #[derive(Debug)]
 pub struct ServerEntry {
--- a/crates/sassafrashoist-core/tests/testsuite/routing_table.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/routing_table.rs
@@ -242,6 +242,22 @@
     assert_eq!(table.server("here-1").unwrap().in_flight_count, 0);
 }
 
+#[test]
+fn server_that_a_bundle_drops_is_not_offered_and_keeps_its_requests_until_they_end() {
+    let mut table = table(1, 0);
+    choose(&mut table, START, 0).unwrap();
+    table.replace_servers(vec![server(1, "here", "m")]);
+    let while_dropped = table.server("here-0").cloned();
+    let chosen = choose(&mut table, START, 0).unwrap().server.server_id;
+    table.replace_servers(vec![server(0, "here", "m"), server(1, "here", "m")]);
+    let named_again = table.server("here-0").unwrap().in_flight_count;
+
+    table.end_attempt("here-0", AttemptEnd::NOT_SENT, START);
+
+    assert_eq!((while_dropped, chosen.as_str(), named_again), (None, "here-1", 1));
+    assert_eq!(table.server("here-0").unwrap().in_flight_count, 0);
+}
+
 #[derive(Debug, Clone)]
 enum Event {
     Choose(u64, bool),
--- a/crates/sassafrashoist/src/core/process_state.rs
+++ b/crates/sassafrashoist/src/core/process_state.rs
@@ -10,9 +10,10 @@
 use sassafrashoist_core::budgets::escrow_account::EscrowAccount;
 use sassafrashoist_core::decision_log::Decision;
 use sassafrashoist_core::ids::{
-    BudgetId, BundleVersion, DataCentreId, Incarnation, LogOffset, VmId,
+    BackendServerId, BudgetId, BundleVersion, DataCentreId, Incarnation, LogOffset, VmId,
 };
 use sassafrashoist_core::membership::member::MemberView;
+use sassafrashoist_core::routing::server_entry::ServerLimit;
 use sassafrashoist_core::routing::server_view::ServerView;
 
 /// The state of one process.
@@ -42,6 +43,10 @@
     pub key_entry_count: usize,
     /// The backend servers as this VM sees them.
     pub backend_servers: Vec<ServerView>,
+    /// How much this VM lets each backend server run, and whether it is ejected.
+    pub server_limits: BTreeMap<BackendServerId, ServerLimit>,
+    /// Requests that wait for a backend server.
+    pub waiting_count: usize,
     /// The other VMs as this VM sees them.
     pub members: Vec<MemberView>,
     /// The log streams that this VM follows and relays.
--- a/crates/sassafrashoist/src/ops/dump_state.rs
+++ b/crates/sassafrashoist/src/ops/dump_state.rs
@@ -26,6 +26,8 @@
         ledger_next_offset: context.tables.lock_ledger().ledger.next_offset,
         accounts,
         key_entry_count,
+        server_limits: context.tables.lock_routing().limits(),
+        waiting_count: context.tables.dispatcher().waiting_count(),
         backend_servers: context.tables.lock_routing().servers().cloned().collect(),
         members: context.tables.lock_membership().view(),
         streams: context.tables.lock_relay().view(read_clock()),
