--- a/crates/sassafrashoist-testkit/src/experiments/mod.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Each experiment is a file with a `run` function; [`registry`] lists them by name.
 
+pub mod backend_leaving;
 pub mod budget_exhaustion;
 pub mod budget_load;
 pub mod budget_partition;
--- a/crates/sassafrashoist-testkit/src/experiments/registry.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/registry.rs
@@ -2,6 +2,7 @@
 
 use eyre::{Result, bail};
 
+use super::backend_leaving;
 use super::budget_exhaustion;
 use super::budget_partition;
 use super::bundle_race;
@@ -19,6 +20,7 @@
 /// The names of all experiments.
 #[rustfmt::skip]
 pub const EXPERIMENT_NAMES: &[&str] = &[
+    "backend-leaving",
     "budget-exhaustion",
     "budget-partition",
     "bundle-race",
@@ -39,6 +41,7 @@
 /// Fails when no experiment has the name or its fleet cannot start.
 pub async fn run_experiment(name: &str, options: &ExperimentOptions) -> Result<ExperimentReport> {
     match name {
+        "backend-leaving" => backend_leaving::run(options).await,
         "budget-exhaustion" => budget_exhaustion::run(options).await,
         "budget-partition" => budget_partition::run(options).await,
         "bundle-race" => bundle_race::run(options).await,
--- a/crates/sassafrashoist/tests/testsuite/outcomes.rs
+++ b/crates/sassafrashoist/tests/testsuite/outcomes.rs
@@ -9,12 +9,16 @@
 use sassafrashoist_testkit::fleet::fleet_plan::FleetPlan;
 use sassafrashoist_testkit::fleet::running_fleet::RunningFleet;
 
+use super::waiting::wait_until;
+
 const PROMPT: &str = "lot 21, dimb, two flitches";
+const SLOT_COUNT: usize = 32;
 const STEP: Duration = Duration::from_millis(10);
-const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Starts a fleet whose engines have room for each test's requests on one router's share of slots.
 async fn start_fleet(vm_count: usize, engine_count: usize) -> RunningFleet {
-    let engine = EngineSettings { step_time: STEP, ..EngineSettings::default() };
+    let engine =
+        EngineSettings { step_time: STEP, slot_count: SLOT_COUNT, ..EngineSettings::default() };
     let mut plan = FleetPlan::new(&["plateau"], vm_count, engine.clone());
     plan.data_centres[0].engines = vec![engine; engine_count];
     RunningFleet::start(plan).await.unwrap()
@@ -59,12 +63,6 @@
     fleet.engines.iter().map(|engine| engine.stand_in.lock().made_tokens).sum()
 }
 
-async fn wait_until(is_met: impl Fn() -> bool) {
-    while !is_met() {
-        tokio::time::sleep(LOOK_INTERVAL).await;
-    }
-}
-
 fn sums(fleet: &RunningFleet) -> BudgetSums {
     sum_budgets(fleet).get("fippu-budget").copied().unwrap_or_default()
 }
@@ -86,7 +84,7 @@
     let caller = fleet.caller(killed).unwrap();
     let first_call = call.clone();
     let first = tokio::spawn(async move { caller.post(&first_call).await });
-    wait_until(|| made_tokens(&fleet) >= 10).await;
+    wait_until("tokens are made", || made_tokens(&fleet) >= 10).await;
 
     fleet.vms[killed].kill();
     let second = fleet.caller(survivor).unwrap().post(&call).await.unwrap();
@@ -119,7 +117,7 @@
     fleet.services[0].stand_in.set_faults(|faults| faults.slowness = Duration::from_millis(400));
     let caller = fleet.caller(killed).unwrap();
     let first = tokio::spawn(async move { caller.post(&bid("b-1")).await });
-    wait_until(|| fleet.services[0].stand_in.run_count("fippu/b-1") == 1).await;
+    wait_until("the bid has run", || fleet.services[0].stand_in.run_count("fippu/b-1") == 1).await;
 
     fleet.vms[killed].kill();
     let second = fleet.caller(survivor).unwrap().post(&bid("b-1")).await.unwrap();
@@ -167,7 +165,7 @@
     let fleet = start_fleet(1, 2).await;
     let caller = fleet.caller(0).unwrap();
     let asking = tokio::spawn(async move { caller.post(&appraisal(60, true, None)).await });
-    wait_until(|| made_tokens(&fleet) >= 10).await;
+    wait_until("tokens are made", || made_tokens(&fleet) >= 10).await;
 
     let runner = fleet.engines.iter().find(|engine| engine.stand_in.lock().made_tokens > 0);
     runner.unwrap().stand_in.crash();
@@ -185,10 +183,10 @@
     let fleet = start_fleet(1, 1).await;
     let caller = fleet.caller(0).unwrap();
     let asking = tokio::spawn(async move { caller.post(&appraisal(500, true, None)).await });
-    wait_until(|| made_tokens(&fleet) >= 5).await;
+    wait_until("tokens are made", || made_tokens(&fleet) >= 5).await;
 
     asking.abort();
-    wait_until(|| sums(&fleet).reserved_tokens == 0).await;
+    wait_until("nothing is reserved", || sums(&fleet).reserved_tokens == 0).await;
     let made_at_stop = made_tokens(&fleet);
     tokio::time::sleep(STEP * 5).await;
 
@@ -205,7 +203,7 @@
     service.set_faults(|faults| faults.slowness = Duration::from_millis(150));
     let caller = fleet.caller(0).unwrap();
     let asking = tokio::spawn(async move { caller.post(&bid("b-1")).await });
-    wait_until(|| service.run_count("fippu/b-1") == 1).await;
+    wait_until("the bid has run", || service.run_count("fippu/b-1") == 1).await;
 
     asking.abort();
     let answer = fleet.caller(0).unwrap().post(&bid("b-1")).await.unwrap();
@@ -241,11 +239,11 @@
             tokio::spawn(async move { caller.post(&appraisal(50, true, None)).await })
         })
         .collect();
-    wait_until(|| begun_count(&fleet) == 12).await;
+    wait_until("all requests have begun", || begun_count(&fleet) == 12).await;
     let context = fleet.vms[0].context().unwrap();
 
     let late = async {
-        wait_until(|| context.drain_gate.is_draining()).await;
+        wait_until("the drain has started", || context.drain_gate.is_draining()).await;
         let ready = caller.at(admin_address).get("/ready").await.unwrap();
         (ready, caller.post(&appraisal(1, true, None)).await.unwrap())
     };
@@ -280,7 +278,7 @@
             tokio::spawn(async move { caller.post(&call).await })
         })
         .collect();
-    wait_until(|| begun_count(&fleet) == 8).await;
+    wait_until("all requests have begun", || begun_count(&fleet) == 8).await;
 
     let first = fleet.caller(0).unwrap().post(&poison_call).await.unwrap();
     let second = fleet.caller(1).unwrap().post(&poison_call).await.unwrap();
