Dump the state without taking the routing lock twice

The state dump took the lock of the routing table twice, and that of the admission queues between, within one expression, whose guards live to its end. A call of the dump so stopped the router for good; the router's test suite did not end. Each table is now read by itself before the dump is built.

--- a/crates/sassafrashoist/src/ops/dump_state.rs
+++ b/crates/sassafrashoist/src/ops/dump_state.rs
@@ -14,6 +14,11 @@
         let owner = context.tables.lock_owner();
         (owner.accounts().clone(), owner.keys().len())
     };
+    let waiting_count = context.tables.dispatcher().waiting_count();
+    let (server_limits, backend_servers) = {
+        let routing = context.tables.lock_routing();
+        (routing.limits(), routing.servers().cloned().collect())
+    };
     ProcessState {
         vm_id: context.settings.vm_id.clone(),
         data_centre_id: context.settings.data_centre_id.clone(),
@@ -26,9 +31,9 @@
         ledger_next_offset: context.tables.lock_ledger().ledger.next_offset,
         accounts,
         key_entry_count,
-        server_limits: context.tables.lock_routing().limits(),
-        waiting_count: context.tables.dispatcher().waiting_count(),
-        backend_servers: context.tables.lock_routing().servers().cloned().collect(),
+        server_limits,
+        waiting_count,
+        backend_servers,
         members: context.tables.lock_membership().view(),
         streams: context.tables.lock_relay().view(read_clock()),
         control_traffic: context.traffic.read_all(),
