Ask the VMs of a data centre for reports every 0.7 s, not in each loop

Each loop of keep_shards, every 250 ms or sooner when there is shard work, asked every VM of the data centre for its shards. Ruled out: heartbeats (2.7 KB/s of payload, level over VMs) and the relay (0.07 KB/s).

The traffic still grows with the VMs of a data centre, though not with the fleet.

--- a/crates/sassafrashoist/src/ops/keep_shards.rs
+++ b/crates/sassafrashoist/src/ops/keep_shards.rs
@@ -24,13 +24,14 @@
 
 /// Time between two looks at the shards.
 const KEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two rounds of reports, several within the time that makes a VM out of reach.
+const REPORT_INTERVAL: Duration = Duration::from_millis(700);
 /// How long a VM may take to report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after the start before this VM proposes views, so that the others can be seen.
 const START_GRACE: Duration = Duration::from_millis(1_000);
 /// Time between two deliveries of a transfer that is not acknowledged.
 const TRANSFER_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Time between two reports of the accounts in use to the log.
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -45,9 +46,13 @@
 pub async fn keep_shards(context: Arc<RouterContext>) {
     let started_at = Instant::now();
     let mut checkpointed_at = started_at;
+    let mut reported_at: Option<Instant> = None;
     tokio::spawn(context.cancel.clone().run_until_cancelled_owned(repeat_all(context.clone())));
     while !context.cancel.is_cancelled() {
-        collect_reports(&context).await;
+        if reported_at.is_none_or(|at| at.elapsed() >= REPORT_INTERVAL) {
+            collect_reports(&context).await;
+            reported_at = Some(Instant::now());
+        }
         let may_propose = started_at.elapsed() >= START_GRACE;
         let checkpoints = checkpointed_at.elapsed() >= CHECKPOINT_INTERVAL;
         if checkpoints {
