Hold client accounts to their limits, and give child processes ports

Cause: the bundle's account limits and their codes 5101 to 5103 existed and nothing enforced them. `experiment capacity` hung once: a child router lost its port to another socket between the search and the start.

Change: each VM counts an account's requests and tokens in progress and limits its rate by governor. A repetition with a caller's key is told "not run" only when the owner does not know the key. Ports for child processes come from below the range that the system chooses from.

--- a/crates/sassafrashoist-testkit/src/child_router.rs
+++ b/crates/sassafrashoist-testkit/src/child_router.rs
@@ -17,7 +17,7 @@
 
 use crate::client::caller::Caller;
 use crate::fleet::operators::operators;
-use crate::http_util::ANY_LOOPBACK_PORT;
+use crate::http_util::find_free_address;
 use crate::process_stats::{ProcessStats, read_process_stats};
 
 /// The longest that a child may take to become ready.
@@ -48,19 +48,11 @@
 
 impl ChildRouter {
     /// Plans settings with free loopback ports.
-    ///
-    /// # Errors
-    ///
-    /// Fails when no port is free.
-    pub fn plan(
-        vm_id: &str,
-        data_centre_id: &str,
-        platform_address: SocketAddr,
-    ) -> Result<Settings> {
+    pub fn plan(vm_id: &str, data_centre_id: &str, platform_address: SocketAddr) -> Settings {
         let addresses = ListenAddresses {
-            callers: find_free_address()?,
-            admin: find_free_address()?,
-            peers: find_free_address()?,
+            callers: find_free_address(),
+            admin: find_free_address(),
+            peers: find_free_address(),
         };
         let mut settings = Settings::new(
             vm_id.to_owned(),
@@ -70,7 +62,7 @@
             operators(),
         );
         settings.log.level = LogLevel::Error;
-        Ok(settings)
+        settings
     }
 
     /// Starts a router.
@@ -154,7 +146,3 @@
         let _ = fs::remove_file(&self.settings_path);
     }
 }
-
-fn find_free_address() -> Result<SocketAddr> {
-    Ok(std::net::TcpListener::bind(ANY_LOOPBACK_PORT)?.local_addr()?)
-}
--- a/crates/sassafrashoist-testkit/src/experiments/capacity/bundle_size.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/capacity/bundle_size.rs
@@ -48,7 +48,7 @@
         extend(&mut bundle, *count);
         fleet.push(bundle).await?;
         let router =
-            ChildRouter::start(ChildRouter::plan("vm-1", "plateau", fleet.platform.address)?)?;
+            ChildRouter::start(ChildRouter::plan("vm-1", "plateau", fleet.platform.address))?;
         router.wait_state("/bundle_version", 1).await?;
         let stats = router.stats()?;
         let size = *count as f64;
--- a/crates/sassafrashoist-testkit/src/experiments/capacity/idle_fleet.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/capacity/idle_fleet.rs
@@ -98,7 +98,7 @@
     for index in 0..count {
         let data_centre_id = DATA_CENTRES[index % DATA_CENTRES.len()];
         let vm_id = format!("{data_centre_id}-vm-{index}");
-        let settings = ChildRouter::plan(&vm_id, data_centre_id, fleet.platform.address)?;
+        let settings = ChildRouter::plan(&vm_id, data_centre_id, fleet.platform.address);
         let link = TcpLink::start(cancel).await?;
         link.set_target(settings.peer_address);
         links.push(link);
--- a/crates/sassafrashoist-testkit/src/experiments/capacity/ledger_size.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/capacity/ledger_size.rs
@@ -35,7 +35,7 @@
         fleet.platform.preload(LEDGER_STREAM, (0..count).map(encode_top_up).collect());
         let read_before = fleet.platform.read_bytes();
         let router =
-            ChildRouter::start(ChildRouter::plan("vm-1", "plateau", fleet.platform.address)?)?;
+            ChildRouter::start(ChildRouter::plan("vm-1", "plateau", fleet.platform.address))?;
         let start_time = router.wait_ready().await?;
         let stats = router.stats()?;
         let size = count as f64;
--- a/crates/sassafrashoist-testkit/src/experiments/capacity/request_cost.rs
+++ b/crates/sassafrashoist-testkit/src/experiments/capacity/request_cost.rs
@@ -95,7 +95,7 @@
     let mut plan = FleetPlan::new(&["plateau"], 0, engine);
     plan.accounts[0].paid_tokens = 1_000_000_000;
     let fleet = RunningFleet::start(plan).await?;
-    let settings = ChildRouter::plan("plateau-vm-1", "plateau", fleet.platform.address)?;
+    let settings = ChildRouter::plan("plateau-vm-1", "plateau", fleet.platform.address);
     let router = ChildRouter::start(settings)?;
     router.wait_ready().await?;
     Ok((fleet, router))
--- a/crates/sassafrashoist-testkit/src/http_util.rs
+++ b/crates/sassafrashoist-testkit/src/http_util.rs
@@ -1,6 +1,7 @@
 //! Small helpers of the stand-ins' HTTP servers.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use bytes::Bytes;
 use eyre::Result;
@@ -14,6 +15,30 @@
 pub const ANY_LOOPBACK_PORT: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// The first port given to processes; the system chooses its own ports from far above.
+const FIRST_PROCESS_PORT: u16 = 10_000;
+/// Ports from which one process starts its search, so that two seldom meet.
+const PORT_STARTS: u32 = 1_000;
+/// Ports between the starts of two searches.
+const PORTS_PER_START: u16 = 15;
+
+static NEXT_PORT_STEP: AtomicU16 = AtomicU16::new(0);
+
+/// Returns a loopback address for a process that is about to start.
+///
+/// The port is below those that the system chooses, so no connection takes it meanwhile.
+pub fn find_free_address() -> SocketAddr {
+    let start = (std::process::id() % PORT_STARTS) as u16 * PORTS_PER_START;
+    loop {
+        let step = NEXT_PORT_STEP.fetch_add(1, Ordering::Relaxed);
+        let offset = start.wrapping_add(step) % (PORT_STARTS as u16 * PORTS_PER_START);
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PROCESS_PORT + offset));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
 /// Listens on a loopback port and returns its address too.
 ///
 /// # Errors
--- a/crates/sassafrashoist/src/core/mod.rs
+++ b/crates/sassafrashoist/src/core/mod.rs
@@ -1,5 +1,6 @@
 //! What the router process is made of.
 
+pub mod account_gates;
 pub mod active_bundle;
 pub mod answer_sink;
 pub mod backend_dispatcher;
--- a/crates/sassafrashoist/src/core/router_context.rs
+++ b/crates/sassafrashoist/src/core/router_context.rs
@@ -6,6 +6,7 @@
 use tokio_util::task::TaskTracker;
 use volo_http::client::Client;
 
+use super::account_gates::AccountGates;
 use super::clock::{read_clock, start_incarnation};
 use super::control_traffic::ControlTraffic;
 use super::drain_gate::DrainGate;
@@ -41,6 +42,8 @@
     pub peers: PeerClients,
     /// Whose turn it is to replicate or to look for tokens.
     pub shard_turns: ShardTurns,
+    /// The limits of client accounts.
+    pub account_gates: Arc<AccountGates>,
     /// Requests in progress.
     pub drain_gate: Arc<DrainGate>,
     /// Numbers requests without a caller's key.
@@ -67,6 +70,7 @@
             traffic: ControlTraffic::default(),
             peers: PeerClients::new(&settings, incarnation),
             shard_turns: ShardTurns::default(),
+            account_gates: Arc::default(),
             drain_gate: Arc::default(),
             registry: RequestRegistry::new(&settings.vm_id, incarnation),
             settlements: TaskTracker::new(),
--- a/crates/sassafrashoist/src/ops/handle_request.rs
+++ b/crates/sassafrashoist/src/ops/handle_request.rs
@@ -23,6 +23,7 @@
 use crate::ops::run_attempts::{RequestRun, run_attempts};
 use crate::ops::watch_suspects::place_request;
 use crate::util::http_answer::build_refusal;
+use sassafrashoist_core::decision_log::DecisionKind;
 use sassafrashoist_core::owner::admit::AdmitDecision;
 use sassafrashoist_core::requests::life_cycle::{Request, Undispatched};
 use sassafrashoist_core::result_code::{Outcome, ResultCode};
@@ -55,6 +56,15 @@
 async fn serve_request(mut run: RequestRun, _mark: Arc<InFlightMark>) {
     let context = Arc::clone(&run.context);
     let request = Arc::clone(&run.request);
+    let gates = &context.account_gates;
+    let _pass = match gates.try_enter(&request.account, request.worst_case_tokens) {
+        Ok(pass) => pass,
+        Err(refusal) => {
+            let reason = format!("limit of account {}", request.account.id);
+            context.record_decision(&request.key, DecisionKind::Admit, refusal.code, reason);
+            return refuse_place(&mut run, &refusal).await;
+        }
+    };
     let (server, placement) = match place_request(&run).await {
         Ok(placed) => placed,
         Err(refusal) => return refuse_place(&mut run, &refusal).await,
--- a/crates/sassafrashoist/src/ops/refuse_place.rs
+++ b/crates/sassafrashoist/src/ops/refuse_place.rs
@@ -1,4 +1,4 @@
-//! Answers a request that got no place on a backend server.
+//! Answers a request that got no place on a backend server, or none within its account's limits.
 //!
 //! A request with a caller's key may be the repetition of one that runs or ran. It is told *not
 //! run* only when the owner knows nothing of its key; otherwise it follows the first request.
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod account_limits;
 mod bad_requests;
 mod bundles;
 mod outcomes;
--- a/crates/sassafrashoist/tests/testsuite/router_process.rs
+++ b/crates/sassafrashoist/tests/testsuite/router_process.rs
@@ -1,7 +1,7 @@
 //! The fixture: the router program as a process of its own.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -10,6 +10,7 @@
 use sassafrashoist::core::settings::{ListenAddresses, LogLevel, Peer, Settings};
 use sassafrashoist_testkit::client::caller::Caller;
 use sassafrashoist_testkit::fleet::operators::operators;
+use sassafrashoist_testkit::http_util::find_free_address;
 
 static NEXT_FILE: AtomicU64 = AtomicU64::new(1);
 
@@ -73,8 +74,11 @@
 
 /// Plans settings with free loopback ports.
 pub fn plan_process(vm_id: &str, data_centre_id: &str, platform_address: SocketAddr) -> Settings {
-    let addresses =
-        ListenAddresses { callers: free_address(), admin: free_address(), peers: free_address() };
+    let addresses = ListenAddresses {
+        callers: find_free_address(),
+        admin: find_free_address(),
+        peers: find_free_address(),
+    };
     let mut settings = Settings::new(
         vm_id.to_owned(),
         data_centre_id.to_owned(),
@@ -99,7 +103,3 @@
         address: settings.peer_address,
     }
 }
-
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
