--- a/crates/sassafrashoist/tests/testsuite/processes.rs
+++ b/crates/sassafrashoist/tests/testsuite/processes.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use sassafrashoist_testkit::child_router::ChildRouter;
 use sassafrashoist_testkit::client::caller::{Answer, Call, Caller};
 use sassafrashoist_testkit::engine::answer_tokens::whole_answer;
 use sassafrashoist_testkit::engine::engine_settings::EngineSettings;
@@ -7,7 +8,7 @@
 use sassafrashoist_testkit::fleet::fleet_plan::FleetPlan;
 use sassafrashoist_testkit::fleet::running_fleet::RunningFleet;
 
-use super::router_process::{RouterProcess, introduce, plan_process};
+use super::router_process::{RouterProcess, introduce};
 
 const PROMPT: &str = "lot 9";
 const SLOW_STEP: Duration = Duration::from_millis(20);
@@ -59,7 +60,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn process_serves_a_request_and_drains_it_on_sigterm() {
     let fleet = start_stand_ins(SLOW_STEP).await;
-    let settings = plan_process("plateau-vm-1", "plateau", fleet.platform.address);
+    let settings = ChildRouter::plan("plateau-vm-1", "plateau", fleet.platform.address);
     let mut process = RouterProcess::start(settings);
     process.wait_ready().await;
     let caller = process.caller(CALLER_KEY);
@@ -82,8 +83,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn process_that_was_frozen_runs_no_bid_twice_and_serves_again() {
     let fleet = start_stand_ins(SLOW_STEP).await;
-    let mut first = plan_process("plateau-vm-1", "plateau", fleet.platform.address);
-    let mut second = plan_process("plateau-vm-2", "plateau", fleet.platform.address);
+    let mut first = ChildRouter::plan("plateau-vm-1", "plateau", fleet.platform.address);
+    let mut second = ChildRouter::plan("plateau-vm-2", "plateau", fleet.platform.address);
     introduce(&mut first, &mut second);
     let (first, second) = (RouterProcess::start(first), RouterProcess::start(second));
     first.wait_ready().await;
--- a/crates/sassafrashoist/tests/testsuite/recovery.rs
+++ b/crates/sassafrashoist/tests/testsuite/recovery.rs
@@ -4,6 +4,7 @@
 use sassafrashoist::core::readiness::ReadinessStep;
 use sassafrashoist_core::membership::member_state::MemberState;
 use sassafrashoist_platform::streams::BUNDLE_STREAM;
+use sassafrashoist_testkit::child_router::ChildRouter;
 use sassafrashoist_testkit::client::caller::Caller;
 use sassafrashoist_testkit::engine::engine_settings::EngineSettings;
 use sassafrashoist_testkit::fleet::audit::Audit;
@@ -11,7 +12,7 @@
 use sassafrashoist_testkit::fleet::operators::AUTHOR_ID;
 use sassafrashoist_testkit::fleet::running_fleet::RunningFleet;
 
-use crate::router_process::{RouterProcess, plan_process};
+use crate::router_process::RouterProcess;
 use crate::waiting::wait_until;
 
 const PAUSE: Duration = Duration::from_secs(1);
@@ -99,7 +100,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn membership_gives_a_process_that_was_paused_a_new_incarnation() {
     let stand_ins = RunningFleet::start(plan(0)).await.unwrap();
-    let mut settings = plan_process("vm-1", "plateau", stand_ins.platform.address);
+    let mut settings = ChildRouter::plan("vm-1", "plateau", stand_ins.platform.address);
     settings.membership.suspect_timeout = PAUSE / 2;
     settings.membership.round_interval = PAUSE / 10;
     let process = RouterProcess::start(settings);
--- a/crates/sassafrashoist/tests/testsuite/router_process.rs
+++ b/crates/sassafrashoist/tests/testsuite/router_process.rs
@@ -1,16 +1,13 @@
 //! The fixture: the router program as a process of its own.
 
 use std::io::Write;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use sassafrashoist::core::settings::{ListenAddresses, LogLevel, Peer, Settings};
+use sassafrashoist::core::settings::{Peer, Settings};
 use sassafrashoist_testkit::client::caller::Caller;
-use sassafrashoist_testkit::fleet::operators::operators;
-use sassafrashoist_testkit::http_util::find_free_address;
 
 static NEXT_FILE: AtomicU64 = AtomicU64::new(1);
 
@@ -72,24 +69,6 @@
     }
 }
 
-/// Plans settings with free loopback ports.
-pub fn plan_process(vm_id: &str, data_centre_id: &str, platform_address: SocketAddr) -> Settings {
-    let addresses = ListenAddresses {
-        callers: find_free_address(),
-        admin: find_free_address(),
-        peers: find_free_address(),
-    };
-    let mut settings = Settings::new(
-        vm_id.to_owned(),
-        data_centre_id.to_owned(),
-        addresses,
-        platform_address,
-        operators(),
-    );
-    settings.log.level = LogLevel::Error;
-    settings
-}
-
 /// Makes each of two planned processes the other's peer.
 pub fn introduce(first: &mut Settings, second: &mut Settings) {
     first.peers.push(as_peer(second));
