Refuse new keys that may not run twice after a shard lost its entries

Cause: when both holders of a shard are lost, a fresh view starts without the keys of earlier requests. A bid sent again in that data centre was taken for a new one and could run twice.

Change: a replica that starts a fresh view after the first marks its entries as lost, and the mark goes to its backup with the state.

Not run over sockets.

Conclusion: at most one run is kept at the price of refusals after the loss of both holders; a key minted after the loss could be told apart later.

--- a/crates/sassafrashoist-core/src/owner/budget_owner.rs
+++ b/crates/sassafrashoist-core/src/owner/budget_owner.rs
@@ -10,7 +10,7 @@
 use crate::ids::{AttemptNumber, BudgetId, RequestKey, RouteId, Timestamp, Tokens};
 use crate::invariants::{Invariants, Promise};
 use crate::requests::key_entry::{EarlierAttempts, KeptAnswer, KeyEntry, KeyState};
-use crate::requests::key_table::{KeyLookup, KeyTable, KeyTableLimits};
+use crate::requests::key_table::{KeyLookup, KeyTable, KeyTableLimits, LOSS_NOT_COUNTED};
 use crate::result_code::ResultCode;
 
 /// The wait suggested to a caller that is refused for lack of room or tokens.
@@ -70,12 +70,17 @@
 
     /// Returns the accounts and entries that changed since the last call, or all of them.
     pub fn take_changes(&mut self, is_full: bool) -> OwnerChanges {
+        let entries_lost_at = self.keys.entries_lost_at();
         let changed_budgets = std::mem::take(&mut self.changed_budgets);
         let changed_keys = std::mem::take(&mut self.changed_keys);
         if is_full {
             let entries = self.keys.entries();
             let entries = entries.map(|(key, entry)| (key.clone(), Some(entry.clone())));
-            return OwnerChanges { accounts: self.accounts.clone(), keys: entries.collect() };
+            return OwnerChanges {
+                accounts: self.accounts.clone(),
+                entries_lost_at,
+                keys: entries.collect(),
+            };
         }
         let accounts = changed_budgets.into_iter().map(|id| {
             let account = self.account(&id);
@@ -85,7 +90,13 @@
             let entry = self.keys.entry(&key).cloned();
             (key, entry)
         });
-        OwnerChanges { accounts: accounts.collect(), keys: entries.collect() }
+        OwnerChanges { accounts: accounts.collect(), entries_lost_at, keys: entries.collect() }
+    }
+
+    /// Records that the entries of an earlier owner were lost; its keys are refused for a window to
+    /// requests that may not run twice.
+    pub fn lose_entries(&mut self) {
+        self.keys.set_entries_lost_at(Some(LOSS_NOT_COUNTED));
     }
 
     /// Forgets which accounts and entries changed.
@@ -96,6 +107,7 @@
 
     /// Takes over the changes of another VM's table.
     pub fn restore(&mut self, changes: OwnerChanges, now: Timestamp) {
+        self.keys.set_entries_lost_at(changes.entries_lost_at);
         self.accounts.extend(changes.accounts);
         for (key, entry) in changes.keys {
             self.keys.restore(key, entry, now);
@@ -136,7 +148,11 @@
                 return AdmitDecision::Refused { code, retry_after: None };
             }
             KeyLookup::Full => return refuse(ResultCode::KeyTableFull),
-            KeyLookup::Vacant => {}
+            KeyLookup::MayBeLost(until) if !request.is_idempotent => {
+                let retry_after = Some(until.saturating_sub(now));
+                return AdmitDecision::Refused { code: ResultCode::OwnerOutOfReach, retry_after };
+            }
+            KeyLookup::MayBeLost(_) | KeyLookup::Vacant => {}
         }
         let account = self.change_account(&request.budget_id);
         if !account.try_reserve(request.worst_case_tokens) {
--- a/crates/sassafrashoist-core/src/owner/shard_replica.rs
+++ b/crates/sassafrashoist-core/src/owner/shard_replica.rs
@@ -29,6 +29,9 @@
 use crate::owner::draw_policy::choose_draw;
 use crate::requests::key_table::KeyTableLimits;
 
+/// The epoch of a shard's first view, before which there were no entries.
+const FIRST_EPOCH: Epoch = 1;
+
 /// Counts the changes of a replica's state.
 pub type ChangeNumber = u64;
 
@@ -256,6 +259,9 @@
     fn become_primary(&mut self, view: &View) {
         if view.is_fresh {
             self.clear();
+            if view.epoch > FIRST_EPOCH {
+                self.owner.lose_entries();
+            }
             self.transfers = TransferTable::new(view.epoch);
         } else if self.state_epoch != Some(view.epoch - 1) {
             self.clear();
--- a/crates/sassafrashoist-core/src/requests/key_table.rs
+++ b/crates/sassafrashoist-core/src/requests/key_table.rs
@@ -38,6 +38,9 @@
     }
 }
 
+/// Stands for a loss whose time is counted from the next look-up on.
+pub const LOSS_NOT_COUNTED: Timestamp = Timestamp::MAX;
+
 /// What the table says of a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeyLookup {
@@ -49,6 +52,8 @@
     Mismatch,
     /// The key is new and there is no room.
     Full,
+    /// The key may have been known before earlier entries were lost, until this time.
+    MayBeLost(Timestamp),
 }
 
 /// What is remembered of a request that provably did not run.
@@ -69,6 +74,7 @@
     released_order: VecDeque<(Timestamp, RequestKey)>,
     limits: KeyTableLimits,
     retry_windows: BTreeMap<RouteId, Duration>,
+    entries_lost_at: Option<Timestamp>,
 }
 
 impl KeyTable {
@@ -81,6 +87,7 @@
             answer_bytes: 0,
             released: HashMap::new(),
             released_order: VecDeque::new(),
+            entries_lost_at: None,
             limits,
             retry_windows: BTreeMap::new(),
         }
@@ -119,11 +126,34 @@
     /// Drops expired entries and says what is known of a key.
     pub fn look_up(&mut self, key: &str, binding: &KeyBinding, now: Timestamp) -> KeyLookup {
         self.expire(now);
+        if self.entries_lost_at == Some(LOSS_NOT_COUNTED) {
+            self.entries_lost_at = Some(now);
+        }
         match self.entries.get(key) {
             Some(entry) if entry.binding == *binding => KeyLookup::Known(entry.state.clone()),
             Some(_) => KeyLookup::Mismatch,
             None if self.entries.len() >= self.limits.max_entries => KeyLookup::Full,
-            None => KeyLookup::Vacant,
+            None => self.look_up_lost(now),
+        }
+    }
+
+    /// Records that entries of unknown keys were lost; `None` when they were not.
+    pub fn set_entries_lost_at(&mut self, lost_at: Option<Timestamp>) {
+        self.entries_lost_at = lost_at;
+    }
+
+    /// Returns when entries were lost.
+    pub fn entries_lost_at(&self) -> Option<Timestamp> {
+        self.entries_lost_at
+    }
+
+    fn look_up_lost(&self, now: Timestamp) -> KeyLookup {
+        let longest_window =
+            self.retry_windows.values().copied().max().unwrap_or(self.limits.retry_window);
+        let forgotten_at = self.entries_lost_at.map(|lost_at| lost_at + longest_window);
+        match forgotten_at {
+            Some(forgotten_at) if now < forgotten_at => KeyLookup::MayBeLost(forgotten_at),
+            _ => KeyLookup::Vacant,
         }
     }
 
--- a/crates/sassafrashoist-core/tests/testsuite/key_table.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/key_table.rs
@@ -179,3 +179,22 @@
     assert_eq!(owner.account("b").reserved_tokens, 0);
     assert_eq!(owner.account("b").settled_tokens, 5);
 }
+
+#[test]
+fn key_table_that_lost_its_entries_runs_no_request_that_may_not_run_twice() {
+    let mut owner = small_owner();
+    let now = Duration::from_secs(1_000);
+    owner.lose_entries();
+
+    let once = owner.admit(admit("a/1", false), now);
+    let repeatable = owner.admit(admit("a/2", true), now);
+    let after = owner.admit(admit("a/1", false), now + RETRY_WINDOW);
+
+    let refused = AdmitDecision::Refused {
+        code: ResultCode::OwnerOutOfReach,
+        retry_after: Some(RETRY_WINDOW),
+    };
+    assert_eq!(once, refused);
+    assert!(matches!(repeatable, AdmitDecision::Admitted { .. }));
+    assert!(matches!(after, AdmitDecision::Admitted { .. }));
+}
