Say unknown, not "not run", of a key that may be among lost entries

Cause: reading the change again. The mark for lost entries was read at admission only. A repetition that is refused for lack of a place, by an account's limit or by quarantine asks the owner for the key; after the loss of both holders the owner answered that it knows nothing, so a request that had run was told "not run".

The end of the loss is worked out in one place, and no longer for each new key of a table that has lost nothing.

The loss of both holders was not run over sockets.

Conclusion: the fault is mended where the look-up lives, not in each refusal.

--- a/crates/sassafrashoist-core/src/owner/shard_table.rs
+++ b/crates/sassafrashoist-core/src/owner/shard_table.rs
@@ -168,6 +168,13 @@
         primaries.find_map(|replica| replica.owner().lookup(key))
     }
 
+    /// Returns whether an unknown key of a budget may have been known before a loss of entries.
+    pub fn may_have_lost_keys(&self, budget_id: &str, now: Timestamp) -> bool {
+        let replica = self.replicas.get(&shard_of(budget_id));
+        let lost_until = replica.and_then(|replica| replica.owner().keys().lost_until());
+        lost_until.is_some_and(|lost_until| now < lost_until)
+    }
+
     /// Returns the number of keys that this VM decides for.
     pub fn key_count(&self) -> usize {
         let primaries = self.replicas.values().filter(|replica| replica.is_primary());
--- a/crates/sassafrashoist-core/src/requests/key_table.rs
+++ b/crates/sassafrashoist-core/src/requests/key_table.rs
@@ -148,15 +148,19 @@
     }
 
     fn look_up_lost(&self, now: Timestamp) -> KeyLookup {
-        let longest_window =
-            self.retry_windows.values().copied().max().unwrap_or(self.limits.retry_window);
-        let forgotten_at = self.entries_lost_at.map(|lost_at| lost_at + longest_window);
-        match forgotten_at {
-            Some(forgotten_at) if now < forgotten_at => KeyLookup::MayBeLost(forgotten_at),
+        match self.lost_until() {
+            Some(lost_until) if now < lost_until => KeyLookup::MayBeLost(lost_until),
             _ => KeyLookup::Vacant,
         }
     }
 
+    /// Returns until when a key that is not known may have been known before a loss of entries.
+    pub fn lost_until(&self) -> Option<Timestamp> {
+        let lost_at = self.entries_lost_at?;
+        let longest_window = self.retry_windows.values().copied().max();
+        Some(lost_at.saturating_add(longest_window.unwrap_or(self.limits.retry_window)))
+    }
+
     /// Adds an entry.
     pub fn insert(&mut self, key: RequestKey, entry: KeyEntry) {
         self.entries.insert(key, entry);
--- a/crates/sassafrashoist-core/tests/testsuite/key_table.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/key_table.rs
@@ -185,6 +185,7 @@
     let mut owner = small_owner();
     let now = Duration::from_secs(1_000);
     owner.lose_entries();
+    let is_lost_before_any_look = owner.keys().lost_until().is_some_and(|until| now < until);
 
     let once = owner.admit(admit("a/1", false), now);
     let repeatable = owner.admit(admit("a/2", true), now);
@@ -194,6 +195,8 @@
         code: ResultCode::OwnerOutOfReach,
         retry_after: Some(RETRY_WINDOW),
     };
+    assert!(is_lost_before_any_look);
+    assert_eq!(owner.keys().lost_until(), Some(now + RETRY_WINDOW));
     assert_eq!(once, refused);
     assert!(matches!(repeatable, AdmitDecision::Admitted { .. }));
     assert!(matches!(after, AdmitDecision::Admitted { .. }));
--- a/crates/sassafrashoist/src/ops/commit_change.rs
+++ b/crates/sassafrashoist/src/ops/commit_change.rs
@@ -29,6 +29,9 @@
     /// The backup is out of reach and the log has named no other view.
     #[error("the backup has not confirmed the change")]
     NotConfirmed,
+    /// The key is not known, and the entries of earlier keys were lost with their holders.
+    #[error("the shard's earlier entries were lost, so the key may have been known")]
+    EntriesLost,
 }
 
 /// Waits until the backup of a shard has a change, or a view without a backup is in force.
--- a/crates/sassafrashoist/src/ops/decide_admission.rs
+++ b/crates/sassafrashoist/src/ops/decide_admission.rs
@@ -75,7 +75,7 @@
 ///
 /// # Errors
 ///
-/// Fails when this VM does not decide for the budget.
+/// Fails when this VM does not decide for the budget, or an unknown key may be a lost one.
 pub fn read_entry(
     context: &RouterContext,
     budget_id: &BudgetId,
@@ -85,7 +85,11 @@
     if !owner.is_primary_for(budget_id) {
         return Err(CommitError::NotPrimary);
     }
-    Ok(owner.lookup(key).cloned())
+    let entry = owner.lookup(key).cloned();
+    if entry.is_none() && owner.may_have_lost_keys(budget_id, read_clock()) {
+        return Err(CommitError::EntriesLost);
+    }
+    Ok(entry)
 }
 
 async fn try_admission(
