--- /dev/null
+++ b/crates/sassafrashoist-core/src/gateway/holder_record.rs
@@ -0,0 +1,56 @@
+//! What one run of a VM's process writes to the ledger.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{ClientAccountId, Tokens, VmId};
+
+/// The tokens of one account at one holder, all counted from its start.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldTokens {
+    /// The account.
+    pub account_id: ClientAccountId,
+    /// Tokens drawn from the ledger less those handed back; negative when received ones were handed
+    /// back too.
+    pub granted_tokens: i64,
+    /// Tokens received from other holders.
+    pub received_tokens: Tokens,
+    /// Tokens given to other holders.
+    pub given_tokens: Tokens,
+    /// Tokens used, with those that requests in progress may still use.
+    pub spent_tokens: Tokens,
+    /// Tokens used a second of late.
+    pub use_tokens_per_s: Tokens,
+}
+
+impl HeldTokens {
+    /// Returns the tokens that the holder may still use.
+    pub fn available_tokens(&self) -> i64 {
+        self.granted_tokens + self.received_tokens as i64
+            - self.given_tokens as i64
+            - self.spent_tokens as i64
+    }
+}
+
+/// What one run of a VM's process writes to the ledger; the newest record of a holder counts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderRecord {
+    /// The VM.
+    pub vm_id: VmId,
+    /// Where it answers other VMs.
+    pub peer_address: SocketAddr,
+    /// Counts the records of this holder, so that it recognises its own.
+    pub sequence: u64,
+    /// Whether the run has ended in order and handed everything back.
+    pub is_closed: bool,
+    /// Its tokens.
+    pub accounts: Vec<HeldTokens>,
+}
+
+impl HolderRecord {
+    /// Returns the tokens of an account.
+    pub fn account(&self, account_id: &str) -> Option<&HeldTokens> {
+        self.accounts.iter().find(|held| held.account_id == account_id)
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -0,0 +1,36 @@
+//! Decisions of a VM that keeps nothing and follows a log service for all that is agreed on.
+//!
+//! - [`fleet_config`] and [`route_table`]: which request is allowed and where it goes.
+//! - [`server_directory`]: the backend servers, their load and health, and the choice among them.
+//! - [`token_ledger`] and [`token_holding`]: who may spend which tokens of a client account.
+//! - [`retry_allowance`]: how many requests may be sent a second time.
+//! - [`event_splitter`]: whole events of a stream, so that a broken one is never passed on.
+//!
+//! Times are given as the time since the process started.
+
+pub mod event_splitter;
+pub mod fleet_config;
+pub mod flow_rate;
+pub mod holder_record;
+pub mod retry_allowance;
+pub mod route;
+pub mod route_table;
+pub mod server_directory;
+pub mod server_listing;
+pub mod server_state;
+pub mod token_holding;
+pub mod token_ledger;
+pub mod vm_settings;
+
+use std::time::Duration;
+
+/// Time since the process started; suspends of the VM are not counted.
+pub type Uptime = Duration;
+/// The version of a fleet configuration; versions grow in uneven steps.
+pub type ConfigVersion = u64;
+/// A caller's secret key.
+pub type ApiKey = String;
+/// Names one run of one VM's process: no two runs share it.
+pub type HolderId = String;
+/// The hash that names a part of a prompt.
+pub type PromptPartId = String;
--- /dev/null
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -0,0 +1,326 @@
+//! The tokens that this run of the process may use, and how many it should draw.
+//!
+//! Requests reserve their worst case here and settle it at their end. Draws keep what this VM is
+//! expected to use while it may be cut off from the log; the rest stays undrawn for VMs whose use
+//! grows and for runs that start anew. Tokens also move directly between VMs: the giver counts them
+//! as gone before it answers, and a repeated question gets the first answer again.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use super::fleet_config::FleetConfig;
+use super::flow_rate::FlowRate;
+use super::holder_record::{HeldTokens, HolderRecord};
+use super::token_ledger::TokenLedger;
+use super::{HolderId, Uptime};
+use crate::ids::{ClientAccountId, Tokens, VmId};
+
+/// How long a VM is expected to live on what it holds, in seconds; longer than a cut usually lasts.
+const HOLD_S: f64 = 10.0;
+/// Time after which use weighs 1/e in the recent rate, in seconds.
+const USE_DECAY_S: f64 = 5.0;
+/// The part of an even share of the fleet's use that a VM holds at least.
+const EVEN_SHARE_PART: f64 = 0.5;
+/// The part of an account's tokens that all VMs together draw before its use is known.
+const FIRST_DRAW_PART: f64 = 0.35;
+/// The part of the undrawn tokens that one draw takes at most, unless a request waits for it.
+const MAX_DRAW_PART: f64 = 0.34;
+/// The part of the target below which a VM draws.
+const LOW_PART: f64 = 0.75;
+/// The multiple of the target above which a VM hands tokens back.
+const HIGH_PART: f64 = 2.0;
+/// The part of what is available that a VM keeps when another asks for more than it needs.
+const KEPT_PART_DIVISOR: i64 = 2;
+/// The most answers to other VMs that are remembered.
+const MAX_REMEMBERED_GIFTS: usize = 512;
+
+/// Names a transfer: the asking holder and its count of questions.
+pub type TransferId = (HolderId, u64);
+
+#[derive(Debug, Default)]
+struct OwnTokens {
+    granted_tokens: i64,
+    received_tokens: Tokens,
+    given_tokens: Tokens,
+    settled_tokens: Tokens,
+    reserved_tokens: Tokens,
+    returning_tokens: Tokens,
+    wanted_tokens: Tokens,
+    frozen_tokens: i64,
+    use_rate: FlowRate,
+}
+
+impl OwnTokens {
+    fn available_tokens(&self) -> i64 {
+        self.granted_tokens + self.received_tokens as i64
+            - self.given_tokens as i64
+            - self.settled_tokens as i64
+            - self.reserved_tokens as i64
+            - self.returning_tokens as i64
+    }
+
+    fn spendable_tokens(&self) -> i64 {
+        self.available_tokens() - self.frozen_tokens
+    }
+}
+
+/// A record to append, and what it changes once it is in the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedRecord {
+    /// The record.
+    pub record: HolderRecord,
+    changes: Vec<(ClientAccountId, i64)>,
+}
+
+impl PlannedRecord {
+    /// Returns the tokens drawn, or handed back if negative, of each account.
+    pub fn changes(&self) -> &[(ClientAccountId, i64)] {
+        &self.changes
+    }
+
+    /// Returns whether it draws or hands back tokens.
+    pub fn moves_tokens(&self) -> bool {
+        !self.changes.is_empty()
+    }
+}
+
+/// The tokens that this run of the process may use.
+#[derive(Debug)]
+pub struct TokenHolding {
+    holder_id: HolderId,
+    vm_id: VmId,
+    peer_address: SocketAddr,
+    sequence: u64,
+    accounts: BTreeMap<ClientAccountId, OwnTokens>,
+    gifts: VecDeque<(TransferId, Tokens)>,
+}
+
+impl TokenHolding {
+    /// Creates an empty holding.
+    pub fn new(holder_id: HolderId, vm_id: VmId, peer_address: SocketAddr) -> Self {
+        Self {
+            holder_id,
+            vm_id,
+            peer_address,
+            sequence: 0,
+            accounts: BTreeMap::new(),
+            gifts: VecDeque::new(),
+        }
+    }
+
+    /// Returns the name of this run.
+    pub fn holder_id(&self) -> &HolderId {
+        &self.holder_id
+    }
+
+    /// Returns the tokens of an account that no request has reserved.
+    pub fn available_tokens(&self, account_id: &str) -> i64 {
+        self.accounts.get(account_id).map_or(0, OwnTokens::spendable_tokens)
+    }
+
+    /// Reserves the worst case of a request; false when too little is held.
+    #[must_use]
+    pub fn try_reserve(&mut self, account_id: &str, worst_case_tokens: Tokens) -> bool {
+        let Some(own) = self.accounts.get_mut(account_id) else {
+            return false;
+        };
+        if own.spendable_tokens() < worst_case_tokens as i64 {
+            return false;
+        }
+        own.reserved_tokens += worst_case_tokens;
+        true
+    }
+
+    /// Replaces a reservation by what was used.
+    pub fn settle(
+        &mut self,
+        account_id: &str,
+        worst_case_tokens: Tokens,
+        used_tokens: Tokens,
+        now: Uptime,
+    ) {
+        let own = self.accounts.entry(account_id.to_owned()).or_default();
+        own.reserved_tokens = own.reserved_tokens.saturating_sub(worst_case_tokens);
+        own.settled_tokens += used_tokens;
+        own.use_rate.add(used_tokens, USE_DECAY_S, now);
+    }
+
+    /// Notes that a request waits for tokens; the next draw covers it.
+    pub fn want(&mut self, account_id: &str, tokens: Tokens) {
+        let own = self.accounts.entry(account_id.to_owned()).or_default();
+        own.wanted_tokens = own.wanted_tokens.max(tokens);
+    }
+
+    /// Gives tokens to another VM: what it needs, or up to what it would like if enough is left.
+    pub fn give(
+        &mut self,
+        transfer_id: TransferId,
+        account_id: &str,
+        needed_tokens: Tokens,
+        liked_tokens: Tokens,
+    ) -> Tokens {
+        if let Some((_, given)) = self.gifts.iter().find(|(known, _)| *known == transfer_id) {
+            return *given;
+        }
+        let own = self.accounts.entry(account_id.to_owned()).or_default();
+        let available = own.spendable_tokens().max(0);
+        let spare = (available / KEPT_PART_DIVISOR).min(liked_tokens as i64);
+        let given = spare.max(available.min(needed_tokens as i64)) as Tokens;
+        own.given_tokens += given;
+        if self.gifts.len() >= MAX_REMEMBERED_GIFTS {
+            self.gifts.pop_front();
+        }
+        self.gifts.push_back((transfer_id, given));
+        given
+    }
+
+    /// Takes in tokens that another VM gave.
+    pub fn receive(&mut self, account_id: &str, tokens: Tokens) {
+        self.accounts.entry(account_id.to_owned()).or_default().received_tokens += tokens;
+    }
+
+    /// Keeps what was drawn beyond a reduced amount from being used, in proportion to each holder's
+    /// part.
+    pub fn observe_ledger(&mut self, ledger: &TokenLedger, config: &FleetConfig) {
+        for (account_id, own) in &mut self.accounts {
+            let granted = ledger.granted_tokens(account_id);
+            let paid = config.paid_tokens(account_id).unwrap_or_default() as i64;
+            own.frozen_tokens = if granted > paid && granted > 0 {
+                let excess_part = (granted - paid) as f64 / granted as f64;
+                (own.granted_tokens.max(0) as f64 * excess_part).ceil() as i64
+            } else {
+                0
+            };
+        }
+    }
+
+    /// Plans the next record from the whole ledger; it must be appended where the ledger ends.
+    pub fn plan(
+        &mut self,
+        ledger: &TokenLedger,
+        config: &FleetConfig,
+        now: Uptime,
+    ) -> PlannedRecord {
+        let others = ledger.live_holders().filter(|(holder_id, _)| **holder_id != self.holder_id);
+        let vm_count = 1 + others.filter(|(_, record)| record.vm_id != self.vm_id).count();
+        let mut changes = Vec::new();
+        for account in config.accounts.iter().flatten() {
+            let Some(paid_tokens) = account.paid_tokens else {
+                continue;
+            };
+            let change = self.plan_account(ledger, &account.id, paid_tokens, vm_count, now);
+            if change != 0 {
+                changes.push((account.id.clone(), change));
+            }
+        }
+        for (account_id, change) in &changes {
+            if *change < 0
+                && let Some(own) = self.accounts.get_mut(account_id)
+            {
+                own.returning_tokens += change.unsigned_abs();
+            }
+        }
+        self.record_with(changes, false, now)
+    }
+
+    /// Plans the last record of a run that ends in order: everything unused is handed back.
+    pub fn plan_closing(&mut self, now: Uptime) -> PlannedRecord {
+        let mut changes = Vec::new();
+        for (account_id, own) in &mut self.accounts {
+            let available = own.available_tokens();
+            if available > 0 {
+                own.returning_tokens += available as Tokens;
+                changes.push((account_id.clone(), -available));
+            }
+        }
+        self.record_with(changes, true, now)
+    }
+
+    /// Takes over a planned record that is in the log.
+    pub fn commit(&mut self, planned: &PlannedRecord) {
+        for (account_id, change) in &planned.changes {
+            let own = self.accounts.entry(account_id.clone()).or_default();
+            own.granted_tokens += change;
+            if *change < 0 {
+                own.returning_tokens -= change.unsigned_abs();
+            } else {
+                own.wanted_tokens = 0;
+            }
+        }
+    }
+
+    /// Drops a planned record that will never be in the log.
+    pub fn abandon(&mut self, planned: &PlannedRecord) {
+        for (account_id, change) in &planned.changes {
+            if *change < 0
+                && let Some(own) = self.accounts.get_mut(account_id)
+            {
+                own.returning_tokens -= change.unsigned_abs();
+            }
+        }
+    }
+
+    fn plan_account(
+        &mut self,
+        ledger: &TokenLedger,
+        account_id: &str,
+        paid_tokens: Tokens,
+        vm_count: usize,
+        now: Uptime,
+    ) -> i64 {
+        let undrawn = paid_tokens as i64 - ledger.granted_tokens(account_id);
+        let fleet_use = ledger.use_tokens_per_s(account_id) as f64;
+        let own = self.accounts.entry(account_id.to_owned()).or_default();
+        let own_use = own.use_rate.per_second(USE_DECAY_S, now);
+        let even_use = EVEN_SHARE_PART * fleet_use / vm_count as f64;
+        let is_unused = fleet_use < 1.0 && own_use < 1.0;
+        let target = if is_unused {
+            (FIRST_DRAW_PART * paid_tokens as f64 / vm_count as f64) as i64
+        } else {
+            (HOLD_S * own_use.max(even_use)) as i64
+        };
+        let available = own.available_tokens();
+        if undrawn < 0 {
+            return undrawn.max(-available.max(0));
+        }
+        let wanted = own.wanted_tokens as i64;
+        let missing = (target - available).max(wanted - available);
+        if available < wanted || (available as f64) < LOW_PART * target as f64 {
+            let fair = (undrawn as f64 * MAX_DRAW_PART) as i64;
+            return missing.min(fair.max(wanted)).clamp(0, undrawn);
+        }
+        let is_scarce = (undrawn as f64) < HOLD_S * fleet_use / 2.0;
+        if is_scarce && available as f64 > HIGH_PART * target as f64 {
+            return target - available;
+        }
+        0
+    }
+
+    fn record_with(
+        &mut self,
+        changes: Vec<(ClientAccountId, i64)>,
+        is_closed: bool,
+        now: Uptime,
+    ) -> PlannedRecord {
+        self.sequence += 1;
+        let accounts = self.accounts.iter().map(|(account_id, own)| {
+            let change = changes.iter().find(|(changed, _)| changed == account_id);
+            HeldTokens {
+                account_id: account_id.clone(),
+                granted_tokens: own.granted_tokens + change.map_or(0, |(_, change)| *change),
+                received_tokens: own.received_tokens,
+                given_tokens: own.given_tokens,
+                spent_tokens: own.settled_tokens + own.reserved_tokens,
+                use_tokens_per_s: own.use_rate.per_second(USE_DECAY_S, now) as Tokens,
+            }
+        });
+        let record = HolderRecord {
+            vm_id: self.vm_id.clone(),
+            peer_address: self.peer_address,
+            sequence: self.sequence,
+            is_closed,
+            accounts: accounts.collect(),
+        };
+        PlannedRecord { record, changes }
+    }
+}
--- a/crates/sassafrashoist-core/src/lib.rs
+++ b/crates/sassafrashoist-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! event and the time, and returns a typed outcome with its [`result_code::ResultCode`]. So every
 //! decision can be driven step by step from a test.
 //!
+//! - [`gateway`]: the decisions of a VM that follows a log service and keeps nothing.
 //! - [`budgets`]: who may spend which tokens of a prepaid budget.
 //! - [`requests`]: what became of a request, by its idempotency key.
 //! - [`owner`]: the table that joins both, so that a key and its reservation are one entry.
@@ -13,6 +14,7 @@
 
 pub mod budgets;
 pub mod decision_log;
+pub mod gateway;
 pub mod ids;
 pub mod invariants;
 pub mod membership;
--- a/crates/sassafrashoist/src/bin/sassafrashoist/cli.rs
+++ b/crates/sassafrashoist/src/bin/sassafrashoist/cli.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 
-use crate::commands::{check, run};
+use crate::commands::{check, gateway, run};
 
 /// Routes callers' requests to backend servers within prepaid token budgets.
 #[derive(Debug, Parser)]
@@ -15,6 +15,7 @@
 #[derive(Debug, Subcommand)]
 enum Command {
     Run(run::Run),
+    Gateway(gateway::Gateway),
     Check(check::Check),
 }
 
@@ -23,6 +24,7 @@
     pub fn exec(self) -> eyre::Result<()> {
         match self.command {
             Command::Run(run) => run.exec(),
+            Command::Gateway(gateway) => gateway.exec(),
             Command::Check(check) => check.exec(),
         }
     }
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/ask_peers.rs
@@ -0,0 +1,114 @@
+//! Asks other VMs for tokens.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{WrapErr, bail};
+use http::header::HOST;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use sassafrashoist_core::gateway::token_holding::TransferId;
+use sassafrashoist_core::ids::Tokens;
+
+use super::gateway_context::GatewayContext;
+use super::http_exchange::Connection;
+use super::peer_messages::{TRANSFER_PATH, TransferAnswer, TransferQuestion};
+use super::token_book::RichPeer;
+
+/// How long another VM may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// How often a question is asked until it is answered: tokens of a lost answer are in doubt.
+const MAX_QUESTIONS: u32 = 8;
+/// Pause before a question is asked again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Asks another VM for tokens and takes them in; returns how many came.
+///
+/// Goes on in a task of its own, so that tokens that are given after the request stopped waiting
+/// are not lost.
+pub async fn ask_peer(
+    context: &Arc<GatewayContext>,
+    peer: RichPeer,
+    account_id: &str,
+    needed_tokens: Tokens,
+    liked_tokens: Tokens,
+) -> Tokens {
+    let transfer_id = next_transfer_id(context);
+    let question = TransferQuestion {
+        transfer_id,
+        holder_id: peer.holder_id,
+        account_id: account_id.to_owned(),
+        needed_tokens,
+        liked_tokens,
+    };
+    let address = peer.record.peer_address;
+    let context = Arc::clone(context);
+    let task = tokio::spawn(async move { ask_until_answered(&context, address, &question).await });
+    task.await.unwrap_or(0)
+}
+
+async fn ask_until_answered(
+    context: &GatewayContext,
+    address: SocketAddr,
+    question: &TransferQuestion,
+) -> Tokens {
+    let account_id = &question.account_id;
+    for count in 1..=MAX_QUESTIONS {
+        match ask_once(address, question).await {
+            Ok(reply) => {
+                let mut tokens = context.lock_tokens();
+                let now = context.now();
+                tokens.holding.receive(account_id, reply.given_tokens);
+                tokens.hear(&question.holder_id, account_id, reply.left_tokens, now);
+                drop(tokens);
+                log::info!(
+                    account = account_id, from = question.holder_id, given = reply.given_tokens;
+                    "tokens received from another VM"
+                );
+                context.tokens_changed.notify_waiters();
+                return reply.given_tokens;
+            }
+            Err(error) => {
+                log::warn!(
+                    account = account_id, from = question.holder_id, question = count,
+                    error:% = format!("{error:#}");
+                    "another VM did not answer"
+                );
+                context.lock_tokens().hear(&question.holder_id, account_id, 0, context.now());
+                tokio::time::sleep(REPEAT_PAUSE).await;
+            }
+        }
+    }
+    0
+}
+
+async fn ask_once(
+    address: SocketAddr,
+    question: &TransferQuestion,
+) -> eyre::Result<TransferAnswer> {
+    let body = Bytes::from(postcard::to_stdvec(question).wrap_err("failed to encode a question")?);
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(TRANSFER_PATH)
+        .header(HOST, address.to_string())
+        .body(Full::new(body))
+        .wrap_err("failed to build a question")?;
+    let exchange = async {
+        let mut connection = Connection::open(address, ANSWER_TIMEOUT).await?;
+        let response = connection.send(request).await?;
+        if response.status() != StatusCode::OK {
+            bail!("VM at {address} answered with status {}", response.status());
+        }
+        let body = response.into_body().collect().await?.to_bytes();
+        postcard::from_bytes(&body).wrap_err("failed to decode the answer")
+    };
+    tokio::time::timeout(ANSWER_TIMEOUT, exchange).await.wrap_err("no answer in time")?
+}
+
+fn next_transfer_id(context: &GatewayContext) -> TransferId {
+    let mut tokens = context.lock_tokens();
+    tokens.transfer_count += 1;
+    (tokens.holding.holder_id().clone(), tokens.transfer_count)
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -0,0 +1,61 @@
+//! Keeps the list of backend servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sassafrashoist_adapter::log_answers::KeyedRecord;
+use sassafrashoist_adapter::server_entry::{SERVERS_TOPIC, decode_server_entry};
+
+use super::follow_topic::{TopicNews, follow_topic};
+use super::gateway_context::GatewayContext;
+
+/// Least time between two reads that bring entries; servers write often, and an entry may be this
+/// late without harm.
+const PACE: Duration = Duration::from_millis(250);
+
+/// Follows the list of servers until cancelled.
+pub async fn follow_servers(context: Arc<GatewayContext>) {
+    follow_topic(context, SERVERS_TOPIC, PACE, |context, news| match news {
+        TopicNews::All(records) => {
+            for record in &records {
+                take_entry(context, record);
+            }
+            let listed: Vec<_> = records
+                .iter()
+                .filter(|record| record.value.is_some())
+                .map(|record| record.key.clone())
+                .collect();
+            context.lock_servers().unlist_others(&listed, context.now());
+            context.mark_servers_listed();
+            log::info!(listed = listed.len(); "list of servers read");
+        }
+        TopicNews::Appended(records) => {
+            records.iter().for_each(|record| take_entry(context, record));
+        }
+    })
+    .await;
+}
+
+fn take_entry(context: &GatewayContext, record: &KeyedRecord) {
+    let server_id = record.key.as_str();
+    let Some(value) = &record.value else {
+        if context.lock_servers().unlist(server_id, context.now()) {
+            log::info!(server = server_id, offset = record.offset; "server left the list");
+        }
+        return;
+    };
+    match decode_server_entry(server_id, value) {
+        Ok(listing) => {
+            let (pool, is_draining) = (listing.pool_id.clone(), listing.is_draining);
+            if context.lock_servers().list(listing, context.now()) {
+                log::info!(
+                    server = server_id, pool = pool, draining = is_draining, offset = record.offset;
+                    "server listed"
+                );
+            }
+        }
+        Err(error) => {
+            log::debug!(server = server_id, error:% = error; "entry names no server");
+        }
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/http_exchange.rs
@@ -0,0 +1,94 @@
+//! One HTTP/1.1 request on a connection of its own.
+//!
+//! A connection is not used again: bytes that a server sends after its answer belong to no request,
+//! and a connection that was closed while it was idle never leaves a request in doubt.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Why a request got no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum ExchangeError {
+    /// No connection was made, so nothing was sent.
+    #[error("failed to connect to {address}: {reason}")]
+    NotConnected {
+        /// The server.
+        address: SocketAddr,
+        /// What happened.
+        reason: String,
+    },
+    /// The connection ended or failed after the request may have been sent.
+    #[error("connection to {address} failed: {source}")]
+    Broken {
+        /// The server.
+        address: SocketAddr,
+        /// What happened.
+        source: hyper::Error,
+    },
+}
+
+/// An open connection; dropping it closes the connection, whatever is in progress on it.
+#[derive(Debug)]
+pub struct Connection {
+    address: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none within `timeout`.
+    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, ExchangeError> {
+        let not_connected = |reason: String| ExchangeError::NotConnected { address, reason };
+        let stream = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(not_connected(error.to_string())),
+            Err(_) => return Err(not_connected(format!("no answer in {timeout:?}"))),
+        };
+        stream.set_nodelay(true).map_err(|error| not_connected(error.to_string()))?;
+        let (sender, connection) = http1::Builder::new()
+            .preserve_header_case(true)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_connected(error.to_string()))?;
+        let driver = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(address:% = address, error:% = error; "connection ended");
+            }
+        });
+        Ok(Self { address, sender, driver })
+    }
+
+    /// Sends a request and returns the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection ends or fails; the request may have been executed.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let address = self.address;
+        let broken = |source| ExchangeError::Broken { address, source };
+        self.sender.ready().await.map_err(broken)?;
+        self.sender.send_request(request).await.map_err(broken)
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -0,0 +1,281 @@
+//! Keeps this VM's part of the ledger of prepaid tokens.
+//!
+//! One append is in progress at a time. One whose fate is not known stays pending until the ledger
+//! shows its record, or shows that the topic has grown past the place where it could have gone; what
+//! it would draw is not used before, and what it would hand back is not used any more.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use sassafrashoist_adapter::log_answers::{KeyedRecord, LogError};
+use sassafrashoist_adapter::log_calls::LEDGER_TOPIC;
+use sassafrashoist_core::gateway::Uptime;
+use sassafrashoist_core::gateway::token_holding::PlannedRecord;
+use sassafrashoist_core::ids::LogOffset;
+use tokio_util::sync::CancellationToken;
+
+use super::gateway_context::{GatewayContext, decode_holder_record};
+use super::log_link::{LogCallError, LogLink};
+
+/// Time between two looks at the ledger while no request waits for tokens.
+const LOOK_INTERVAL: Duration = Duration::from_millis(450);
+/// The most that chance adds to it, so that VMs do not append at once.
+const LOOK_JITTER_MS: u64 = 150;
+/// Least time between two looks, however many requests wait.
+const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time after which use is reported although no tokens move.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How often a draw is decided again because another VM's came first.
+const MAX_CONFLICTS: u32 = 6;
+
+/// Keeps tokens until `finished`, when no request is in progress any more; then hands back what is
+/// left.
+pub async fn keep_tokens(context: Arc<GatewayContext>, finished: CancellationToken) {
+    let mut keeper = TokenKeeper::new(Arc::clone(&context));
+    while !finished.is_cancelled() {
+        keeper.look().await;
+        let jitter = Duration::from_millis(rand::random_range(0..=LOOK_JITTER_MS));
+        tokio::select! {
+            () = tokio::time::sleep(LOOK_INTERVAL + jitter) => {}
+            () = context.tokens_wanted.notified() => tokio::time::sleep(MIN_LOOK_INTERVAL).await,
+            () = finished.cancelled() => {}
+        }
+    }
+    keeper.close().await;
+}
+
+/// An append that is not known to be done or to be impossible.
+struct Pending {
+    planned: PlannedRecord,
+    at: LogOffset,
+    /// Whether it was sent and not answered: it may be executed at any time while the topic ends at
+    /// `at`.
+    is_in_doubt: bool,
+}
+
+struct TokenKeeper {
+    context: Arc<GatewayContext>,
+    link: LogLink,
+    has_snapshot: bool,
+    pending: Option<Pending>,
+    reported_at: Uptime,
+    is_reached: bool,
+}
+
+impl TokenKeeper {
+    fn new(context: Arc<GatewayContext>) -> Self {
+        let link = LogLink::new(Arc::clone(&context));
+        Self {
+            context,
+            link,
+            has_snapshot: false,
+            pending: None,
+            reported_at: Uptime::ZERO,
+            is_reached: true,
+        }
+    }
+
+    async fn look(&mut self) {
+        match self.read_and_append().await {
+            Ok(()) => {
+                if !self.is_reached {
+                    log::info!(topic = LEDGER_TOPIC; "log service regained");
+                    self.is_reached = true;
+                }
+            }
+            Err(error) => {
+                if self.is_reached {
+                    log::warn!(topic = LEDGER_TOPIC, error:% = format!("{error:#}"); "log service lost");
+                    self.is_reached = false;
+                }
+            }
+        }
+        self.context.tokens_changed.notify_waiters();
+    }
+
+    async fn read_and_append(&mut self) -> eyre::Result<()> {
+        for _ in 0..MAX_CONFLICTS {
+            self.read().await?;
+            self.resolve_pending();
+            if self.pending.is_none() && !self.plan_next() {
+                return Ok(());
+            }
+            if self.append_pending().await? {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    async fn close(&mut self) {
+        for _ in 0..MAX_CONFLICTS {
+            if let Err(error) = self.read().await {
+                log::warn!(error:% = error; "ledger not read at the end");
+                continue;
+            }
+            self.resolve_pending();
+            if self.pending.is_none() {
+                let mut tokens = self.context.lock_tokens();
+                let planned = tokens.holding.plan_closing(self.context.now());
+                let at = tokens.ledger.end();
+                self.pending = Some(Pending { planned, at, is_in_doubt: false });
+            }
+            let is_last =
+                self.pending.as_ref().is_some_and(|pending| pending.planned.record.is_closed);
+            match self.append_pending().await {
+                Ok(true) if is_last => {
+                    log::info!("tokens handed back");
+                    return;
+                }
+                Ok(_) => {}
+                Err(error) => log::warn!(error:% = format!("{error:#}"); "tokens not handed back"),
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), LogCallError> {
+        if !self.has_snapshot {
+            let page = self.link.newest(LEDGER_TOPIC).await?;
+            self.apply(page.records, page.end);
+            self.has_snapshot = true;
+        }
+        loop {
+            let from = self.context.lock_tokens().ledger.end();
+            match self.link.read(LEDGER_TOPIC, from, Duration::ZERO).await {
+                Ok(batch) => {
+                    let is_at_end = batch.next >= batch.end;
+                    self.apply(batch.records, batch.next);
+                    if is_at_end {
+                        break;
+                    }
+                }
+                Err(LogCallError::Answered(LogError::Trimmed(_))) => {
+                    let page = self.link.newest(LEDGER_TOPIC).await?;
+                    self.apply(page.records, page.end);
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        let routes = self.context.routes();
+        let mut tokens = self.context.lock_tokens();
+        tokens.read_at = Some(self.context.now());
+        if let Some(routes) = routes {
+            let book = &mut *tokens;
+            book.holding.observe_ledger(&book.ledger, routes.config());
+        }
+        Ok(())
+    }
+
+    fn apply(&self, records: Vec<KeyedRecord>, end: LogOffset) {
+        let mut tokens = self.context.lock_tokens();
+        for record in records {
+            let Some(value) = record.value else {
+                continue;
+            };
+            match decode_holder_record(&value) {
+                Ok(holder) => tokens.ledger.apply(record.offset, record.key, holder),
+                Err(error) => {
+                    log::error!(key = record.key, error:% = error; "record of the ledger not read");
+                }
+            }
+        }
+        tokens.ledger.read_to(end);
+    }
+
+    /// Closes a pending append whose fate the ledger shows.
+    fn resolve_pending(&mut self) {
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        let mut tokens = self.context.lock_tokens();
+        let book = &mut *tokens;
+        let own = book.ledger.holder(book.holding.holder_id());
+        let is_in_log =
+            own.is_some_and(|(_, record)| record.sequence == pending.planned.record.sequence);
+        if is_in_log {
+            book.holding.commit(&pending.planned);
+        } else if book.ledger.end() > pending.at {
+            book.holding.abandon(&pending.planned);
+        } else {
+            drop(tokens);
+            self.pending = Some(pending);
+        }
+    }
+
+    /// Plans the next record; false when there is nothing to write.
+    fn plan_next(&mut self) -> bool {
+        let Some(routes) = self.context.routes() else {
+            return false;
+        };
+        if self.context.draining.is_cancelled() {
+            return false;
+        }
+        let now = self.context.now();
+        let mut tokens = self.context.lock_tokens();
+        let book = &mut *tokens;
+        let planned = book.holding.plan(&book.ledger, routes.config(), now);
+        let is_due = now >= self.reported_at + REPORT_INTERVAL
+            && book
+                .ledger
+                .holder(book.holding.holder_id())
+                .is_none_or(|(_, written)| written.accounts != planned.record.accounts);
+        if !planned.moves_tokens() && !is_due {
+            return false;
+        }
+        let at = book.ledger.end();
+        drop(tokens);
+        self.pending = Some(Pending { planned, at, is_in_doubt: false });
+        true
+    }
+
+    /// Appends the pending record; false when it has to be decided again.
+    async fn append_pending(&mut self) -> eyre::Result<bool> {
+        let Some(pending) = &self.pending else {
+            return Ok(true);
+        };
+        let value = postcard::to_stdvec(&pending.planned.record)
+            .wrap_err("failed to encode a record of the ledger")?;
+        let holder_id = self.context.lock_tokens().holding.holder_id().clone();
+        let result = self.link.append_at(LEDGER_TOPIC, pending.at, &holder_id, &value).await;
+        match result {
+            Ok(end) => {
+                if let Some(pending) = self.pending.take() {
+                    self.take_over(pending, end);
+                }
+                Ok(true)
+            }
+            Err(LogCallError::Answered(LogError::EndMoved)) => Ok(false),
+            Err(error) => {
+                if let Some(mut pending) = self.pending.take() {
+                    pending.is_in_doubt |= error.is_in_doubt();
+                    if pending.is_in_doubt {
+                        self.pending = Some(pending);
+                    } else {
+                        self.context.lock_tokens().holding.abandon(&pending.planned);
+                    }
+                }
+                Err(error).wrap_err("an append to the ledger was not answered with success")
+            }
+        }
+    }
+
+    fn take_over(&mut self, pending: Pending, end: LogOffset) {
+        let now = self.context.now();
+        self.reported_at = now;
+        let mut tokens = self.context.lock_tokens();
+        let book = &mut *tokens;
+        book.holding.commit(&pending.planned);
+        let holder_id = book.holding.holder_id().clone();
+        book.ledger.apply(pending.at, holder_id, pending.planned.record.clone());
+        book.ledger.read_to(end);
+        drop(tokens);
+        if pending.planned.moves_tokens() {
+            log::info!(
+                sequence = pending.planned.record.sequence, offset = pending.at,
+                moved:? = pending.planned.changes();
+                "tokens drawn or handed back"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -0,0 +1,85 @@
+//! Accepts HTTP/1.1 connections.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use super::answer_body::AnswerBody;
+
+/// Pause after a failed accept, which usually means that descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How connections are served.
+#[derive(Debug, Clone)]
+pub struct ConnectionPolicy {
+    /// How long the head of a request may take, with the time before it.
+    pub head_timeout: Duration,
+    /// The longest head of a request.
+    pub max_head_bytes: usize,
+    /// Ends connections after the request in progress.
+    pub closing: CancellationToken,
+}
+
+/// Listens on an address.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("failed to listen on {address}"))
+}
+
+/// Accepts one connection, however often that fails.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                log::warn!(error:% = error; "accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves the requests of one connection.
+pub async fn serve_connection<F, R>(stream: TcpStream, policy: ConnectionPolicy, handle: F)
+where
+    F: Fn(Request<Incoming>) -> R,
+    R: Future<Output = Response<AnswerBody>>,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:% = error; "connection was closed before it was served");
+        return;
+    }
+    let service = service_fn(|request| {
+        let response = handle(request);
+        async move { Ok::<_, Infallible>(response.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(policy.head_timeout)
+        .max_buf_size(policy.max_head_bytes)
+        .preserve_header_case(true)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = policy.closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!(error:% = error; "connection of a caller ended");
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -0,0 +1,132 @@
+//! Reserves the tokens of a request, wherever they are held.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sassafrashoist_core::gateway::Uptime;
+use sassafrashoist_core::ids::Tokens;
+
+use super::ask_peers::ask_peer;
+use super::gateway_context::GatewayContext;
+use super::token_reservation::TokenReservation;
+
+/// How long a request waits for tokens: a draw takes two calls, a question to another VM one.
+const MAX_WAIT: Duration = Duration::from_millis(180);
+/// How long the log is waited for before other VMs are asked.
+const DRAW_WAIT: Duration = Duration::from_millis(60);
+/// The age up to which the ledger tells where tokens are.
+const MAX_LEDGER_AGE: Duration = Duration::from_millis(1_500);
+/// The most other VMs that are asked for one request.
+const MAX_PEERS: usize = 3;
+/// How many requests' worth is liked of a VM that has plenty.
+const LIKED_FACTOR: Tokens = 3;
+
+/// Why a request gets no tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoTokens {
+    /// What the account has left does not cover the request.
+    Exhausted,
+    /// The account may have them, but not within reach.
+    OutOfReach,
+}
+
+/// The tokens that a request may use at most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorstCase {
+    /// The length of the prompt.
+    pub prompt_tokens: Tokens,
+    /// The most output tokens.
+    pub output_tokens: Tokens,
+}
+
+impl WorstCase {
+    /// Returns the sum.
+    pub fn total(self) -> Tokens {
+        self.prompt_tokens + self.output_tokens
+    }
+}
+
+/// Reserves the worst case of a request of an account that paid for `paid_tokens`.
+///
+/// # Errors
+///
+/// Fails when the tokens are not there, or not within reach in time.
+pub async fn obtain_tokens(
+    context: &Arc<GatewayContext>,
+    account_id: &str,
+    paid_tokens: Tokens,
+    worst_case: WorstCase,
+) -> Result<TokenReservation, NoTokens> {
+    let needed = worst_case.total();
+    let give_up_at = context.now() + MAX_WAIT;
+    if try_reserve(context, account_id, needed) {
+        return Ok(reservation(context, account_id, worst_case));
+    }
+    if is_exhausted(context, account_id, paid_tokens, needed) {
+        return Err(NoTokens::Exhausted);
+    }
+    let draw_until = if is_ledger_fresh(context) { context.now() + DRAW_WAIT } else { Uptime::ZERO };
+    while context.now() < draw_until {
+        // Registered before the wish, so that its draw cannot be missed.
+        let changed = context.tokens_changed.notified();
+        context.lock_tokens().holding.want(account_id, needed);
+        context.tokens_wanted.notify_one();
+        // A timeout is the end of the wait for the log, which the loop condition sees.
+        let _ = tokio::time::timeout_at(context.instant(draw_until), changed).await;
+        if try_reserve(context, account_id, needed) {
+            return Ok(reservation(context, account_id, worst_case));
+        }
+    }
+    let peers = context.lock_tokens().rich_peers(account_id);
+    for peer in peers.into_iter().filter(|peer| peer.available_tokens > 0).take(MAX_PEERS) {
+        let held = context.lock_tokens().holding.available_tokens(account_id).max(0) as Tokens;
+        let missing = needed.saturating_sub(held);
+        let question = ask_peer(context, peer, account_id, missing, needed * LIKED_FACTOR);
+        // Tokens that come later are taken in by the question's own task.
+        let is_late =
+            tokio::time::timeout_at(context.instant(give_up_at), question).await.is_err();
+        if try_reserve(context, account_id, needed) {
+            return Ok(reservation(context, account_id, worst_case));
+        }
+        if is_late {
+            break;
+        }
+    }
+    if is_exhausted(context, account_id, paid_tokens, needed) {
+        return Err(NoTokens::Exhausted);
+    }
+    Err(NoTokens::OutOfReach)
+}
+
+fn try_reserve(context: &GatewayContext, account_id: &str, needed: Tokens) -> bool {
+    context.lock_tokens().holding.try_reserve(account_id, needed)
+}
+
+fn is_ledger_fresh(context: &GatewayContext) -> bool {
+    context.ledger_age().is_some_and(|age| age < MAX_LEDGER_AGE)
+}
+
+/// Returns whether the account cannot pay for the request, wherever its tokens are: reported use
+/// only grows, so what the ledger shows as unspent is never too little.
+fn is_exhausted(
+    context: &GatewayContext,
+    account_id: &str,
+    paid_tokens: Tokens,
+    needed: Tokens,
+) -> bool {
+    let unspent = context.lock_tokens().unspent_tokens(account_id, paid_tokens);
+    is_ledger_fresh(context) && unspent < needed as i64
+}
+
+fn reservation(
+    context: &Arc<GatewayContext>,
+    account_id: &str,
+    worst_case: WorstCase,
+) -> TokenReservation {
+    TokenReservation::new(
+        Arc::clone(context),
+        account_id.to_owned(),
+        worst_case.prompt_tokens,
+        worst_case.output_tokens,
+    )
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -0,0 +1,259 @@
+//! Sends a request to backend servers until it has an answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Frame;
+use sassafrashoist_adapter::answer_headers::encode_served;
+use sassafrashoist_core::gateway::server_directory::ChosenListing;
+use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
+
+use super::answer_body::{AnswerBody, BrokenOff, answer, streamed_body};
+use super::gateway_context::GatewayContext;
+use super::pass_events::{FirstEvent, pass_events, read_first_event};
+use super::request_life::RequestLife;
+use super::send_attempt::{AttemptStart, BegunAnswer, send_attempt};
+use super::serve_request::Refusal;
+use super::token_reservation::TokenReservation;
+
+/// The most servers that are tried, those that did not run the request included.
+pub const MAX_SENDS: u32 = 4;
+/// The least time that is worth an attempt.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
+/// When a caller may come back if no server took its request.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// The least silence after which a server is given up for a request that may run again.
+const MIN_PATIENCE: Duration = Duration::from_millis(300);
+/// Answers up to this length are passed on whole, so that a broken one can be asked for again.
+const MAX_HELD_BYTES: usize = 262_144;
+/// Parts of a long answer that wait for the caller.
+const BODY_CAPACITY: usize = 4;
+
+/// What attempts have done so far.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct AttemptCounts {
+    /// Servers that were tried.
+    pub sent: u32,
+    /// Servers that a request reached.
+    pub arrived: u32,
+    /// Servers that may have run it.
+    pub run: u32,
+}
+
+impl AttemptCounts {
+    /// Returns whether the request may run on one more server.
+    pub fn allows_run(&self, life: &RequestLife) -> bool {
+        self.run == 0
+            || (life.route.repeatability.may_run_again() && self.run < life.route.max_attempts)
+    }
+
+    /// Returns whether a server that is given up could be replaced by another.
+    pub fn allows_another_run(&self, life: &RequestLife) -> bool {
+        life.route.repeatability.may_run_again() && self.run + 1 < life.route.max_attempts
+    }
+}
+
+/// Sends a request to backend servers until it has an answer.
+pub async fn run_attempts(
+    context: Arc<GatewayContext>,
+    life: Arc<RequestLife>,
+    mut reservation: Option<TokenReservation>,
+) -> Response<AnswerBody> {
+    let mut need = life.server_need();
+    let mut counts = AttemptCounts::default();
+    let mut failure = "no server";
+    while counts.sent < MAX_SENDS && counts.allows_run(&life) {
+        if life.time_left(context.now()) < MIN_TIME_LEFT {
+            failure = "deadline reached";
+            break;
+        }
+        if counts.arrived > 0 && !context.try_repeat(&life.pool_id) {
+            log::info!(id = life.id(), pool = life.pool_id; "no repeated send is left");
+            break;
+        }
+        let now = context.now();
+        let chosen = context.lock_servers().choose(&need, rand::random(), now);
+        let Some(chosen) = chosen else {
+            break;
+        };
+        log_choice(&life, &chosen, counts);
+        need.excluded.push(chosen.listing.id.clone());
+        counts.sent += 1;
+        if let Some(reservation) = &mut reservation {
+            reservation.mark_sent();
+        }
+        let patience = counts.allows_another_run(&life).then(|| first_patience(&life, &chosen));
+        let event_id = life.caller.last_event_id.clone();
+        let begun = match send_attempt(&context, &life, chosen, event_id, patience).await {
+            AttemptStart::Answered(begun) => begun,
+            AttemptStart::Failed(begun) => {
+                counts.arrived += 1;
+                counts.run += 1;
+                if counts.allows_run(&life) {
+                    failure = "server failed";
+                    continue;
+                }
+                begun
+            }
+            AttemptStart::NotRun(reason) => {
+                failure = reason;
+                counts.arrived += u32::from(reason != "server not reached");
+                if let Some(reservation) = &mut reservation
+                    && counts.run == 0
+                {
+                    reservation.mark_not_run();
+                }
+                continue;
+            }
+            AttemptStart::Lost(reason) => {
+                failure = reason;
+                counts.arrived += 1;
+                counts.run += 1;
+                continue;
+            }
+        };
+        counts.arrived += 1;
+        counts.run += 1;
+        let is_stream =
+            life.route.repeatability.is_stream() && begun.response.status().is_success();
+        if is_stream {
+            match read_first_event(&context, &life, begun, patience).await {
+                Ok(FirstEvent { begun, splitter, is_whole }) => {
+                    return pass_events(
+                        context,
+                        life,
+                        reservation,
+                        counts,
+                        begun,
+                        splitter,
+                        is_whole,
+                    );
+                }
+                Err(reason) => failure = reason,
+            }
+        } else {
+            match pass_plain(&context, &life, begun).await {
+                Ok(response) => return response,
+                Err(reason) => failure = reason,
+            }
+        }
+    }
+    end_unserved(&context, &life, counts, failure)
+}
+
+fn end_unserved(
+    context: &GatewayContext,
+    life: &RequestLife,
+    counts: AttemptCounts,
+    failure: &'static str,
+) -> Response<AnswerBody> {
+    let refusal = if counts.run == 0 {
+        Refusal::not_now(FULL_RETRY_AFTER, failure)
+    } else if life.time_left(context.now()) < MIN_TIME_LEFT {
+        Refusal::new(StatusCode::GATEWAY_TIMEOUT, failure)
+    } else {
+        Refusal::new(StatusCode::BAD_GATEWAY, failure)
+    };
+    let detail = format!(
+        "pool {}, {} sent, {} arrived, {} may have run",
+        life.pool_id, counts.sent, counts.arrived, counts.run
+    );
+    refusal.into_response(life.id(), &detail)
+}
+
+/// Returns the silence after which a server is given up before the answer has begun.
+pub fn first_patience(life: &RequestLife, chosen: &ChosenListing) -> Duration {
+    let expected = Duration::from_secs_f64(chosen.cost_ms.max(0.0) / 1_000.0);
+    life.route.target_latency.max(MIN_PATIENCE + 2 * expected)
+}
+
+fn log_choice(life: &RequestLife, chosen: &ChosenListing, counts: AttemptCounts) {
+    log::info!(
+        id = life.id(), route = life.route.id, pool = life.pool_id,
+        account = life.account_id.as_deref().unwrap_or("-"),
+        server = chosen.listing.id, expected_ms = chosen.cost_ms as u64,
+        read_tokens = chosen.prompt_tokens, attempt = counts.sent + 1;
+        "request sent"
+    );
+}
+
+/// Passes an answer without events on; fails when it breaks off before any of it was passed on.
+async fn pass_plain(
+    context: &Arc<GatewayContext>,
+    life: &Arc<RequestLife>,
+    begun: BegunAnswer,
+) -> Result<Response<AnswerBody>, &'static str> {
+    let BegunAnswer { response, connection, mut place } = begun;
+    place.record_bytes();
+    let (head, mut body) = response.into_parts();
+    let headers = encode_served(&head.headers);
+    let deadline = context.instant(life.deadline);
+    let mut held = BytesMut::new();
+    loop {
+        let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => break,
+            Ok(Some(Err(error))) => {
+                log::info!(id = life.id(), server = place.server_id(), error:% = error; "answer broken off");
+                place.set_verdict(AttemptVerdict::Failed);
+                return Err("answer broken off");
+            }
+            Err(_) => return Err("answer not whole before the deadline"),
+        };
+        if let Some(data) = frame.data_ref() {
+            place.record_bytes();
+            held.extend_from_slice(data);
+        }
+        if held.len() > MAX_HELD_BYTES {
+            let (sender, answer_body) = streamed_body(BODY_CAPACITY);
+            let (task_context, in_progress) = (Arc::clone(context), context.requests.token());
+            tokio::spawn(async move {
+                let _held = (connection, place, in_progress);
+                let rest = async {
+                    let first = sender.send(Ok(Frame::data(held.freeze()))).await;
+                    let mut is_open = first.is_ok();
+                    while is_open && let Some(frame) = body.frame().await {
+                        is_open = sender.send(frame.map_err(|_| BrokenOff)).await.is_ok();
+                    }
+                };
+                let is_late = tokio::time::timeout_at(deadline, rest).await.is_err();
+                if is_late {
+                    // Fails only when the caller is gone.
+                    let _ = sender.try_send(Err(BrokenOff));
+                }
+                drop(task_context);
+            });
+            let mut response = Response::new(answer_body);
+            *response.status_mut() = head.status;
+            *response.headers_mut() = headers;
+            return Ok(response);
+        }
+    }
+    if !head.status.is_server_error() {
+        place.set_verdict(AttemptVerdict::Succeeded);
+    }
+    log_end(context, life, place.server_id(), head.status, held.len());
+    Ok(answer(head.status, headers, Bytes::from(held)))
+}
+
+/// Writes down that an answer was passed on whole.
+pub fn log_end(
+    context: &GatewayContext,
+    life: &RequestLife,
+    server_id: &str,
+    status: StatusCode,
+    size: usize,
+) {
+    let took = context.now().saturating_sub(life.arrived_at);
+    metrics::counter!("sassafrashoist_answers_total", "status" => status.as_u16().to_string())
+        .increment(1);
+    metrics::histogram!("sassafrashoist_request_seconds").record(took.as_secs_f64());
+    log::info!(
+        id = life.id(), server = server_id, status = status.as_u16(), size = size,
+        took_ms = took.as_millis() as u64;
+        "request answered"
+    );
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/serve_clients.rs
@@ -0,0 +1,66 @@
+//! Accepts connections of callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::CONNECTION;
+use http::{HeaderValue, Response};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use super::answer_body::AnswerBody;
+use super::gateway_context::GatewayContext;
+use super::listen::{ConnectionPolicy, accept, serve_connection};
+use super::serve_request::serve_request;
+
+/// The limits on callers before a configuration is known.
+const FIRST_HEAD_BYTES: usize = 16_384;
+/// How long a connection may be idle before a configuration is known.
+const FIRST_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// The smallest buffer that the HTTP library takes.
+const MIN_HEAD_BYTES: usize = 8_192;
+
+/// Serves callers until `closing`, which also ends connections after the request in progress.
+pub async fn serve_clients(
+    context: Arc<GatewayContext>,
+    listener: TcpListener,
+    closing: CancellationToken,
+) {
+    loop {
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            () = closing.cancelled() => return,
+        };
+        let policy = connection_policy(&context, &closing);
+        let context = Arc::clone(&context);
+        tokio::spawn(async move {
+            let handle = |request| {
+                let context = Arc::clone(&context);
+                async move {
+                    let mut response = serve_request(&context, request).await;
+                    close_when_draining(&context, &mut response);
+                    response
+                }
+            };
+            serve_connection(stream, policy, handle).await;
+        });
+    }
+}
+
+fn connection_policy(context: &GatewayContext, closing: &CancellationToken) -> ConnectionPolicy {
+    let limits = context.routes().map(|routes| routes.config().limits);
+    let head_bytes = limits.map_or(FIRST_HEAD_BYTES, |limits| limits.head_bytes);
+    ConnectionPolicy {
+        head_timeout: limits.map_or(FIRST_IDLE_TIMEOUT, |limits| {
+            limits.idle_timeout.max(limits.head_timeout)
+        }),
+        max_head_bytes: head_bytes.max(MIN_HEAD_BYTES),
+        closing: closing.clone(),
+    }
+}
+
+fn close_when_draining(context: &GatewayContext, response: &mut Response<AnswerBody>) {
+    if context.draining.is_cancelled() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -0,0 +1,208 @@
+//! The life of one request of a caller.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use sassafrashoist_adapter::answer_headers::encode_refusal;
+use sassafrashoist_adapter::request_headers::{CallerHeaders, single_host};
+use sassafrashoist_core::gateway::route::Repeatability;
+use sassafrashoist_core::gateway::route_table::{NotAllowed, RouteTable};
+use sassafrashoist_core::ids::Tokens;
+
+use super::answer_body::{AnswerBody, answer};
+use super::gateway_context::GatewayContext;
+use super::obtain_tokens::{NoTokens, WorstCase, obtain_tokens};
+use super::request_life::RequestLife;
+use super::run_attempts::run_attempts;
+use super::token_reservation::TokenReservation;
+
+/// When a caller may come back to a VM that knows no configuration yet.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// When a caller may come back whose tokens are out of reach: after the next draw.
+const TOKENS_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// An answer that this VM makes itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Refusal {
+    /// The status.
+    pub status: StatusCode,
+    /// When the caller may come back, if it may.
+    pub retry_after: Option<Duration>,
+    /// Why.
+    pub reason: &'static str,
+}
+
+impl Refusal {
+    /// Creates a refusal that the caller should not repeat.
+    pub fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self { status, retry_after: None, reason }
+    }
+
+    /// Creates a refusal of a request that has not run and may come back after about `delay`.
+    pub fn not_now(delay: Duration, reason: &'static str) -> Self {
+        let spread = 1.0 + rand::random::<f64>();
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            retry_after: Some(delay.mul_f64(spread)),
+            reason,
+        }
+    }
+
+    /// Writes the refusal down and builds the answer.
+    pub fn into_response(self, id: &str, detail: &dyn fmt::Display) -> Response<AnswerBody> {
+        metrics::counter!("sassafrashoist_refusals_total", "reason" => self.reason).increment(1);
+        log::info!(
+            id = id, status = self.status.as_u16(), reason = self.reason, detail:% = detail,
+            retry_after_ms = self.retry_after.map_or(0, |delay| delay.as_millis() as u64);
+            "request refused"
+        );
+        let request_id = (id != "-").then_some(id);
+        let headers = encode_refusal(request_id, self.retry_after);
+        answer(self.status, headers, Bytes::from_static(self.reason.as_bytes()))
+    }
+}
+
+/// Serves a request.
+pub async fn serve_request(
+    context: &Arc<GatewayContext>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let _in_progress = context.requests.token();
+    let arrived_at = context.now();
+    let (parts, body) = request.into_parts();
+    let caller = CallerHeaders::decode(&parts.headers);
+    let id = caller.request_id.clone().unwrap_or_else(|| "-".to_owned());
+    let Some(routes) = context.routes() else {
+        let refusal = Refusal::not_now(STARTING_RETRY_AFTER, "no configuration known yet");
+        return refusal.into_response(&id, &"");
+    };
+    let version = routes.config().version;
+    let mut life = match allow(&routes, &parts, caller) {
+        Ok(life) => life,
+        Err(refusal) => {
+            return refusal.into_response(&id, &format_args!("configuration {version}"));
+        }
+    };
+    life.arrived_at = arrived_at;
+    life.deadline += arrived_at;
+    life.body = match read_body(&life, context, routes.config().limits.body_bytes, body).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal.into_response(&id, &""),
+    };
+    let reservation = match reserve(context, &routes, &life).await {
+        Ok(reservation) => reservation,
+        Err(refusal) => {
+            let account_id = life.account_id.as_deref().unwrap_or("-");
+            return refusal.into_response(&id, &format_args!("account {account_id}"));
+        }
+    };
+    context.record_request(&life.pool_id);
+    let runs_without_caller = life.route.repeatability == Repeatability::AtMostOnce;
+    let run = run_attempts(Arc::clone(context), Arc::new(life), reservation);
+    if !runs_without_caller {
+        return run.await;
+    }
+    // Its work cannot be asked for again, so it goes on when the caller leaves.
+    let in_progress = context.requests.token();
+    let task = tokio::spawn(async move {
+        let response = run.await;
+        drop(in_progress);
+        response
+    });
+    task.await.unwrap_or_else(|error| {
+        log::error!(id = id, error:% = error; "request failed in the router");
+        Refusal::new(StatusCode::BAD_GATEWAY, "internal failure").into_response(&id, &"")
+    })
+}
+
+/// Finds the route and the account; the deadline is counted from the arrival.
+fn allow(
+    routes: &RouteTable,
+    parts: &Parts,
+    caller: CallerHeaders,
+) -> Result<RequestLife, Refusal> {
+    let host = single_host(&parts.headers);
+    let Some(host) = parts.uri.host().or(host) else {
+        return Err(Refusal::new(StatusCode::BAD_REQUEST, "host is missing or ambiguous"));
+    };
+    let route = routes
+        .find_route(host, parts.uri.path())
+        .map_err(|_| Refusal::new(StatusCode::NOT_FOUND, "no route matches"))?;
+    let account =
+        routes.authorise(route, caller.key.as_deref()).map_err(|not_allowed| match not_allowed {
+            NotAllowed::UnknownKey => Refusal::new(StatusCode::UNAUTHORIZED, "key is not known"),
+            NotAllowed::NoRoute => Refusal::new(StatusCode::NOT_FOUND, "no route matches"),
+        })?;
+    let Some(pool_id) = route.destination(rand::random()) else {
+        return Err(Refusal::new(StatusCode::NOT_FOUND, "route has no destination"));
+    };
+    let pool = routes.config().pool(pool_id);
+    let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
+    Ok(RequestLife {
+        method: parts.method.clone(),
+        uri: parts.uri.clone(),
+        headers: parts.headers.clone(),
+        caller,
+        body: Bytes::new(),
+        route: route.clone(),
+        pool_id: pool_id.clone(),
+        tokens_per_event: pool.and_then(|pool| pool.engine).map(|engine| engine.tokens_per_event),
+        account_id: account.map(|account| account.id.clone()),
+        priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
+        arrived_at: Duration::ZERO,
+        deadline: patience,
+    })
+}
+
+async fn read_body(
+    life: &RequestLife,
+    context: &GatewayContext,
+    max_bytes: usize,
+    body: Incoming,
+) -> Result<Bytes, Refusal> {
+    let read = Limited::new(body, max_bytes).collect();
+    match tokio::time::timeout_at(context.instant(life.deadline), read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long"))
+        }
+        Ok(Err(error)) => {
+            log::debug!(id = life.id(), error:% = error; "body not read");
+            Err(Refusal::new(StatusCode::BAD_REQUEST, "body cannot be read"))
+        }
+        Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body came too slowly")),
+    }
+}
+
+/// Reserves the tokens of a request; `None` if its account has no budget or it needs none.
+async fn reserve(
+    context: &Arc<GatewayContext>,
+    routes: &RouteTable,
+    life: &RequestLife,
+) -> Result<Option<TokenReservation>, Refusal> {
+    let Some(account_id) = &life.account_id else {
+        return Ok(None);
+    };
+    let paid: Option<Tokens> = routes.config().paid_tokens(account_id);
+    let (Some(paid_tokens), Some((prompt_tokens, output_tokens))) =
+        (paid, life.caller.prompt_and_output_tokens)
+    else {
+        return Ok(None);
+    };
+    let worst_case = WorstCase { prompt_tokens, output_tokens };
+    match obtain_tokens(context, account_id, paid_tokens, worst_case).await {
+        Ok(reservation) => Ok(Some(reservation)),
+        Err(NoTokens::Exhausted) => {
+            Err(Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget does not cover the request"))
+        }
+        Err(NoTokens::OutOfReach) => {
+            Err(Refusal::not_now(TOKENS_RETRY_AFTER, "tokens are out of reach"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -0,0 +1,85 @@
+//! The ledger as read from the log, with the tokens that this process holds.
+
+use std::collections::HashMap;
+
+use sassafrashoist_core::gateway::holder_record::HolderRecord;
+use sassafrashoist_core::gateway::token_holding::TokenHolding;
+use sassafrashoist_core::gateway::token_ledger::TokenLedger;
+use sassafrashoist_core::gateway::{HolderId, Uptime};
+use sassafrashoist_core::ids::{ClientAccountId, Tokens};
+
+/// The ledger as read from the log, with the tokens that this process holds.
+#[derive(Debug)]
+pub struct TokenBook {
+    /// The ledger.
+    pub ledger: TokenLedger,
+    /// The tokens that this process holds.
+    pub holding: TokenHolding,
+    /// When the ledger was last read to its end.
+    pub read_at: Option<Uptime>,
+    /// Counts the questions to other VMs.
+    pub transfer_count: u64,
+    heard: HashMap<(HolderId, ClientAccountId), (Uptime, i64)>,
+}
+
+/// Another VM that may have tokens.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RichPeer {
+    /// Its run.
+    pub holder_id: HolderId,
+    /// What it wrote last.
+    pub record: HolderRecord,
+    /// The tokens that it is believed to have.
+    pub available_tokens: i64,
+}
+
+impl TokenBook {
+    /// Creates a book without tokens.
+    pub fn new(holding: TokenHolding) -> Self {
+        Self {
+            ledger: TokenLedger::default(),
+            holding,
+            read_at: None,
+            transfer_count: 0,
+            heard: HashMap::new(),
+        }
+    }
+
+    /// Records what another VM said that it still has.
+    pub fn hear(&mut self, holder_id: &str, account_id: &str, available: i64, now: Uptime) {
+        self.heard.insert((holder_id.to_owned(), account_id.to_owned()), (now, available));
+    }
+
+    /// Returns the other VMs, the one with most tokens of an account first.
+    ///
+    /// What a VM said itself goes before its record if the ledger was read before.
+    pub fn rich_peers(&self, account_id: &str) -> Vec<RichPeer> {
+        let own_vm_id = self.holding.holder_id().split('/').next().unwrap_or_default();
+        let others = self.ledger.live_holders().filter(|(_, record)| record.vm_id != own_vm_id);
+        let mut peers: Vec<RichPeer> = others
+            .map(|(holder_id, record)| RichPeer {
+                holder_id: holder_id.clone(),
+                record: record.clone(),
+                available_tokens: self.believed_tokens(holder_id, record, account_id),
+            })
+            .collect();
+        peers.sort_by_key(|peer| std::cmp::Reverse(peer.available_tokens));
+        peers
+    }
+
+    /// Returns the tokens that an account still has according to the ledger and this process,
+    /// wherever they are.
+    pub fn unspent_tokens(&self, account_id: &str, paid_tokens: Tokens) -> i64 {
+        paid_tokens as i64 - self.ledger.spent_tokens(account_id) as i64
+    }
+
+    fn believed_tokens(&self, holder_id: &str, record: &HolderRecord, account_id: &str) -> i64 {
+        let key = (holder_id.to_owned(), account_id.to_owned());
+        match self.heard.get(&key) {
+            Some((heard_at, available)) if self.read_at.is_none_or(|at| at <= *heard_at) => {
+                *available
+            }
+            _ => record.account(account_id).map_or(0, |held| held.available_tokens()),
+        }
+    }
+}
--- a/crates/sassafrashoist/src/util/logging.rs
+++ b/crates/sassafrashoist/src/util/logging.rs
@@ -1,12 +1,12 @@
 //! Set-up of the structured log.
 
-use logforth::append;
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::record::{Level, LevelFilter};
 
+use super::queued_stdout::QueuedStdout;
 use crate::core::settings::{LogFormat, LogLevel, LogSettings};
 
-/// Writes log lines to standard error from now on; a second call changes nothing.
+/// Writes log lines to standard output from now on; a second call changes nothing.
 pub fn init_logging(settings: &LogSettings) {
     let level = match settings.level {
         LogLevel::Error => Level::Error,
@@ -15,8 +15,15 @@
         LogLevel::Debug => Level::Debug,
     };
     let appender = match settings.format {
-        LogFormat::Json => append::Stderr::default().with_layout(JsonLayout::default()),
-        LogFormat::Text => append::Stderr::default().with_layout(TextLayout::default()),
+        LogFormat::Json => QueuedStdout::new(JsonLayout::default().into()),
+        LogFormat::Text => QueuedStdout::new(TextLayout::default().into()),
+    };
+    let appender = match appender {
+        Ok(appender) => appender,
+        Err(error) => {
+            eprintln!("warning: no log lines are written: {error}");
+            return;
+        }
     };
     let logger = logforth::starter_log::builder()
         .dispatch(|d| d.filter(LevelFilter::MoreSevereEqual(level)).append(appender));
--- a/crates/sassafrashoist/src/util/metrics_page.rs
+++ b/crates/sassafrashoist/src/util/metrics_page.rs
@@ -15,3 +15,10 @@
 pub fn render_metrics() -> String {
     HANDLE.get().and_then(Option::as_ref).map(PrometheusHandle::render).unwrap_or_default()
 }
+
+/// Folds recorded samples into the histograms; without it they are kept one by one.
+pub fn fold_metrics() {
+    if let Some(Some(handle)) = HANDLE.get() {
+        handle.run_upkeep();
+    }
+}
--- a/crates/sassafrashoist/src/util/mod.rs
+++ b/crates/sassafrashoist/src/util/mod.rs
@@ -5,3 +5,4 @@
 pub mod logging;
 pub mod metrics_page;
 pub mod sse_parser;
+pub mod queued_stdout;
