--- /dev/null
+++ b/crates/sassafrashoist-core/src/gateway/clock_reading.rs
@@ -0,0 +1,31 @@
+//! One moment as two clocks of a VM show it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// The time since boot above which a difference between two readings can only come from a new boot:
+/// the time of day jumps by seconds at most.
+const MAX_CLOCK_JUMP: Duration = Duration::from_secs(600);
+
+/// One moment as two clocks of a VM show it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClockReading {
+    /// Time since the VM was booted, with the time that it was suspended.
+    pub since_boot: Duration,
+    /// Time since the Unix epoch; it may jump.
+    pub since_epoch: Duration,
+}
+
+impl ClockReading {
+    /// Returns the time from an earlier reading on the same VM, as far as the clocks tell.
+    ///
+    /// Within one boot the time since boot tells it. After a new boot only the time of day does.
+    pub fn elapsed_since(&self, earlier: &Self) -> Option<Duration> {
+        let by_day = self.since_epoch.checked_sub(earlier.since_epoch);
+        match self.since_boot.checked_sub(earlier.since_boot) {
+            Some(by_boot) if by_boot < MAX_CLOCK_JUMP => Some(by_boot),
+            Some(_) | None => by_day,
+        }
+    }
+}
--- a/crates/sassafrashoist-core/src/gateway/holder_record.rs
+++ b/crates/sassafrashoist-core/src/gateway/holder_record.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::clock_reading::ClockReading;
 use crate::ids::{ClientAccountId, Tokens, VmId};
 
 /// The tokens of one account at one holder, all counted from its start.
@@ -20,6 +21,8 @@
     pub given_tokens: Tokens,
     /// Tokens used, with those that requests in progress may still use.
     pub spent_tokens: Tokens,
+    /// What used and given tokens together stay below while the holder is in touch with the log.
+    pub marked_tokens: Tokens,
     /// Tokens used a second of late.
     pub use_tokens_per_s: Tokens,
 }
@@ -31,6 +34,11 @@
             - self.given_tokens as i64
             - self.spent_tokens as i64
     }
+
+    /// Returns the tokens that the holder cannot have used if it never passed its mark.
+    pub fn unmarked_tokens(&self) -> i64 {
+        self.granted_tokens + self.received_tokens as i64 - self.marked_tokens as i64
+    }
 }
 
 /// What one run of a VM's process writes to the ledger; the newest record of a holder counts.
@@ -42,8 +50,10 @@
     pub peer_address: SocketAddr,
     /// Counts the records of this holder, so that it recognises its own.
     pub sequence: u64,
-    /// Whether the run has ended in order and handed everything back.
+    /// Whether the run has ended, and what it could not have used was handed back.
     pub is_closed: bool,
+    /// When the holder sent its last record that was acknowledged before this one.
+    pub acknowledged_at: ClockReading,
     /// Its tokens.
     pub accounts: Vec<HeldTokens>,
 }
--- /dev/null
+++ b/crates/sassafrashoist-core/src/gateway/reclaim.rs
@@ -0,0 +1,56 @@
+//! Hands back what a run of the process that died cannot have used.
+//!
+//! A holder that is in touch with the log uses its tokens up to the mark in its last record only; it
+//! passes the mark no earlier than [`UNMARKED_AFTER`] after it sent its last acknowledged record. The
+//! next run on the same VM knows that the one before is dead. If it starts so soon that the dead run
+//! cannot have passed its mark, all beyond the mark is unused, and the next run hands it back. If it
+//! starts later, or the clocks do not tell, the tokens stay stranded.
+//!
+//! After a new boot only the time of day tells how long the VM was gone, and that may have jumped
+//! back. So it is believed only if no other VM wrote a later time meanwhile.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use super::HolderId;
+use super::clock_reading::ClockReading;
+use super::holder_record::HolderRecord;
+use super::token_ledger::TokenLedger;
+
+/// How long after its last acknowledged record a holder keeps to its mark: longer than a process
+/// that was killed takes to start again, shorter than a request can wait.
+pub const UNMARKED_AFTER: Duration = Duration::from_millis(3_000);
+/// How far the clocks of two VMs may differ.
+const MAX_CLOCK_SKEW: Duration = Duration::from_millis(1_000);
+
+/// Returns the record with which the run that starts closes the one before it on this VM, and hands
+/// back what that cannot have used.
+pub fn reclaim_predecessor(
+    ledger: &TokenLedger,
+    own: &HolderId,
+    vm_id: &str,
+    ip: IpAddr,
+    started_at: &ClockReading,
+) -> Option<(HolderId, HolderRecord)> {
+    let (holder_id, record) =
+        ledger.live_holders().find(|(_, record)| record.vm_id == vm_id)?;
+    if holder_id == own || record.peer_address.ip() != ip {
+        return None;
+    }
+    let elapsed = started_at.elapsed_since(&record.acknowledged_at)?;
+    let mut others = ledger.live_holders().filter(|(_, other)| other.vm_id != vm_id);
+    let is_behind = others.any(|(_, other)| {
+        other.acknowledged_at.since_epoch > started_at.since_epoch + MAX_CLOCK_SKEW
+    });
+    if elapsed >= UNMARKED_AFTER || is_behind {
+        return None;
+    }
+    let mut closed = record.clone();
+    closed.is_closed = true;
+    closed.sequence += 1;
+    for held in &mut closed.accounts {
+        let unused = held.unmarked_tokens().max(0);
+        held.granted_tokens -= unused;
+    }
+    Some((holder_id.clone(), closed))
+}
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -2,15 +2,20 @@
 //!
 //! Requests reserve their worst case here and settle it at their end. Draws keep what this VM is
 //! expected to use while it may be cut off from the log; the rest stays undrawn for VMs whose use
-//! grows and for runs that start anew. Tokens also move directly between VMs: the giver counts them
+//! grows and for runs that start anew. While the log is in touch, use stays below a mark in the last
+//! record, so that the next run on this VM can hand back what a run that died had not used
+//! ([`reclaim`](super::reclaim)). Tokens also move directly between VMs: the giver counts them
 //! as gone before it answers, and a repeated question gets the first answer again.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::fleet_config::FleetConfig;
+use super::clock_reading::ClockReading;
 use super::flow_rate::FlowRate;
 use super::holder_record::{HeldTokens, HolderRecord};
+use super::reclaim::UNMARKED_AFTER;
 use super::token_ledger::TokenLedger;
 use super::{HolderId, Uptime};
 use crate::ids::{ClientAccountId, Tokens, VmId};
@@ -31,6 +36,13 @@
 const HIGH_PART: f64 = 2.0;
 /// The part of what is available that a VM keeps when another asks for more than it needs.
 const KEPT_PART_DIVISOR: i64 = 2;
+/// The part of the target up to which a mark leaves room for use; the time in which the mark binds
+/// is this part of the time that the target lasts.
+const MARK_PART: f64 = UNMARKED_AFTER.as_secs_f64() / HOLD_S;
+/// The weight of one request in the usual size of requests.
+const SIZE_SAMPLE_WEIGHT: f64 = 0.1;
+/// The usual requests for which a mark leaves room besides.
+const MARKED_REQUESTS: f64 = 0.5;
 /// The most answers to other VMs that are remembered.
 const MAX_REMEMBERED_GIFTS: usize = 512;
 
@@ -47,6 +59,10 @@
     returning_tokens: Tokens,
     wanted_tokens: Tokens,
     frozen_tokens: i64,
+    marked_tokens: Tokens,
+    pending_mark: Option<Tokens>,
+    target_tokens: i64,
+    usual_tokens: f64,
     use_rate: FlowRate,
 }
 
@@ -59,8 +75,25 @@
             - self.returning_tokens as i64
     }
 
-    fn spendable_tokens(&self) -> i64 {
-        self.available_tokens() - self.frozen_tokens
+    fn spendable_tokens(&self, is_marked: bool) -> i64 {
+        let held = self.available_tokens() - self.frozen_tokens;
+        if !is_marked {
+            return held;
+        }
+        // A record in doubt may be in the log, so its mark holds too.
+        let mark = self.marked_tokens.min(self.pending_mark.unwrap_or(Tokens::MAX));
+        held.min(mark as i64 - self.used_tokens() as i64)
+    }
+
+    /// Tokens used, given, or reserved by requests in progress.
+    fn used_tokens(&self) -> Tokens {
+        self.given_tokens + self.settled_tokens + self.reserved_tokens
+    }
+
+    /// Returns the mark for the next record.
+    fn next_mark(&self) -> Tokens {
+        let usual_use = MARK_PART * self.target_tokens as f64 + MARKED_REQUESTS * self.usual_tokens;
+        self.used_tokens() + (usual_use as Tokens).max(self.wanted_tokens)
     }
 }
 
@@ -70,6 +103,7 @@
     /// The record.
     pub record: HolderRecord,
     changes: Vec<(ClientAccountId, i64)>,
+    is_wanted: bool,
 }
 
 impl PlannedRecord {
@@ -82,6 +116,11 @@
     pub fn moves_tokens(&self) -> bool {
         !self.changes.is_empty()
     }
+
+    /// Returns whether a request waits for it.
+    pub fn is_wanted(&self) -> bool {
+        self.is_wanted
+    }
 }
 
 /// The tokens that this run of the process may use.
@@ -91,6 +130,8 @@
     vm_id: VmId,
     peer_address: SocketAddr,
     sequence: u64,
+    acknowledged_at: ClockReading,
+    acknowledged_uptime: Option<Uptime>,
     accounts: BTreeMap<ClientAccountId, OwnTokens>,
     gifts: VecDeque<(TransferId, Tokens)>,
 }
@@ -103,6 +144,8 @@
             vm_id,
             peer_address,
             sequence: 0,
+            acknowledged_at: ClockReading::default(),
+            acknowledged_uptime: None,
             accounts: BTreeMap::new(),
             gifts: VecDeque::new(),
         }
@@ -114,19 +157,51 @@
     }
 
     /// Returns the tokens of an account that no request has reserved.
-    pub fn available_tokens(&self, account_id: &str) -> i64 {
-        self.accounts.get(account_id).map_or(0, OwnTokens::spendable_tokens)
+    pub fn available_tokens(&self, account_id: &str, now: Uptime) -> i64 {
+        let is_marked = self.is_marked(now);
+        self.accounts.get(account_id).map_or(0, |own| own.spendable_tokens(is_marked))
+    }
+
+    /// Returns the time until use may pass the marks, because the log is out of touch.
+    pub fn time_to_unmarked(&self, now: Uptime) -> Duration {
+        let at = self.acknowledged_uptime.map_or(Uptime::ZERO, |at| at + UNMARKED_AFTER);
+        at.saturating_sub(now)
+    }
+
+    /// Returns whether an account has tokens that only its mark keeps from a request.
+    pub fn is_held_back(&self, account_id: &str, worst_case_tokens: Tokens) -> bool {
+        let own = self.accounts.get(account_id);
+        own.is_some_and(|own| own.spendable_tokens(false) >= worst_case_tokens as i64)
+    }
+
+    /// Takes over the recent use of the run before on this VM.
+    pub fn adopt_use(&mut self, record: &HolderRecord, now: Uptime) {
+        for held in &record.accounts {
+            let own = self.accounts.entry(held.account_id.clone()).or_default();
+            own.use_rate.add(held.use_tokens_per_s * USE_DECAY_S as Tokens, USE_DECAY_S, now);
+        }
+    }
+
+    fn is_marked(&self, now: Uptime) -> bool {
+        !self.time_to_unmarked(now).is_zero()
     }
 
     /// Reserves the worst case of a request; false when too little is held.
     #[must_use]
-    pub fn try_reserve(&mut self, account_id: &str, worst_case_tokens: Tokens) -> bool {
+    pub fn try_reserve(
+        &mut self,
+        account_id: &str,
+        worst_case_tokens: Tokens,
+        now: Uptime,
+    ) -> bool {
+        let is_marked = self.is_marked(now);
         let Some(own) = self.accounts.get_mut(account_id) else {
             return false;
         };
-        if own.spendable_tokens() < worst_case_tokens as i64 {
+        if own.spendable_tokens(is_marked) < worst_case_tokens as i64 {
             return false;
         }
+        own.usual_tokens += SIZE_SAMPLE_WEIGHT * (worst_case_tokens as f64 - own.usual_tokens);
         own.reserved_tokens += worst_case_tokens;
         true
     }
@@ -158,12 +233,14 @@
         account_id: &str,
         needed_tokens: Tokens,
         liked_tokens: Tokens,
+        now: Uptime,
     ) -> Tokens {
+        let is_marked = self.is_marked(now);
         if let Some((_, given)) = self.gifts.iter().find(|(known, _)| *known == transfer_id) {
             return *given;
         }
         let own = self.accounts.entry(account_id.to_owned()).or_default();
-        let available = own.spendable_tokens().max(0);
+        let available = own.spendable_tokens(is_marked).max(0);
         let spare = (available / KEPT_PART_DIVISOR).min(liked_tokens as i64);
         let given = spare.max(available.min(needed_tokens as i64)) as Tokens;
         own.given_tokens += given;
@@ -236,21 +313,35 @@
         self.record_with(changes, true, now)
     }
 
-    /// Takes over a planned record that is in the log.
-    pub fn commit(&mut self, planned: &PlannedRecord) {
+    /// Takes over a planned record that is in the log; `acknowledged` is when it was sent, if the
+    /// log said so itself.
+    pub fn commit(&mut self, planned: &PlannedRecord, acknowledged: Option<(Uptime, ClockReading)>) {
+        if let Some((uptime, reading)) = acknowledged {
+            self.acknowledged_uptime = Some(uptime);
+            self.acknowledged_at = reading;
+        }
+        for held in &planned.record.accounts {
+            let own = self.accounts.entry(held.account_id.clone()).or_default();
+            own.marked_tokens = held.marked_tokens;
+            own.pending_mark = None;
+            if held.marked_tokens >= own.used_tokens() + own.wanted_tokens {
+                own.wanted_tokens = 0;
+            }
+        }
         for (account_id, change) in &planned.changes {
             let own = self.accounts.entry(account_id.clone()).or_default();
             own.granted_tokens += change;
             if *change < 0 {
                 own.returning_tokens -= change.unsigned_abs();
-            } else {
-                own.wanted_tokens = 0;
             }
         }
     }
 
     /// Drops a planned record that will never be in the log.
     pub fn abandon(&mut self, planned: &PlannedRecord) {
+        for own in self.accounts.values_mut() {
+            own.pending_mark = None;
+        }
         for (account_id, change) in &planned.changes {
             if *change < 0
                 && let Some(own) = self.accounts.get_mut(account_id)
@@ -279,6 +370,7 @@
         } else {
             (HOLD_S * own_use.max(even_use)) as i64
         };
+        own.target_tokens = target;
         let available = own.available_tokens();
         if undrawn < 0 {
             return undrawn.max(-available.max(0));
@@ -303,14 +395,18 @@
         now: Uptime,
     ) -> PlannedRecord {
         self.sequence += 1;
-        let accounts = self.accounts.iter().map(|(account_id, own)| {
+        let is_wanted = self.accounts.values().any(|own| own.wanted_tokens > 0);
+        let accounts = self.accounts.iter_mut().map(|(account_id, own)| {
             let change = changes.iter().find(|(changed, _)| changed == account_id);
+            let mark = if is_closed { own.used_tokens() } else { own.next_mark() };
+            own.pending_mark = Some(mark);
             HeldTokens {
                 account_id: account_id.clone(),
                 granted_tokens: own.granted_tokens + change.map_or(0, |(_, change)| *change),
                 received_tokens: own.received_tokens,
                 given_tokens: own.given_tokens,
                 spent_tokens: own.settled_tokens + own.reserved_tokens,
+                marked_tokens: mark,
                 use_tokens_per_s: own.use_rate.per_second(USE_DECAY_S, now) as Tokens,
             }
         });
@@ -319,8 +415,9 @@
             peer_address: self.peer_address,
             sequence: self.sequence,
             is_closed,
+            acknowledged_at: self.acknowledged_at,
             accounts: accounts.collect(),
         };
-        PlannedRecord { record, changes }
+        PlannedRecord { record, changes, is_wanted }
     }
 }
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use sassafrashoist_adapter::log_answers::LogError;
+use sassafrashoist_core::gateway::clock_reading::ClockReading;
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
 use sassafrashoist_core::gateway::retry_allowance::{RetryAllowance, RetryBound};
 use sassafrashoist_core::gateway::route_table::RouteTable;
@@ -16,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::read_clocks::read_clocks;
 use super::token_book::TokenBook;
 
 /// The share of the retry slack of a VM is worked out for at least this many VMs.
@@ -34,7 +36,9 @@
     servers_listed: Mutex<bool>,
     tokens: Mutex<TokenBook>,
     retries: Mutex<RetryAllowance>,
-    started_at: Instant,
+    started_instant: Instant,
+    /// When the process started.
+    pub started_at: ClockReading,
     /// Wakes the task that draws tokens.
     pub tokens_wanted: Notify,
     /// Wakes requests that wait for tokens.
@@ -63,7 +67,8 @@
             servers_listed: Mutex::default(),
             tokens: Mutex::new(TokenBook::new(holding)),
             retries: Mutex::default(),
-            started_at: Instant::now(),
+            started_instant: Instant::now(),
+            started_at: read_clocks(),
             tokens_wanted: Notify::new(),
             tokens_changed: Notify::new(),
             requests: TaskTracker::new(),
@@ -74,12 +79,12 @@
 
     /// Returns the time since the process started.
     pub fn now(&self) -> Uptime {
-        self.started_at.elapsed()
+        self.started_instant.elapsed()
     }
 
     /// Returns the instant of an uptime, for timers.
     pub fn instant(&self, at: Uptime) -> tokio::time::Instant {
-        tokio::time::Instant::from_std(self.started_at + at)
+        tokio::time::Instant::from_std(self.started_instant + at)
     }
 
     /// Returns the settings in force.
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -10,22 +10,27 @@
 use eyre::WrapErr;
 use sassafrashoist_adapter::log_answers::{KeyedRecord, LogError};
 use sassafrashoist_adapter::log_calls::LEDGER_TOPIC;
-use sassafrashoist_core::gateway::Uptime;
+use sassafrashoist_core::gateway::{HolderId, Uptime};
+use sassafrashoist_core::gateway::clock_reading::ClockReading;
+use sassafrashoist_core::gateway::holder_record::HolderRecord;
+use sassafrashoist_core::gateway::reclaim::reclaim_predecessor;
 use sassafrashoist_core::gateway::token_holding::PlannedRecord;
 use sassafrashoist_core::ids::LogOffset;
 use tokio_util::sync::CancellationToken;
 
 use super::gateway_context::{GatewayContext, decode_holder_record};
 use super::log_link::{LogCallError, LogLink};
+use super::read_clocks::read_clocks;
 
-/// Time between two looks at the ledger while no request waits for tokens.
+/// Time between two records while no request waits for tokens; well below the time after which a
+/// holder counts as out of touch.
 const LOOK_INTERVAL: Duration = Duration::from_millis(450);
 /// The most that chance adds to it, so that VMs do not append at once.
-const LOOK_JITTER_MS: u64 = 150;
+const LOOK_JITTER_MS: u64 = 100;
+/// VMs that may append in one such time; where there are more, each appends less often.
+const MAX_APPENDING_VMS: u32 = 20;
 /// Least time between two looks, however many requests wait.
 const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(25);
-/// Time after which use is reported although no tokens move.
-const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How often a draw is decided again because another VM's came first.
 const MAX_CONFLICTS: u32 = 6;
 
@@ -35,9 +40,9 @@
     let mut keeper = TokenKeeper::new(Arc::clone(&context));
     while !finished.is_cancelled() {
         keeper.look().await;
-        let jitter = Duration::from_millis(rand::random_range(0..=LOOK_JITTER_MS));
+        let interval = keeper.look_interval();
         tokio::select! {
-            () = tokio::time::sleep(LOOK_INTERVAL + jitter) => {}
+            () = tokio::time::sleep(interval) => {}
             () = context.tokens_wanted.notified() => tokio::time::sleep(MIN_LOOK_INTERVAL).await,
             () = finished.cancelled() => {}
         }
@@ -58,6 +63,7 @@
     context: Arc<GatewayContext>,
     link: LogLink,
     has_snapshot: bool,
+    has_reclaimed: bool,
     pending: Option<Pending>,
     reported_at: Uptime,
     is_reached: bool,
@@ -70,12 +76,19 @@
             context,
             link,
             has_snapshot: false,
+            has_reclaimed: false,
             pending: None,
             reported_at: Uptime::ZERO,
             is_reached: true,
         }
     }
 
+    fn look_interval(&self) -> Duration {
+        let vm_count = self.context.lock_tokens().ledger.live_holders().count() as u32;
+        let jitter = Duration::from_millis(rand::random_range(0..=LOOK_JITTER_MS));
+        (LOOK_INTERVAL + jitter) * vm_count.div_ceil(MAX_APPENDING_VMS).max(1)
+    }
+
     async fn look(&mut self) {
         match self.read_and_append().await {
             Ok(()) => {
@@ -97,6 +110,9 @@
     async fn read_and_append(&mut self) -> eyre::Result<()> {
         for _ in 0..MAX_CONFLICTS {
             self.read().await?;
+            if !self.has_reclaimed && !self.reclaim().await? {
+                continue;
+            }
             self.resolve_pending();
             if self.pending.is_none() && !self.plan_next() {
                 return Ok(());
@@ -134,6 +150,47 @@
         }
     }
 
+    /// Returns the record that closes the run before on this VM, and where the ledger ends.
+    fn plan_reclaim(&self) -> (Option<(HolderId, HolderRecord)>, LogOffset) {
+        let settings = self.context.settings();
+        let mut tokens = self.context.lock_tokens();
+        let book = &mut *tokens;
+        let (own, vm_id) = (book.holding.holder_id().clone(), settings.vm_id.as_str());
+        if let Some((_, before)) = book.ledger.live_holders().find(|(_, r)| r.vm_id == vm_id) {
+            book.holding.adopt_use(before, self.context.now());
+        }
+        let started_at = &self.context.started_at;
+        let closed = reclaim_predecessor(&book.ledger, &own, vm_id, settings.ip, started_at);
+        (closed, book.ledger.end())
+    }
+
+    /// Hands back what the run before on this VM cannot have used; false when the ledger has moved on
+    /// meanwhile.
+    async fn reclaim(&mut self) -> eyre::Result<bool> {
+        let (closed, at) = self.plan_reclaim();
+        let Some((holder_id, record)) = closed else {
+            log::info!("no tokens of an earlier run can be handed back");
+            self.has_reclaimed = true;
+            return Ok(true);
+        };
+        let value = postcard::to_stdvec(&record).wrap_err("failed to encode a record")?;
+        match self.link.append_at(LEDGER_TOPIC, at, &holder_id, &value).await {
+            Ok(end) => {
+                self.has_reclaimed = true;
+                log::info!(run = holder_id, offset = at; "tokens of an earlier run handed back");
+                let mut tokens = self.context.lock_tokens();
+                tokens.ledger.apply(at, holder_id, record);
+                tokens.ledger.read_to(end);
+                Ok(true)
+            }
+            Err(LogCallError::Answered(LogError::EndMoved)) => Ok(false),
+            Err(error) => {
+                // Whether it was done shows in the ledger, where it closes the earlier run.
+                Err(error).wrap_err("tokens of an earlier run not handed back")
+            }
+        }
+    }
+
     async fn read(&mut self) -> Result<(), LogCallError> {
         if !self.has_snapshot {
             let page = self.link.newest(LEDGER_TOPIC).await?;
@@ -194,7 +251,7 @@
         let is_in_log =
             own.is_some_and(|(_, record)| record.sequence == pending.planned.record.sequence);
         if is_in_log {
-            book.holding.commit(&pending.planned);
+            book.holding.commit(&pending.planned, None);
         } else if book.ledger.end() > pending.at {
             book.holding.abandon(&pending.planned);
         } else {
@@ -215,12 +272,9 @@
         let mut tokens = self.context.lock_tokens();
         let book = &mut *tokens;
         let planned = book.holding.plan(&book.ledger, routes.config(), now);
-        let is_due = now >= self.reported_at + REPORT_INTERVAL
-            && book
-                .ledger
-                .holder(book.holding.holder_id())
-                .is_none_or(|(_, written)| written.accounts != planned.record.accounts);
-        if !planned.moves_tokens() && !is_due {
+        let is_due = now >= self.reported_at + LOOK_INTERVAL;
+        if !planned.moves_tokens() && !planned.is_wanted() && !is_due {
+            book.holding.abandon(&planned);
             return false;
         }
         let at = book.ledger.end();
@@ -237,11 +291,12 @@
         let value = postcard::to_stdvec(&pending.planned.record)
             .wrap_err("failed to encode a record of the ledger")?;
         let holder_id = self.context.lock_tokens().holding.holder_id().clone();
+        let sent = (self.context.now(), read_clocks());
         let result = self.link.append_at(LEDGER_TOPIC, pending.at, &holder_id, &value).await;
         match result {
             Ok(end) => {
                 if let Some(pending) = self.pending.take() {
-                    self.take_over(pending, end);
+                    self.take_over(pending, end, sent);
                 }
                 Ok(true)
             }
@@ -260,12 +315,11 @@
         }
     }
 
-    fn take_over(&mut self, pending: Pending, end: LogOffset) {
-        let now = self.context.now();
-        self.reported_at = now;
+    fn take_over(&mut self, pending: Pending, end: LogOffset, sent: (Uptime, ClockReading)) {
+        self.reported_at = sent.0;
         let mut tokens = self.context.lock_tokens();
         let book = &mut *tokens;
-        book.holding.commit(&pending.planned);
+        book.holding.commit(&pending.planned, Some(sent));
         let holder_id = book.holding.holder_id().clone();
         book.ledger.apply(pending.at, holder_id, pending.planned.record.clone());
         book.ledger.read_to(end);
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod obtain_tokens;
 pub mod pass_events;
 pub mod peer_messages;
+pub mod read_clocks;
 pub mod request_life;
 pub mod run_attempts;
 pub mod run_gateway;
--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -16,6 +16,10 @@
 const DRAW_WAIT: Duration = Duration::from_millis(60);
 /// The age up to which the ledger tells where tokens are.
 const MAX_LEDGER_AGE: Duration = Duration::from_millis(1_500);
+/// When a caller may come back whose tokens are out of reach: after the next draw.
+const TOKENS_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// The least time after which a caller may come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// The most other VMs that are asked for one request.
 const MAX_PEERS: usize = 3;
 /// How many requests' worth is liked of a VM that has plenty.
@@ -26,8 +30,8 @@
 pub enum NoTokens {
     /// What the account has left does not cover the request.
     Exhausted,
-    /// The account may have them, but not within reach.
-    OutOfReach,
+    /// The account may have them, but not within reach before this time has passed.
+    OutOfReach(Duration),
 }
 
 /// The tokens that a request may use at most.
@@ -79,7 +83,9 @@
     }
     let peers = context.lock_tokens().rich_peers(account_id);
     for peer in peers.into_iter().filter(|peer| peer.available_tokens > 0).take(MAX_PEERS) {
-        let held = context.lock_tokens().holding.available_tokens(account_id).max(0) as Tokens;
+        let now = context.now();
+        let held = context.lock_tokens().holding.available_tokens(account_id, now);
+        let held = held.max(0) as Tokens;
         let missing = needed.saturating_sub(held);
         let question = ask_peer(context, peer, account_id, missing, needed * LIKED_FACTOR);
         // Tokens that come later are taken in by the question's own task.
@@ -95,11 +101,17 @@
     if is_exhausted(context, account_id, paid_tokens, needed) {
         return Err(NoTokens::Exhausted);
     }
-    Err(NoTokens::OutOfReach)
+    let tokens = context.lock_tokens();
+    let delay = if tokens.holding.is_held_back(account_id, needed) {
+        tokens.holding.time_to_unmarked(context.now()).max(MIN_RETRY_AFTER)
+    } else {
+        TOKENS_RETRY_AFTER
+    };
+    Err(NoTokens::OutOfReach(delay))
 }
 
 fn try_reserve(context: &GatewayContext, account_id: &str, needed: Tokens) -> bool {
-    context.lock_tokens().holding.try_reserve(account_id, needed)
+    context.lock_tokens().holding.try_reserve(account_id, needed, context.now())
 }
 
 fn is_ledger_fresh(context: &GatewayContext) -> bool {
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -71,11 +71,12 @@
             account_id,
             question.needed_tokens,
             question.liked_tokens,
+            context.now(),
         )
     } else {
         0
     };
-    let left_tokens = tokens.holding.available_tokens(account_id);
+    let left_tokens = tokens.holding.available_tokens(account_id, context.now());
     drop(tokens);
     log::info!(
         account = account_id, to = question.transfer_id.0, needed = question.needed_tokens,
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -24,8 +24,6 @@
 
 /// When a caller may come back to a VM that knows no configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// When a caller may come back whose tokens are out of reach: after the next draw.
-const TOKENS_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// An answer that this VM makes itself.
 #[derive(Debug, Clone, Copy)]
@@ -201,8 +199,8 @@
         Err(NoTokens::Exhausted) => {
             Err(Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget does not cover the request"))
         }
-        Err(NoTokens::OutOfReach) => {
-            Err(Refusal::not_now(TOKENS_RETRY_AFTER, "tokens are out of reach"))
+        Err(NoTokens::OutOfReach(delay)) => {
+            Err(Refusal::not_now(delay, "tokens are out of reach"))
         }
     }
 }
