--- a/crates/sassafrashoist-core/src/gateway/flow_rate.rs
+++ b/crates/sassafrashoist-core/src/gateway/flow_rate.rs
@@ -2,23 +2,37 @@
 
 use super::Uptime;
 
+/// The least time, in seconds, over which a rate is taken; a single amount says little.
+const MIN_SPAN_S: f64 = 1.5;
+
 /// A smoothed rate: amounts weigh less the older they are.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct FlowRate {
-    per_second: f64,
-    read_at: Uptime,
+    sum: f64,
+    summed_at: Uptime,
+    first_at: Option<Uptime>,
 }
 
 impl FlowRate {
     /// Adds an amount; after `decay_s` seconds it weighs 1/e of a new one.
     pub fn add(&mut self, amount: u64, decay_s: f64, now: Uptime) {
-        self.per_second = self.per_second(decay_s, now) + amount as f64 / decay_s;
-        self.read_at = now;
+        self.sum = self.decayed_sum(decay_s, now) + amount as f64;
+        self.summed_at = now;
+        self.first_at.get_or_insert(now);
     }
 
-    /// Returns the rate.
+    /// Returns the rate, over the time since the first amount if that is short.
     pub fn per_second(&self, decay_s: f64, now: Uptime) -> f64 {
-        let age_s = now.saturating_sub(self.read_at).as_secs_f64();
-        self.per_second * (-age_s / decay_s).exp()
+        let Some(first_at) = self.first_at else {
+            return 0.0;
+        };
+        let seen_s = now.saturating_sub(first_at).as_secs_f64().max(MIN_SPAN_S);
+        let span_s = decay_s * (1.0 - (-seen_s / decay_s).exp());
+        self.decayed_sum(decay_s, now) / span_s
+    }
+
+    fn decayed_sum(&self, decay_s: f64, now: Uptime) -> f64 {
+        let age_s = now.saturating_sub(self.summed_at).as_secs_f64();
+        self.sum * (-age_s / decay_s).exp()
     }
 }
--- a/crates/sassafrashoist-core/src/gateway/holder_record.rs
+++ b/crates/sassafrashoist-core/src/gateway/holder_record.rs
@@ -35,6 +35,13 @@
             - self.spent_tokens as i64
     }
 
+    /// Returns the tokens that the holder may use or give before it has to write again.
+    pub fn ready_tokens(&self) -> i64 {
+        let below_mark =
+            self.marked_tokens as i64 - self.spent_tokens as i64 - self.given_tokens as i64;
+        self.available_tokens().min(below_mark)
+    }
+
     /// Returns the tokens that the holder cannot have used if it never passed its mark.
     pub fn unmarked_tokens(&self) -> i64 {
         self.granted_tokens + self.received_tokens as i64 - self.marked_tokens as i64
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -24,10 +24,16 @@
 const HOLD_S: f64 = 10.0;
 /// Time after which use weighs 1/e in the recent rate, in seconds.
 const USE_DECAY_S: f64 = 5.0;
+/// Seconds of the use of the run before that count as own use.
+const ADOPTED_USE_S: Tokens = 2;
 /// The part of an even share of the fleet's use that a VM holds at least.
 const EVEN_SHARE_PART: f64 = 0.5;
 /// The part of an account's tokens that all VMs together draw before its use is known.
 const FIRST_DRAW_PART: f64 = 0.35;
+/// The part of an account's tokens that all VMs together hold at least while most are undrawn.
+const LEAST_HELD_PART: f64 = 0.12;
+/// The part of an account's tokens above which they count as mostly undrawn.
+const MOSTLY_UNDRAWN_PART: f64 = 0.5;
 /// The part of the undrawn tokens that one draw takes at most, unless a request waits for it.
 const MAX_DRAW_PART: f64 = 0.34;
 /// The part of the target below which a VM draws.
@@ -42,7 +48,7 @@
 /// The weight of one request in the usual size of requests.
 const SIZE_SAMPLE_WEIGHT: f64 = 0.1;
 /// The usual requests for which a mark leaves room besides.
-const MARKED_REQUESTS: f64 = 0.5;
+const MARKED_REQUESTS: f64 = 1.0;
 /// The most answers to other VMs that are remembered.
 const MAX_REMEMBERED_GIFTS: usize = 512;
 
@@ -178,7 +184,7 @@
     pub fn adopt_use(&mut self, record: &HolderRecord, now: Uptime) {
         for held in &record.accounts {
             let own = self.accounts.entry(held.account_id.clone()).or_default();
-            own.use_rate.add(held.use_tokens_per_s * USE_DECAY_S as Tokens, USE_DECAY_S, now);
+            own.use_rate.add(held.use_tokens_per_s * ADOPTED_USE_S, USE_DECAY_S, now);
         }
     }
 
@@ -365,10 +371,13 @@
         let own_use = own.use_rate.per_second(USE_DECAY_S, now);
         let even_use = EVEN_SHARE_PART * fleet_use / vm_count as f64;
         let is_unused = fleet_use < 1.0 && own_use < 1.0;
+        let share = paid_tokens as f64 / vm_count as f64;
+        let is_plenty = undrawn as f64 > MOSTLY_UNDRAWN_PART * paid_tokens as f64;
+        let least = if is_plenty { LEAST_HELD_PART * share } else { 0.0 };
         let target = if is_unused {
-            (FIRST_DRAW_PART * paid_tokens as f64 / vm_count as f64) as i64
+            (FIRST_DRAW_PART * share) as i64
         } else {
-            (HOLD_S * own_use.max(even_use)) as i64
+            (HOLD_S * own_use.max(even_use)).max(least) as i64
         };
         own.target_tokens = target;
         let available = own.available_tokens();
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -30,7 +30,7 @@
 /// VMs that may append in one such time; where there are more, each appends less often.
 const MAX_APPENDING_VMS: u32 = 20;
 /// Least time between two looks, however many requests wait.
-const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(25);
+const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(10);
 /// How often a draw is decided again because another VM's came first.
 const MAX_CONFLICTS: u32 = 6;
 
--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -11,9 +11,9 @@
 use super::token_reservation::TokenReservation;
 
 /// How long a request waits for tokens: a draw takes two calls, a question to another VM one.
-const MAX_WAIT: Duration = Duration::from_millis(180);
+const MAX_WAIT: Duration = Duration::from_millis(300);
 /// How long the log is waited for before other VMs are asked.
-const DRAW_WAIT: Duration = Duration::from_millis(60);
+const DRAW_WAIT: Duration = Duration::from_millis(130);
 /// The age up to which the ledger tells where tokens are.
 const MAX_LEDGER_AGE: Duration = Duration::from_millis(1_500);
 /// When a caller may come back whose tokens are out of reach: after the next draw.
@@ -21,9 +21,7 @@
 /// The least time after which a caller may come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// The most other VMs that are asked for one request.
-const MAX_PEERS: usize = 3;
-/// How many requests' worth is liked of a VM that has plenty.
-const LIKED_FACTOR: Tokens = 3;
+const MAX_PEERS: usize = 6;
 
 /// Why a request gets no tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,7 +85,7 @@
         let held = context.lock_tokens().holding.available_tokens(account_id, now);
         let held = held.max(0) as Tokens;
         let missing = needed.saturating_sub(held);
-        let question = ask_peer(context, peer, account_id, missing, needed * LIKED_FACTOR);
+        let question = ask_peer(context, peer, account_id, missing, needed);
         // Tokens that come later are taken in by the question's own task.
         let is_late =
             tokio::time::timeout_at(context.instant(give_up_at), question).await.is_err();
--- a/crates/sassafrashoist/src/gateway/token_book.rs
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -79,7 +79,7 @@
             Some((heard_at, available)) if self.read_at.is_none_or(|at| at <= *heard_at) => {
                 *available
             }
-            _ => record.account(account_id).map_or(0, |held| held.available_tokens()),
+            _ => record.account(account_id).map_or(0, |held| held.ready_tokens()),
         }
     }
 }
