--- a/crates/sassafrashoist-core/src/gateway/flow_rate.rs
+++ b/crates/sassafrashoist-core/src/gateway/flow_rate.rs
@@ -11,9 +11,16 @@
     sum: f64,
     summed_at: Uptime,
     first_at: Option<Uptime>,
+    is_adopted: bool,
 }
 
 impl FlowRate {
+    /// Starts from a rate that was known before.
+    pub fn adopt(per_second: u64, decay_s: f64, now: Uptime) -> Self {
+        let sum = per_second as f64 * decay_s;
+        Self { sum, summed_at: now, first_at: Some(now), is_adopted: true }
+    }
+
     /// Adds an amount; after `decay_s` seconds it weighs 1/e of a new one.
     pub fn add(&mut self, amount: u64, decay_s: f64, now: Uptime) {
         self.sum = self.decayed_sum(decay_s, now) + amount as f64;
@@ -27,7 +34,8 @@
             return 0.0;
         };
         let seen_s = now.saturating_sub(first_at).as_secs_f64().max(MIN_SPAN_S);
-        let span_s = decay_s * (1.0 - (-seen_s / decay_s).exp());
+        let seen_part = if self.is_adopted { 1.0 } else { 1.0 - (-seen_s / decay_s).exp() };
+        let span_s = decay_s * seen_part;
         self.decayed_sum(decay_s, now) / span_s
     }
 
--- a/crates/sassafrashoist-core/src/gateway/holder_record.rs
+++ b/crates/sassafrashoist-core/src/gateway/holder_record.rs
@@ -1,8 +1,10 @@
 //! What one run of a VM's process writes to the ledger.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::clock_reading::ClockReading;
 use crate::ids::{ClientAccountId, Tokens, VmId};
@@ -49,6 +51,7 @@
 }
 
 /// What one run of a VM's process writes to the ledger; the newest record of a holder counts.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HolderRecord {
     /// The VM.
@@ -59,8 +62,12 @@
     pub sequence: u64,
     /// Whether the run has ended, and what it could not have used was handed back.
     pub is_closed: bool,
-    /// When the holder sent its last record that was acknowledged before this one.
-    pub acknowledged_at: ClockReading,
+    /// When the holder first sent this record.
+    pub sent_at: ClockReading,
+    /// How long after that the holder keeps to its marks.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "marked_for_ms")]
+    pub marked_for: Duration,
     /// Its tokens.
     pub accounts: Vec<HeldTokens>,
 }
--- a/crates/sassafrashoist-core/src/gateway/reclaim.rs
+++ b/crates/sassafrashoist-core/src/gateway/reclaim.rs
@@ -1,8 +1,8 @@
 //! Hands back what a run of the process that died cannot have used.
 //!
 //! A holder that is in touch with the log uses its tokens up to the mark in its last record only; it
-//! passes the mark no earlier than [`UNMARKED_AFTER`] after it sent its last acknowledged record. The
-//! next run on the same VM knows that the one before is dead. If it starts so soon that the dead run
+//! passes the mark no earlier than some time after it first sent the newest record that may be in
+//! the log, and that time is written in the record. The next run on the same VM knows that the one before is dead. If it starts so soon that the dead run
 //! cannot have passed its mark, all beyond the mark is unused, and the next run hands it back. If it
 //! starts later, or the clocks do not tell, the tokens stay stranded.
 //!
@@ -17,9 +17,6 @@
 use super::holder_record::HolderRecord;
 use super::token_ledger::TokenLedger;
 
-/// How long after its last acknowledged record a holder keeps to its mark: longer than a process
-/// that was killed takes to start again, shorter than a request can wait.
-pub const UNMARKED_AFTER: Duration = Duration::from_millis(3_000);
 /// How far the clocks of two VMs may differ.
 const MAX_CLOCK_SKEW: Duration = Duration::from_millis(1_000);
 
@@ -37,12 +34,12 @@
     if holder_id == own || record.peer_address.ip() != ip {
         return None;
     }
-    let elapsed = started_at.elapsed_since(&record.acknowledged_at)?;
+    let elapsed = started_at.elapsed_since(&record.sent_at)?;
     let mut others = ledger.live_holders().filter(|(_, other)| other.vm_id != vm_id);
     let is_behind = others.any(|(_, other)| {
-        other.acknowledged_at.since_epoch > started_at.since_epoch + MAX_CLOCK_SKEW
+        other.sent_at.since_epoch > started_at.since_epoch + MAX_CLOCK_SKEW
     });
-    if elapsed >= UNMARKED_AFTER || is_behind {
+    if elapsed >= record.marked_for || is_behind {
         return None;
     }
     let mut closed = record.clone();
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -15,21 +15,27 @@
 use super::clock_reading::ClockReading;
 use super::flow_rate::FlowRate;
 use super::holder_record::{HeldTokens, HolderRecord};
-use super::reclaim::UNMARKED_AFTER;
 use super::token_ledger::TokenLedger;
 use super::{HolderId, Uptime};
 use crate::ids::{ClientAccountId, Tokens, VmId};
 
-/// How long a VM is expected to live on what it holds, in seconds; longer than a cut usually lasts.
-const HOLD_S: f64 = 10.0;
+/// The least time that VMs are expected to live on what they hold, in seconds.
+const LEAST_HOLD_S: f64 = 6.0;
+/// The longest such time, in seconds; several times as long as cuts usually last.
+const MOST_HOLD_S: f64 = 30.0;
+/// The part of the time for which the account's tokens last that VMs hold in advance.
+const HOLD_PART: f64 = 0.5;
 /// Time after which use weighs 1/e in the recent rate, in seconds.
 const USE_DECAY_S: f64 = 5.0;
-/// Seconds of the use of the run before that count as own use.
-const ADOPTED_USE_S: Tokens = 2;
-/// The part of an even share of the fleet's use that a VM holds at least.
-const EVEN_SHARE_PART: f64 = 0.5;
+/// The weight of a VM's own use of an account in the use that is expected there. The rest is the
+/// VM's part of the use of all accounts, which varies much less.
+const OWN_USE_WEIGHT: f64 = 0.25;
+/// The least part of an even share that a VM is expected to use.
+const LEAST_SHARE_PART: f64 = 0.4;
 /// The part of an account's tokens that all VMs together draw before its use is known.
 const FIRST_DRAW_PART: f64 = 0.35;
+/// The part of the undrawn tokens that a VM holds at most before its use is known.
+const FIRST_UNDRAWN_PART: f64 = 0.1;
 /// The part of an account's tokens that all VMs together hold at least while most are undrawn.
 const LEAST_HELD_PART: f64 = 0.12;
 /// The part of an account's tokens above which they count as mostly undrawn.
@@ -39,12 +45,17 @@
 /// The part of the target below which a VM draws.
 const LOW_PART: f64 = 0.75;
 /// The multiple of the target above which a VM hands tokens back.
-const HIGH_PART: f64 = 2.0;
+const HIGH_PART: f64 = 1.6;
+/// The part of the target down to which it hands them back.
+const KEPT_PART: f64 = 1.1;
 /// The part of what is available that a VM keeps when another asks for more than it needs.
 const KEPT_PART_DIVISOR: i64 = 2;
-/// The part of the target up to which a mark leaves room for use; the time in which the mark binds
-/// is this part of the time that the target lasts.
-const MARK_PART: f64 = UNMARKED_AFTER.as_secs_f64() / HOLD_S;
+/// The time that a VM takes to run again after its process was killed, with a margin.
+const RESTART_TIME: Duration = Duration::from_millis(1_600);
+/// The times between two records for which marks bind besides.
+const MARKED_INTERVALS: u32 = 2;
+/// The multiple of the use in the time for which marks bind up to which they leave room.
+const MARK_FACTOR: f64 = 1.4;
 /// The weight of one request in the usual size of requests.
 const SIZE_SAMPLE_WEIGHT: f64 = 0.1;
 /// The usual requests for which a mark leaves room besides.
@@ -68,6 +79,7 @@
     marked_tokens: Tokens,
     pending_mark: Option<Tokens>,
     target_tokens: i64,
+    expected_use: f64,
     usual_tokens: f64,
     use_rate: FlowRate,
 }
@@ -97,12 +109,20 @@
     }
 
     /// Returns the mark for the next record.
-    fn next_mark(&self) -> Tokens {
-        let usual_use = MARK_PART * self.target_tokens as f64 + MARKED_REQUESTS * self.usual_tokens;
+    fn next_mark(&self, marked_for: Duration) -> Tokens {
+        let usual_use = MARK_FACTOR * marked_for.as_secs_f64() * self.expected_use
+            + MARKED_REQUESTS * self.usual_tokens;
         self.used_tokens() + (usual_use as Tokens).max(self.wanted_tokens)
     }
 }
 
+/// This VM among all.
+struct FleetShare {
+    vm_count: f64,
+    /// Its part of the use of all accounts.
+    own_part: f64,
+}
+
 /// A record to append, and what it changes once it is in the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlannedRecord {
@@ -110,6 +130,7 @@
     pub record: HolderRecord,
     changes: Vec<(ClientAccountId, i64)>,
     is_wanted: bool,
+    planned_at: Uptime,
 }
 
 impl PlannedRecord {
@@ -136,8 +157,9 @@
     vm_id: VmId,
     peer_address: SocketAddr,
     sequence: u64,
-    acknowledged_at: ClockReading,
-    acknowledged_uptime: Option<Uptime>,
+    marked_for: Duration,
+    marked_until: Uptime,
+    marked_until_in_doubt: Uptime,
     accounts: BTreeMap<ClientAccountId, OwnTokens>,
     gifts: VecDeque<(TransferId, Tokens)>,
 }
@@ -150,8 +172,9 @@
             vm_id,
             peer_address,
             sequence: 0,
-            acknowledged_at: ClockReading::default(),
-            acknowledged_uptime: None,
+            marked_for: RESTART_TIME,
+            marked_until: Uptime::ZERO,
+            marked_until_in_doubt: Uptime::ZERO,
             accounts: BTreeMap::new(),
             gifts: VecDeque::new(),
         }
@@ -170,8 +193,7 @@
 
     /// Returns the time until use may pass the marks, because the log is out of touch.
     pub fn time_to_unmarked(&self, now: Uptime) -> Duration {
-        let at = self.acknowledged_uptime.map_or(Uptime::ZERO, |at| at + UNMARKED_AFTER);
-        at.saturating_sub(now)
+        self.marked_until.max(self.marked_until_in_doubt).saturating_sub(now)
     }
 
     /// Returns whether an account has tokens that only its mark keeps from a request.
@@ -184,7 +206,7 @@
     pub fn adopt_use(&mut self, record: &HolderRecord, now: Uptime) {
         for held in &record.accounts {
             let own = self.accounts.entry(held.account_id.clone()).or_default();
-            own.use_rate.add(held.use_tokens_per_s * ADOPTED_USE_S, USE_DECAY_S, now);
+            own.use_rate = FlowRate::adopt(held.use_tokens_per_s, USE_DECAY_S, now);
         }
     }
 
@@ -283,15 +305,20 @@
         ledger: &TokenLedger,
         config: &FleetConfig,
         now: Uptime,
+        clocks: ClockReading,
     ) -> PlannedRecord {
         let others = ledger.live_holders().filter(|(holder_id, _)| **holder_id != self.holder_id);
         let vm_count = 1 + others.filter(|(_, record)| record.vm_id != self.vm_id).count();
+        let fleet = FleetShare {
+            vm_count: vm_count as f64,
+            own_part: self.part_of_use(ledger, config, vm_count as f64, now),
+        };
         let mut changes = Vec::new();
         for account in config.accounts.iter().flatten() {
             let Some(paid_tokens) = account.paid_tokens else {
                 continue;
             };
-            let change = self.plan_account(ledger, &account.id, paid_tokens, vm_count, now);
+            let change = self.plan_account(ledger, &account.id, paid_tokens, &fleet, now);
             if change != 0 {
                 changes.push((account.id.clone(), change));
             }
@@ -303,11 +330,11 @@
                 own.returning_tokens += change.unsigned_abs();
             }
         }
-        self.record_with(changes, false, now)
+        self.record_with(changes, false, now, clocks)
     }
 
     /// Plans the last record of a run that ends in order: everything unused is handed back.
-    pub fn plan_closing(&mut self, now: Uptime) -> PlannedRecord {
+    pub fn plan_closing(&mut self, now: Uptime, clocks: ClockReading) -> PlannedRecord {
         let mut changes = Vec::new();
         for (account_id, own) in &mut self.accounts {
             let available = own.available_tokens();
@@ -316,16 +343,18 @@
                 changes.push((account_id.clone(), -available));
             }
         }
-        self.record_with(changes, true, now)
+        self.record_with(changes, true, now, clocks)
     }
 
-    /// Takes over a planned record that is in the log; `acknowledged` is when it was sent, if the
-    /// log said so itself.
-    pub fn commit(&mut self, planned: &PlannedRecord, acknowledged: Option<(Uptime, ClockReading)>) {
-        if let Some((uptime, reading)) = acknowledged {
-            self.acknowledged_uptime = Some(uptime);
-            self.acknowledged_at = reading;
-        }
+    /// Sets the time between two records, which decides how long marks bind.
+    pub fn set_record_interval(&mut self, interval: Duration) {
+        self.marked_for = RESTART_TIME + interval * MARKED_INTERVALS;
+    }
+
+    /// Takes over a planned record that is in the log.
+    pub fn commit(&mut self, planned: &PlannedRecord) {
+        self.marked_until = planned.planned_at + planned.record.marked_for;
+        self.marked_until_in_doubt = Uptime::ZERO;
         for held in &planned.record.accounts {
             let own = self.accounts.entry(held.account_id.clone()).or_default();
             own.marked_tokens = held.marked_tokens;
@@ -345,6 +374,7 @@
 
     /// Drops a planned record that will never be in the log.
     pub fn abandon(&mut self, planned: &PlannedRecord) {
+        self.marked_until_in_doubt = Uptime::ZERO;
         for own in self.accounts.values_mut() {
             own.pending_mark = None;
         }
@@ -357,42 +387,65 @@
         }
     }
 
+    /// Returns this VM's part of the use of all accounts by all VMs.
+    fn part_of_use(
+        &self,
+        ledger: &TokenLedger,
+        config: &FleetConfig,
+        vm_count: f64,
+        now: Uptime,
+    ) -> f64 {
+        let accounts = config.accounts.iter().flatten();
+        let fleet_use: Tokens = accounts.map(|a| ledger.use_tokens_per_s(&a.id)).sum();
+        let own_use: f64 =
+            self.accounts.values().map(|own| own.use_rate.per_second(USE_DECAY_S, now)).sum();
+        let even_part = 1.0 / vm_count;
+        if fleet_use == 0 {
+            return even_part;
+        }
+        (own_use / fleet_use as f64).clamp(LEAST_SHARE_PART * even_part, 1.0)
+    }
+
     fn plan_account(
         &mut self,
         ledger: &TokenLedger,
         account_id: &str,
         paid_tokens: Tokens,
-        vm_count: usize,
+        fleet: &FleetShare,
         now: Uptime,
     ) -> i64 {
         let undrawn = paid_tokens as i64 - ledger.granted_tokens(account_id);
         let fleet_use = ledger.use_tokens_per_s(account_id) as f64;
         let own = self.accounts.entry(account_id.to_owned()).or_default();
         let own_use = own.use_rate.per_second(USE_DECAY_S, now);
-        let even_use = EVEN_SHARE_PART * fleet_use / vm_count as f64;
-        let is_unused = fleet_use < 1.0 && own_use < 1.0;
-        let share = paid_tokens as f64 / vm_count as f64;
+        let expected_use =
+            OWN_USE_WEIGHT * own_use + (1.0 - OWN_USE_WEIGHT) * fleet_use * fleet.own_part;
+        let share = paid_tokens as f64 / fleet.vm_count;
         let is_plenty = undrawn as f64 > MOSTLY_UNDRAWN_PART * paid_tokens as f64;
         let least = if is_plenty { LEAST_HELD_PART * share } else { 0.0 };
+        let is_unused = fleet_use < 1.0 && own_use < 1.0;
         let target = if is_unused {
-            (FIRST_DRAW_PART * share) as i64
+            (FIRST_DRAW_PART * share).min(FIRST_UNDRAWN_PART * undrawn.max(0) as f64)
         } else {
-            (HOLD_S * own_use.max(even_use)).max(least) as i64
+            let left_tokens = paid_tokens.saturating_sub(ledger.spent_tokens(account_id));
+            let left_s = left_tokens as f64 / fleet_use.max(1.0);
+            let hold_s = (HOLD_PART * left_s).clamp(LEAST_HOLD_S, MOST_HOLD_S);
+            (hold_s * expected_use).max(least)
         };
-        own.target_tokens = target;
+        own.target_tokens = target as i64;
+        own.expected_use = if is_unused { target / MOST_HOLD_S } else { expected_use };
         let available = own.available_tokens();
         if undrawn < 0 {
             return undrawn.max(-available.max(0));
         }
         let wanted = own.wanted_tokens as i64;
-        let missing = (target - available).max(wanted - available);
-        if available < wanted || (available as f64) < LOW_PART * target as f64 {
+        if available < wanted || (available as f64) < LOW_PART * target {
+            let missing = (own.target_tokens - available).max(wanted - available);
             let fair = (undrawn as f64 * MAX_DRAW_PART) as i64;
             return missing.min(fair.max(wanted)).clamp(0, undrawn);
         }
-        let is_scarce = (undrawn as f64) < HOLD_S * fleet_use / 2.0;
-        if is_scarce && available as f64 > HIGH_PART * target as f64 {
-            return target - available;
+        if available as f64 > HIGH_PART * target.max(wanted as f64) {
+            return (KEPT_PART * target) as i64 - available;
         }
         0
     }
@@ -402,12 +455,14 @@
         changes: Vec<(ClientAccountId, i64)>,
         is_closed: bool,
         now: Uptime,
+        clocks: ClockReading,
     ) -> PlannedRecord {
         self.sequence += 1;
+        self.marked_until_in_doubt = now + self.marked_for;
         let is_wanted = self.accounts.values().any(|own| own.wanted_tokens > 0);
         let accounts = self.accounts.iter_mut().map(|(account_id, own)| {
             let change = changes.iter().find(|(changed, _)| changed == account_id);
-            let mark = if is_closed { own.used_tokens() } else { own.next_mark() };
+            let mark = if is_closed { own.used_tokens() } else { own.next_mark(self.marked_for) };
             own.pending_mark = Some(mark);
             HeldTokens {
                 account_id: account_id.clone(),
@@ -424,9 +479,10 @@
             peer_address: self.peer_address,
             sequence: self.sequence,
             is_closed,
-            acknowledged_at: self.acknowledged_at,
+            sent_at: clocks,
+            marked_for: self.marked_for,
             accounts: accounts.collect(),
         };
-        PlannedRecord { record, changes, is_wanted }
+        PlannedRecord { record, changes, is_wanted, planned_at: now }
     }
 }
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -11,7 +11,6 @@
 use sassafrashoist_adapter::log_answers::{KeyedRecord, LogError};
 use sassafrashoist_adapter::log_calls::LEDGER_TOPIC;
 use sassafrashoist_core::gateway::{HolderId, Uptime};
-use sassafrashoist_core::gateway::clock_reading::ClockReading;
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
 use sassafrashoist_core::gateway::reclaim::reclaim_predecessor;
 use sassafrashoist_core::gateway::token_holding::PlannedRecord;
@@ -24,11 +23,11 @@
 
 /// Time between two records while no request waits for tokens; well below the time after which a
 /// holder counts as out of touch.
-const LOOK_INTERVAL: Duration = Duration::from_millis(450);
+const LOOK_INTERVAL: Duration = Duration::from_millis(300);
 /// The most that chance adds to it, so that VMs do not append at once.
-const LOOK_JITTER_MS: u64 = 100;
+const LOOK_JITTER_MS: u64 = 60;
 /// VMs that may append in one such time; where there are more, each appends less often.
-const MAX_APPENDING_VMS: u32 = 20;
+const MAX_APPENDING_VMS: u32 = 16;
 /// Least time between two looks, however many requests wait.
 const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(10);
 /// How often a draw is decided again because another VM's came first.
@@ -84,9 +83,11 @@
     }
 
     fn look_interval(&self) -> Duration {
-        let vm_count = self.context.lock_tokens().ledger.live_holders().count() as u32;
-        let jitter = Duration::from_millis(rand::random_range(0..=LOOK_JITTER_MS));
-        (LOOK_INTERVAL + jitter) * vm_count.div_ceil(MAX_APPENDING_VMS).max(1)
+        let mut tokens = self.context.lock_tokens();
+        let vm_count = tokens.ledger.live_holders().count() as u32;
+        let interval = LOOK_INTERVAL * vm_count.div_ceil(MAX_APPENDING_VMS).max(1);
+        tokens.holding.set_record_interval(interval);
+        interval + Duration::from_millis(rand::random_range(0..=LOOK_JITTER_MS))
     }
 
     async fn look(&mut self) {
@@ -133,7 +134,7 @@
             self.resolve_pending();
             if self.pending.is_none() {
                 let mut tokens = self.context.lock_tokens();
-                let planned = tokens.holding.plan_closing(self.context.now());
+                let planned = tokens.holding.plan_closing(self.context.now(), read_clocks());
                 let at = tokens.ledger.end();
                 self.pending = Some(Pending { planned, at, is_in_doubt: false });
             }
@@ -157,6 +158,7 @@
         let book = &mut *tokens;
         let (own, vm_id) = (book.holding.holder_id().clone(), settings.vm_id.as_str());
         if let Some((_, before)) = book.ledger.live_holders().find(|(_, r)| r.vm_id == vm_id) {
+            log::info!("DBG before ack {:?} started {:?} elapsed {:?}", before.sent_at, self.context.started_at, self.context.started_at.elapsed_since(&before.sent_at));
             book.holding.adopt_use(before, self.context.now());
         }
         let started_at = &self.context.started_at;
@@ -251,7 +253,7 @@
         let is_in_log =
             own.is_some_and(|(_, record)| record.sequence == pending.planned.record.sequence);
         if is_in_log {
-            book.holding.commit(&pending.planned, None);
+            book.holding.commit(&pending.planned);
         } else if book.ledger.end() > pending.at {
             book.holding.abandon(&pending.planned);
         } else {
@@ -271,7 +273,7 @@
         let now = self.context.now();
         let mut tokens = self.context.lock_tokens();
         let book = &mut *tokens;
-        let planned = book.holding.plan(&book.ledger, routes.config(), now);
+        let planned = book.holding.plan(&book.ledger, routes.config(), now, read_clocks());
         let is_due = now >= self.reported_at + LOOK_INTERVAL;
         if !planned.moves_tokens() && !planned.is_wanted() && !is_due {
             book.holding.abandon(&planned);
@@ -291,12 +293,11 @@
         let value = postcard::to_stdvec(&pending.planned.record)
             .wrap_err("failed to encode a record of the ledger")?;
         let holder_id = self.context.lock_tokens().holding.holder_id().clone();
-        let sent = (self.context.now(), read_clocks());
         let result = self.link.append_at(LEDGER_TOPIC, pending.at, &holder_id, &value).await;
         match result {
             Ok(end) => {
                 if let Some(pending) = self.pending.take() {
-                    self.take_over(pending, end, sent);
+                    self.take_over(pending, end);
                 }
                 Ok(true)
             }
@@ -315,15 +316,18 @@
         }
     }
 
-    fn take_over(&mut self, pending: Pending, end: LogOffset, sent: (Uptime, ClockReading)) {
-        self.reported_at = sent.0;
+    fn take_over(&mut self, pending: Pending, end: LogOffset) {
+        self.reported_at = self.context.now();
         let mut tokens = self.context.lock_tokens();
         let book = &mut *tokens;
-        book.holding.commit(&pending.planned, Some(sent));
+        book.holding.commit(&pending.planned);
         let holder_id = book.holding.holder_id().clone();
         book.ledger.apply(pending.at, holder_id, pending.planned.record.clone());
         book.ledger.read_to(end);
+        let mut dbg=String::new();
+        if let Some(r)=self.context.routes(){ for a in r.config().accounts.iter().flatten(){ let p=a.paid_tokens.unwrap_or(0) as i64; dbg+=&format!("{}:{}k/u{}k/f{}k/own{}k/rdy{}k/s{}k ",a.id,p/1000,(p-book.ledger.granted_tokens(&a.id))/1000, book.ledger.use_tokens_per_s(&a.id)/1000, pending.planned.record.account(&a.id).map_or(0,|h|h.available_tokens())/1000, book.holding.available_tokens(&a.id,self.reported_at)/1000, book.ledger.spent_tokens(&a.id)/1000);}}
         drop(tokens);
+        log::info!("DBG {dbg}");
         if pending.planned.moves_tokens() {
             log::info!(
                 sequence = pending.planned.record.sequence, offset = pending.at,
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -25,7 +25,7 @@
 /// How long connections are kept after SIGTERM: the balancer needs two misses, a second apart.
 const LINGER: Duration = Duration::from_millis(2_600);
 /// What is kept of the shutdown grace to hand back tokens and to exit.
-const EXIT_MARGIN: Duration = Duration::from_millis(900);
+const EXIT_MARGIN: Duration = Duration::from_millis(1_300);
 /// How long handing back tokens may take.
 const HAND_BACK_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time between two looks at the settings file, which may change without a signal.
