--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -22,7 +22,7 @@
 /// The least time that VMs are expected to live on what they hold, in seconds.
 const LEAST_HOLD_S: f64 = 6.0;
 /// The longest such time, in seconds; several times as long as cuts usually last.
-const MOST_HOLD_S: f64 = 30.0;
+const MOST_HOLD_S: f64 = 14.0;
 /// The part of the time for which the account's tokens last that VMs hold in advance.
 const HOLD_PART: f64 = 0.5;
 /// Time after which use weighs 1/e in the recent rate, in seconds.
@@ -55,11 +55,11 @@
 /// The times between two records for which marks bind besides.
 const MARKED_INTERVALS: u32 = 2;
 /// The multiple of the use in the time for which marks bind up to which they leave room.
-const MARK_FACTOR: f64 = 1.4;
+const MARK_FACTOR: f64 = 0.8;
 /// The weight of one request in the usual size of requests.
 const SIZE_SAMPLE_WEIGHT: f64 = 0.1;
 /// The usual requests for which a mark leaves room besides.
-const MARKED_REQUESTS: f64 = 1.0;
+const MARKED_REQUESTS: f64 = 0.4;
 /// The most answers to other VMs that are remembered.
 const MAX_REMEMBERED_GIFTS: usize = 512;
 
