--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -20,7 +20,7 @@
 use crate::ids::{ClientAccountId, Tokens, VmId};
 
 /// The least time that VMs are expected to live on what they hold, in seconds.
-const LEAST_HOLD_S: f64 = 6.0;
+const LEAST_HOLD_S: f64 = 2.0;
 /// The longest such time, in seconds; several times as long as cuts usually last.
 const MOST_HOLD_S: f64 = 14.0;
 /// The part of the time for which the account's tokens last that VMs hold in advance.
@@ -54,12 +54,17 @@
 const RESTART_TIME: Duration = Duration::from_millis(1_600);
 /// The times between two records for which marks bind besides.
 const MARKED_INTERVALS: u32 = 2;
-/// The multiple of the use in the time for which marks bind up to which they leave room.
-const MARK_FACTOR: f64 = 0.8;
+/// The part of the time for which the account's tokens last that marks leave room for: what the end
+/// of all processes at once may strand.
+const MARK_PART: f64 = 0.08;
+/// The least time of use that marks leave room for, in seconds.
+const LEAST_MARK_S: f64 = 0.3;
+/// The longest such time, in seconds; about as long as marks bind.
+const MOST_MARK_S: f64 = 2.6;
 /// The weight of one request in the usual size of requests.
 const SIZE_SAMPLE_WEIGHT: f64 = 0.1;
-/// The usual requests for which a mark leaves room besides.
-const MARKED_REQUESTS: f64 = 0.4;
+/// The usual requests for which a mark leaves room besides, if it leaves room for the longest time.
+const MARKED_REQUESTS: f64 = 1.0;
 /// The most answers to other VMs that are remembered.
 const MAX_REMEMBERED_GIFTS: usize = 512;
 
@@ -80,6 +85,7 @@
     pending_mark: Option<Tokens>,
     target_tokens: i64,
     expected_use: f64,
+    left_s: f64,
     usual_tokens: f64,
     use_rate: FlowRate,
 }
@@ -109,9 +115,10 @@
     }
 
     /// Returns the mark for the next record.
-    fn next_mark(&self, marked_for: Duration) -> Tokens {
-        let usual_use = MARK_FACTOR * marked_for.as_secs_f64() * self.expected_use
-            + MARKED_REQUESTS * self.usual_tokens;
+    fn next_mark(&self) -> Tokens {
+        let mark_s = (MARK_PART * self.left_s).clamp(LEAST_MARK_S, MOST_MARK_S);
+        let usual_use = mark_s * self.expected_use
+            + MARKED_REQUESTS * self.usual_tokens * mark_s / MOST_MARK_S;
         self.used_tokens() + (usual_use as Tokens).max(self.wanted_tokens)
     }
 }
@@ -424,12 +431,12 @@
         let is_plenty = undrawn as f64 > MOSTLY_UNDRAWN_PART * paid_tokens as f64;
         let least = if is_plenty { LEAST_HELD_PART * share } else { 0.0 };
         let is_unused = fleet_use < 1.0 && own_use < 1.0;
+        let left_tokens = paid_tokens.saturating_sub(ledger.spent_tokens(account_id));
+        own.left_s = left_tokens as f64 / fleet_use.max(1.0);
         let target = if is_unused {
             (FIRST_DRAW_PART * share).min(FIRST_UNDRAWN_PART * undrawn.max(0) as f64)
         } else {
-            let left_tokens = paid_tokens.saturating_sub(ledger.spent_tokens(account_id));
-            let left_s = left_tokens as f64 / fleet_use.max(1.0);
-            let hold_s = (HOLD_PART * left_s).clamp(LEAST_HOLD_S, MOST_HOLD_S);
+            let hold_s = (HOLD_PART * own.left_s).clamp(LEAST_HOLD_S, MOST_HOLD_S);
             (hold_s * expected_use).max(least)
         };
         own.target_tokens = target as i64;
@@ -462,7 +469,7 @@
         let is_wanted = self.accounts.values().any(|own| own.wanted_tokens > 0);
         let accounts = self.accounts.iter_mut().map(|(account_id, own)| {
             let change = changes.iter().find(|(changed, _)| changed == account_id);
-            let mark = if is_closed { own.used_tokens() } else { own.next_mark(self.marked_for) };
+            let mark = if is_closed { own.used_tokens() } else { own.next_mark() };
             own.pending_mark = Some(mark);
             HeldTokens {
                 account_id: account_id.clone(),
