--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -25,6 +25,9 @@
 const MIN_READ_SAMPLE_TOKENS: u64 = 4_000;
 /// The part of a shared prompt that the preferred server is expected to have to read.
 const PREFERRED_READ_PART: f64 = 0.3;
+/// How much more a token weighs that another server keeps already: reading it again also takes time
+/// from the other requests there.
+const READ_AGAIN_WEIGHT: Tokens = 2;
 /// What a server with all slots taken costs more than an idle one, in milliseconds.
 const FULL_COST_MS: f64 = 120.0;
 /// What each request beyond the slots costs, as a part of the cost of all slots.
@@ -241,7 +244,7 @@
         if preferred == Some(server_id) {
             return need.own_tokens + (need.shared_tokens as f64 * PREFERRED_READ_PART) as Tokens;
         }
-        need.own_tokens + need.shared_tokens
+        need.own_tokens + need.shared_tokens * READ_AGAIN_WEIGHT
     }
 
     fn cost_ms(&self, server: &ServerState, read_tokens: Tokens, now: Uptime) -> f64 {
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -30,6 +30,10 @@
 const MAX_APPENDING_VMS: u32 = 16;
 /// Least time between two looks, however many requests wait.
 const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time between two reports of where tokens are, to the log of the process.
+const ACCOUNTS_REPORT_INTERVAL: Duration = Duration::from_secs(5);
+/// The most accounts in one report.
+const MAX_REPORTED_ACCOUNTS: usize = 64;
 /// How often a draw is decided again because another VM's came first.
 const MAX_CONFLICTS: u32 = 6;
 
@@ -65,6 +69,7 @@
     has_reclaimed: bool,
     pending: Option<Pending>,
     reported_at: Uptime,
+    accounts_reported_at: Uptime,
     is_reached: bool,
 }
 
@@ -78,6 +83,7 @@
             has_reclaimed: false,
             pending: None,
             reported_at: Uptime::ZERO,
+            accounts_reported_at: Uptime::ZERO,
             is_reached: true,
         }
     }
@@ -158,7 +164,6 @@
         let book = &mut *tokens;
         let (own, vm_id) = (book.holding.holder_id().clone(), settings.vm_id.as_str());
         if let Some((_, before)) = book.ledger.live_holders().find(|(_, r)| r.vm_id == vm_id) {
-            log::info!("DBG before ack {:?} started {:?} elapsed {:?}", before.sent_at, self.context.started_at, self.context.started_at.elapsed_since(&before.sent_at));
             book.holding.adopt_use(before, self.context.now());
         }
         let started_at = &self.context.started_at;
@@ -316,6 +321,32 @@
         }
     }
 
+    /// Writes down, now and then, where the tokens of the accounts are.
+    fn report_accounts(&mut self, planned: &PlannedRecord) {
+        let now = self.context.now();
+        if now < self.accounts_reported_at + ACCOUNTS_REPORT_INTERVAL {
+            return;
+        }
+        self.accounts_reported_at = now;
+        let Some(routes) = self.context.routes() else {
+            return;
+        };
+        let tokens = self.context.lock_tokens();
+        for held in planned.record.accounts.iter().take(MAX_REPORTED_ACCOUNTS) {
+            let account_id = held.account_id.as_str();
+            let paid_tokens = routes.config().paid_tokens(account_id).unwrap_or_default();
+            log::info!(
+                account = account_id, config = routes.config().version,
+                offset = tokens.ledger.end(), paid = paid_tokens,
+                drawn = tokens.ledger.granted_tokens(account_id),
+                spent = tokens.ledger.spent_tokens(account_id),
+                held_here = held.available_tokens(), ready_here = held.ready_tokens(),
+                use_per_s = tokens.ledger.use_tokens_per_s(account_id);
+                "tokens of an account"
+            );
+        }
+    }
+
     fn take_over(&mut self, pending: Pending, end: LogOffset) {
         self.reported_at = self.context.now();
         let mut tokens = self.context.lock_tokens();
@@ -324,10 +355,8 @@
         let holder_id = book.holding.holder_id().clone();
         book.ledger.apply(pending.at, holder_id, pending.planned.record.clone());
         book.ledger.read_to(end);
-        let mut dbg=String::new();
-        if let Some(r)=self.context.routes(){ for a in r.config().accounts.iter().flatten(){ let p=a.paid_tokens.unwrap_or(0) as i64; dbg+=&format!("{}:{}k/u{}k/f{}k/own{}k/rdy{}k/s{}k ",a.id,p/1000,(p-book.ledger.granted_tokens(&a.id))/1000, book.ledger.use_tokens_per_s(&a.id)/1000, pending.planned.record.account(&a.id).map_or(0,|h|h.available_tokens())/1000, book.holding.available_tokens(&a.id,self.reported_at)/1000, book.ledger.spent_tokens(&a.id)/1000);}}
         drop(tokens);
-        log::info!("DBG {dbg}");
+        self.report_accounts(&pending.planned);
         if pending.planned.moves_tokens() {
             log::info!(
                 sequence = pending.planned.record.sequence, offset = pending.at,
--- a/crates/sassafrashoist/src/gateway/token_reservation.rs
+++ b/crates/sassafrashoist/src/gateway/token_reservation.rs
@@ -57,7 +57,6 @@
         let used_tokens =
             if self.may_have_run { self.prompt_tokens + self.output_tokens } else { 0 };
         let now = self.context.now();
-        log::info!("SETTLE {} {} {} {} {}", self.account_id, self.prompt_tokens, self.output_tokens, self.max_output_tokens, self.may_have_run);
         let mut tokens = self.context.lock_tokens();
         tokens.holding.settle(&self.account_id, worst_case_tokens, used_tokens, now);
         drop(tokens);
