--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! - [`fleet_config`] and [`route_table`]: which request is allowed and where it goes.
 //! - [`server_directory`]: the backend servers, their load and health, and the choice among them.
 //! - [`token_ledger`] and [`token_holding`]: who may spend which tokens of a client account.
+//! - [`ledger_writer`]: the append in progress, whose fate may be unknown.
 //! - [`reclaim`]: what a run that died cannot have used.
 //! - [`retry_allowance`]: how many requests may be sent a second time.
 //! - [`event_splitter`]: whole events of a stream, so that a broken one is never passed on.
@@ -14,13 +15,14 @@
 pub mod fleet_config;
 pub mod flow_rate;
 pub mod holder_record;
+pub mod ledger_writer;
+pub mod reclaim;
 pub mod retry_allowance;
 pub mod route;
 pub mod route_table;
 pub mod server_directory;
 pub mod server_listing;
 pub mod server_state;
-pub mod reclaim;
 pub mod token_holding;
 pub mod token_ledger;
 pub mod vm_settings;
--- a/crates/sassafrashoist-core/src/gateway/reclaim.rs
+++ b/crates/sassafrashoist-core/src/gateway/reclaim.rs
@@ -29,16 +29,14 @@
     ip: IpAddr,
     started_at: &ClockReading,
 ) -> Option<(HolderId, HolderRecord)> {
-    let (holder_id, record) =
-        ledger.live_holders().find(|(_, record)| record.vm_id == vm_id)?;
+    let (holder_id, record) = ledger.live_holders().find(|(_, record)| record.vm_id == vm_id)?;
     if holder_id == own || record.peer_address.ip() != ip {
         return None;
     }
     let elapsed = started_at.elapsed_since(&record.sent_at)?;
     let mut others = ledger.live_holders().filter(|(_, other)| other.vm_id != vm_id);
-    let is_behind = others.any(|(_, other)| {
-        other.sent_at.since_epoch > started_at.since_epoch + MAX_CLOCK_SKEW
-    });
+    let is_behind = others
+        .any(|(_, other)| other.sent_at.since_epoch > started_at.since_epoch + MAX_CLOCK_SKEW);
     if elapsed >= record.marked_for || is_behind {
         return None;
     }
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -127,8 +127,8 @@
                 return;
             }
         };
-        self.failed_part = self.failed_part(now) * (1.0 - FAILURE_SAMPLE_WEIGHT)
-            + sample * FAILURE_SAMPLE_WEIGHT;
+        self.failed_part =
+            self.failed_part(now) * (1.0 - FAILURE_SAMPLE_WEIGHT) + sample * FAILURE_SAMPLE_WEIGHT;
         self.failed_at = now;
         self.breaker.end_attempt(verdict, true, now);
     }
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -11,8 +11,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::fleet_config::FleetConfig;
 use super::clock_reading::ClockReading;
+use super::fleet_config::FleetConfig;
 use super::flow_rate::FlowRate;
 use super::holder_record::{HeldTokens, HolderRecord};
 use super::token_ledger::TokenLedger;
@@ -117,8 +117,8 @@
     /// Returns the mark for the next record.
     fn next_mark(&self) -> Tokens {
         let mark_s = (MARK_PART * self.left_s).clamp(LEAST_MARK_S, MOST_MARK_S);
-        let usual_use = mark_s * self.expected_use
-            + MARKED_REQUESTS * self.usual_tokens * mark_s / MOST_MARK_S;
+        let usual_use =
+            mark_s * self.expected_use + MARKED_REQUESTS * self.usual_tokens * mark_s / MOST_MARK_S;
         self.used_tokens() + (usual_use as Tokens).max(self.wanted_tokens)
     }
 }
--- a/crates/sassafrashoist-core/src/gateway/token_ledger.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_ledger.rs
@@ -63,8 +63,7 @@
     pub fn live_holders(&self) -> impl Iterator<Item = (&HolderId, &HolderRecord)> {
         let mut newest: BTreeMap<&str, (LogOffset, &HolderId, &HolderRecord)> = BTreeMap::new();
         for (holder_id, (offset, record)) in &self.holders {
-            let entry =
-                newest.entry(record.vm_id.as_str()).or_insert((*offset, holder_id, record));
+            let entry = newest.entry(record.vm_id.as_str()).or_insert((*offset, holder_id, record));
             if entry.0 < *offset {
                 *entry = (*offset, holder_id, record);
             }
--- /dev/null
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/event_splitter.rs
@@ -0,0 +1,50 @@
+use proptest::prelude::*;
+use sassafrashoist_core::gateway::event_splitter::{EventSplitter, StreamEvent};
+
+const STREAM: &[u8] =
+    b"id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\nid: 4\nda";
+
+fn split(pieces: &[&[u8]]) -> (Vec<StreamEvent>, Vec<u8>) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for piece in pieces {
+        splitter.push(piece);
+        while let Some(event) = splitter.next_event() {
+            events.push(event);
+        }
+    }
+    (events, splitter.take_rest().to_vec())
+}
+
+#[test]
+fn whole_events_are_split_off_with_their_ids() {
+    let (events, rest) = split(&[STREAM]);
+
+    let ids: Vec<_> = events.iter().map(|event| event.id.as_deref()).collect();
+    assert_eq!(ids, [Some("1"), Some("2"), None, Some("3")]);
+    assert_eq!(rest, b"id: 4\nda");
+}
+
+proptest! {
+    #[test]
+    fn events_do_not_depend_on_how_the_bytes_arrive(
+        mut cuts in proptest::collection::vec(0..STREAM.len(), 0..12)
+    ) {
+        cuts.sort_unstable();
+        let bounds: Vec<usize> =
+            std::iter::once(0).chain(cuts).chain(std::iter::once(STREAM.len())).collect();
+        let pieces: Vec<&[u8]> =
+            bounds.windows(2).map(|bound| &STREAM[bound[0]..bound[1]]).collect();
+
+        prop_assert_eq!(split(&pieces), split(&[STREAM]));
+    }
+
+    #[test]
+    fn no_byte_is_lost(data in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let (events, rest) = split(&[&data]);
+
+        let mut joined: Vec<u8> = events.iter().flat_map(|event| event.raw.to_vec()).collect();
+        joined.extend(rest);
+        prop_assert_eq!(joined, data);
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/ledger_writer.rs
@@ -0,0 +1,104 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sassafrashoist_core::gateway::clock_reading::ClockReading;
+use sassafrashoist_core::gateway::ledger_writer::{AppendAnswer, LedgerWriter};
+use sassafrashoist_core::gateway::token_holding::TokenHolding;
+use sassafrashoist_core::gateway::token_ledger::TokenLedger;
+
+use super::token_world::{ACCOUNT, RECORD_INTERVAL, config_with, holding_of};
+
+const NOW: Duration = Duration::from_secs(50);
+const PAID_TOKENS: u64 = 700_000;
+
+fn holding() -> TokenHolding {
+    holding_of("vm-1", 1, SocketAddr::from(([10, 0, 0, 1], 7_000)))
+}
+
+/// Starts the append of a first draw.
+fn begin_draw(holding: &mut TokenHolding, ledger: &TokenLedger) -> LedgerWriter {
+    let config = config_with(PAID_TOKENS);
+    let planned = holding.plan(ledger, &config, NOW, ClockReading::default());
+    assert!(planned.moves_tokens());
+    let mut writer = LedgerWriter::default();
+    writer.begin(planned, ledger.end());
+    writer
+}
+
+fn far_later() -> Duration {
+    NOW + Duration::from_secs(60)
+}
+
+#[test]
+fn a_draw_counts_once_it_is_acknowledged() {
+    let (mut holding, ledger) = (holding(), TokenLedger::default());
+    let mut writer = begin_draw(&mut holding, &ledger);
+
+    let before = holding.available_tokens(ACCOUNT, far_later());
+    let done = writer.record_answer(AppendAnswer::Done, &mut holding);
+
+    assert_eq!(before, 0);
+    assert!(done.is_some());
+    assert!(holding.available_tokens(ACCOUNT, far_later()) > 0);
+}
+
+#[test]
+fn a_refusal_after_a_lost_answer_leaves_the_append_in_doubt() {
+    let (mut holding, ledger) = (holding(), TokenLedger::default());
+    let mut writer = begin_draw(&mut holding, &ledger);
+
+    writer.record_answer(AppendAnswer::Unknown, &mut holding);
+    writer.record_answer(AppendAnswer::NotDone, &mut holding);
+
+    assert!(writer.pending().is_some());
+}
+
+#[test]
+fn a_refusal_at_once_ends_the_append() {
+    let (mut holding, ledger) = (holding(), TokenLedger::default());
+    let mut writer = begin_draw(&mut holding, &ledger);
+
+    writer.record_answer(AppendAnswer::NotDone, &mut holding);
+
+    assert!(writer.pending().is_none());
+    assert_eq!(holding.available_tokens(ACCOUNT, far_later()), 0);
+}
+
+#[test]
+fn an_append_in_doubt_is_done_if_the_ledger_shows_its_record() {
+    let (mut holding, mut ledger) = (holding(), TokenLedger::default());
+    let mut writer = begin_draw(&mut holding, &ledger);
+    let record = writer.pending().unwrap().planned.record.clone();
+    writer.record_answer(AppendAnswer::Unknown, &mut holding);
+
+    ledger.apply(0, holding.holder_id().clone(), record);
+    ledger.read_to(1);
+    writer.resolve(&ledger, &mut holding);
+
+    assert!(writer.pending().is_none());
+    assert!(holding.available_tokens(ACCOUNT, far_later()) > 0);
+}
+
+#[test]
+fn an_append_in_doubt_is_impossible_once_the_log_has_grown_past_it() {
+    let (mut holding, mut ledger) = (holding(), TokenLedger::default());
+    let mut writer = begin_draw(&mut holding, &ledger);
+    writer.record_answer(AppendAnswer::Unknown, &mut holding);
+
+    ledger.read_to(1);
+    writer.resolve(&ledger, &mut holding);
+
+    assert!(writer.pending().is_none());
+    assert_eq!(holding.available_tokens(ACCOUNT, far_later()), 0);
+}
+
+#[test]
+fn marks_bind_from_the_newest_record_that_may_be_in_the_log() {
+    let (mut holding, ledger) = (holding(), TokenLedger::default());
+    let mut writer = begin_draw(&mut holding, &ledger);
+
+    writer.record_answer(AppendAnswer::Unknown, &mut holding);
+
+    assert!(holding.time_to_unmarked(NOW) > 2 * RECORD_INTERVAL);
+    assert!(holding.time_to_unmarked(far_later()).is_zero());
+}
--- /dev/null
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -0,0 +1,12 @@
+//! Tests of the gateway's decisions.
+
+mod event_splitter;
+mod flow_rate;
+mod ledger_writer;
+mod reclaim;
+mod retry_allowance;
+mod route_table;
+mod server_directory;
+mod token_holding;
+mod token_world;
+mod token_world_properties;
--- /dev/null
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/reclaim.rs
@@ -0,0 +1,119 @@
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use sassafrashoist_core::gateway::clock_reading::ClockReading;
+use sassafrashoist_core::gateway::holder_record::{HeldTokens, HolderRecord};
+use sassafrashoist_core::gateway::reclaim::reclaim_predecessor;
+use sassafrashoist_core::gateway::token_ledger::TokenLedger;
+
+const VM_IP: IpAddr = IpAddr::V4(std::net::Ipv4Addr::new(10, 0, 0, 1));
+const MARKED_FOR: Duration = Duration::from_millis(2_200);
+
+fn clocks(since_boot_ms: u64, since_epoch_ms: u64) -> ClockReading {
+    ClockReading {
+        since_boot: Duration::from_millis(since_boot_ms),
+        since_epoch: Duration::from_millis(since_epoch_ms),
+    }
+}
+
+fn record(vm_id: &str, ip: IpAddr, sent_at: ClockReading) -> HolderRecord {
+    HolderRecord {
+        vm_id: vm_id.to_owned(),
+        peer_address: SocketAddr::new(ip, 7_000),
+        sequence: 9,
+        is_closed: false,
+        sent_at,
+        marked_for: MARKED_FOR,
+        accounts: vec![HeldTokens {
+            account_id: "workshop".to_owned(),
+            granted_tokens: 10_000,
+            received_tokens: 500,
+            given_tokens: 100,
+            spent_tokens: 2_000,
+            marked_tokens: 3_000,
+            use_tokens_per_s: 1_000,
+        }],
+    }
+}
+
+fn ledger_with(records: &[(&str, HolderRecord)]) -> TokenLedger {
+    let mut ledger = TokenLedger::default();
+    for (offset, (key, record)) in records.iter().enumerate() {
+        ledger.apply(offset as u64, (*key).to_owned(), record.clone());
+    }
+    ledger
+}
+
+fn reclaimed_tokens(ledger: &TokenLedger, started_at: &ClockReading) -> Option<i64> {
+    let own = "vm-1/new".to_owned();
+    let (_, closed) = reclaim_predecessor(ledger, &own, "vm-1", VM_IP, started_at)?;
+    Some(10_000 - closed.accounts[0].granted_tokens)
+}
+
+#[test]
+fn all_beyond_the_mark_is_handed_back_after_a_quick_restart() {
+    let ledger = ledger_with(&[("vm-1/old", record("vm-1", VM_IP, clocks(50_000, 900_000)))]);
+
+    let reclaimed = reclaimed_tokens(&ledger, &clocks(51_500, 901_500));
+
+    assert_eq!(reclaimed, Some(7_500));
+}
+
+#[test]
+fn nothing_is_handed_back_once_the_mark_may_have_been_passed() {
+    let ledger = ledger_with(&[("vm-1/old", record("vm-1", VM_IP, clocks(50_000, 900_000)))]);
+
+    let reclaimed = reclaimed_tokens(&ledger, &clocks(52_200, 902_200));
+
+    assert_eq!(reclaimed, None);
+}
+
+#[test]
+fn the_time_since_boot_goes_before_a_time_of_day_that_jumped_back() {
+    let ledger = ledger_with(&[("vm-1/old", record("vm-1", VM_IP, clocks(50_000, 900_000)))]);
+
+    let reclaimed = reclaimed_tokens(&ledger, &clocks(56_000, 901_000));
+
+    assert_eq!(reclaimed, None);
+}
+
+#[test]
+fn the_time_of_day_tells_after_a_new_boot() {
+    let ledger = ledger_with(&[("vm-1/old", record("vm-1", VM_IP, clocks(50_000, 900_000)))]);
+
+    let reclaimed = reclaimed_tokens(&ledger, &clocks(1_000, 901_500));
+
+    assert_eq!(reclaimed, Some(7_500));
+}
+
+#[test]
+fn a_time_of_day_behind_that_of_another_vm_is_not_believed() {
+    let other = record("vm-2", IpAddr::from([10, 0, 0, 2]), clocks(70_000, 904_000));
+    let old = record("vm-1", VM_IP, clocks(50_000, 900_000));
+    let ledger = ledger_with(&[("vm-1/old", old), ("vm-2/only", other)]);
+
+    let reclaimed = reclaimed_tokens(&ledger, &clocks(1_000, 901_500));
+
+    assert_eq!(reclaimed, None);
+}
+
+#[test]
+fn a_run_on_another_machine_of_the_same_name_is_left_alone() {
+    let elsewhere = record("vm-1", IpAddr::from([10, 0, 0, 9]), clocks(50_000, 900_000));
+    let ledger = ledger_with(&[("vm-1/old", elsewhere)]);
+
+    let reclaimed = reclaimed_tokens(&ledger, &clocks(51_500, 901_500));
+
+    assert_eq!(reclaimed, None);
+}
+
+#[test]
+fn a_run_that_ended_in_order_is_left_alone() {
+    let mut closed = record("vm-1", VM_IP, clocks(50_000, 900_000));
+    closed.is_closed = true;
+    let ledger = ledger_with(&[("vm-1/old", closed)]);
+
+    let reclaimed = reclaimed_tokens(&ledger, &clocks(51_500, 901_500));
+
+    assert_eq!(reclaimed, None);
+}
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod admission_queue;
 mod budget_owner;
+mod gateway;
 mod key_table;
 mod ledger;
 mod membership;
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -1,8 +1,4 @@
 //! Keeps this VM's part of the ledger of prepaid tokens.
-//!
-//! One append is in progress at a time. One whose fate is not known stays pending until the ledger
-//! shows its record, or shows that the topic has grown past the place where it could have gone; what
-//! it would draw is not used before, and what it would hand back is not used any more.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,10 +6,11 @@
 use eyre::WrapErr;
 use sassafrashoist_adapter::log_answers::{KeyedRecord, LogError};
 use sassafrashoist_adapter::log_calls::LEDGER_TOPIC;
-use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
+use sassafrashoist_core::gateway::ledger_writer::{AppendAnswer, LedgerWriter, PendingAppend};
 use sassafrashoist_core::gateway::reclaim::reclaim_predecessor;
 use sassafrashoist_core::gateway::token_holding::PlannedRecord;
+use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::ids::LogOffset;
 use tokio_util::sync::CancellationToken;
 
@@ -53,21 +50,12 @@
     keeper.close().await;
 }
 
-/// An append that is not known to be done or to be impossible.
-struct Pending {
-    planned: PlannedRecord,
-    at: LogOffset,
-    /// Whether it was sent and not answered: it may be executed at any time while the topic ends at
-    /// `at`.
-    is_in_doubt: bool,
-}
-
 struct TokenKeeper {
     context: Arc<GatewayContext>,
     link: LogLink,
     has_snapshot: bool,
     has_reclaimed: bool,
-    pending: Option<Pending>,
+    writer: LedgerWriter,
     reported_at: Uptime,
     accounts_reported_at: Uptime,
     is_reached: bool,
@@ -81,7 +69,7 @@
             link,
             has_snapshot: false,
             has_reclaimed: false,
-            pending: None,
+            writer: LedgerWriter::default(),
             reported_at: Uptime::ZERO,
             accounts_reported_at: Uptime::ZERO,
             is_reached: true,
@@ -121,7 +109,7 @@
                 continue;
             }
             self.resolve_pending();
-            if self.pending.is_none() && !self.plan_next() {
+            if self.writer.pending().is_none() && !self.plan_next() {
                 return Ok(());
             }
             if self.append_pending().await? {
@@ -138,14 +126,12 @@
                 continue;
             }
             self.resolve_pending();
-            if self.pending.is_none() {
+            if self.writer.pending().is_none() {
                 let mut tokens = self.context.lock_tokens();
                 let planned = tokens.holding.plan_closing(self.context.now(), read_clocks());
-                let at = tokens.ledger.end();
-                self.pending = Some(Pending { planned, at, is_in_doubt: false });
+                self.writer.begin(planned, tokens.ledger.end());
             }
-            let is_last =
-                self.pending.as_ref().is_some_and(|pending| pending.planned.record.is_closed);
+            let is_last = self.writer.pending().is_some_and(|last| last.planned.record.is_closed);
             match self.append_pending().await {
                 Ok(true) if is_last => {
                     log::info!("tokens handed back");
@@ -247,24 +233,10 @@
         tokens.ledger.read_to(end);
     }
 
-    /// Closes a pending append whose fate the ledger shows.
     fn resolve_pending(&mut self) {
-        let Some(pending) = self.pending.take() else {
-            return;
-        };
         let mut tokens = self.context.lock_tokens();
         let book = &mut *tokens;
-        let own = book.ledger.holder(book.holding.holder_id());
-        let is_in_log =
-            own.is_some_and(|(_, record)| record.sequence == pending.planned.record.sequence);
-        if is_in_log {
-            book.holding.commit(&pending.planned);
-        } else if book.ledger.end() > pending.at {
-            book.holding.abandon(&pending.planned);
-        } else {
-            drop(tokens);
-            self.pending = Some(pending);
-        }
+        self.writer.resolve(&book.ledger, &mut book.holding);
     }
 
     /// Plans the next record; false when there is nothing to write.
@@ -284,40 +256,35 @@
             book.holding.abandon(&planned);
             return false;
         }
-        let at = book.ledger.end();
-        drop(tokens);
-        self.pending = Some(Pending { planned, at, is_in_doubt: false });
+        self.writer.begin(planned, book.ledger.end());
         true
     }
 
     /// Appends the pending record; false when it has to be decided again.
     async fn append_pending(&mut self) -> eyre::Result<bool> {
-        let Some(pending) = &self.pending else {
+        let Some(pending) = self.writer.pending().cloned() else {
             return Ok(true);
         };
         let value = postcard::to_stdvec(&pending.planned.record)
             .wrap_err("failed to encode a record of the ledger")?;
         let holder_id = self.context.lock_tokens().holding.holder_id().clone();
         let result = self.link.append_at(LEDGER_TOPIC, pending.at, &holder_id, &value).await;
+        let answer = match &result {
+            Ok(_) => AppendAnswer::Done,
+            Err(LogCallError::Answered(LogError::EndMoved)) => AppendAnswer::EndMoved,
+            Err(error) if error.is_in_doubt() => AppendAnswer::Unknown,
+            Err(_) => AppendAnswer::NotDone,
+        };
+        let done = self.writer.record_answer(answer, &mut self.context.lock_tokens().holding);
         match result {
             Ok(end) => {
-                if let Some(pending) = self.pending.take() {
-                    self.take_over(pending, end);
+                if let Some(done) = done {
+                    self.take_over(&done, end);
                 }
                 Ok(true)
             }
             Err(LogCallError::Answered(LogError::EndMoved)) => Ok(false),
-            Err(error) => {
-                if let Some(mut pending) = self.pending.take() {
-                    pending.is_in_doubt |= error.is_in_doubt();
-                    if pending.is_in_doubt {
-                        self.pending = Some(pending);
-                    } else {
-                        self.context.lock_tokens().holding.abandon(&pending.planned);
-                    }
-                }
-                Err(error).wrap_err("an append to the ledger was not answered with success")
-            }
+            Err(error) => Err(error).wrap_err("an append to the ledger was not done for sure"),
         }
     }
 
@@ -347,20 +314,19 @@
         }
     }
 
-    fn take_over(&mut self, pending: Pending, end: LogOffset) {
+    fn take_over(&mut self, done: &PendingAppend, end: LogOffset) {
         self.reported_at = self.context.now();
         let mut tokens = self.context.lock_tokens();
         let book = &mut *tokens;
-        book.holding.commit(&pending.planned);
         let holder_id = book.holding.holder_id().clone();
-        book.ledger.apply(pending.at, holder_id, pending.planned.record.clone());
+        book.ledger.apply(done.at, holder_id, done.planned.record.clone());
         book.ledger.read_to(end);
         drop(tokens);
-        self.report_accounts(&pending.planned);
-        if pending.planned.moves_tokens() {
+        self.report_accounts(&done.planned);
+        if done.planned.moves_tokens() {
             log::info!(
-                sequence = pending.planned.record.sequence, offset = pending.at,
-                moved:? = pending.planned.changes();
+                sequence = done.planned.record.sequence, offset = done.at,
+                moved:? = done.planned.changes();
                 "tokens drawn or handed back"
             );
         }
--- a/crates/sassafrashoist/src/gateway/log_link.rs
+++ b/crates/sassafrashoist/src/gateway/log_link.rs
@@ -113,11 +113,7 @@
         Ok(decode_newest(status, &body)?)
     }
 
-    async fn call(
-        &mut self,
-        call: LogCall,
-        wait: Duration,
-    ) -> Result<(u16, Bytes), LogCallError> {
+    async fn call(&mut self, call: LogCall, wait: Duration) -> Result<(u16, Bytes), LogCallError> {
         metrics::counter!("sassafrashoist_log_calls_total").increment(1);
         let address = self.context.settings().log_service_address;
         let mut connection = match self.connection.take() {
--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -67,7 +67,8 @@
     if is_exhausted(context, account_id, paid_tokens, needed) {
         return Err(NoTokens::Exhausted);
     }
-    let draw_until = if is_ledger_fresh(context) { context.now() + DRAW_WAIT } else { Uptime::ZERO };
+    let draw_until =
+        if is_ledger_fresh(context) { context.now() + DRAW_WAIT } else { Uptime::ZERO };
     while context.now() < draw_until {
         // Registered before the wish, so that its draw cannot be missed.
         let changed = context.tokens_changed.notified();
@@ -87,8 +88,7 @@
         let missing = needed.saturating_sub(held);
         let question = ask_peer(context, peer, account_id, missing, needed);
         // Tokens that come later are taken in by the question's own task.
-        let is_late =
-            tokio::time::timeout_at(context.instant(give_up_at), question).await.is_err();
+        let is_late = tokio::time::timeout_at(context.instant(give_up_at), question).await.is_err();
         if try_reserve(context, account_id, needed) {
             return Ok(reservation(context, account_id, worst_case));
         }
--- a/crates/sassafrashoist/src/gateway/serve_clients.rs
+++ b/crates/sassafrashoist/src/gateway/serve_clients.rs
@@ -51,9 +51,8 @@
     let limits = context.routes().map(|routes| routes.config().limits);
     let head_bytes = limits.map_or(FIRST_HEAD_BYTES, |limits| limits.head_bytes);
     ConnectionPolicy {
-        head_timeout: limits.map_or(FIRST_IDLE_TIMEOUT, |limits| {
-            limits.idle_timeout.max(limits.head_timeout)
-        }),
+        head_timeout: limits
+            .map_or(FIRST_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.head_timeout)),
         max_head_bytes: head_bytes.max(MIN_HEAD_BYTES),
         closing: closing.clone(),
     }
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -37,10 +37,7 @@
     }
 }
 
-async fn answer_peer(
-    context: &GatewayContext,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
+async fn answer_peer(context: &GatewayContext, request: Request<Incoming>) -> Response<AnswerBody> {
     if request.uri().path() != TRANSFER_PATH {
         return answer(StatusCode::NOT_FOUND, HeaderMap::new(), Bytes::new());
     }
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -133,10 +133,14 @@
         .find_route(host, parts.uri.path())
         .map_err(|_| Refusal::new(StatusCode::NOT_FOUND, "no route matches"))?;
     let account =
-        routes.authorise(route, caller.key.as_deref()).map_err(|not_allowed| match not_allowed {
-            NotAllowed::UnknownKey => Refusal::new(StatusCode::UNAUTHORIZED, "key is not known"),
-            NotAllowed::NoRoute => Refusal::new(StatusCode::NOT_FOUND, "no route matches"),
-        })?;
+        routes.authorise(route, caller.key.as_deref()).map_err(
+            |not_allowed| match not_allowed {
+                NotAllowed::UnknownKey => {
+                    Refusal::new(StatusCode::UNAUTHORIZED, "key is not known")
+                }
+                NotAllowed::NoRoute => Refusal::new(StatusCode::NOT_FOUND, "no route matches"),
+            },
+        )?;
     let Some(pool_id) = route.destination(rand::random()) else {
         return Err(Refusal::new(StatusCode::NOT_FOUND, "route has no destination"));
     };
@@ -199,8 +203,6 @@
         Err(NoTokens::Exhausted) => {
             Err(Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget does not cover the request"))
         }
-        Err(NoTokens::OutOfReach(delay)) => {
-            Err(Refusal::not_now(delay, "tokens are out of reach"))
-        }
+        Err(NoTokens::OutOfReach(delay)) => Err(Refusal::not_now(delay, "tokens are out of reach")),
     }
 }
--- a/crates/sassafrashoist/src/util/mod.rs
+++ b/crates/sassafrashoist/src/util/mod.rs
@@ -4,5 +4,5 @@
 pub mod http_server;
 pub mod logging;
 pub mod metrics_page;
-pub mod sse_parser;
 pub mod queued_stdout;
+pub mod sse_parser;
--- a/crates/sassafrashoist/src/util/queued_stdout.rs
+++ b/crates/sassafrashoist/src/util/queued_stdout.rs
@@ -49,7 +49,8 @@
         line.push(b'\n');
         let dropped = self.dropped_count.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            let note = format!("{{\"level\":\"WARN\",\"message\":\"{dropped} log lines dropped\"}}\n");
+            let note =
+                format!("{{\"level\":\"WARN\",\"message\":\"{dropped} log lines dropped\"}}\n");
             line.splice(0..0, note.into_bytes());
         }
         if self.sender.try_send(Entry::Line(line)).is_err() {
