--- a/crates/sassafrashoist/src/bin/sassafrashoist/commands/gateway.rs
+++ b/crates/sassafrashoist/src/bin/sassafrashoist/commands/gateway.rs
@@ -6,6 +6,7 @@
 use eyre::WrapErr;
 use sassafrashoist::core::settings::LogSettings;
 use sassafrashoist::gateway::run_gateway::run_gateway;
+use sassafrashoist::gateway::serve_metrics::METRICS_PORT;
 use sassafrashoist::util::logging::init_logging;
 use sassafrashoist_adapter::SETTINGS_PATH_VARIABLE;
 
@@ -15,6 +16,9 @@
     /// The platform's settings file of this VM.
     #[arg(long, value_name = "FILE", env = SETTINGS_PATH_VARIABLE)]
     settings: PathBuf,
+    /// The port on which the VM serves its metrics.
+    #[arg(long, value_name = "PORT", default_value_t = METRICS_PORT)]
+    metrics_port: u16,
 }
 
 impl Gateway {
@@ -25,6 +29,6 @@
             .enable_all()
             .build()
             .wrap_err("failed to start the runtime")?;
-        runtime.block_on(run_gateway(self.settings))
+        runtime.block_on(run_gateway(self.settings, self.metrics_port))
     }
 }
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 
 pub mod answer_body;
 pub mod ask_peers;
+pub mod caller_watch;
 pub mod follow_config;
 pub mod follow_servers;
 pub mod follow_topic;
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -17,7 +17,7 @@
 use super::keep_tokens::keep_tokens;
 use super::listen::bind;
 use super::serve_clients::serve_clients;
-use super::serve_metrics::{METRICS_PORT, serve_metrics};
+use super::serve_metrics::serve_metrics;
 use super::serve_peers::serve_peers;
 use super::serve_readiness::serve_readiness;
 use crate::util::metrics_page::{fold_metrics, init_metrics};
@@ -47,7 +47,7 @@
 /// # Errors
 ///
 /// Fails when it cannot start.
-pub async fn run_gateway(path: PathBuf) -> eyre::Result<()> {
+pub async fn run_gateway(path: PathBuf, metrics_port: u16) -> eyre::Result<()> {
     let settings = read_vm_settings(&path)?;
     init_metrics();
     let mut terminate = signal(SignalKind::terminate())?;
@@ -56,7 +56,7 @@
     let peers = bind(SocketAddr::new(settings.ip, settings.peer_port)).await?;
     let readiness = bind(settings.readiness_address).await?;
     let callers = bind(settings.caller_address).await?;
-    let metrics = bind(SocketAddr::new(settings.ip, METRICS_PORT)).await?;
+    let metrics = bind(SocketAddr::new(settings.ip, metrics_port)).await?;
     let context = GatewayContext::new(settings, CancellationToken::new());
     log::info!(
         vm = context.settings().vm_id,
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -13,9 +13,10 @@
 use sassafrashoist_adapter::request_headers::{CallerHeaders, single_host};
 use sassafrashoist_core::gateway::route::Repeatability;
 use sassafrashoist_core::gateway::route_table::{NotAllowed, RouteTable};
-use sassafrashoist_core::ids::Tokens;
+use sassafrashoist_core::ids::{RequestId, Tokens};
 
 use super::answer_body::{AnswerBody, answer};
+use super::caller_watch::CallerWatch;
 use super::gateway_context::GatewayContext;
 use super::obtain_tokens::{NoTokens, WorstCase, obtain_tokens};
 use super::request_life::RequestLife;
@@ -72,10 +73,23 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let _in_progress = context.requests.token();
-    let arrived_at = context.now();
     let (parts, body) = request.into_parts();
     let caller = CallerHeaders::decode(&parts.headers);
     let id = caller.request_id.clone().unwrap_or_else(|| "-".to_owned());
+    let watch = CallerWatch::new(id.clone());
+    let response = decide_and_run(context, id, caller, parts, body).await;
+    watch.end();
+    response
+}
+
+async fn decide_and_run(
+    context: &Arc<GatewayContext>,
+    id: RequestId,
+    caller: CallerHeaders,
+    parts: Parts,
+    body: Incoming,
+) -> Response<AnswerBody> {
+    let arrived_at = context.now();
     let Some(routes) = context.routes() else {
         let refusal = Refusal::not_now(STARTING_RETRY_AFTER, "no configuration known yet");
         return refusal.into_response(&id, &"");
--- /dev/null
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -0,0 +1,286 @@
+//! The gateway as a process, between stand-ins of the platform.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use http::Method;
+use sassafrashoist_platform_stand_in::backend_server::ServerFault;
+use sassafrashoist_platform_stand_in::caller::{Call, CallerAnswer};
+use sassafrashoist_platform_stand_in::log_service::LogFault;
+use sassafrashoist_platform_stand_in::stand_in_fleet::{
+    ACCOUNT, BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, FleetPlan, STATUS_PATH, StandInFleet,
+};
+
+const PROMPT_TOKENS: u64 = 900;
+const OUTPUT_TOKENS: u64 = 100;
+/// Time in which a change of the log is in force, with room for a busy machine.
+const SETTLE_TIME: Duration = Duration::from_millis(800);
+
+fn plan() -> FleetPlan {
+    FleetPlan { gateway_count: 1, engine_count: 2, plain_count: 2, paid_tokens: 1_000_000 }
+}
+
+async fn start(name: &str, plan: FleetPlan) -> StandInFleet {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("gateway").join(name);
+    std::fs::remove_dir_all(&folder).ok();
+    let program = Path::new(env!("CARGO_BIN_EXE_sassafrashoist"));
+    StandInFleet::start(program, &folder, plan).await.unwrap()
+}
+
+fn draft() -> Call {
+    Call::to_model(DRAFT_PATH, PROMPT_TOKENS, OUTPUT_TOKENS)
+}
+
+fn chat() -> Call {
+    Call::to_model(CHAT_PATH, PROMPT_TOKENS, OUTPUT_TOKENS)
+}
+
+fn bid() -> Call {
+    Call::plain(Method::POST, BID_PATH)
+}
+
+fn whole_stream() -> String {
+    (1..=EVENT_COUNT).map(|event| format!("id: {event}\ndata: part {event}\n\n")).collect()
+}
+
+fn assert_stream(answer: &CallerAnswer) {
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.is_whole, "{answer:?}");
+    assert_eq!(String::from_utf8_lossy(&answer.body), whole_stream());
+}
+
+#[tokio::test]
+async fn requests_of_every_kind_are_served() {
+    let fleet = start("every_kind", plan()).await;
+
+    let draft = fleet.send(0, "d1", &draft()).await.unwrap();
+    let chat = fleet.send(0, "c1", &chat()).await.unwrap();
+    let bid = fleet.send(0, "b1", &bid()).await.unwrap();
+    let status = fleet.send(0, "s1", &Call::plain(Method::GET, STATUS_PATH)).await.unwrap();
+
+    assert_stream(&draft);
+    assert_stream(&chat);
+    assert_eq!((bid.status, bid.body.as_ref()), (200, b"done".as_slice()));
+    assert_eq!(status.status, 200);
+    let served: Vec<_> = fleet.plain_servers.iter().flat_map(|server| server.served()).collect();
+    let served_bid = served.iter().find(|request| request.line.starts_with("POST")).unwrap();
+    assert_eq!(served_bid.body.as_ref(), b"a bid");
+    assert_eq!(served_bid.headers["tenant"], ACCOUNT);
+    assert!(!served_bid.headers.contains_key("authorization"));
+    assert!(served.iter().any(|request| request.line == format!("GET {STATUS_PATH}")));
+}
+
+#[tokio::test]
+async fn what_no_configuration_allows_is_refused() {
+    let fleet = start("refused", plan()).await;
+
+    let no_route = fleet.send(0, "r1", &Call::plain(Method::GET, "/other/1")).await.unwrap();
+    let no_key = fleet.send(0, "r2", &Call { key: None, ..bid() }).await.unwrap();
+    let too_long = Call { body: vec![b'x'; 70_000].into(), ..bid() };
+    let too_long = fleet.send(0, "r3", &too_long).await.unwrap();
+
+    assert_eq!((no_route.status, no_key.status, too_long.status), (404, 401, 413));
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_goes_on_at_another_server_within_one_answer() {
+    let fleet = start("resumed", plan()).await;
+    fleet.engines[0].set_fault(ServerFault::BreaksOffAfter(2));
+
+    let first = fleet.send(0, "d1", &draft()).await.unwrap();
+    fleet.engines[0].set_fault(ServerFault::None);
+    fleet.engines[1].set_fault(ServerFault::BreaksOffAfter(2));
+    let second = fleet.send(0, "d2", &draft()).await.unwrap();
+
+    assert_stream(&first);
+    assert_stream(&second);
+    let runs: usize = fleet.engines.iter().map(|engine| engine.served().len()).sum();
+    assert_eq!(runs, 3);
+}
+
+#[tokio::test]
+async fn a_stream_that_may_run_once_ends_where_its_server_broke_it_off() {
+    let fleet = start("broken_off", plan()).await;
+    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::BreaksOffAfter(2)));
+
+    let answer = fleet.send(0, "c1", &chat()).await.unwrap();
+
+    assert!(!answer.is_whole);
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        "id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n"
+    );
+    let runs: usize = fleet.engines.iter().map(|engine| engine.served().len()).sum();
+    assert_eq!(runs, 1);
+}
+
+#[tokio::test]
+async fn a_bid_runs_once_whatever_its_server_does() {
+    let fleet = start("bid_once", plan()).await;
+
+    for (fault, status) in [
+        (ServerFault::BreaksOffAfter(0), 502),
+        (ServerFault::Unsigned, 502),
+        (ServerFault::Fails, 500),
+    ] {
+        fleet.plain_servers.iter().for_each(|server| server.set_fault(fault));
+        let before: usize = fleet.plain_servers.iter().map(|server| server.served().len()).sum();
+
+        let answer = fleet.send(0, "b1", &bid()).await.unwrap();
+
+        let after: usize = fleet.plain_servers.iter().map(|server| server.served().len()).sum();
+        assert_eq!((answer.status, after - before), (status, 1), "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_bid_that_no_server_ran_goes_to_another_or_is_told_when_to_come_back() {
+    let fleet = start("bid_not_run", plan()).await;
+    fleet.plain_servers[0].set_fault(ServerFault::Full);
+
+    let served = fleet.send(0, "b1", &bid()).await.unwrap();
+    fleet.plain_servers[1].set_fault(ServerFault::Full);
+    let refused = fleet.send(0, "b2", &bid()).await.unwrap();
+
+    assert_eq!(served.status, 200);
+    assert_eq!(refused.status, 503);
+    assert!(refused.headers.contains_key("retry-after"));
+}
+
+#[tokio::test]
+async fn a_silent_server_does_not_hold_a_request_that_may_run_again() {
+    let fleet = start("silent", plan()).await;
+    fleet.plain_servers[0].set_fault(ServerFault::Silent);
+
+    for number in 0..4 {
+        let call = Call::plain(Method::GET, STATUS_PATH);
+        let answer = fleet.send(0, &format!("s{number}"), &call).await.unwrap();
+
+        assert_eq!(answer.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn no_more_tokens_are_spent_than_were_paid_for_and_a_top_up_counts() {
+    let paid_tokens = 20_000;
+    let plan = FleetPlan { gateway_count: 2, paid_tokens, ..plan() };
+    let mut fleet = start("budget", plan).await;
+
+    let mut served = 0;
+    for number in 0..60 {
+        let answer = fleet.send(number % 2, &format!("c{number}"), &chat()).await.unwrap();
+        served += u64::from(answer.status == 200);
+        assert!([200, 402, 503].contains(&answer.status), "{answer:?}");
+    }
+    let last = fleet.send(0, "last", &chat()).await.unwrap();
+    fleet.top_up(50_000);
+    tokio::time::sleep(SETTLE_TIME).await;
+    let topped_up = fleet.send(0, "again", &chat()).await.unwrap();
+
+    let used_tokens = served * (PROMPT_TOKENS + EVENT_COUNT * 5);
+    assert!(used_tokens <= paid_tokens, "{used_tokens}");
+    assert!(used_tokens + 2 * (PROMPT_TOKENS + OUTPUT_TOKENS) > paid_tokens, "{used_tokens}");
+    assert_eq!(last.status, 402);
+    assert_stream(&topped_up);
+}
+
+#[tokio::test]
+async fn requests_are_served_while_the_log_is_away() {
+    let fleet = start("log_away", plan()).await;
+    assert_stream(&fleet.send(0, "d0", &draft()).await.unwrap());
+
+    for (number, fault) in [LogFault::Down, LogFault::Silent].into_iter().enumerate() {
+        fleet.log.set_fault(fault);
+        tokio::time::sleep(SETTLE_TIME).await;
+
+        let answer = fleet.send(0, &format!("d{number}"), &draft()).await.unwrap();
+
+        fleet.log.set_fault(LogFault::None);
+        tokio::time::sleep(SETTLE_TIME * 2).await;
+        assert_stream(&answer);
+    }
+}
+
+#[tokio::test]
+async fn changes_are_in_force_after_the_history_was_forgotten() {
+    let mut fleet = start("history", plan()).await;
+    fleet.log.set_fault(LogFault::Down);
+    fleet.change_keys(&["another-key"]);
+    fleet.forget_history();
+    fleet.write_foreign_entries();
+    fleet.log.set_fault(LogFault::None);
+    tokio::time::sleep(SETTLE_TIME * 2).await;
+
+    let old_key = fleet.send(0, "b1", &bid()).await.unwrap();
+    let new_key = Call { key: Some("another-key".to_owned()), ..bid() };
+    let new_key = fleet.send(0, "b2", &new_key).await.unwrap();
+
+    assert_eq!((old_key.status, new_key.status), (401, 200));
+}
+
+#[tokio::test]
+async fn draining_and_unlisted_servers_get_no_requests() {
+    let fleet = start("draining", plan()).await;
+    fleet.drain_engine(0);
+    tokio::time::sleep(SETTLE_TIME).await;
+
+    for number in 0..6 {
+        assert_stream(&fleet.send(0, &format!("d{number}"), &draft()).await.unwrap());
+    }
+
+    assert_eq!(fleet.engines[0].served().len(), 0);
+    assert_eq!(fleet.engines[1].served().len(), 6);
+}
+
+#[tokio::test]
+async fn sigterm_ends_readiness_at_once_and_requests_in_order() {
+    let mut fleet = start("sigterm", plan()).await;
+
+    fleet.gateways[0].terminate().unwrap();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let readiness = fleet.gateways[0].readiness().await;
+    let answer = fleet.send(0, "d1", &draft()).await.unwrap();
+    let end = fleet.gateways[0].wait_for_end().await.unwrap();
+
+    assert_eq!(readiness, 503);
+    assert_stream(&answer);
+    assert_eq!(answer.headers["connection"], "close");
+    assert!(end.success());
+    assert!(fleet.gateways[0].read_log().unwrap().contains("tokens handed back"));
+}
+
+#[tokio::test]
+async fn a_killed_gateway_comes_back_with_the_tokens_that_it_had_not_used() {
+    let plan = FleetPlan { paid_tokens: 30_000, ..plan() };
+    let mut fleet = start("killed", plan).await;
+    for number in 0..5 {
+        assert_stream(&fleet.send(0, &format!("d{number}"), &draft()).await.unwrap());
+    }
+
+    fleet.gateways[0].kill_and_restart().await.unwrap();
+    let mut served = 0;
+    for number in 0..40 {
+        let answer = fleet.send(0, &format!("e{number}"), &draft()).await.unwrap();
+        served += u64::from(answer.status == 200);
+    }
+
+    let used_tokens = (5 + served) * (PROMPT_TOKENS + EVENT_COUNT * 5);
+    assert!(used_tokens <= 30_000, "{used_tokens}");
+    assert!(served >= 18, "{served} after the restart");
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_frees_its_server() {
+    let fleet = start("caller_left", plan()).await;
+    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::Silent));
+    let call = chat();
+
+    let left = tokio::time::timeout(Duration::from_millis(300), fleet.send(0, "c1", &call)).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    let log = fleet.gateways[0].read_log().unwrap();
+
+    assert!(left.is_err());
+    let line = log.lines().find(|line| line.contains("caller left")).unwrap_or_default();
+    assert!(line.contains("\"id\":\"c1\""), "{log}");
+}
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod account_limits;
 mod bad_requests;
 mod bundles;
+mod gateway;
 mod outcomes;
 mod processes;
 mod recovery;
