--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -244,9 +244,6 @@
         let Some(routes) = self.context.routes() else {
             return false;
         };
-        if self.context.draining.is_cancelled() {
-            return false;
-        }
         let now = self.context.now();
         let mut tokens = self.context.lock_tokens();
         let book = &mut *tokens;
--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -80,8 +80,8 @@
             return Ok(reservation(context, account_id, worst_case));
         }
     }
-    let peers = context.lock_tokens().rich_peers(account_id);
-    for peer in peers.into_iter().filter(|peer| peer.available_tokens > 0).take(MAX_PEERS) {
+    let peers = context.lock_tokens().rich_peers(account_id, context.now());
+    for peer in peers.into_iter().take(MAX_PEERS) {
         let now = context.now();
         let held = context.lock_tokens().holding.available_tokens(account_id, now);
         let held = held.max(0) as Tokens;
@@ -112,7 +112,8 @@
     context.lock_tokens().holding.try_reserve(account_id, needed, context.now())
 }
 
-fn is_ledger_fresh(context: &GatewayContext) -> bool {
+/// Returns whether the ledger was read to its end a short while ago.
+pub fn is_ledger_fresh(context: &GatewayContext) -> bool {
     context.ledger_age().is_some_and(|age| age < MAX_LEDGER_AGE)
 }
 
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -82,9 +82,6 @@
         log_choice(&life, &chosen, counts);
         need.excluded.push(chosen.listing.id.clone());
         counts.sent += 1;
-        if let Some(reservation) = &mut reservation {
-            reservation.mark_sent();
-        }
         let patience = counts.allows_another_run(&life).then(|| first_patience(&life, &chosen));
         let event_id = life.caller.last_event_id.clone();
         let begun = match send_attempt(&context, &life, chosen, event_id, patience).await {
@@ -92,6 +89,7 @@
             AttemptStart::Failed(begun) => {
                 counts.arrived += 1;
                 counts.run += 1;
+                mark_run(&mut reservation);
                 if counts.allows_run(&life) {
                     failure = "server failed";
                     continue;
@@ -101,17 +99,13 @@
             AttemptStart::NotRun(reason) => {
                 failure = reason;
                 counts.arrived += u32::from(reason != "server not reached");
-                if let Some(reservation) = &mut reservation
-                    && counts.run == 0
-                {
-                    reservation.mark_not_run();
-                }
                 continue;
             }
             AttemptStart::Lost(reason) => {
                 failure = reason;
                 counts.arrived += 1;
                 counts.run += 1;
+                mark_run(&mut reservation);
                 continue;
             }
         };
@@ -120,7 +114,9 @@
         let is_stream =
             life.route.repeatability.is_stream() && begun.response.status().is_success();
         if is_stream {
-            match read_first_event(&context, &life, begun, patience).await {
+            let first = read_first_event(&context, &life, begun, patience).await;
+            mark_run(&mut reservation);
+            match first {
                 Ok(FirstEvent { begun, splitter, is_whole }) => {
                     return pass_events(
                         context,
@@ -135,6 +131,7 @@
                 Err(reason) => failure = reason,
             }
         } else {
+            mark_run(&mut reservation);
             match pass_plain(&context, &life, begun).await {
                 Ok(response) => return response,
                 Err(reason) => failure = reason,
@@ -144,6 +141,12 @@
     end_unserved(&context, &life, counts, failure)
 }
 
+fn mark_run(reservation: &mut Option<TokenReservation>) {
+    if let Some(reservation) = reservation {
+        reservation.mark_run();
+    }
+}
+
 fn end_unserved(
     context: &GatewayContext,
     life: &RequestLife,
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -12,12 +12,15 @@
 use super::answer_body::{AnswerBody, answer};
 use super::gateway_context::GatewayContext;
 use super::listen::{ConnectionPolicy, accept, serve_connection};
+use super::obtain_tokens::is_ledger_fresh;
 use super::peer_messages::{TRANSFER_PATH, TransferAnswer, TransferQuestion};
 
 /// The longest question of another VM.
 const MAX_QUESTION_BYTES: usize = 4_096;
 /// The longest head of a question.
 const MAX_HEAD_BYTES: usize = 8_192;
+/// How long a draw for another VM may take; the other one waits little longer.
+const DRAW_WAIT: Duration = Duration::from_millis(90);
 /// How long the head of a question may take.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -48,6 +51,7 @@
         log::warn!("malformed question of another VM");
         return answer(StatusCode::BAD_REQUEST, HeaderMap::new(), Bytes::new());
     };
+    draw_for(context, &question).await;
     let reply = give_tokens(context, &question);
     match postcard::to_stdvec(&reply) {
         Ok(bytes) => answer(StatusCode::OK, HeaderMap::new(), bytes.into()),
@@ -58,11 +62,33 @@
     }
 }
 
+/// Draws tokens for another VM, which may be cut off from the log.
+async fn draw_for(context: &GatewayContext, question: &TransferQuestion) {
+    let (account_id, needed_tokens) = (&question.account_id, question.needed_tokens);
+    let has_enough = |now| {
+        context.lock_tokens().holding.available_tokens(account_id, now) >= needed_tokens as i64
+    };
+    if has_enough(context.now()) || !is_ledger_fresh(context) {
+        return;
+    }
+    let give_up_at = context.instant(context.now() + DRAW_WAIT);
+    loop {
+        // Registered before the wish, so that its draw cannot be missed.
+        let changed = context.tokens_changed.notified();
+        context.lock_tokens().holding.want(account_id, needed_tokens);
+        context.tokens_wanted.notify_one();
+        let is_late = tokio::time::timeout_at(give_up_at, changed).await.is_err();
+        if is_late || has_enough(context.now()) {
+            return;
+        }
+    }
+}
+
 fn give_tokens(context: &GatewayContext, question: &TransferQuestion) -> TransferAnswer {
     let mut tokens = context.lock_tokens();
     let account_id = &question.account_id;
     let is_asked = *tokens.holding.holder_id() == question.holder_id;
-    let given_tokens = if is_asked && !context.draining.is_cancelled() {
+    let given_tokens = if is_asked {
         tokens.holding.give(
             question.transfer_id.clone(),
             account_id,
--- a/crates/sassafrashoist/src/gateway/token_book.rs
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -1,6 +1,7 @@
 //! The ledger as read from the log, with the tokens that this process holds.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
 use sassafrashoist_core::gateway::token_holding::TokenHolding;
@@ -8,6 +9,9 @@
 use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::ids::{ClientAccountId, Tokens};
 
+/// How long what another VM said of its tokens is believed.
+const HEARD_FOR: Duration = Duration::from_millis(400);
+
 /// The ledger as read from the log, with the tokens that this process holds.
 #[derive(Debug)]
 pub struct TokenBook {
@@ -50,18 +54,20 @@
         self.heard.insert((holder_id.to_owned(), account_id.to_owned()), (now, available));
     }
 
-    /// Returns the other VMs, the one with most tokens of an account first.
+    /// Returns the other VMs that may have tokens of an account, the one with most first.
     ///
-    /// What a VM said itself goes before its record if the ledger was read before.
-    pub fn rich_peers(&self, account_id: &str) -> Vec<RichPeer> {
+    /// What a VM said itself a moment ago goes before its record. One that had none may get some,
+    /// so it is asked again after a while.
+    pub fn rich_peers(&self, account_id: &str, now: Uptime) -> Vec<RichPeer> {
         let own_vm_id = self.holding.holder_id().split('/').next().unwrap_or_default();
         let others = self.ledger.live_holders().filter(|(_, record)| record.vm_id != own_vm_id);
         let mut peers: Vec<RichPeer> = others
             .map(|(holder_id, record)| RichPeer {
                 holder_id: holder_id.clone(),
                 record: record.clone(),
-                available_tokens: self.believed_tokens(holder_id, record, account_id),
+                available_tokens: self.believed_tokens(holder_id, record, account_id, now),
             })
+            .filter(|peer| peer.available_tokens > 0)
             .collect();
         peers.sort_by_key(|peer| std::cmp::Reverse(peer.available_tokens));
         peers
@@ -73,13 +79,17 @@
         paid_tokens as i64 - self.ledger.spent_tokens(account_id) as i64
     }
 
-    fn believed_tokens(&self, holder_id: &str, record: &HolderRecord, account_id: &str) -> i64 {
+    fn believed_tokens(
+        &self,
+        holder_id: &str,
+        record: &HolderRecord,
+        account_id: &str,
+        now: Uptime,
+    ) -> i64 {
         let key = (holder_id.to_owned(), account_id.to_owned());
         match self.heard.get(&key) {
-            Some((heard_at, available)) if self.read_at.is_none_or(|at| at <= *heard_at) => {
-                *available
-            }
-            _ => record.account(account_id).map_or(0, |held| held.ready_tokens()),
+            Some((heard_at, available)) if now < *heard_at + HEARD_FOR => *available,
+            _ => record.account(account_id).map_or(0, |held| held.ready_tokens()).max(1),
         }
     }
 }
--- a/crates/sassafrashoist/src/gateway/token_reservation.rs
+++ b/crates/sassafrashoist/src/gateway/token_reservation.rs
@@ -35,16 +35,12 @@
         }
     }
 
-    /// Records whether a server may have read the prompt.
-    pub fn mark_sent(&mut self) {
+    /// Records that a server began to answer, or may have: a run begins with its first event, so a
+    /// request whose caller leaves before that has used nothing.
+    pub fn mark_run(&mut self) {
         self.may_have_run = true;
     }
 
-    /// Records that the last server that got the request did not run it, nor did any before.
-    pub fn mark_not_run(&mut self) {
-        self.may_have_run = false;
-    }
-
     /// Counts output tokens that are passed to the caller.
     pub fn add_output(&mut self, tokens: Tokens) {
         self.output_tokens = (self.output_tokens + tokens).min(self.max_output_tokens);
