--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -67,6 +67,9 @@
     if is_exhausted(context, account_id, paid_tokens, needed) {
         return Err(NoTokens::Exhausted);
     }
+    if context.lock_tokens().is_short(account_id, needed, context.now()) {
+        return Err(NoTokens::OutOfReach(TOKENS_RETRY_AFTER));
+    }
     let draw_until =
         if is_ledger_fresh(context) { context.now() + DRAW_WAIT } else { Uptime::ZERO };
     while context.now() < draw_until {
@@ -99,7 +102,8 @@
     if is_exhausted(context, account_id, paid_tokens, needed) {
         return Err(NoTokens::Exhausted);
     }
-    let tokens = context.lock_tokens();
+    let mut tokens = context.lock_tokens();
+    tokens.record_shortage(account_id, needed, context.now());
     let delay = if tokens.holding.is_held_back(account_id, needed) {
         tokens.holding.time_to_unmarked(context.now()).max(MIN_RETRY_AFTER)
     } else {
--- a/crates/sassafrashoist/src/gateway/token_book.rs
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -9,6 +9,8 @@
 use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::ids::{ClientAccountId, Tokens};
 
+/// How long a search for tokens that failed is not repeated.
+const SHORT_FOR: Duration = Duration::from_millis(300);
 /// How long what another VM said of its tokens is believed.
 const HEARD_FOR: Duration = Duration::from_millis(400);
 
@@ -24,6 +26,14 @@
     /// Counts the questions to other VMs.
     pub transfer_count: u64,
     heard: HashMap<(HolderId, ClientAccountId), (Uptime, i64)>,
+    shortages: HashMap<ClientAccountId, Shortage>,
+}
+
+/// A search for tokens that found too few.
+#[derive(Debug, Clone, Copy)]
+struct Shortage {
+    at: Uptime,
+    needed_tokens: Tokens,
 }
 
 /// Another VM that may have tokens.
@@ -46,9 +56,22 @@
             read_at: None,
             transfer_count: 0,
             heard: HashMap::new(),
+            shortages: HashMap::new(),
         }
     }
 
+    /// Records that too few tokens were found for a request.
+    pub fn record_shortage(&mut self, account_id: &str, needed_tokens: Tokens, now: Uptime) {
+        self.shortages.insert(account_id.to_owned(), Shortage { at: now, needed_tokens });
+    }
+
+    /// Returns whether a search for as many tokens has just failed, so that another one is in vain.
+    pub fn is_short(&self, account_id: &str, needed_tokens: Tokens, now: Uptime) -> bool {
+        self.shortages.get(account_id).is_some_and(|shortage| {
+            now < shortage.at + SHORT_FOR && shortage.needed_tokens <= needed_tokens
+        })
+    }
+
     /// Records what another VM said that it still has.
     pub fn hear(&mut self, holder_id: &str, account_id: &str, available: i64, now: Uptime) {
         self.heard.insert((holder_id.to_owned(), account_id.to_owned()), (now, available));
