--- a/crates/sassafrashoist-core/src/gateway/holder_record.rs
+++ b/crates/sassafrashoist-core/src/gateway/holder_record.rs
@@ -7,7 +7,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::clock_reading::ClockReading;
-use crate::ids::{ClientAccountId, Tokens, VmId};
+use crate::ids::{ClientAccountId, DataCentreId, Tokens, VmId};
 
 /// The tokens of one account at one holder, all counted from its start.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,6 +56,8 @@
 pub struct HolderRecord {
     /// The VM.
     pub vm_id: VmId,
+    /// Its data centre.
+    pub data_centre_id: DataCentreId,
     /// Where it answers other VMs.
     pub peer_address: SocketAddr,
     /// Counts the records of this holder, so that it recognises its own.
--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! - [`fleet_config`] and [`route_table`]: which request is allowed and where it goes.
 //! - [`server_directory`]: the backend servers, their load and health, and the choice among them.
-//! - [`token_ledger`] and [`token_holding`]: who may spend which tokens of a client account.
+//! - [`token_ledger`], [`token_holding`] and [`token_banks`]: who may spend which tokens of a client
+//!   account.
 //! - [`ledger_writer`]: the append in progress, whose fate may be unknown.
 //! - [`reclaim`]: what a run that died cannot have used.
 //! - [`retry_allowance`]: how many requests may be sent a second time.
@@ -23,6 +24,7 @@
 pub mod server_directory;
 pub mod server_listing;
 pub mod server_state;
+pub mod token_banks;
 pub mod token_holding;
 pub mod token_ledger;
 pub mod vm_settings;
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -15,9 +15,10 @@
 use super::fleet_config::FleetConfig;
 use super::flow_rate::FlowRate;
 use super::holder_record::{HeldTokens, HolderRecord};
+use super::token_banks::TokenBanks;
 use super::token_ledger::TokenLedger;
 use super::{HolderId, Uptime};
-use crate::ids::{ClientAccountId, Tokens, VmId};
+use crate::ids::{ClientAccountId, DataCentreId, Tokens, VmId};
 
 /// The least time that VMs are expected to live on what they hold, in seconds.
 const LEAST_HOLD_S: f64 = 2.0;
@@ -61,6 +62,8 @@
 const LEAST_MARK_S: f64 = 0.3;
 /// The longest such time, in seconds; about as long as marks bind.
 const MOST_MARK_S: f64 = 2.6;
+/// The usual requests that a VM that does not draw may hold.
+const ASKED_REQUESTS: f64 = 3.0;
 /// The weight of one request in the usual size of requests.
 const SIZE_SAMPLE_WEIGHT: f64 = 0.1;
 /// The usual requests for which a mark leaves room besides, if it leaves room for the longest time.
@@ -125,9 +128,12 @@
 
 /// This VM among all.
 struct FleetShare {
+    /// The VMs that draw.
     vm_count: f64,
-    /// Its part of the use of all accounts.
+    /// Its part of the use of all accounts, with that of the VMs that ask it.
     own_part: f64,
+    /// Whether it draws.
+    is_bank: bool,
 }
 
 /// A record to append, and what it changes once it is in the log.
@@ -162,6 +168,7 @@
 pub struct TokenHolding {
     holder_id: HolderId,
     vm_id: VmId,
+    data_centre_id: DataCentreId,
     peer_address: SocketAddr,
     sequence: u64,
     marked_for: Duration,
@@ -173,10 +180,16 @@
 
 impl TokenHolding {
     /// Creates an empty holding.
-    pub fn new(holder_id: HolderId, vm_id: VmId, peer_address: SocketAddr) -> Self {
+    pub fn new(
+        holder_id: HolderId,
+        vm_id: VmId,
+        data_centre_id: DataCentreId,
+        peer_address: SocketAddr,
+    ) -> Self {
         Self {
             holder_id,
             vm_id,
+            data_centre_id,
             peer_address,
             sequence: 0,
             marked_for: RESTART_TIME,
@@ -279,6 +292,7 @@
         let spare = (available / KEPT_PART_DIVISOR).min(liked_tokens as i64);
         let given = spare.max(available.min(needed_tokens as i64)) as Tokens;
         own.given_tokens += given;
+        own.usual_tokens += SIZE_SAMPLE_WEIGHT * (needed_tokens as f64 - own.usual_tokens);
         if self.gifts.len() >= MAX_REMEMBERED_GIFTS {
             self.gifts.pop_front();
         }
@@ -314,11 +328,18 @@
         now: Uptime,
         clocks: ClockReading,
     ) -> PlannedRecord {
-        let others = ledger.live_holders().filter(|(holder_id, _)| **holder_id != self.holder_id);
-        let vm_count = 1 + others.filter(|(_, record)| record.vm_id != self.vm_id).count();
+        let banks = TokenBanks::pick(ledger);
+        let is_known = ledger.holder(&self.holder_id).is_some();
+        let is_bank = banks.contains(&self.vm_id);
+        let holder_count = banks.count() + usize::from(is_bank && !is_known);
         let fleet = FleetShare {
-            vm_count: vm_count as f64,
-            own_part: self.part_of_use(ledger, config, vm_count as f64, now),
+            vm_count: holder_count.max(1) as f64,
+            own_part: if ledger.live_holders().count() > banks.count() {
+                1.0 / holder_count.max(1) as f64
+            } else {
+                self.part_of_use(ledger, config, holder_count.max(1) as f64, now)
+            },
+            is_bank,
         };
         let mut changes = Vec::new();
         for account in config.accounts.iter().flatten() {
@@ -358,6 +379,11 @@
         self.marked_for = RESTART_TIME + interval * MARKED_INTERVALS;
     }
 
+    /// Lets use pass the marks at any time; what a later run could hand back is little.
+    pub fn set_unmarked(&mut self) {
+        self.marked_for = Duration::ZERO;
+    }
+
     /// Takes over a planned record that is in the log.
     pub fn commit(&mut self, planned: &PlannedRecord) {
         self.marked_until = planned.planned_at + planned.record.marked_for;
@@ -439,6 +465,7 @@
             let hold_s = (HOLD_PART * own.left_s).clamp(LEAST_HOLD_S, MOST_HOLD_S);
             (hold_s * expected_use).max(least)
         };
+        let target = if fleet.is_bank { target } else { ASKED_REQUESTS * own.usual_tokens };
         own.target_tokens = target as i64;
         own.expected_use = if is_unused { target / MOST_HOLD_S } else { expected_use };
         let available = own.available_tokens();
@@ -446,7 +473,7 @@
             return undrawn.max(-available.max(0));
         }
         let wanted = own.wanted_tokens as i64;
-        if available < wanted || (available as f64) < LOW_PART * target {
+        if fleet.is_bank && (available < wanted || (available as f64) < LOW_PART * target) {
             let missing = (own.target_tokens - available).max(wanted - available);
             let fair = (undrawn as f64 * MAX_DRAW_PART) as i64;
             return missing.min(fair.max(wanted)).clamp(0, undrawn);
@@ -483,6 +510,7 @@
         });
         let record = HolderRecord {
             vm_id: self.vm_id.clone(),
+            data_centre_id: self.data_centre_id.clone(),
             peer_address: self.peer_address,
             sequence: self.sequence,
             is_closed,
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod retry_allowance;
 mod route_table;
 mod server_directory;
+mod token_banks;
 mod token_holding;
 mod token_world;
 mod token_world_properties;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/reclaim.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/reclaim.rs
@@ -19,6 +19,7 @@
 fn record(vm_id: &str, ip: IpAddr, sent_at: ClockReading) -> HolderRecord {
     HolderRecord {
         vm_id: vm_id.to_owned(),
+        data_centre_id: "plateau".to_owned(),
         peer_address: SocketAddr::new(ip, 7_000),
         sequence: 9,
         is_closed: false,
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/token_world.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/token_world.rs
@@ -13,6 +13,7 @@
 use sassafrashoist_core::gateway::token_ledger::TokenLedger;
 
 pub const ACCOUNT: &str = "workshop";
+pub const DATA_CENTRE: &str = "plateau";
 pub const RECORD_INTERVAL: Duration = Duration::from_millis(300);
 
 /// What becomes of one append.
@@ -83,7 +84,9 @@
 }
 
 pub fn holding_of(vm_id: &str, run: u64, address: SocketAddr) -> TokenHolding {
-    let mut holding = TokenHolding::new(format!("{vm_id}/{run}"), vm_id.to_owned(), address);
+    let holder_id = format!("{vm_id}/{run}");
+    let mut holding =
+        TokenHolding::new(holder_id, vm_id.to_owned(), DATA_CENTRE.to_owned(), address);
     holding.set_record_interval(RECORD_INTERVAL);
     holding
 }
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -57,7 +57,12 @@
         let run_number: u64 = rand::random();
         let holder_id: HolderId = format!("{}/{run_number:016x}", settings.vm_id);
         let peer_address = SocketAddr::new(settings.ip, settings.peer_port);
-        let holding = TokenHolding::new(holder_id, settings.vm_id.clone(), peer_address);
+        let holding = TokenHolding::new(
+            holder_id,
+            settings.vm_id.clone(),
+            settings.data_centre_id.clone(),
+            peer_address,
+        );
         let directory =
             ServerDirectory::new(settings.data_centre_id.clone(), settings.bounds.cache_window);
         Arc::new(Self {
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -9,6 +9,7 @@
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
 use sassafrashoist_core::gateway::ledger_writer::{AppendAnswer, LedgerWriter, PendingAppend};
 use sassafrashoist_core::gateway::reclaim::reclaim_predecessor;
+use sassafrashoist_core::gateway::token_banks::TokenBanks;
 use sassafrashoist_core::gateway::token_holding::PlannedRecord;
 use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::ids::LogOffset;
@@ -23,8 +24,10 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(300);
 /// The most that chance adds to it, so that VMs do not append at once.
 const LOOK_JITTER_MS: u64 = 60;
-/// VMs that may append in one such time; where there are more, each appends less often.
-const MAX_APPENDING_VMS: u32 = 16;
+/// Time between two looks of a VM that does not draw.
+const ASKING_LOOK_INTERVAL: Duration = Duration::from_millis(900);
+/// Time between two records of a VM that does not draw.
+const ASKING_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 /// Least time between two looks, however many requests wait.
 const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(10);
 /// Time between two reports of where tokens are, to the log of the process.
@@ -77,11 +80,15 @@
     }
 
     fn look_interval(&self) -> Duration {
+        let jitter = Duration::from_millis(rand::random_range(0..=LOOK_JITTER_MS));
         let mut tokens = self.context.lock_tokens();
-        let vm_count = tokens.ledger.live_holders().count() as u32;
-        let interval = LOOK_INTERVAL * vm_count.div_ceil(MAX_APPENDING_VMS).max(1);
-        tokens.holding.set_record_interval(interval);
-        interval + Duration::from_millis(rand::random_range(0..=LOOK_JITTER_MS))
+        if TokenBanks::pick(&tokens.ledger).contains(&self.context.settings().vm_id) {
+            tokens.holding.set_record_interval(LOOK_INTERVAL);
+            LOOK_INTERVAL + jitter
+        } else {
+            tokens.holding.set_unmarked();
+            ASKING_LOOK_INTERVAL + jitter
+        }
     }
 
     async fn look(&mut self) {
@@ -248,8 +255,11 @@
         let mut tokens = self.context.lock_tokens();
         let book = &mut *tokens;
         let planned = book.holding.plan(&book.ledger, routes.config(), now, read_clocks());
-        let is_due = now >= self.reported_at + LOOK_INTERVAL;
-        if !planned.moves_tokens() && !planned.is_wanted() && !is_due {
+        let is_bank = TokenBanks::pick(&book.ledger).contains(&planned.record.vm_id);
+        let interval = if is_bank { LOOK_INTERVAL } else { ASKING_REPORT_INTERVAL };
+        let is_due = now >= self.reported_at + interval || self.reported_at.is_zero();
+        let is_wanted = is_bank && (planned.is_wanted() || planned.moves_tokens());
+        if !is_wanted && !is_due {
             book.holding.abandon(&planned);
             return false;
         }
--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -20,6 +20,8 @@
 const TOKENS_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The least time after which a caller may come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Further requests for which a VM that does not draw asks, so that it asks less often.
+const LIKED_REQUESTS: Tokens = 1;
 /// The most other VMs that are asked for one request.
 const MAX_PEERS: usize = 6;
 
@@ -70,8 +72,10 @@
     if context.lock_tokens().is_short(account_id, needed, context.now()) {
         return Err(NoTokens::OutOfReach(TOKENS_RETRY_AFTER));
     }
+    let settings = context.settings();
+    let is_bank = context.lock_tokens().is_bank(&settings.vm_id);
     let draw_until =
-        if is_ledger_fresh(context) { context.now() + DRAW_WAIT } else { Uptime::ZERO };
+        if is_bank && is_ledger_fresh(context) { context.now() + DRAW_WAIT } else { Uptime::ZERO };
     while context.now() < draw_until {
         // Registered before the wish, so that its draw cannot be missed.
         let changed = context.tokens_changed.notified();
@@ -83,13 +87,15 @@
             return Ok(reservation(context, account_id, worst_case));
         }
     }
-    let peers = context.lock_tokens().rich_peers(account_id, context.now());
+    let peers =
+        context.lock_tokens().rich_peers(account_id, &settings.data_centre_id, context.now());
     for peer in peers.into_iter().take(MAX_PEERS) {
         let now = context.now();
         let held = context.lock_tokens().holding.available_tokens(account_id, now);
         let held = held.max(0) as Tokens;
         let missing = needed.saturating_sub(held);
-        let question = ask_peer(context, peer, account_id, missing, needed);
+        let liked = if is_bank { missing } else { missing + LIKED_REQUESTS * needed };
+        let question = ask_peer(context, peer, account_id, missing, liked);
         // Tokens that come later are taken in by the question's own task.
         let is_late = tokio::time::timeout_at(context.instant(give_up_at), question).await.is_err();
         if try_reserve(context, account_id, needed) {
--- a/crates/sassafrashoist/src/gateway/token_book.rs
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
+use sassafrashoist_core::gateway::token_banks::TokenBanks;
 use sassafrashoist_core::gateway::token_holding::TokenHolding;
 use sassafrashoist_core::gateway::token_ledger::TokenLedger;
 use sassafrashoist_core::gateway::{HolderId, Uptime};
@@ -77,13 +78,22 @@
         self.heard.insert((holder_id.to_owned(), account_id.to_owned()), (now, available));
     }
 
+    /// Returns whether this VM draws tokens from the ledger.
+    pub fn is_bank(&self, vm_id: &str) -> bool {
+        TokenBanks::pick(&self.ledger).contains(vm_id)
+    }
+
     /// Returns the other VMs that may have tokens of an account, the one with most first.
     ///
     /// What a VM said itself a moment ago goes before its record. One that had none may get some,
     /// so it is asked again after a while.
-    pub fn rich_peers(&self, account_id: &str, now: Uptime) -> Vec<RichPeer> {
+    pub fn rich_peers(&self, account_id: &str, data_centre_id: &str, now: Uptime) -> Vec<RichPeer> {
         let own_vm_id = self.holding.holder_id().split('/').next().unwrap_or_default();
-        let others = self.ledger.live_holders().filter(|(_, record)| record.vm_id != own_vm_id);
+        let banks = TokenBanks::pick(&self.ledger);
+        let others = self
+            .ledger
+            .live_holders()
+            .filter(|(_, record)| record.vm_id != own_vm_id && banks.contains(&record.vm_id));
         let mut peers: Vec<RichPeer> = others
             .map(|(holder_id, record)| RichPeer {
                 holder_id: holder_id.clone(),
@@ -92,7 +102,12 @@
             })
             .filter(|peer| peer.available_tokens > 0)
             .collect();
-        peers.sort_by_key(|peer| std::cmp::Reverse(peer.available_tokens));
+        // In a large fleet those of the own data centre are asked first; all have tokens.
+        let is_remote = |peer: &RichPeer| {
+            banks.count() < self.ledger.live_holders().count()
+                && peer.record.data_centre_id != data_centre_id
+        };
+        peers.sort_by_key(|peer| (is_remote(peer), std::cmp::Reverse(peer.available_tokens)));
         peers
     }
 
