--- a/crates/sassafrashoist-core/src/gateway/fleet_config.rs
+++ b/crates/sassafrashoist-core/src/gateway/fleet_config.rs
@@ -18,10 +18,6 @@
 /// What all engines of a pool have in common.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EngineShape {
-    /// Requests that one engine runs at a time.
-    pub batch_slots: u32,
-    /// Tokens that fit into the memory of one engine.
-    pub memory_tokens: Tokens,
     /// Output tokens that one event of a stream holds at most.
     pub tokens_per_event: Tokens,
 }
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -38,8 +38,8 @@
 const REMOTE_COST_MS: f64 = 4.0;
 /// The most that chance adds to a cost, in milliseconds.
 const JITTER_MS: f64 = 3.0;
-/// How long an unlisted server may serve when its pool has no other.
-const UNLISTED_USE: Duration = Duration::from_millis(1_500);
+/// The part of its drain timeout for which an unlisted server may serve when its pool has no other.
+const UNLISTED_USE_PART: f64 = 0.75;
 /// The most parts of prompts that are remembered.
 const MAX_KEPT_PARTS: usize = 4_096;
 
@@ -76,17 +76,23 @@
     kept_parts: HashMap<(BackendServerId, PromptPartId), Uptime>,
     data_centre_id: DataCentreId,
     cache_window: Duration,
+    unlisted_use: Duration,
     read_tokens_per_ms: f64,
 }
 
 impl ServerDirectory {
     /// Creates a directory without servers for a VM of a data centre.
-    pub fn new(data_centre_id: DataCentreId, cache_window: Duration) -> Self {
+    pub fn new(
+        data_centre_id: DataCentreId,
+        cache_window: Duration,
+        drain_timeout: Duration,
+    ) -> Self {
         Self {
             servers: BTreeMap::new(),
             kept_parts: HashMap::new(),
             data_centre_id,
             cache_window,
+            unlisted_use: drain_timeout.mul_f64(UNLISTED_USE_PART),
             read_tokens_per_ms: FIRST_READ_TOKENS_PER_MS,
         }
     }
@@ -96,11 +102,6 @@
         self.servers.get(server_id)
     }
 
-    /// Returns the number of servers that take requests.
-    pub fn usable_count(&self) -> usize {
-        self.servers.values().filter(|server| server.takes_requests()).count()
-    }
-
     /// Takes over what a server says of itself; true when that changed.
     pub fn list(&mut self, listing: ServerListing, now: Uptime) -> bool {
         if let Some(known) = self.servers.get_mut(&listing.id)
@@ -119,9 +120,10 @@
 
     /// Takes a server out of the list; false when it was not there.
     pub fn unlist(&mut self, server_id: &str, now: Uptime) -> bool {
+        let unlisted_use = self.unlisted_use;
         self.servers.retain(|_, server| {
             server.in_flight_count > 0
-                || server.unlisted_at.is_none_or(|at| now < at + UNLISTED_USE)
+                || server.unlisted_at.is_none_or(|at| now < at + unlisted_use)
         });
         let Some(server) = self.servers.get_mut(server_id) else {
             return false;
@@ -208,7 +210,7 @@
             self.servers.values().filter(in_pool).filter(|s| s.takes_requests()).collect();
         if usable.is_empty() {
             let is_recent =
-                |s: &&ServerState| s.unlisted_at.is_some_and(|at| now < at + UNLISTED_USE);
+                |s: &&ServerState| s.unlisted_at.is_some_and(|at| now < at + self.unlisted_use);
             usable = self.servers.values().filter(in_pool).filter(is_recent).collect();
         }
         if usable.iter().any(|server| server.is_responsive(now)) {
--- a/crates/sassafrashoist-core/src/gateway/vm_settings.rs
+++ b/crates/sassafrashoist-core/src/gateway/vm_settings.rs
@@ -20,8 +20,6 @@
     pub readiness_address: SocketAddr,
     /// The port on every VM on which VMs talk to each other.
     pub peer_port: u16,
-    /// Addresses of some other VMs, maybe stale.
-    pub seed_ips: Vec<IpAddr>,
     /// The log service.
     pub log_service_address: SocketAddr,
     /// The bounds that hold on this platform.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
@@ -8,6 +8,7 @@
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 
 const CACHE_WINDOW: Duration = Duration::from_secs(10);
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 const START: Duration = Duration::from_secs(100);
 
 fn listing(index: u8) -> ServerListing {
@@ -23,7 +24,7 @@
 }
 
 fn directory(count: u8) -> ServerDirectory {
-    let mut directory = ServerDirectory::new("plateau".to_owned(), CACHE_WINDOW);
+    let mut directory = ServerDirectory::new("plateau".to_owned(), CACHE_WINDOW, DRAIN_TIMEOUT);
     for index in 0..count {
         directory.list(listing(index), START);
     }
--- a/crates/sassafrashoist/src/gateway/answer_body.rs
+++ b/crates/sassafrashoist/src/gateway/answer_body.rs
@@ -1,8 +1,11 @@
 //! The body of an answer to a caller.
 
 use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
+use futures::{StreamExt, stream};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -17,8 +20,33 @@
 
 /// The body of an answer to a caller.
 pub type AnswerBody = UnsyncBoxBody<Bytes, BrokenOff>;
-/// Sends the parts of a body that is made while it is sent.
-pub type BodySender = mpsc::Sender<Result<Frame<Bytes>, BrokenOff>>;
+
+/// Puts parts into a body that is made while it is sent.
+///
+/// A sender that is dropped without [`finish`](Self::finish) breaks the answer off, so that it never
+/// looks complete by accident.
+#[derive(Debug)]
+pub struct BodySender {
+    sender: mpsc::Sender<Bytes>,
+    is_finished: Arc<AtomicBool>,
+}
+
+impl BodySender {
+    /// Puts in a part; false when the caller is gone.
+    pub async fn send(&self, part: Bytes) -> bool {
+        self.sender.send(part).await.is_ok()
+    }
+
+    /// Returns when the caller is gone.
+    pub async fn closed(&self) {
+        self.sender.closed().await;
+    }
+
+    /// Ends the body as complete.
+    pub fn finish(self) {
+        self.is_finished.store(true, Ordering::Release);
+    }
+}
 
 /// Returns a body that is whole.
 pub fn whole_body(bytes: Bytes) -> AnswerBody {
@@ -28,7 +56,14 @@
 /// Returns a body and the end that its parts are put into; up to `capacity` parts wait.
 pub fn streamed_body(capacity: usize) -> (BodySender, AnswerBody) {
     let (sender, receiver) = mpsc::channel(capacity);
-    (sender, StreamBody::new(ReceiverStream::new(receiver)).boxed_unsync())
+    let is_finished = Arc::new(AtomicBool::new(false));
+    let ending = Arc::clone(&is_finished);
+    let parts = ReceiverStream::new(receiver).map(|part| Ok(Frame::data(part)));
+    let end = stream::once(async move {
+        if ending.load(Ordering::Acquire) { None } else { Some(Err(BrokenOff)) }
+    });
+    let body = StreamBody::new(parts.chain(end.filter_map(std::future::ready)));
+    (BodySender { sender, is_finished }, body.boxed_unsync())
 }
 
 /// Returns an answer with a whole body.
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -63,8 +63,11 @@
             settings.data_centre_id.clone(),
             peer_address,
         );
-        let directory =
-            ServerDirectory::new(settings.data_centre_id.clone(), settings.bounds.cache_window);
+        let directory = ServerDirectory::new(
+            settings.data_centre_id.clone(),
+            settings.bounds.cache_window,
+            settings.bounds.drain_timeout,
+        );
         Arc::new(Self {
             settings: Mutex::new(Arc::new(settings)),
             routes: Mutex::default(),
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -18,6 +18,11 @@
 /// Pause after a failed accept, which usually means that descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The longest head of a request that does not come from a caller.
+const MAX_INTERNAL_HEAD_BYTES: usize = 8_192;
+/// How long a connection that does not come from a caller may be idle.
+const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// How connections are served.
 #[derive(Debug, Clone)]
 pub struct ConnectionPolicy {
@@ -83,3 +88,20 @@
         log::debug!(error:% = error; "connection of a caller ended");
     }
 }
+
+/// Serves requests that do not come from callers until cancelled.
+pub async fn serve_listener<F, R>(listener: TcpListener, closing: CancellationToken, handle: F)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let policy = ConnectionPolicy {
+        head_timeout: INTERNAL_IDLE_TIMEOUT,
+        max_head_bytes: MAX_INTERNAL_HEAD_BYTES,
+        closing,
+    };
+    loop {
+        let stream = accept(&listener).await;
+        tokio::spawn(serve_connection(stream, policy.clone(), handle.clone()));
+    }
+}
--- a/crates/sassafrashoist/src/gateway/pass_events.rs
+++ b/crates/sassafrashoist/src/gateway/pass_events.rs
@@ -8,16 +8,16 @@
 
 use http::Response;
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use sassafrashoist_adapter::answer_headers::encode_served;
 use sassafrashoist_core::gateway::event_splitter::{EventSplitter, StreamEvent};
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
-use super::answer_body::{AnswerBody, BodySender, BrokenOff, streamed_body};
+use super::answer_body::{AnswerBody, BodySender, streamed_body};
 use super::gateway_context::GatewayContext;
 use super::request_life::RequestLife;
-use super::run_attempts::{AttemptCounts, first_patience, log_end};
+use super::run_attempts::{AttemptCounts, MAX_SENDS, first_patience, log_end};
 use super::send_attempt::{AttemptStart, BegunAnswer, send_attempt, wait_for_silence};
 use super::token_reservation::TokenReservation;
 
@@ -150,8 +150,6 @@
             drop(begun);
             let Some(next) = self.resume().await else {
                 metrics::counter!("sassafrashoist_streams_broken_total").increment(1);
-                // Fails only when the caller is gone.
-                let _ = self.sender.send(Err(BrokenOff)).await;
                 return;
             };
             begun = next;
@@ -169,17 +167,11 @@
                     status,
                     self.passed_bytes,
                 );
+                self.sender.finish();
             }
             PartEnd::CallerGone => log::info!(id = self.life.id(); "caller left its stream"),
             PartEnd::Late => {
                 log::info!(id = self.life.id(); "stream cut at the deadline");
-                // The channel may be full: its other end sees the sender dropped after an error
-                // only if that fits, so the deadline waits for room no longer than it takes.
-                let _ = tokio::time::timeout(
-                    Duration::from_millis(50),
-                    self.sender.send(Err(BrokenOff)),
-                )
-                .await;
             }
             PartEnd::Broken(_) => {}
         }
@@ -248,10 +240,9 @@
         }
         self.passed_bytes += event.raw.len();
         let deadline = self.context.instant(self.life.deadline);
-        let sent = self.sender.send(Ok(Frame::data(event.raw)));
-        match tokio::time::timeout_at(deadline, sent).await {
-            Ok(Ok(())) => None,
-            Ok(Err(_)) => Some(PartEnd::CallerGone),
+        match tokio::time::timeout_at(deadline, self.sender.send(event.raw)).await {
+            Ok(true) => None,
+            Ok(false) => Some(PartEnd::CallerGone),
             Err(_) => Some(PartEnd::Late),
         }
     }
@@ -268,7 +259,7 @@
     /// Sends the request to another server to go on after the last event.
     async fn resume(&mut self) -> Option<BegunAnswer> {
         let mut need = self.life.server_need();
-        while self.counts.sent < super::run_attempts::MAX_SENDS
+        while self.counts.sent < MAX_SENDS
             && self.counts.allows_run(&self.life)
             && self.context.try_repeat(&self.life.pool_id)
         {
@@ -299,7 +290,7 @@
                 AttemptStart::Answered(_) | AttemptStart::Failed(_) | AttemptStart::Lost(_) => {
                     self.counts.run += 1;
                 }
-                AttemptStart::NotRun(_) => {}
+                AttemptStart::NotReached | AttemptStart::NotRun(_) => {}
             }
         }
         None
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -6,12 +6,12 @@
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Frame;
+use hyper::body::Incoming;
 use sassafrashoist_adapter::answer_headers::encode_served;
 use sassafrashoist_core::gateway::server_directory::ChosenListing;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 
-use super::answer_body::{AnswerBody, BrokenOff, answer, streamed_body};
+use super::answer_body::{AnswerBody, BodySender, answer, streamed_body};
 use super::gateway_context::GatewayContext;
 use super::pass_events::{FirstEvent, pass_events, read_first_event};
 use super::request_life::RequestLife;
@@ -96,9 +96,13 @@
                 }
                 begun
             }
+            AttemptStart::NotReached => {
+                failure = "server not reached";
+                continue;
+            }
             AttemptStart::NotRun(reason) => {
                 failure = reason;
-                counts.arrived += u32::from(reason != "server not reached");
+                counts.arrived += 1;
                 continue;
             }
             AttemptStart::Lost(reason) => {
@@ -212,22 +216,13 @@
         }
         if held.len() > MAX_HELD_BYTES {
             let (sender, answer_body) = streamed_body(BODY_CAPACITY);
-            let (task_context, in_progress) = (Arc::clone(context), context.requests.token());
+            let held_until_end = (connection, place, context.requests.token());
             tokio::spawn(async move {
-                let _held = (connection, place, in_progress);
-                let rest = async {
-                    let first = sender.send(Ok(Frame::data(held.freeze()))).await;
-                    let mut is_open = first.is_ok();
-                    while is_open && let Some(frame) = body.frame().await {
-                        is_open = sender.send(frame.map_err(|_| BrokenOff)).await.is_ok();
-                    }
-                };
-                let is_late = tokio::time::timeout_at(deadline, rest).await.is_err();
-                if is_late {
-                    // Fails only when the caller is gone.
-                    let _ = sender.try_send(Err(BrokenOff));
+                let pass = pass_long(held.freeze(), body, sender);
+                if tokio::time::timeout_at(deadline, pass).await.is_err() {
+                    log::info!("long answer cut at the deadline");
                 }
-                drop(task_context);
+                drop(held_until_end);
             });
             let mut response = Response::new(answer_body);
             *response.status_mut() = head.status;
@@ -242,6 +237,25 @@
     Ok(answer(head.status, headers, Bytes::from(held)))
 }
 
+/// Passes a long answer on while it arrives.
+async fn pass_long(held: Bytes, mut body: Incoming, sender: BodySender) {
+    let mut is_open = sender.send(held).await;
+    while is_open {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    is_open = sender.send(data).await;
+                }
+            }
+            Some(Err(error)) => {
+                log::info!(error:% = error; "long answer broken off");
+                return;
+            }
+            None => return sender.finish(),
+        }
+    }
+}
+
 /// Writes down that an answer was passed on whole.
 pub fn log_end(
     context: &GatewayContext,
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -91,7 +91,9 @@
     Answered(BegunAnswer),
     /// The server ran the request and answers with a failure of its own.
     Failed(BegunAnswer),
-    /// The request was not run and never will be.
+    /// No connection to the server was made, so that nothing was sent.
+    NotReached,
+    /// The server has the request, did not run it and never will.
     NotRun(&'static str),
     /// The request may have run.
     Lost(&'static str),
@@ -116,7 +118,7 @@
         Err(error) => {
             log::info!(id = life.id(), server = place.server_id(), error:% = error; "not connected");
             place.set_verdict(AttemptVerdict::Failed);
-            return AttemptStart::NotRun("server not reached");
+            return AttemptStart::NotReached;
         }
     };
     let attempt = AttemptHeaders {
@@ -145,7 +147,7 @@
         Err(error @ ExchangeError::NotConnected { .. }) => {
             log::info!(id = life.id(), server = place.server_id(), error:% = error; "not connected");
             place.set_verdict(AttemptVerdict::Failed);
-            return AttemptStart::NotRun("server not reached");
+            return AttemptStart::NotReached;
         }
         Err(error) => {
             log::info!(id = life.id(), server = place.server_id(), error:% = error; "connection lost");
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -11,33 +11,23 @@
 
 use super::answer_body::{AnswerBody, answer};
 use super::gateway_context::GatewayContext;
-use super::listen::{ConnectionPolicy, accept, serve_connection};
+use super::listen::serve_listener;
 use super::obtain_tokens::is_ledger_fresh;
 use super::peer_messages::{TRANSFER_PATH, TransferAnswer, TransferQuestion};
 
 /// The longest question of another VM.
 const MAX_QUESTION_BYTES: usize = 4_096;
-/// The longest head of a question.
-const MAX_HEAD_BYTES: usize = 8_192;
 /// How long a draw for another VM may take; the other one waits little longer.
 const DRAW_WAIT: Duration = Duration::from_millis(90);
-/// How long the head of a question may take.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Answers the other VMs until cancelled.
 pub async fn serve_peers(context: Arc<GatewayContext>, listener: TcpListener) {
-    let policy = ConnectionPolicy {
-        head_timeout: HEAD_TIMEOUT,
-        max_head_bytes: MAX_HEAD_BYTES,
-        closing: context.cancel.clone(),
-    };
-    loop {
-        let stream = accept(&listener).await;
-        let (context, policy) = (Arc::clone(&context), policy.clone());
-        tokio::spawn(async move {
-            serve_connection(stream, policy, |request| answer_peer(&context, request)).await;
-        });
-    }
+    let closing = context.cancel.clone();
+    serve_listener(listener, closing, move |request| {
+        let context = Arc::clone(&context);
+        async move { answer_peer(&context, request).await }
+    })
+    .await;
 }
 
 async fn answer_peer(context: &GatewayContext, request: Request<Incoming>) -> Response<AnswerBody> {
