--- /dev/null
+++ b/crates/sassafrashoist/tests/testsuite/answer_body.rs
@@ -0,0 +1,34 @@
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use sassafrashoist::gateway::answer_body::streamed_body;
+
+#[tokio::test]
+async fn a_finished_body_is_whole() {
+    let (sender, body) = streamed_body(2);
+
+    assert!(sender.send(Bytes::from_static(b"whole")).await);
+    sender.finish();
+
+    assert_eq!(body.collect().await.unwrap().to_bytes(), "whole");
+}
+
+#[tokio::test]
+async fn a_body_whose_sender_is_dropped_is_broken_off() {
+    let (sender, mut body) = streamed_body(2);
+
+    assert!(sender.send(Bytes::from_static(b"half")).await);
+    drop(sender);
+
+    assert_eq!(body.frame().await.unwrap().unwrap().into_data().unwrap(), "half");
+    assert!(body.frame().await.unwrap().is_err());
+}
+
+#[tokio::test]
+async fn a_sender_learns_that_the_caller_is_gone() {
+    let (sender, body) = streamed_body(2);
+
+    drop(body);
+
+    sender.closed().await;
+    assert!(!sender.send(Bytes::from_static(b"late")).await);
+}
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod account_limits;
+mod answer_body;
 mod bad_requests;
 mod bundles;
 mod gateway;
