--- a/crates/sassafrashoist-core/src/gateway/token_banks.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_banks.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 
+use super::token_holding::HolderRole;
 use super::token_ledger::TokenLedger;
 use crate::ids::VmId;
 use crate::rendezvous::rank_owners;
@@ -46,6 +47,17 @@
         self.is_small_fleet || self.vm_ids.iter().any(|bank| bank == vm_id)
     }
 
+    /// Returns the role of a VM.
+    pub fn role(&self, vm_id: &str) -> HolderRole {
+        if self.is_small_fleet {
+            HolderRole::Equal
+        } else if self.contains(vm_id) {
+            HolderRole::Bank
+        } else {
+            HolderRole::Asking
+        }
+    }
+
     /// Returns the number of VMs that draw.
     pub fn count(&self) -> usize {
         self.vm_ids.len()
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -136,6 +136,17 @@
     is_bank: bool,
 }
 
+/// What a VM does for the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HolderRole {
+    /// Every VM draws for itself.
+    Equal,
+    /// It draws for itself and for VMs that ask; what it gives counts as its use.
+    Bank,
+    /// It asks; what it uses counts as the use of those that it asks.
+    Asking,
+}
+
 /// A record to append, and what it changes once it is in the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlannedRecord {
@@ -172,6 +183,7 @@
     peer_address: SocketAddr,
     sequence: u64,
     marked_for: Duration,
+    role: HolderRole,
     marked_until: Uptime,
     marked_until_in_doubt: Uptime,
     accounts: BTreeMap<ClientAccountId, OwnTokens>,
@@ -193,6 +205,7 @@
             peer_address,
             sequence: 0,
             marked_for: RESTART_TIME,
+            role: HolderRole::Equal,
             marked_until: Uptime::ZERO,
             marked_until_in_doubt: Uptime::ZERO,
             accounts: BTreeMap::new(),
@@ -292,6 +305,9 @@
         let spare = (available / KEPT_PART_DIVISOR).min(liked_tokens as i64);
         let given = spare.max(available.min(needed_tokens as i64)) as Tokens;
         own.given_tokens += given;
+        if self.role == HolderRole::Bank {
+            own.use_rate.add(given, USE_DECAY_S, now);
+        }
         own.usual_tokens += SIZE_SAMPLE_WEIGHT * (needed_tokens as f64 - own.usual_tokens);
         if self.gifts.len() >= MAX_REMEMBERED_GIFTS {
             self.gifts.pop_front();
@@ -334,11 +350,7 @@
         let holder_count = banks.count() + usize::from(is_bank && !is_known);
         let fleet = FleetShare {
             vm_count: holder_count.max(1) as f64,
-            own_part: if ledger.live_holders().count() > banks.count() {
-                1.0 / holder_count.max(1) as f64
-            } else {
-                self.part_of_use(ledger, config, holder_count.max(1) as f64, now)
-            },
+            own_part: self.part_of_use(ledger, config, holder_count.max(1) as f64, now),
             is_bank,
         };
         let mut changes = Vec::new();
@@ -374,14 +386,14 @@
         self.record_with(changes, true, now, clocks)
     }
 
-    /// Sets the time between two records, which decides how long marks bind.
-    pub fn set_record_interval(&mut self, interval: Duration) {
-        self.marked_for = RESTART_TIME + interval * MARKED_INTERVALS;
-    }
-
-    /// Lets use pass the marks at any time; what a later run could hand back is little.
-    pub fn set_unmarked(&mut self) {
-        self.marked_for = Duration::ZERO;
+    /// Sets the role of the VM, and the time between two records, which decides how long marks bind.
+    pub fn set_role(&mut self, role: HolderRole, interval: Duration) {
+        self.role = role;
+        self.marked_for = match role {
+            HolderRole::Equal | HolderRole::Bank => RESTART_TIME + interval * MARKED_INTERVALS,
+            // What a later run could hand back is little.
+            HolderRole::Asking => Duration::ZERO,
+        };
     }
 
     /// Takes over a planned record that is in the log.
@@ -493,6 +505,7 @@
     ) -> PlannedRecord {
         self.sequence += 1;
         self.marked_until_in_doubt = now + self.marked_for;
+        let role = self.role;
         let is_wanted = self.accounts.values().any(|own| own.wanted_tokens > 0);
         let accounts = self.accounts.iter_mut().map(|(account_id, own)| {
             let change = changes.iter().find(|(changed, _)| changed == account_id);
@@ -505,7 +518,12 @@
                 given_tokens: own.given_tokens,
                 spent_tokens: own.settled_tokens + own.reserved_tokens,
                 marked_tokens: mark,
-                use_tokens_per_s: own.use_rate.per_second(USE_DECAY_S, now) as Tokens,
+                use_tokens_per_s: match role {
+                    HolderRole::Equal | HolderRole::Bank => {
+                        own.use_rate.per_second(USE_DECAY_S, now) as Tokens
+                    }
+                    HolderRole::Asking => 0,
+                },
             }
         });
         let record = HolderRecord {
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/token_world.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/token_world.rs
@@ -9,7 +9,7 @@
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
 use sassafrashoist_core::gateway::ledger_writer::{AppendAnswer, LedgerWriter};
 use sassafrashoist_core::gateway::reclaim::reclaim_predecessor;
-use sassafrashoist_core::gateway::token_holding::TokenHolding;
+use sassafrashoist_core::gateway::token_holding::{HolderRole, TokenHolding};
 use sassafrashoist_core::gateway::token_ledger::TokenLedger;
 
 pub const ACCOUNT: &str = "workshop";
@@ -87,7 +87,7 @@
     let holder_id = format!("{vm_id}/{run}");
     let mut holding =
         TokenHolding::new(holder_id, vm_id.to_owned(), DATA_CENTRE.to_owned(), address);
-    holding.set_record_interval(RECORD_INTERVAL);
+    holding.set_role(HolderRole::Equal, RECORD_INTERVAL);
     holding
 }
 
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -10,7 +10,7 @@
 use sassafrashoist_core::gateway::ledger_writer::{AppendAnswer, LedgerWriter, PendingAppend};
 use sassafrashoist_core::gateway::reclaim::reclaim_predecessor;
 use sassafrashoist_core::gateway::token_banks::TokenBanks;
-use sassafrashoist_core::gateway::token_holding::PlannedRecord;
+use sassafrashoist_core::gateway::token_holding::{HolderRole, PlannedRecord};
 use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::ids::LogOffset;
 use tokio_util::sync::CancellationToken;
@@ -82,12 +82,11 @@
     fn look_interval(&self) -> Duration {
         let jitter = Duration::from_millis(rand::random_range(0..=LOOK_JITTER_MS));
         let mut tokens = self.context.lock_tokens();
-        if TokenBanks::pick(&tokens.ledger).contains(&self.context.settings().vm_id) {
-            tokens.holding.set_record_interval(LOOK_INTERVAL);
-            LOOK_INTERVAL + jitter
-        } else {
-            tokens.holding.set_unmarked();
-            ASKING_LOOK_INTERVAL + jitter
+        let role = TokenBanks::pick(&tokens.ledger).role(&self.context.settings().vm_id);
+        tokens.holding.set_role(role, LOOK_INTERVAL);
+        match role {
+            HolderRole::Equal | HolderRole::Bank => LOOK_INTERVAL + jitter,
+            HolderRole::Asking => ASKING_LOOK_INTERVAL + jitter,
         }
     }
 
