--- a/crates/sassafrashoist/src/gateway/follow_servers.rs
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -11,7 +11,7 @@
 
 /// Least time between two reads that bring entries; servers write often, and an entry may be this
 /// late without harm.
-const PACE: Duration = Duration::from_millis(250);
+const PACE: Duration = Duration::from_millis(500);
 
 /// Follows the list of servers until cancelled.
 pub async fn follow_servers(context: Arc<GatewayContext>) {
