--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -488,7 +488,8 @@
         if fleet.is_bank && (available < wanted || (available as f64) < LOW_PART * target) {
             let missing = (own.target_tokens - available).max(wanted - available);
             let fair = (undrawn as f64 * MAX_DRAW_PART) as i64;
-            return missing.min(fair.max(wanted)).clamp(0, undrawn);
+            let drawn = missing.min(fair.max(wanted)).clamp(0, undrawn);
+            return if ledger.is_readable() { drawn } else { 0 };
         }
         if available as f64 > HIGH_PART * target.max(wanted as f64) {
             return (KEPT_PART * target) as i64 - available;
--- a/crates/sassafrashoist-core/src/gateway/token_ledger.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_ledger.rs
@@ -5,7 +5,7 @@
 //! exceed what the account paid for, whatever is cut off, frozen or lost. A holder that is gone
 //! keeps what it drew.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::HolderId;
 use super::holder_record::{HeldTokens, HolderRecord};
@@ -15,12 +15,25 @@
 #[derive(Debug, Default)]
 pub struct TokenLedger {
     holders: BTreeMap<HolderId, (LogOffset, HolderRecord)>,
+    unreadable: BTreeSet<HolderId>,
     end: LogOffset,
 }
 
 impl TokenLedger {
+    /// Notes a record that cannot be read: what its holder drew is not known, so nothing more may be
+    /// drawn until a record of it can be read again.
+    pub fn note_unreadable(&mut self, holder_id: HolderId) {
+        self.unreadable.insert(holder_id);
+    }
+
+    /// Returns whether what all holders drew is known.
+    pub fn is_readable(&self) -> bool {
+        self.unreadable.is_empty()
+    }
+
     /// Takes over a record, unless a newer one of its holder is known.
     pub fn apply(&mut self, offset: LogOffset, holder_id: HolderId, record: HolderRecord) {
+        self.unreadable.remove(&holder_id);
         let known = self.holders.get(&holder_id).map(|(offset, _)| *offset);
         if known.is_none_or(|known| known < offset) {
             self.holders.insert(holder_id, (offset, record));
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/ledger_writer.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/ledger_writer.rs
@@ -102,3 +102,13 @@
     assert!(holding.time_to_unmarked(NOW) > 2 * RECORD_INTERVAL);
     assert!(holding.time_to_unmarked(far_later()).is_zero());
 }
+
+#[test]
+fn nothing_is_drawn_while_a_record_of_the_ledger_cannot_be_read() {
+    let (mut holding, mut ledger) = (holding(), TokenLedger::default());
+    ledger.note_unreadable("vm-2/7".to_owned());
+
+    let planned = holding.plan(&ledger, &config_with(PAID_TOKENS), NOW, ClockReading::default());
+
+    assert!(!planned.moves_tokens());
+}
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -232,7 +232,11 @@
             match decode_holder_record(&value) {
                 Ok(holder) => tokens.ledger.apply(record.offset, record.key, holder),
                 Err(error) => {
-                    log::error!(key = record.key, error:% = error; "record of the ledger not read");
+                    log::error!(
+                        key = record.key, error:% = error;
+                        "record of the ledger cannot be read; no tokens are drawn"
+                    );
+                    tokens.ledger.note_unreadable(record.key);
                 }
             }
         }
--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -127,8 +127,8 @@
     context.ledger_age().is_some_and(|age| age < MAX_LEDGER_AGE)
 }
 
-/// Returns whether the account cannot pay for the request, wherever its tokens are: reported use
-/// only grows, so what the ledger shows as unspent is never too little.
+/// Returns whether the account cannot pay for the request, wherever its tokens are. Requests in
+/// progress count at their worst case, as they do where they were reserved.
 fn is_exhausted(
     context: &GatewayContext,
     account_id: &str,
--- a/crates/sassafrashoist/src/gateway/pass_events.rs
+++ b/crates/sassafrashoist/src/gateway/pass_events.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use sassafrashoist_adapter::answer_headers::encode_served;
 use sassafrashoist_core::gateway::event_splitter::{EventSplitter, StreamEvent};
+use sassafrashoist_core::ids::BackendServerId;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
@@ -147,8 +148,9 @@
                 last_event = self.last_event_id.as_deref().unwrap_or("-");
                 "stream broken off"
             );
+            let broken_server_id = begun.place.server_id().to_owned();
             drop(begun);
-            let Some(next) = self.resume().await else {
+            let Some(next) = self.resume(broken_server_id).await else {
                 metrics::counter!("sassafrashoist_streams_broken_total").increment(1);
                 return;
             };
@@ -257,8 +259,9 @@
     }
 
     /// Sends the request to another server to go on after the last event.
-    async fn resume(&mut self) -> Option<BegunAnswer> {
+    async fn resume(&mut self, broken_server_id: BackendServerId) -> Option<BegunAnswer> {
         let mut need = self.life.server_need();
+        need.excluded.push(broken_server_id);
         while self.counts.sent < MAX_SENDS
             && self.counts.allows_run(&self.life)
             && self.context.try_repeat(&self.life.pool_id)
