--- a/crates/sassafrashoist-core/src/gateway/event_splitter.rs
+++ b/crates/sassafrashoist-core/src/event_splitter.rs
@@ -11,6 +11,13 @@
     pub id: Option<String>,
 }
 
+impl StreamEvent {
+    /// Returns the value of the `data` field, or nothing.
+    pub fn data(&self) -> Bytes {
+        find_field(&self.raw, b"data: ").map(|data| self.raw.slice_ref(data)).unwrap_or_default()
+    }
+}
+
 /// Splits the bytes of an event stream into whole events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -27,7 +34,8 @@
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let end = find_event_end(&self.pending)?;
         let raw = self.pending.split_to(end).freeze();
-        let id = find_field(&raw, b"id:");
+        let id =
+            find_field(&raw, b"id:").map(|value| String::from_utf8_lossy(value).trim().to_owned());
         Some(StreamEvent { raw, id })
     }
 
@@ -55,8 +63,6 @@
     })
 }
 
-fn find_field(event: &[u8], name: &[u8]) -> Option<String> {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    let value = lines.find_map(|line| line.strip_prefix(name))?;
-    Some(String::from_utf8_lossy(value).trim().to_owned())
+fn find_field<'a>(event: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    event.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(name))
 }
--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -7,12 +7,10 @@
 //! - [`ledger_writer`]: the append in progress, whose fate may be unknown.
 //! - [`reclaim`]: what a run that died cannot have used.
 //! - [`retry_allowance`]: how many requests may be sent a second time.
-//! - [`event_splitter`]: whole events of a stream, so that a broken one is never passed on.
 //!
 //! Times are given as the time since the process started.
 
 pub mod clock_reading;
-pub mod event_splitter;
 pub mod fleet_config;
 pub mod flow_rate;
 pub mod holder_record;
--- a/crates/sassafrashoist-core/src/lib.rs
+++ b/crates/sassafrashoist-core/src/lib.rs
@@ -10,10 +10,12 @@
 //! - [`owner`]: the table that joins both, so that a key and its reservation are one entry.
 //! - [`routing`]: which backend server runs an attempt.
 //! - [`membership`]: which VMs of the system are members.
+//! - [`event_splitter`]: whole events of a stream, so that a broken one is never passed on.
 //! - [`invariants`]: the counters that must stay 0.
 
 pub mod budgets;
 pub mod decision_log;
+pub mod event_splitter;
 pub mod gateway;
 pub mod ids;
 pub mod invariants;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/event_splitter.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/event_splitter.rs
@@ -1,5 +1,5 @@
 use proptest::prelude::*;
-use sassafrashoist_core::gateway::event_splitter::{EventSplitter, StreamEvent};
+use sassafrashoist_core::event_splitter::{EventSplitter, StreamEvent};
 
 const STREAM: &[u8] =
     b"id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\nid: 4\nda";
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -1,6 +1,5 @@
 //! Tests of the gateway's decisions.
 
-mod event_splitter;
 mod flow_rate;
 mod ledger_writer;
 mod reclaim;
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod admission_queue;
 mod budget_owner;
+mod event_splitter;
 mod gateway;
 mod key_table;
 mod ledger;
--- a/crates/sassafrashoist-testkit/src/client/caller.rs
+++ b/crates/sassafrashoist-testkit/src/client/caller.rs
@@ -11,7 +11,8 @@
 use volo_http::body::Body;
 use volo_http::client::Client;
 
-use sassafrashoist::util::sse_parser::{DONE_DATA, SseParser};
+use sassafrashoist::core::answer_sink::DONE_DATA;
+use sassafrashoist_core::event_splitter::EventSplitter;
 
 /// How long a caller waits for a whole answer.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -147,7 +148,7 @@
 
 async fn read_body(answer: &mut Answer, mut body: Body, started: Instant) {
     let is_stream = answer.header("content-type").starts_with("text/event-stream");
-    let mut parser = SseParser::default();
+    let mut splitter = EventSplitter::default();
     let mut bytes = Vec::new();
     let mut last_token_at = started;
     let mut is_broken = false;
@@ -160,9 +161,9 @@
             continue;
         };
         bytes.extend_from_slice(data);
-        parser.push(data);
-        while let Some(event) = parser.next_event() {
-            read_event(answer, &event.data, started, &mut last_token_at);
+        splitter.push(data);
+        while let Some(event) = splitter.next_event() {
+            read_event(answer, &event.data(), started, &mut last_token_at);
         }
     }
     if !is_stream {
--- a/crates/sassafrashoist/src/core/answer_sink.rs
+++ b/crates/sassafrashoist/src/core/answer_sink.rs
@@ -24,6 +24,8 @@
 pub type AnswerSender = oneshot::Sender<Response<Body>>;
 /// The content type of server-sent events.
 pub const EVENT_STREAM_TYPE: &str = "text/event-stream";
+/// The data of the event that ends a stream.
+pub const DONE_DATA: &[u8] = b"[DONE]";
 /// Parts that wait for a slow caller.
 const PART_QUEUE_LENGTH: usize = 64;
 
--- a/crates/sassafrashoist/src/gateway/pass_events.rs
+++ b/crates/sassafrashoist/src/gateway/pass_events.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sassafrashoist_adapter::answer_headers::encode_served;
-use sassafrashoist_core::gateway::event_splitter::{EventSplitter, StreamEvent};
+use sassafrashoist_core::event_splitter::{EventSplitter, StreamEvent};
 use sassafrashoist_core::ids::BackendServerId;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 use tokio_util::task::task_tracker::TaskTrackerToken;
--- a/crates/sassafrashoist/src/ops/pass_stream.rs
+++ b/crates/sassafrashoist/src/ops/pass_stream.rs
@@ -10,10 +10,10 @@
 use serde_json::Value;
 use volo_http::body::Body;
 
-use crate::core::answer_sink::{EVENT_STREAM_TYPE, PartFate};
+use crate::core::answer_sink::{DONE_DATA, EVENT_STREAM_TYPE, PartFate};
 use crate::ops::pass_answer::{PassEnd, Usage, WholeAnswer};
 use crate::ops::run_attempts::RequestRun;
-use crate::util::sse_parser::{DONE_DATA, SseEvent, SseParser};
+use sassafrashoist_core::event_splitter::{EventSplitter, StreamEvent};
 use sassafrashoist_core::ids::AttemptNumber;
 use sassafrashoist_core::invariants::Promise;
 
@@ -49,7 +49,7 @@
 impl StreamPass<'_> {
     async fn run(&mut self, mut body: Body) -> PassEnd {
         let deadline = self.run.request.deadline;
-        let mut parser = SseParser::default();
+        let mut splitter = EventSplitter::default();
         loop {
             let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
@@ -58,9 +58,9 @@
                 Err(_) => return PassEnd::Lost("timeout".to_owned()),
             };
             if let Some(data) = frame.data_ref() {
-                parser.push(data);
+                splitter.push(data);
             }
-            while let Some(event) = parser.next_event() {
+            while let Some(event) = splitter.next_event() {
                 if let Some(end) = self.pass_event(event).await {
                     return end;
                 }
@@ -69,11 +69,12 @@
     }
 
     /// Passes an event on; returns how the stream ended if this ends it.
-    async fn pass_event(&mut self, event: SseEvent) -> Option<PassEnd> {
-        if event.data.as_ref() == DONE_DATA {
+    async fn pass_event(&mut self, event: StreamEvent) -> Option<PassEnd> {
+        let data = event.data();
+        if data.as_ref() == DONE_DATA {
             return Some(self.end_whole(event.raw));
         }
-        let part = self.read_own_part(&event.data)?;
+        let part = self.read_own_part(&data)?;
         if let Some(usage) = part.usage {
             self.last = Some(UsagePart { index: part.index, usage, raw: event.raw });
             return None;
--- a/crates/sassafrashoist/src/util/mod.rs
+++ b/crates/sassafrashoist/src/util/mod.rs
@@ -5,4 +5,3 @@
 pub mod logging;
 pub mod metrics_page;
 pub mod queued_stdout;
-pub mod sse_parser;
