--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -218,6 +218,16 @@
         &self.holder_id
     }
 
+    /// Returns the VM.
+    pub fn vm_id(&self) -> &VmId {
+        &self.vm_id
+    }
+
+    /// Returns the data centre of the VM.
+    pub fn data_centre_id(&self) -> &DataCentreId {
+        &self.data_centre_id
+    }
+
     /// Returns the tokens of an account that no request has reserved.
     pub fn available_tokens(&self, account_id: &str, now: Uptime) -> i64 {
         let is_marked = self.is_marked(now);
--- a/crates/sassafrashoist/src/gateway/ask_peers.rs
+++ b/crates/sassafrashoist/src/gateway/ask_peers.rs
@@ -24,7 +24,7 @@
 /// Pause before a question is asked again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(500);
 
-/// Asks another VM for tokens and takes them in; returns how many came.
+/// Asks another VM for tokens and takes them in.
 ///
 /// Goes on in a task of its own, so that tokens that are given after the request stopped waiting
 /// are not lost.
@@ -34,7 +34,7 @@
     account_id: &str,
     needed_tokens: Tokens,
     liked_tokens: Tokens,
-) -> Tokens {
+) {
     let transfer_id = next_transfer_id(context);
     let question = TransferQuestion {
         transfer_id,
@@ -43,17 +43,19 @@
         needed_tokens,
         liked_tokens,
     };
-    let address = peer.record.peer_address;
+    let address = peer.address;
     let context = Arc::clone(context);
     let task = tokio::spawn(async move { ask_until_answered(&context, address, &question).await });
-    task.await.unwrap_or(0)
+    if let Err(error) = task.await {
+        log::error!(account = account_id, error:% = error; "question to another VM failed");
+    }
 }
 
 async fn ask_until_answered(
     context: &GatewayContext,
     address: SocketAddr,
     question: &TransferQuestion,
-) -> Tokens {
+) {
     let account_id = &question.account_id;
     for count in 1..=MAX_QUESTIONS {
         match ask_once(address, question).await {
@@ -68,7 +70,7 @@
                     "tokens received from another VM"
                 );
                 context.tokens_changed.notify_waiters();
-                return reply.given_tokens;
+                return;
             }
             Err(error) => {
                 log::warn!(
@@ -81,7 +83,6 @@
             }
         }
     }
-    0
 }
 
 async fn ask_once(
--- a/crates/sassafrashoist/src/gateway/follow_config.rs
+++ b/crates/sassafrashoist/src/gateway/follow_config.rs
@@ -39,16 +39,15 @@
         }
     };
     let (version, route_count) = (config.version, config.routes.len());
-    let table = RouteTable::new(config);
-    let table_config = table.config().clone();
-    if !context.replace_routes(table) {
+    let table = Arc::new(RouteTable::new(config));
+    if !context.replace_routes(&table) {
         log::info!(version = version; "configuration is not newer than the one in force");
         return;
     }
     log::info!(version = version, routes = route_count, offset = record.offset; "configuration in force");
     let mut tokens = context.lock_tokens();
     let book = &mut *tokens;
-    book.holding.observe_ledger(&book.ledger, &table_config);
+    book.holding.observe_ledger(&book.ledger, table.config());
     drop(tokens);
     context.tokens_wanted.notify_one();
 }
--- a/crates/sassafrashoist/src/gateway/follow_topic.rs
+++ b/crates/sassafrashoist/src/gateway/follow_topic.rs
@@ -8,6 +8,7 @@
 
 use super::gateway_context::GatewayContext;
 use super::log_link::{LogCallError, LogLink};
+use super::topic_reach::TopicReach;
 
 /// How long a read waits for a record; bounds how late a silent connection is noticed.
 const READ_WAIT: Duration = Duration::from_millis(1_000);
@@ -32,15 +33,11 @@
 ) {
     let mut link = LogLink::new(Arc::clone(&context));
     let mut next: Option<LogOffset> = None;
-    let mut is_reached = true;
+    let mut reach = TopicReach::new(topic);
     loop {
-        let result = read_news(&mut link, topic, &mut next).await;
-        match result {
+        match read_news(&mut link, topic, &mut next).await {
             Ok(news) => {
-                if !is_reached {
-                    log::info!(topic = topic; "log service regained");
-                    is_reached = true;
-                }
+                reach.record_success();
                 let is_empty = matches!(&news, TopicNews::Appended(records) if records.is_empty());
                 take(&context, news);
                 if !is_empty {
@@ -48,10 +45,7 @@
                 }
             }
             Err(error) => {
-                if is_reached {
-                    log::warn!(topic = topic, error:% = error; "log service lost");
-                    is_reached = false;
-                }
+                reach.record_failure(&error);
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -1,18 +1,16 @@
 //! The one value that is passed down to every action of the gateway.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use sassafrashoist_adapter::log_answers::LogError;
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
-use sassafrashoist_core::gateway::holder_record::HolderRecord;
 use sassafrashoist_core::gateway::retry_allowance::{RetryAllowance, RetryBound};
 use sassafrashoist_core::gateway::route_table::RouteTable;
 use sassafrashoist_core::gateway::server_directory::ServerDirectory;
 use sassafrashoist_core::gateway::token_holding::TokenHolding;
 use sassafrashoist_core::gateway::vm_settings::VmSettings;
 use sassafrashoist_core::gateway::{HolderId, Uptime};
-use std::net::SocketAddr;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -111,12 +109,12 @@
     }
 
     /// Puts a configuration in force unless a newer one is; false when it was not newer.
-    pub fn replace_routes(&self, routes: RouteTable) -> bool {
+    pub fn replace_routes(&self, routes: &Arc<RouteTable>) -> bool {
         let mut current = lock(&self.routes);
         let is_newer =
             current.as_ref().is_none_or(|c| c.config().version < routes.config().version);
         if is_newer {
-            *current = Some(Arc::new(routes));
+            *current = Some(Arc::clone(routes));
         }
         is_newer
     }
@@ -172,15 +170,6 @@
     }
 }
 
-/// Decodes a holder's record; one that cannot be read belongs to no holder.
-///
-/// # Errors
-///
-/// Fails when the bytes are not a record of this version.
-pub fn decode_holder_record(bytes: &[u8]) -> Result<HolderRecord, LogError> {
-    postcard::from_bytes(bytes).map_err(|error| LogError::Malformed(error.to_string()))
-}
-
 /// A panic while a lock is held ends the process's task, and what it guards is valid after each
 /// step.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/sassafrashoist/src/gateway/http_exchange.rs
+++ b/crates/sassafrashoist/src/gateway/http_exchange.rs
@@ -15,25 +15,24 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-/// Why a request got no answer.
+/// Why there is no connection, so that nothing was sent.
 #[derive(Debug, thiserror::Error)]
-pub enum ExchangeError {
-    /// No connection was made, so nothing was sent.
-    #[error("failed to connect to {address}: {reason}")]
-    NotConnected {
-        /// The server.
-        address: SocketAddr,
-        /// What happened.
-        reason: String,
-    },
-    /// The connection ended or failed after the request may have been sent.
-    #[error("connection to {address} failed: {source}")]
-    Broken {
-        /// The server.
-        address: SocketAddr,
-        /// What happened.
-        source: hyper::Error,
-    },
+#[error("failed to connect to {address}: {reason}")]
+pub struct NotConnected {
+    /// The server.
+    pub address: SocketAddr,
+    /// What happened.
+    pub reason: String,
+}
+
+/// Why a request got no answer; it may have been sent.
+#[derive(Debug, thiserror::Error)]
+#[error("connection to {address} failed: {source}")]
+pub struct BrokenConnection {
+    /// The server.
+    pub address: SocketAddr,
+    /// What happened.
+    pub source: hyper::Error,
 }
 
 /// An open connection; dropping it closes the connection, whatever is in progress on it.
@@ -50,8 +49,8 @@
     /// # Errors
     ///
     /// Fails when there is none within `timeout`.
-    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, ExchangeError> {
-        let not_connected = |reason: String| ExchangeError::NotConnected { address, reason };
+    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, NotConnected> {
+        let not_connected = |reason: String| NotConnected { address, reason };
         let stream = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(not_connected(error.to_string())),
@@ -79,9 +78,9 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, ExchangeError> {
+    ) -> Result<Response<Incoming>, BrokenConnection> {
         let address = self.address;
-        let broken = |source| ExchangeError::Broken { address, source };
+        let broken = |source| BrokenConnection { address, source };
         self.sender.ready().await.map_err(broken)?;
         self.sender.send_request(request).await.map_err(broken)
     }
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -15,9 +15,10 @@
 use sassafrashoist_core::ids::LogOffset;
 use tokio_util::sync::CancellationToken;
 
-use super::gateway_context::{GatewayContext, decode_holder_record};
+use super::gateway_context::GatewayContext;
 use super::log_link::{LogCallError, LogLink};
 use super::read_clocks::read_clocks;
+use super::topic_reach::TopicReach;
 
 /// Time between two records while no request waits for tokens; well below the time after which a
 /// holder counts as out of touch.
@@ -61,7 +62,7 @@
     writer: LedgerWriter,
     reported_at: Uptime,
     accounts_reported_at: Uptime,
-    is_reached: bool,
+    reach: TopicReach,
 }
 
 impl TokenKeeper {
@@ -75,7 +76,7 @@
             writer: LedgerWriter::default(),
             reported_at: Uptime::ZERO,
             accounts_reported_at: Uptime::ZERO,
-            is_reached: true,
+            reach: TopicReach::new(LEDGER_TOPIC),
         }
     }
 
@@ -92,18 +93,8 @@
 
     async fn look(&mut self) {
         match self.read_and_append().await {
-            Ok(()) => {
-                if !self.is_reached {
-                    log::info!(topic = LEDGER_TOPIC; "log service regained");
-                    self.is_reached = true;
-                }
-            }
-            Err(error) => {
-                if self.is_reached {
-                    log::warn!(topic = LEDGER_TOPIC, error:% = format!("{error:#}"); "log service lost");
-                    self.is_reached = false;
-                }
-            }
+            Ok(()) => self.reach.record_success(),
+            Err(error) => self.reach.record_failure(&format_args!("{error:#}")),
         }
         self.context.tokens_changed.notify_waiters();
     }
@@ -229,7 +220,7 @@
             let Some(value) = record.value else {
                 continue;
             };
-            match decode_holder_record(&value) {
+            match postcard::from_bytes::<HolderRecord>(&value) {
                 Ok(holder) => tokens.ledger.apply(record.offset, record.key, holder),
                 Err(error) => {
                     log::error!(
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod answer_body;
 pub mod ask_peers;
 pub mod caller_watch;
+pub mod draw_tokens;
 pub mod follow_config;
 pub mod follow_servers;
 pub mod follow_topic;
@@ -40,3 +41,4 @@
 pub mod serve_request;
 pub mod token_book;
 pub mod token_reservation;
+pub mod topic_reach;
--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::ids::Tokens;
 
 use super::ask_peers::ask_peer;
+use super::draw_tokens::draw_until;
 use super::gateway_context::GatewayContext;
 use super::token_reservation::TokenReservation;
 
@@ -72,23 +72,15 @@
     if context.lock_tokens().is_short(account_id, needed, context.now()) {
         return Err(NoTokens::OutOfReach(TOKENS_RETRY_AFTER));
     }
-    let settings = context.settings();
-    let is_bank = context.lock_tokens().is_bank(&settings.vm_id);
-    let draw_until =
-        if is_bank && is_ledger_fresh(context) { context.now() + DRAW_WAIT } else { Uptime::ZERO };
-    while context.now() < draw_until {
-        // Registered before the wish, so that its draw cannot be missed.
-        let changed = context.tokens_changed.notified();
-        context.lock_tokens().holding.want(account_id, needed);
-        context.tokens_wanted.notify_one();
-        // A timeout is the end of the wait for the log, which the loop condition sees.
-        let _ = tokio::time::timeout_at(context.instant(draw_until), changed).await;
-        if try_reserve(context, account_id, needed) {
+    let is_bank = context.lock_tokens().is_bank();
+    if is_bank && is_ledger_fresh(context) {
+        let draw_until_at = context.now() + DRAW_WAIT;
+        let reserve = || try_reserve(context, account_id, needed);
+        if draw_until(context, account_id, needed, draw_until_at, reserve).await {
             return Ok(reservation(context, account_id, worst_case));
         }
     }
-    let peers =
-        context.lock_tokens().rich_peers(account_id, &settings.data_centre_id, context.now());
+    let peers = context.lock_tokens().rich_peers(account_id, context.now());
     for peer in peers.into_iter().take(MAX_PEERS) {
         let now = context.now();
         let held = context.lock_tokens().holding.available_tokens(account_id, now);
--- a/crates/sassafrashoist/src/gateway/pass_events.rs
+++ b/crates/sassafrashoist/src/gateway/pass_events.rs
@@ -90,10 +90,9 @@
     life: Arc<RequestLife>,
     reservation: Option<TokenReservation>,
     counts: AttemptCounts,
-    begun: BegunAnswer,
-    splitter: EventSplitter,
-    is_whole: bool,
+    first: FirstEvent,
 ) -> Response<AnswerBody> {
+    let FirstEvent { begun, splitter, is_whole } = first;
     let (sender, body) = streamed_body(EVENT_CAPACITY);
     let mut response = Response::new(body);
     *response.status_mut() = begun.response.status();
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -13,7 +13,7 @@
 
 use super::answer_body::{AnswerBody, BodySender, answer, streamed_body};
 use super::gateway_context::GatewayContext;
-use super::pass_events::{FirstEvent, pass_events, read_first_event};
+use super::pass_events::{pass_events, read_first_event};
 use super::request_life::RequestLife;
 use super::send_attempt::{AttemptStart, BegunAnswer, send_attempt};
 use super::serve_request::Refusal;
@@ -44,6 +44,12 @@
 }
 
 impl AttemptCounts {
+    /// Counts a server that the request reached and that may have run it.
+    fn record_run(&mut self) {
+        self.arrived += 1;
+        self.run += 1;
+    }
+
     /// Returns whether the request may run on one more server.
     pub fn allows_run(&self, life: &RequestLife) -> bool {
         self.run == 0
@@ -87,8 +93,7 @@
         let begun = match send_attempt(&context, &life, chosen, event_id, patience).await {
             AttemptStart::Answered(begun) => begun,
             AttemptStart::Failed(begun) => {
-                counts.arrived += 1;
-                counts.run += 1;
+                counts.record_run();
                 mark_run(&mut reservation);
                 if counts.allows_run(&life) {
                     failure = "server failed";
@@ -107,31 +112,19 @@
             }
             AttemptStart::Lost(reason) => {
                 failure = reason;
-                counts.arrived += 1;
-                counts.run += 1;
+                counts.record_run();
                 mark_run(&mut reservation);
                 continue;
             }
         };
-        counts.arrived += 1;
-        counts.run += 1;
+        counts.record_run();
         let is_stream =
             life.route.repeatability.is_stream() && begun.response.status().is_success();
         if is_stream {
             let first = read_first_event(&context, &life, begun, patience).await;
             mark_run(&mut reservation);
             match first {
-                Ok(FirstEvent { begun, splitter, is_whole }) => {
-                    return pass_events(
-                        context,
-                        life,
-                        reservation,
-                        counts,
-                        begun,
-                        splitter,
-                        is_whole,
-                    );
-                }
+                Ok(first) => return pass_events(context, life, reservation, counts, first),
                 Err(reason) => failure = reason,
             }
         } else {
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -13,7 +13,7 @@
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 
 use super::gateway_context::GatewayContext;
-use super::http_exchange::{Connection, ExchangeError};
+use super::http_exchange::Connection;
 use super::request_life::RequestLife;
 
 /// How long a connection to a backend server may take to open: many times a hop, less than the
@@ -99,7 +99,7 @@
     Lost(&'static str),
 }
 
-/// Sends a request to a server and waits for the head of the answer, at most until `give_up_at`.
+/// Sends a request to a server and waits for the head of the answer, at most until its deadline.
 ///
 /// With `patience`, a server that says nothing at all, to no request, for that long is given up.
 pub async fn send_attempt(
@@ -144,11 +144,6 @@
     };
     let response = match result {
         Ok(response) => response,
-        Err(error @ ExchangeError::NotConnected { .. }) => {
-            log::info!(id = life.id(), server = place.server_id(), error:% = error; "not connected");
-            place.set_verdict(AttemptVerdict::Failed);
-            return AttemptStart::NotReached;
-        }
         Err(error) => {
             log::info!(id = life.id(), server = place.server_id(), error:% = error; "connection lost");
             place.set_verdict(AttemptVerdict::Failed);
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 
 use super::answer_body::{AnswerBody, answer};
+use super::draw_tokens::draw_until;
 use super::gateway_context::GatewayContext;
 use super::listen::serve_listener;
 use super::obtain_tokens::is_ledger_fresh;
@@ -55,23 +56,15 @@
 /// Draws tokens for another VM, which may be cut off from the log.
 async fn draw_for(context: &GatewayContext, question: &TransferQuestion) {
     let (account_id, needed_tokens) = (&question.account_id, question.needed_tokens);
-    let has_enough = |now| {
+    let has_enough = || {
+        let now = context.now();
         context.lock_tokens().holding.available_tokens(account_id, now) >= needed_tokens as i64
     };
-    if has_enough(context.now()) || !is_ledger_fresh(context) {
+    if has_enough() || !is_ledger_fresh(context) {
         return;
     }
-    let give_up_at = context.instant(context.now() + DRAW_WAIT);
-    loop {
-        // Registered before the wish, so that its draw cannot be missed.
-        let changed = context.tokens_changed.notified();
-        context.lock_tokens().holding.want(account_id, needed_tokens);
-        context.tokens_wanted.notify_one();
-        let is_late = tokio::time::timeout_at(give_up_at, changed).await.is_err();
-        if is_late || has_enough(context.now()) {
-            return;
-        }
-    }
+    let give_up_at = context.now() + DRAW_WAIT;
+    draw_until(context, account_id, needed_tokens, give_up_at, has_enough).await;
 }
 
 fn give_tokens(context: &GatewayContext, question: &TransferQuestion) -> TransferAnswer {
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use sassafrashoist_adapter::answer_headers::encode_refusal;
 use sassafrashoist_adapter::request_headers::{CallerHeaders, single_host};
+use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::gateway::route::Repeatability;
 use sassafrashoist_core::gateway::route_table::{NotAllowed, RouteTable};
 use sassafrashoist_core::ids::{RequestId, Tokens};
@@ -67,6 +68,15 @@
     }
 }
 
+impl From<NotAllowed> for Refusal {
+    fn from(not_allowed: NotAllowed) -> Self {
+        match not_allowed {
+            NotAllowed::NoRoute => Self::new(StatusCode::NOT_FOUND, "no route matches"),
+            NotAllowed::UnknownKey => Self::new(StatusCode::UNAUTHORIZED, "key is not known"),
+        }
+    }
+}
+
 /// Serves a request.
 pub async fn serve_request(
     context: &Arc<GatewayContext>,
@@ -95,14 +105,12 @@
         return refusal.into_response(&id, &"");
     };
     let version = routes.config().version;
-    let mut life = match allow(&routes, &parts, caller) {
+    let mut life = match allow(&routes, parts, caller, arrived_at) {
         Ok(life) => life,
         Err(refusal) => {
             return refusal.into_response(&id, &format_args!("configuration {version}"));
         }
     };
-    life.arrived_at = arrived_at;
-    life.deadline += arrived_at;
     life.body = match read_body(&life, context, routes.config().limits.body_bytes, body).await {
         Ok(body) => body,
         Err(refusal) => return refusal.into_response(&id, &""),
@@ -133,37 +141,27 @@
     })
 }
 
-/// Finds the route and the account; the deadline is counted from the arrival.
+/// Finds the route and the account of a request whose body is not read yet.
 fn allow(
     routes: &RouteTable,
-    parts: &Parts,
+    parts: Parts,
     caller: CallerHeaders,
+    arrived_at: Uptime,
 ) -> Result<RequestLife, Refusal> {
-    let host = single_host(&parts.headers);
-    let Some(host) = parts.uri.host().or(host) else {
+    let Some(host) = parts.uri.host().or_else(|| single_host(&parts.headers)) else {
         return Err(Refusal::new(StatusCode::BAD_REQUEST, "host is missing or ambiguous"));
     };
-    let route = routes
-        .find_route(host, parts.uri.path())
-        .map_err(|_| Refusal::new(StatusCode::NOT_FOUND, "no route matches"))?;
-    let account =
-        routes.authorise(route, caller.key.as_deref()).map_err(
-            |not_allowed| match not_allowed {
-                NotAllowed::UnknownKey => {
-                    Refusal::new(StatusCode::UNAUTHORIZED, "key is not known")
-                }
-                NotAllowed::NoRoute => Refusal::new(StatusCode::NOT_FOUND, "no route matches"),
-            },
-        )?;
+    let route = routes.find_route(host, parts.uri.path())?;
+    let account = routes.authorise(route, caller.key.as_deref())?;
     let Some(pool_id) = route.destination(rand::random()) else {
         return Err(Refusal::new(StatusCode::NOT_FOUND, "route has no destination"));
     };
     let pool = routes.config().pool(pool_id);
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
     Ok(RequestLife {
-        method: parts.method.clone(),
-        uri: parts.uri.clone(),
-        headers: parts.headers.clone(),
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
         caller,
         body: Bytes::new(),
         route: route.clone(),
@@ -171,8 +169,8 @@
         tokens_per_event: pool.and_then(|pool| pool.engine).map(|engine| engine.tokens_per_event),
         account_id: account.map(|account| account.id.clone()),
         priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
-        arrived_at: Duration::ZERO,
-        deadline: patience,
+        arrived_at,
+        deadline: arrived_at + patience,
     })
 }
 
--- a/crates/sassafrashoist/src/gateway/token_book.rs
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -1,6 +1,8 @@
 //! The ledger as read from the log, with the tokens that this process holds.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
@@ -42,8 +44,8 @@
 pub struct RichPeer {
     /// Its run.
     pub holder_id: HolderId,
-    /// What it wrote last.
-    pub record: HolderRecord,
+    /// Where it answers.
+    pub address: SocketAddr,
     /// The tokens that it is believed to have.
     pub available_tokens: i64,
 }
@@ -79,40 +81,36 @@
     }
 
     /// Returns whether this VM draws tokens from the ledger.
-    pub fn is_bank(&self, vm_id: &str) -> bool {
-        TokenBanks::pick(&self.ledger).contains(vm_id)
+    pub fn is_bank(&self) -> bool {
+        TokenBanks::pick(&self.ledger).contains(self.holding.vm_id())
     }
 
-    /// Returns the other VMs that may have tokens of an account, the one with most first.
+    /// Returns the other VMs that may have tokens of an account, the one with most first; in a large
+    /// fleet those of the own data centre go before.
     ///
     /// What a VM said itself a moment ago goes before its record. One that had none may get some,
     /// so it is asked again after a while.
-    pub fn rich_peers(&self, account_id: &str, data_centre_id: &str, now: Uptime) -> Vec<RichPeer> {
-        let own_vm_id = self.holding.holder_id().split('/').next().unwrap_or_default();
+    pub fn rich_peers(&self, account_id: &str, now: Uptime) -> Vec<RichPeer> {
         let banks = TokenBanks::pick(&self.ledger);
-        let others = self
-            .ledger
-            .live_holders()
-            .filter(|(_, record)| record.vm_id != own_vm_id && banks.contains(&record.vm_id));
-        let mut peers: Vec<RichPeer> = others
-            .map(|(holder_id, record)| RichPeer {
-                holder_id: holder_id.clone(),
-                record: record.clone(),
-                available_tokens: self.believed_tokens(holder_id, record, account_id, now),
-            })
-            .filter(|peer| peer.available_tokens > 0)
-            .collect();
-        // In a large fleet those of the own data centre are asked first; all have tokens.
-        let is_remote = |peer: &RichPeer| {
-            banks.count() < self.ledger.live_holders().count()
-                && peer.record.data_centre_id != data_centre_id
-        };
-        peers.sort_by_key(|peer| (is_remote(peer), std::cmp::Reverse(peer.available_tokens)));
-        peers
+        let prefers_near = banks.count() < self.ledger.live_holders().count();
+        let mut peers: Vec<(bool, RichPeer)> = Vec::new();
+        for (holder_id, record) in self.ledger.live_holders() {
+            if record.vm_id == *self.holding.vm_id() || !banks.contains(&record.vm_id) {
+                continue;
+            }
+            let available_tokens = self.believed_tokens(holder_id, record, account_id, now);
+            if available_tokens > 0 {
+                let is_remote = record.data_centre_id != *self.holding.data_centre_id();
+                let (holder_id, address) = (holder_id.clone(), record.peer_address);
+                let peer = RichPeer { holder_id, address, available_tokens };
+                peers.push((prefers_near && is_remote, peer));
+            }
+        }
+        peers.sort_by_key(|(is_last, peer)| (*is_last, Reverse(peer.available_tokens)));
+        peers.into_iter().map(|(_, peer)| peer).collect()
     }
 
-    /// Returns the tokens that an account still has according to the ledger and this process,
-    /// wherever they are.
+    /// Returns the tokens that an account still has according to the ledger, wherever they are.
     pub fn unspent_tokens(&self, account_id: &str, paid_tokens: Tokens) -> i64 {
         paid_tokens as i64 - self.ledger.spent_tokens(account_id) as i64
     }
