--- a/crates/sassafrashoist-core/src/gateway/ledger_writer.rs
+++ b/crates/sassafrashoist-core/src/gateway/ledger_writer.rs
@@ -4,7 +4,8 @@
 //! shows its record, or shows that the topic has grown past the place where it could have gone; what
 //! it would draw is not used before, and what it would hand back is not used any more.
 
-use super::token_holding::{PlannedRecord, TokenHolding};
+use super::planned_record::PlannedRecord;
+use super::token_holding::TokenHolding;
 use super::token_ledger::TokenLedger;
 use crate::ids::LogOffset;
 
--- a/crates/sassafrashoist-core/src/gateway/token_banks.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_banks.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use super::token_holding::HolderRole;
+use super::holder_role::HolderRole;
 use super::token_ledger::TokenLedger;
 use crate::ids::VmId;
 use crate::rendezvous::rank_owners;
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -13,167 +13,29 @@
 
 use super::clock_reading::ClockReading;
 use super::fleet_config::FleetConfig;
-use super::flow_rate::FlowRate;
 use super::holder_record::{HeldTokens, HolderRecord};
+use super::holder_role::HolderRole;
+use super::own_tokens::{FleetShare, OwnTokens};
+use super::planned_record::PlannedRecord;
 use super::token_banks::TokenBanks;
 use super::token_ledger::TokenLedger;
 use super::{HolderId, Uptime};
 use crate::ids::{ClientAccountId, DataCentreId, Tokens, VmId};
 
-/// The least time that VMs are expected to live on what they hold, in seconds.
-const LEAST_HOLD_S: f64 = 2.0;
-/// The longest such time, in seconds; several times as long as cuts usually last.
-const MOST_HOLD_S: f64 = 14.0;
-/// The part of the time for which the account's tokens last that VMs hold in advance.
-const HOLD_PART: f64 = 0.5;
-/// Time after which use weighs 1/e in the recent rate, in seconds.
-const USE_DECAY_S: f64 = 5.0;
-/// The weight of a VM's own use of an account in the use that is expected there. The rest is the
-/// VM's part of the use of all accounts, which varies much less.
-const OWN_USE_WEIGHT: f64 = 0.25;
 /// The least part of an even share that a VM is expected to use.
 const LEAST_SHARE_PART: f64 = 0.4;
-/// The part of an account's tokens that all VMs together draw before its use is known.
-const FIRST_DRAW_PART: f64 = 0.35;
-/// The part of the undrawn tokens that a VM holds at most before its use is known.
-const FIRST_UNDRAWN_PART: f64 = 0.1;
-/// The part of an account's tokens that all VMs together hold at least while most are undrawn.
-const LEAST_HELD_PART: f64 = 0.12;
-/// The part of an account's tokens above which they count as mostly undrawn.
-const MOSTLY_UNDRAWN_PART: f64 = 0.5;
-/// The part of the undrawn tokens that one draw takes at most, unless a request waits for it.
-const MAX_DRAW_PART: f64 = 0.34;
-/// The part of the target below which a VM draws.
-const LOW_PART: f64 = 0.75;
-/// The multiple of the target above which a VM hands tokens back.
-const HIGH_PART: f64 = 1.6;
-/// The part of the target down to which it hands them back.
-const KEPT_PART: f64 = 1.1;
 /// The part of what is available that a VM keeps when another asks for more than it needs.
 const KEPT_PART_DIVISOR: i64 = 2;
 /// The time that a VM takes to run again after its process was killed, with a margin.
 const RESTART_TIME: Duration = Duration::from_millis(1_600);
 /// The times between two records for which marks bind besides.
 const MARKED_INTERVALS: u32 = 2;
-/// The part of the time for which the account's tokens last that marks leave room for: what the end
-/// of all processes at once may strand.
-const MARK_PART: f64 = 0.08;
-/// The least time of use that marks leave room for, in seconds.
-const LEAST_MARK_S: f64 = 0.3;
-/// The longest such time, in seconds; about as long as marks bind.
-const MOST_MARK_S: f64 = 2.6;
-/// The usual requests that a VM that does not draw may hold.
-const ASKED_REQUESTS: f64 = 3.0;
-/// The weight of one request in the usual size of requests.
-const SIZE_SAMPLE_WEIGHT: f64 = 0.1;
-/// The usual requests for which a mark leaves room besides, if it leaves room for the longest time.
-const MARKED_REQUESTS: f64 = 1.0;
 /// The most answers to other VMs that are remembered.
 const MAX_REMEMBERED_GIFTS: usize = 512;
 
 /// Names a transfer: the asking holder and its count of questions.
 pub type TransferId = (HolderId, u64);
 
-#[derive(Debug, Default)]
-struct OwnTokens {
-    granted_tokens: i64,
-    received_tokens: Tokens,
-    given_tokens: Tokens,
-    settled_tokens: Tokens,
-    reserved_tokens: Tokens,
-    returning_tokens: Tokens,
-    wanted_tokens: Tokens,
-    frozen_tokens: i64,
-    marked_tokens: Tokens,
-    pending_mark: Option<Tokens>,
-    target_tokens: i64,
-    expected_use: f64,
-    left_s: f64,
-    usual_tokens: f64,
-    use_rate: FlowRate,
-}
-
-impl OwnTokens {
-    fn available_tokens(&self) -> i64 {
-        self.granted_tokens + self.received_tokens as i64
-            - self.given_tokens as i64
-            - self.settled_tokens as i64
-            - self.reserved_tokens as i64
-            - self.returning_tokens as i64
-    }
-
-    fn spendable_tokens(&self, is_marked: bool) -> i64 {
-        let held = self.available_tokens() - self.frozen_tokens;
-        if !is_marked {
-            return held;
-        }
-        // A record in doubt may be in the log, so its mark holds too.
-        let mark = self.marked_tokens.min(self.pending_mark.unwrap_or(Tokens::MAX));
-        held.min(mark as i64 - self.used_tokens() as i64)
-    }
-
-    /// Tokens used, given, or reserved by requests in progress.
-    fn used_tokens(&self) -> Tokens {
-        self.given_tokens + self.settled_tokens + self.reserved_tokens
-    }
-
-    /// Returns the mark for the next record.
-    fn next_mark(&self) -> Tokens {
-        let mark_s = (MARK_PART * self.left_s).clamp(LEAST_MARK_S, MOST_MARK_S);
-        let usual_use =
-            mark_s * self.expected_use + MARKED_REQUESTS * self.usual_tokens * mark_s / MOST_MARK_S;
-        self.used_tokens() + (usual_use as Tokens).max(self.wanted_tokens)
-    }
-}
-
-/// This VM among all.
-struct FleetShare {
-    /// The VMs that draw.
-    vm_count: f64,
-    /// Its part of the use of all accounts, with that of the VMs that ask it.
-    own_part: f64,
-    /// Whether it draws.
-    is_bank: bool,
-}
-
-/// What a VM does for the others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum HolderRole {
-    /// Every VM draws for itself.
-    Equal,
-    /// It draws for itself and for VMs that ask; what it gives counts as its use.
-    Bank,
-    /// It asks; what it uses counts as the use of those that it asks.
-    Asking,
-}
-
-/// A record to append, and what it changes once it is in the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlannedRecord {
-    /// The record.
-    pub record: HolderRecord,
-    changes: Vec<(ClientAccountId, i64)>,
-    is_wanted: bool,
-    planned_at: Uptime,
-}
-
-impl PlannedRecord {
-    /// Returns the tokens drawn, or handed back if negative, of each account.
-    pub fn changes(&self) -> &[(ClientAccountId, i64)] {
-        &self.changes
-    }
-
-    /// Returns whether it draws or hands back tokens.
-    pub fn moves_tokens(&self) -> bool {
-        !self.changes.is_empty()
-    }
-
-    /// Returns whether a request waits for it.
-    pub fn is_wanted(&self) -> bool {
-        self.is_wanted
-    }
-}
-
 /// The tokens that this run of the process may use.
 #[derive(Debug)]
 pub struct TokenHolding {
@@ -249,7 +111,7 @@
     pub fn adopt_use(&mut self, record: &HolderRecord, now: Uptime) {
         for held in &record.accounts {
             let own = self.accounts.entry(held.account_id.clone()).or_default();
-            own.use_rate = FlowRate::adopt(held.use_tokens_per_s, USE_DECAY_S, now);
+            own.adopt_use(held.use_tokens_per_s, now);
         }
     }
 
@@ -272,7 +134,7 @@
         if own.spendable_tokens(is_marked) < worst_case_tokens as i64 {
             return false;
         }
-        own.usual_tokens += SIZE_SAMPLE_WEIGHT * (worst_case_tokens as f64 - own.usual_tokens);
+        own.record_size(worst_case_tokens);
         own.reserved_tokens += worst_case_tokens;
         true
     }
@@ -288,7 +150,7 @@
         let own = self.accounts.entry(account_id.to_owned()).or_default();
         own.reserved_tokens = own.reserved_tokens.saturating_sub(worst_case_tokens);
         own.settled_tokens += used_tokens;
-        own.use_rate.add(used_tokens, USE_DECAY_S, now);
+        own.record_use(used_tokens, now);
     }
 
     /// Notes that a request waits for tokens; the next draw covers it.
@@ -316,9 +178,9 @@
         let given = spare.max(available.min(needed_tokens as i64)) as Tokens;
         own.given_tokens += given;
         if self.role == HolderRole::Bank {
-            own.use_rate.add(given, USE_DECAY_S, now);
+            own.record_use(given, now);
         }
-        own.usual_tokens += SIZE_SAMPLE_WEIGHT * (needed_tokens as f64 - own.usual_tokens);
+        own.record_size(needed_tokens);
         if self.gifts.len() >= MAX_REMEMBERED_GIFTS {
             self.gifts.pop_front();
         }
@@ -368,7 +230,8 @@
             let Some(paid_tokens) = account.paid_tokens else {
                 continue;
             };
-            let change = self.plan_account(ledger, &account.id, paid_tokens, &fleet, now);
+            let own = self.accounts.entry(account.id.clone()).or_default();
+            let change = own.plan_change(ledger, &account.id, paid_tokens, &fleet, now);
             if change != 0 {
                 changes.push((account.id.clone(), change));
             }
@@ -452,8 +315,7 @@
     ) -> f64 {
         let accounts = config.accounts.iter().flatten();
         let fleet_use: Tokens = accounts.map(|a| ledger.use_tokens_per_s(&a.id)).sum();
-        let own_use: f64 =
-            self.accounts.values().map(|own| own.use_rate.per_second(USE_DECAY_S, now)).sum();
+        let own_use: f64 = self.accounts.values().map(|own| own.use_per_s(now)).sum();
         let even_part = 1.0 / vm_count;
         if fleet_use == 0 {
             return even_part;
@@ -461,52 +323,6 @@
         (own_use / fleet_use as f64).clamp(LEAST_SHARE_PART * even_part, 1.0)
     }
 
-    fn plan_account(
-        &mut self,
-        ledger: &TokenLedger,
-        account_id: &str,
-        paid_tokens: Tokens,
-        fleet: &FleetShare,
-        now: Uptime,
-    ) -> i64 {
-        let undrawn = paid_tokens as i64 - ledger.granted_tokens(account_id);
-        let fleet_use = ledger.use_tokens_per_s(account_id) as f64;
-        let own = self.accounts.entry(account_id.to_owned()).or_default();
-        let own_use = own.use_rate.per_second(USE_DECAY_S, now);
-        let expected_use =
-            OWN_USE_WEIGHT * own_use + (1.0 - OWN_USE_WEIGHT) * fleet_use * fleet.own_part;
-        let share = paid_tokens as f64 / fleet.vm_count;
-        let is_plenty = undrawn as f64 > MOSTLY_UNDRAWN_PART * paid_tokens as f64;
-        let least = if is_plenty { LEAST_HELD_PART * share } else { 0.0 };
-        let is_unused = fleet_use < 1.0 && own_use < 1.0;
-        let left_tokens = paid_tokens.saturating_sub(ledger.spent_tokens(account_id));
-        own.left_s = left_tokens as f64 / fleet_use.max(1.0);
-        let target = if is_unused {
-            (FIRST_DRAW_PART * share).min(FIRST_UNDRAWN_PART * undrawn.max(0) as f64)
-        } else {
-            let hold_s = (HOLD_PART * own.left_s).clamp(LEAST_HOLD_S, MOST_HOLD_S);
-            (hold_s * expected_use).max(least)
-        };
-        let target = if fleet.is_bank { target } else { ASKED_REQUESTS * own.usual_tokens };
-        own.target_tokens = target as i64;
-        own.expected_use = if is_unused { target / MOST_HOLD_S } else { expected_use };
-        let available = own.available_tokens();
-        if undrawn < 0 {
-            return undrawn.max(-available.max(0));
-        }
-        let wanted = own.wanted_tokens as i64;
-        if fleet.is_bank && (available < wanted || (available as f64) < LOW_PART * target) {
-            let missing = (own.target_tokens - available).max(wanted - available);
-            let fair = (undrawn as f64 * MAX_DRAW_PART) as i64;
-            let drawn = missing.min(fair.max(wanted)).clamp(0, undrawn);
-            return if ledger.is_readable() { drawn } else { 0 };
-        }
-        if available as f64 > HIGH_PART * target.max(wanted as f64) {
-            return (KEPT_PART * target) as i64 - available;
-        }
-        0
-    }
-
     fn record_with(
         &mut self,
         changes: Vec<(ClientAccountId, i64)>,
@@ -530,9 +346,7 @@
                 spent_tokens: own.settled_tokens + own.reserved_tokens,
                 marked_tokens: mark,
                 use_tokens_per_s: match role {
-                    HolderRole::Equal | HolderRole::Bank => {
-                        own.use_rate.per_second(USE_DECAY_S, now) as Tokens
-                    }
+                    HolderRole::Equal | HolderRole::Bank => own.use_per_s(now) as Tokens,
                     HolderRole::Asking => 0,
                 },
             }
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/token_world.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/token_world.rs
@@ -7,9 +7,10 @@
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
 use sassafrashoist_core::gateway::fleet_config::{CallerLimits, ClientAccount, FleetConfig};
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
+use sassafrashoist_core::gateway::holder_role::HolderRole;
 use sassafrashoist_core::gateway::ledger_writer::{AppendAnswer, LedgerWriter};
 use sassafrashoist_core::gateway::reclaim::reclaim_predecessor;
-use sassafrashoist_core::gateway::token_holding::{HolderRole, TokenHolding};
+use sassafrashoist_core::gateway::token_holding::TokenHolding;
 use sassafrashoist_core::gateway::token_ledger::TokenLedger;
 
 pub const ACCOUNT: &str = "workshop";
