Read topics from their newest records after an outage; hand tokens over at SIGTERM

Each read asked for up to 1 MiB of a storm of long configurations and was given up as a whole after 1.7 s, again and again. Ruled out: refusals by the store (calls were let through from 32.5 s) and the pace of taking over.

Test: a storm of 40 configurations during an outage behind a narrow link, red before.

Marks now grow with the time since their record, so that the same stranding leaves more room in a cut.

--- a/crates/sassafrashoist-core/src/gateway/clock_reading.rs
+++ b/crates/sassafrashoist-core/src/gateway/clock_reading.rs
@@ -22,10 +22,13 @@
     ///
     /// Within one boot the time since boot tells it. After a new boot only the time of day does.
     pub fn elapsed_since(&self, earlier: &Self) -> Option<Duration> {
-        let by_day = self.since_epoch.checked_sub(earlier.since_epoch);
-        match self.since_boot.checked_sub(earlier.since_boot) {
-            Some(by_boot) if by_boot < MAX_CLOCK_JUMP => Some(by_boot),
-            Some(_) | None => by_day,
-        }
+        self.elapsed_within_boot(earlier)
+            .or_else(|| self.since_epoch.checked_sub(earlier.since_epoch))
+    }
+
+    /// Returns the time from an earlier reading of the same boot.
+    pub fn elapsed_within_boot(&self, earlier: &Self) -> Option<Duration> {
+        let by_boot = self.since_boot.checked_sub(earlier.since_boot)?;
+        (by_boot < MAX_CLOCK_JUMP).then_some(by_boot)
     }
 }
--- a/crates/sassafrashoist-core/src/gateway/holder_record.rs
+++ b/crates/sassafrashoist-core/src/gateway/holder_record.rs
@@ -7,6 +7,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::clock_reading::ClockReading;
+use super::spending_mark::SpendingMark;
 use crate::ids::{ClientAccountId, DataCentreId, Tokens, VmId};
 
 /// The tokens of one account at one holder, all counted from its start.
@@ -23,8 +24,10 @@
     pub given_tokens: Tokens,
     /// Tokens used, with those that requests in progress may still use.
     pub spent_tokens: Tokens,
-    /// What used and given tokens together stay below while the holder is in touch with the log.
+    /// What used and given tokens together stay below when the record is sent.
     pub marked_tokens: Tokens,
+    /// How fast that bound grows from then on, until `marked_for` has passed.
+    pub mark_growth_tokens_per_s: Tokens,
     /// Tokens used a second of late.
     pub use_tokens_per_s: Tokens,
 }
@@ -44,9 +47,19 @@
         self.available_tokens().min(below_mark)
     }
 
-    /// Returns the tokens that the holder cannot have used if it never passed its mark.
-    pub fn unmarked_tokens(&self) -> i64 {
-        self.granted_tokens + self.received_tokens as i64 - self.marked_tokens as i64
+    /// Returns the bound on used and given tokens.
+    pub fn mark(&self) -> SpendingMark {
+        SpendingMark {
+            tokens: self.marked_tokens,
+            growth_tokens_per_s: self.mark_growth_tokens_per_s,
+        }
+    }
+
+    /// Returns the tokens that the holder cannot have used within a time after its record was first
+    /// sent.
+    pub fn unmarked_tokens(&self, elapsed: Duration) -> i64 {
+        let bound = self.mark().after(elapsed) as i64;
+        self.granted_tokens + self.received_tokens as i64 - bound
     }
 }
 
@@ -66,7 +79,7 @@
     pub is_closed: bool,
     /// When the holder first sent this record.
     pub sent_at: ClockReading,
-    /// How long after that the holder keeps to its marks.
+    /// How long after that the marks bind the holder.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "marked_for_ms")]
     pub marked_for: Duration,
--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //!   account.
 //! - [`ledger_writer`]: the append in progress, whose fate may be unknown.
 //! - [`reclaim`]: what a run that died cannot have used.
+//! - [`topic_cursor`]: where to read on in a topic of the log.
 //! - [`retry_allowance`]: how many requests may be sent a second time.
 //!
 //! Times are given as the time since the process started.
@@ -25,9 +26,11 @@
 pub mod server_directory;
 pub mod server_listing;
 pub mod server_state;
+pub mod spending_mark;
 pub mod token_banks;
 pub mod token_holding;
 pub mod token_ledger;
+pub mod topic_cursor;
 pub mod vm_settings;
 
 use std::time::Duration;
--- a/crates/sassafrashoist-core/src/gateway/own_tokens.rs
+++ b/crates/sassafrashoist-core/src/gateway/own_tokens.rs
@@ -1,7 +1,10 @@
 //! The tokens of one account at this run: how many to hold, to draw, and to leave room for.
 
+use std::time::Duration;
+
 use super::Uptime;
 use super::flow_rate::FlowRate;
+use super::spending_mark::SpendingMark;
 use super::token_ledger::TokenLedger;
 use crate::ids::Tokens;
 
@@ -32,19 +35,21 @@
 const HIGH_PART: f64 = 1.6;
 /// The part of the target down to which it hands them back.
 const KEPT_PART: f64 = 1.1;
-/// The part of the time for which the account's tokens last that marks leave room for: what the end
-/// of all processes at once may strand.
-const MARK_PART: f64 = 0.08;
-/// The least time of use that marks leave room for, in seconds.
-const LEAST_MARK_S: f64 = 0.3;
+/// The part of the time for which the account's tokens last that marks leave room for at once: what
+/// the end of all processes at once may strand.
+const MARK_PART: f64 = 0.052;
+/// The least time of use that marks leave room for at once, in seconds.
+const LEAST_MARK_S: f64 = 0.2;
 /// The longest such time, in seconds; about as long as marks bind.
-const MOST_MARK_S: f64 = 2.6;
+const MOST_MARK_S: f64 = 1.7;
+/// The part of the room by which marks grow each second.
+const MARK_GROWTH_PER_S: f64 = 0.4;
 /// The usual requests that a VM that does not draw may hold.
 const ASKED_REQUESTS: f64 = 3.0;
 /// The weight of one request in the usual size of requests.
 const SIZE_SAMPLE_WEIGHT: f64 = 0.1;
 /// The usual requests for which a mark leaves room besides, if it leaves room for the longest time.
-const MARKED_REQUESTS: f64 = 1.0;
+const MARKED_REQUESTS: f64 = 0.7;
 
 /// This VM among all.
 pub(super) struct FleetShare {
@@ -56,6 +61,15 @@
     pub(super) is_bank: bool,
 }
 
+/// How long the marks have bound; `None` where they do not.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct MarkAges {
+    /// The marks of the last record that is known to be in the log.
+    pub(super) committed: Option<Duration>,
+    /// The marks of a record that may be.
+    pub(super) pending: Option<Duration>,
+}
+
 /// The tokens of one account at this run.
 #[derive(Debug, Default)]
 pub(super) struct OwnTokens {
@@ -67,8 +81,8 @@
     pub(super) returning_tokens: Tokens,
     pub(super) wanted_tokens: Tokens,
     pub(super) frozen_tokens: i64,
-    pub(super) marked_tokens: Tokens,
-    pub(super) pending_mark: Option<Tokens>,
+    pub(super) mark: SpendingMark,
+    pub(super) pending_mark: Option<SpendingMark>,
     expected_use: f64,
     left_s: f64,
     usual_tokens: f64,
@@ -86,14 +100,27 @@
     }
 
     /// Returns the tokens that a request may reserve.
-    pub(super) fn spendable_tokens(&self, is_marked: bool) -> i64 {
+    pub(super) fn spendable_tokens(&self, ages: MarkAges) -> i64 {
         let held = self.available_tokens() - self.frozen_tokens;
-        if !is_marked {
-            return held;
-        }
-        // A record in doubt may be in the log, so its mark holds too.
-        let mark = self.marked_tokens.min(self.pending_mark.unwrap_or(Tokens::MAX));
-        held.min(mark as i64 - self.used_tokens() as i64)
+        let bound = self.binding_marks(ages).map(|(mark, age)| mark.after(age)).min();
+        bound.map_or(held, |bound| held.min(bound as i64 - self.used_tokens() as i64))
+    }
+
+    /// Returns the time until the marks let a request reserve its worst case.
+    pub(super) fn time_to_spendable(&self, worst_case_tokens: Tokens, ages: MarkAges) -> Duration {
+        let needed = self.used_tokens() + worst_case_tokens;
+        let times = self.binding_marks(ages).map(|(mark, age)| {
+            mark.time_to(needed).map_or(Duration::MAX, |time| time.saturating_sub(age))
+        });
+        times.max().unwrap_or_default()
+    }
+
+    /// Returns the marks that bind and their ages. A record in doubt may be in the log, so its mark
+    /// binds too.
+    fn binding_marks(&self, ages: MarkAges) -> impl Iterator<Item = (SpendingMark, Duration)> {
+        let committed = ages.committed.map(|age| (self.mark, age));
+        let pending = self.pending_mark.zip(ages.pending);
+        committed.into_iter().chain(pending)
     }
 
     /// Returns the tokens used, given, or reserved by requests in progress.
@@ -102,11 +129,19 @@
     }
 
     /// Returns the mark for the next record.
-    pub(super) fn next_mark(&self) -> Tokens {
+    pub(super) fn next_mark(&self) -> SpendingMark {
         let mark_s = (MARK_PART * self.left_s).clamp(LEAST_MARK_S, MOST_MARK_S);
         let usual_use =
             mark_s * self.expected_use + MARKED_REQUESTS * self.usual_tokens * mark_s / MOST_MARK_S;
-        self.used_tokens() + (usual_use as Tokens).max(self.wanted_tokens)
+        SpendingMark {
+            tokens: self.used_tokens() + (usual_use as Tokens).max(self.wanted_tokens),
+            growth_tokens_per_s: (MARK_GROWTH_PER_S * mark_s * self.expected_use) as Tokens,
+        }
+    }
+
+    /// Returns the mark of a run that uses nothing more.
+    pub(super) fn last_mark(&self) -> SpendingMark {
+        SpendingMark { tokens: self.used_tokens(), growth_tokens_per_s: 0 }
     }
 
     /// Counts tokens as used now.
--- a/crates/sassafrashoist-core/src/gateway/reclaim.rs
+++ b/crates/sassafrashoist-core/src/gateway/reclaim.rs
@@ -1,10 +1,10 @@
 //! Hands back what a run of the process that died cannot have used.
 //!
-//! A holder that is in touch with the log uses its tokens up to the mark in its last record only; it
-//! passes the mark no earlier than some time after it first sent the newest record that may be in
-//! the log, and that time is written in the record. The next run on the same VM knows that the one before is dead. If it starts so soon that the dead run
-//! cannot have passed its mark, all beyond the mark is unused, and the next run hands it back. If it
-//! starts later, or the clocks do not tell, the tokens stay stranded.
+//! A holder keeps to the marks in the newest record that may be in the log, which grow with time,
+//! until as long after it first sent that record as the record says. The next run on the same VM
+//! knows that the one before is dead. If it starts before the marks cease to bind, all beyond what
+//! they have grown to by its start is unused, and it hands that back. If it starts later, or the
+//! clocks do not tell, the tokens stay stranded.
 //!
 //! After a new boot only the time of day tells how long the VM was gone, and that may have jumped
 //! back. So it is believed only if no other VM wrote a later time meanwhile.
@@ -40,11 +40,14 @@
     if elapsed >= record.marked_for || is_behind {
         return None;
     }
+    // The time of day may be some way off, so it only tells that the marks still bound the run.
+    let within_boot = started_at.elapsed_within_boot(&record.sent_at);
+    let lived_at_most = within_boot.unwrap_or(record.marked_for);
     let mut closed = record.clone();
     closed.is_closed = true;
     closed.sequence += 1;
     for held in &mut closed.accounts {
-        let unused = held.unmarked_tokens().max(0);
+        let unused = held.unmarked_tokens(lived_at_most).max(0);
         held.granted_tokens -= unused;
     }
     Some((holder_id.clone(), closed))
--- a/crates/sassafrashoist-core/src/gateway/token_banks.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_banks.rs
@@ -47,6 +47,11 @@
         self.is_small_fleet || self.vm_ids.iter().any(|bank| bank == vm_id)
     }
 
+    /// Returns whether every VM draws.
+    pub fn is_every_vm(&self) -> bool {
+        self.is_small_fleet
+    }
+
     /// Returns the role of a VM.
     pub fn role(&self, vm_id: &str) -> HolderRole {
         if self.is_small_fleet {
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -2,9 +2,9 @@
 //!
 //! Requests reserve their worst case here and settle it at their end. Draws keep what this VM is
 //! expected to use while it may be cut off from the log; the rest stays undrawn for VMs whose use
-//! grows and for runs that start anew. While the log is in touch, use stays below a mark in the last
-//! record, so that the next run on this VM can hand back what a run that died had not used
-//! ([`reclaim`](super::reclaim)). Tokens also move directly between VMs: the giver counts them
+//! grows and for runs that start anew. While the log is in touch, use stays below a
+//! [mark](super::spending_mark) in the last record, so that the next run on this VM can hand back
+//! what a run that died had not used ([`reclaim`](super::reclaim)). Tokens also move directly between VMs: the giver counts them
 //! as gone before it answers, and a repeated question gets the first answer again.
 
 use std::collections::{BTreeMap, VecDeque};
@@ -15,7 +15,7 @@
 use super::fleet_config::FleetConfig;
 use super::holder_record::{HeldTokens, HolderRecord};
 use super::holder_role::HolderRole;
-use super::own_tokens::{FleetShare, OwnTokens};
+use super::own_tokens::{FleetShare, MarkAges, OwnTokens};
 use super::planned_record::PlannedRecord;
 use super::token_banks::TokenBanks;
 use super::token_ledger::TokenLedger;
@@ -30,11 +30,26 @@
 const RESTART_TIME: Duration = Duration::from_millis(1_600);
 /// The times between two records for which marks bind besides.
 const MARKED_INTERVALS: u32 = 2;
-/// The most answers to other VMs that are remembered.
+/// The most answers to other VMs that are remembered, and messages of runs that ended.
 const MAX_REMEMBERED_GIFTS: usize = 512;
 
-/// Names a transfer: the asking holder and its count of questions.
+/// Names a transfer: the holder that began it and its count of transfers.
 pub type TransferId = (HolderId, u64);
+/// Tokens of an account.
+pub type AccountTokens = (ClientAccountId, Tokens);
+
+/// The time in which the marks of one record bind.
+#[derive(Debug, Clone, Copy)]
+struct MarkedTime {
+    since: Uptime,
+    until: Uptime,
+}
+
+impl MarkedTime {
+    fn age(self, now: Uptime) -> Option<Duration> {
+        (now < self.until).then(|| now.saturating_sub(self.since))
+    }
+}
 
 /// The tokens that this run of the process may use.
 #[derive(Debug)]
@@ -46,10 +61,11 @@
     sequence: u64,
     marked_for: Duration,
     role: HolderRole,
-    marked_until: Uptime,
-    marked_until_in_doubt: Uptime,
+    committed_marks: Option<MarkedTime>,
+    pending_marks: Option<MarkedTime>,
     accounts: BTreeMap<ClientAccountId, OwnTokens>,
     gifts: VecDeque<(TransferId, Tokens)>,
+    received: VecDeque<TransferId>,
 }
 
 impl TokenHolding {
@@ -68,10 +84,11 @@
             sequence: 0,
             marked_for: RESTART_TIME,
             role: HolderRole::Equal,
-            marked_until: Uptime::ZERO,
-            marked_until_in_doubt: Uptime::ZERO,
+            committed_marks: None,
+            pending_marks: None,
             accounts: BTreeMap::new(),
             gifts: VecDeque::new(),
+            received: VecDeque::new(),
         }
     }
 
@@ -92,19 +109,30 @@
 
     /// Returns the tokens of an account that no request has reserved.
     pub fn available_tokens(&self, account_id: &str, now: Uptime) -> i64 {
-        let is_marked = self.is_marked(now);
-        self.accounts.get(account_id).map_or(0, |own| own.spendable_tokens(is_marked))
+        let ages = self.mark_ages(now);
+        self.accounts.get(account_id).map_or(0, |own| own.spendable_tokens(ages))
     }
 
     /// Returns the time until use may pass the marks, because the log is out of touch.
     pub fn time_to_unmarked(&self, now: Uptime) -> Duration {
-        self.marked_until.max(self.marked_until_in_doubt).saturating_sub(now)
+        let times = [self.committed_marks, self.pending_marks].into_iter().flatten();
+        times.map(|time| time.until.saturating_sub(now)).max().unwrap_or_default()
     }
 
-    /// Returns whether an account has tokens that only its mark keeps from a request.
-    pub fn is_held_back(&self, account_id: &str, worst_case_tokens: Tokens) -> bool {
-        let own = self.accounts.get(account_id);
-        own.is_some_and(|own| own.spendable_tokens(false) >= worst_case_tokens as i64)
+    /// Returns the time until a request may reserve its worst case without a new record, if only the
+    /// marks keep the tokens from it.
+    pub fn time_to_spendable(
+        &self,
+        account_id: &str,
+        worst_case_tokens: Tokens,
+        now: Uptime,
+    ) -> Option<Duration> {
+        let own = self.accounts.get(account_id)?;
+        if own.spendable_tokens(MarkAges::default()) < worst_case_tokens as i64 {
+            return None;
+        }
+        let by_growth = own.time_to_spendable(worst_case_tokens, self.mark_ages(now));
+        Some(by_growth.min(self.time_to_unmarked(now)))
     }
 
     /// Takes over the recent use of the run before on this VM.
@@ -115,8 +143,11 @@
         }
     }
 
-    fn is_marked(&self, now: Uptime) -> bool {
-        !self.time_to_unmarked(now).is_zero()
+    fn mark_ages(&self, now: Uptime) -> MarkAges {
+        MarkAges {
+            committed: self.committed_marks.and_then(|time| time.age(now)),
+            pending: self.pending_marks.and_then(|time| time.age(now)),
+        }
     }
 
     /// Reserves the worst case of a request; false when too little is held.
@@ -127,11 +158,11 @@
         worst_case_tokens: Tokens,
         now: Uptime,
     ) -> bool {
-        let is_marked = self.is_marked(now);
+        let ages = self.mark_ages(now);
         let Some(own) = self.accounts.get_mut(account_id) else {
             return false;
         };
-        if own.spendable_tokens(is_marked) < worst_case_tokens as i64 {
+        if own.spendable_tokens(ages) < worst_case_tokens as i64 {
             return false;
         }
         own.record_size(worst_case_tokens);
@@ -168,12 +199,12 @@
         liked_tokens: Tokens,
         now: Uptime,
     ) -> Tokens {
-        let is_marked = self.is_marked(now);
+        let ages = self.mark_ages(now);
         if let Some((_, given)) = self.gifts.iter().find(|(known, _)| *known == transfer_id) {
             return *given;
         }
         let own = self.accounts.entry(account_id.to_owned()).or_default();
-        let available = own.spendable_tokens(is_marked).max(0);
+        let available = own.spendable_tokens(ages).max(0);
         let spare = (available / KEPT_PART_DIVISOR).min(liked_tokens as i64);
         let given = spare.max(available.min(needed_tokens as i64)) as Tokens;
         own.given_tokens += given;
@@ -188,11 +219,44 @@
         given
     }
 
+    /// Gives away all that may be used, in equal parts, because this run ends out of touch with the
+    /// log. What is given counts as gone from now on.
+    pub fn give_all(&mut self, part_count: usize, now: Uptime) -> Vec<Vec<AccountTokens>> {
+        let ages = self.mark_ages(now);
+        let mut parts = vec![Vec::new(); part_count];
+        for (account_id, own) in &mut self.accounts {
+            let available = own.spendable_tokens(ages).max(0) as Tokens;
+            let share = available / part_count.max(1) as Tokens;
+            if share == 0 {
+                continue;
+            }
+            for part in &mut parts {
+                own.given_tokens += share;
+                part.push((account_id.clone(), share));
+            }
+        }
+        parts
+    }
+
     /// Takes in tokens that another VM gave.
     pub fn receive(&mut self, account_id: &str, tokens: Tokens) {
         self.accounts.entry(account_id.to_owned()).or_default().received_tokens += tokens;
     }
 
+    /// Takes in what a run gave away at its end; a repeated message changes nothing.
+    pub fn receive_all(&mut self, transfer_id: &TransferId, given: &[AccountTokens]) {
+        if self.received.contains(transfer_id) {
+            return;
+        }
+        for (account_id, tokens) in given {
+            self.receive(account_id, *tokens);
+        }
+        if self.received.len() >= MAX_REMEMBERED_GIFTS {
+            self.received.pop_front();
+        }
+        self.received.push_back(transfer_id.clone());
+    }
+
     /// Keeps what was drawn beyond a reduced amount from being used, in proportion to each holder's
     /// part.
     pub fn observe_ledger(&mut self, ledger: &TokenLedger, config: &FleetConfig) {
@@ -271,11 +335,12 @@
 
     /// Takes over a planned record that is in the log.
     pub fn commit(&mut self, planned: &PlannedRecord) {
-        self.marked_until = planned.planned_at + planned.record.marked_for;
-        self.marked_until_in_doubt = Uptime::ZERO;
+        let since = planned.planned_at;
+        self.committed_marks = Some(MarkedTime { since, until: since + planned.record.marked_for });
+        self.pending_marks = None;
         for held in &planned.record.accounts {
             let own = self.accounts.entry(held.account_id.clone()).or_default();
-            own.marked_tokens = held.marked_tokens;
+            own.mark = held.mark();
             own.pending_mark = None;
             if held.marked_tokens >= own.used_tokens() + own.wanted_tokens {
                 own.wanted_tokens = 0;
@@ -292,7 +357,7 @@
 
     /// Drops a planned record that will never be in the log.
     pub fn abandon(&mut self, planned: &PlannedRecord) {
-        self.marked_until_in_doubt = Uptime::ZERO;
+        self.pending_marks = None;
         for own in self.accounts.values_mut() {
             own.pending_mark = None;
         }
@@ -331,12 +396,12 @@
         clocks: ClockReading,
     ) -> PlannedRecord {
         self.sequence += 1;
-        self.marked_until_in_doubt = now + self.marked_for;
+        self.pending_marks = Some(MarkedTime { since: now, until: now + self.marked_for });
         let role = self.role;
         let is_wanted = self.accounts.values().any(|own| own.wanted_tokens > 0);
         let accounts = self.accounts.iter_mut().map(|(account_id, own)| {
             let change = changes.iter().find(|(changed, _)| changed == account_id);
-            let mark = if is_closed { own.used_tokens() } else { own.next_mark() };
+            let mark = if is_closed { own.last_mark() } else { own.next_mark() };
             own.pending_mark = Some(mark);
             HeldTokens {
                 account_id: account_id.clone(),
@@ -344,7 +409,8 @@
                 received_tokens: own.received_tokens,
                 given_tokens: own.given_tokens,
                 spent_tokens: own.settled_tokens + own.reserved_tokens,
-                marked_tokens: mark,
+                marked_tokens: mark.tokens,
+                mark_growth_tokens_per_s: mark.growth_tokens_per_s,
                 use_tokens_per_s: match role {
                     HolderRole::Equal | HolderRole::Bank => own.use_per_s(now) as Tokens,
                     HolderRole::Asking => 0,
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -10,3 +10,4 @@
 mod token_holding;
 mod token_world;
 mod token_world_properties;
+mod topic_cursor;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/reclaim.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/reclaim.rs
@@ -32,6 +32,7 @@
             given_tokens: 100,
             spent_tokens: 2_000,
             marked_tokens: 3_000,
+            mark_growth_tokens_per_s: 0,
             use_tokens_per_s: 1_000,
         }],
     }
--- /dev/null
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/topic_cursor.rs
@@ -0,0 +1,47 @@
+use std::time::Duration;
+
+use sassafrashoist_core::gateway::topic_cursor::{NextRead, TopicCursor};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn cursor_at(next: u64) -> TopicCursor {
+    let mut cursor = TopicCursor::default();
+    cursor.record_newest(next, NOW);
+    cursor
+}
+
+#[test]
+fn a_topic_is_read_from_its_newest_records_at_first() {
+    assert_eq!(TopicCursor::default().next_read(NOW), NextRead::Newest);
+}
+
+#[test]
+fn appended_records_are_read_while_in_touch() {
+    let mut cursor = cursor_at(40);
+    cursor.record_read(42, 42, NOW);
+
+    assert_eq!(cursor.next_read(NOW + Duration::from_secs(1)), NextRead::From(42));
+}
+
+#[test]
+fn the_newest_records_are_read_after_a_long_outage() {
+    let cursor = cursor_at(40);
+
+    assert_eq!(cursor.next_read(NOW + Duration::from_secs(8)), NextRead::Newest);
+}
+
+#[test]
+fn the_newest_records_are_read_when_one_read_did_not_bring_all() {
+    let mut cursor = cursor_at(40);
+    cursor.record_read(44, 60, NOW);
+
+    assert_eq!(cursor.next_read(NOW), NextRead::Newest);
+}
+
+#[test]
+fn the_newest_records_are_read_when_the_history_was_dropped() {
+    let mut cursor = cursor_at(40);
+    cursor.record_trimmed();
+
+    assert_eq!(cursor.next_read(NOW), NextRead::Newest);
+}
--- a/crates/sassafrashoist/src/gateway/ask_peers.rs
+++ b/crates/sassafrashoist/src/gateway/ask_peers.rs
@@ -4,21 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use eyre::{WrapErr, bail};
-use http::header::HOST;
-use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use sassafrashoist_core::gateway::token_holding::TransferId;
+use eyre::WrapErr;
 use sassafrashoist_core::ids::Tokens;
 
 use super::gateway_context::GatewayContext;
-use super::http_exchange::Connection;
 use super::peer_messages::{TRANSFER_PATH, TransferAnswer, TransferQuestion};
+use super::send_message::send_message;
 use super::token_book::RichPeer;
 
-/// How long another VM may take to answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How often a question is asked until it is answered: tokens of a lost answer are in doubt.
 const MAX_QUESTIONS: u32 = 8;
 /// Pause before a question is asked again.
@@ -35,7 +28,7 @@
     needed_tokens: Tokens,
     liked_tokens: Tokens,
 ) {
-    let transfer_id = next_transfer_id(context);
+    let transfer_id = context.lock_tokens().next_transfer_id();
     let question = TransferQuestion {
         transfer_id,
         holder_id: peer.holder_id,
@@ -89,27 +82,6 @@
     address: SocketAddr,
     question: &TransferQuestion,
 ) -> eyre::Result<TransferAnswer> {
-    let body = Bytes::from(postcard::to_stdvec(question).wrap_err("failed to encode a question")?);
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(TRANSFER_PATH)
-        .header(HOST, address.to_string())
-        .body(Full::new(body))
-        .wrap_err("failed to build a question")?;
-    let exchange = async {
-        let mut connection = Connection::open(address, ANSWER_TIMEOUT).await?;
-        let response = connection.send(request).await?;
-        if response.status() != StatusCode::OK {
-            bail!("VM at {address} answered with status {}", response.status());
-        }
-        let body = response.into_body().collect().await?.to_bytes();
-        postcard::from_bytes(&body).wrap_err("failed to decode the answer")
-    };
-    tokio::time::timeout(ANSWER_TIMEOUT, exchange).await.wrap_err("no answer in time")?
-}
-
-fn next_transfer_id(context: &GatewayContext) -> TransferId {
-    let mut tokens = context.lock_tokens();
-    tokens.transfer_count += 1;
-    (tokens.holding.holder_id().clone(), tokens.transfer_count)
+    let body = send_message(address, TRANSFER_PATH, question).await?;
+    postcard::from_bytes(&body).wrap_err("failed to decode the answer")
 }
--- a/crates/sassafrashoist/src/gateway/follow_topic.rs
+++ b/crates/sassafrashoist/src/gateway/follow_topic.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sassafrashoist_adapter::log_answers::{KeyedRecord, LogError};
-use sassafrashoist_core::ids::LogOffset;
+use sassafrashoist_core::gateway::topic_cursor::{NextRead, TopicCursor};
 
 use super::gateway_context::GatewayContext;
 use super::log_link::{LogCallError, LogLink};
@@ -32,10 +32,10 @@
     mut take: impl FnMut(&GatewayContext, TopicNews),
 ) {
     let mut link = LogLink::new(Arc::clone(&context));
-    let mut next: Option<LogOffset> = None;
+    let mut cursor = TopicCursor::default();
     let mut reach = TopicReach::new(topic);
     loop {
-        match read_news(&mut link, topic, &mut next).await {
+        match read_news(&context, &mut link, topic, &mut cursor).await {
             Ok(news) => {
                 reach.record_success();
                 let is_empty = matches!(&news, TopicNews::Appended(records) if records.is_empty());
@@ -53,23 +53,24 @@
 }
 
 async fn read_news(
+    context: &GatewayContext,
     link: &mut LogLink,
     topic: &str,
-    next: &mut Option<LogOffset>,
+    cursor: &mut TopicCursor,
 ) -> Result<TopicNews, LogCallError> {
-    let Some(from) = *next else {
+    let NextRead::From(from) = cursor.next_read(context.now()) else {
         let page = link.newest(topic).await?;
-        *next = Some(page.end);
+        cursor.record_newest(page.end, context.now());
         return Ok(TopicNews::All(page.records));
     };
     match link.read(topic, from, READ_WAIT).await {
         Ok(batch) => {
-            *next = Some(batch.next);
+            cursor.record_read(batch.next, batch.end, context.now());
             Ok(TopicNews::Appended(batch.records))
         }
         Err(error) => {
             if matches!(error, LogCallError::Answered(LogError::Trimmed(_))) {
-                *next = None;
+                cursor.record_trimmed();
             }
             Err(error)
         }
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -12,6 +12,7 @@
 use sassafrashoist_core::gateway::planned_record::PlannedRecord;
 use sassafrashoist_core::gateway::reclaim::reclaim_predecessor;
 use sassafrashoist_core::gateway::token_banks::TokenBanks;
+use sassafrashoist_core::gateway::topic_cursor::{NextRead, TopicCursor};
 use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::ids::LogOffset;
 use tokio_util::sync::CancellationToken;
@@ -58,7 +59,7 @@
 struct TokenKeeper {
     context: Arc<GatewayContext>,
     link: LogLink,
-    has_snapshot: bool,
+    cursor: TopicCursor,
     has_reclaimed: bool,
     writer: LedgerWriter,
     reported_at: Uptime,
@@ -72,7 +73,7 @@
         Self {
             context,
             link,
-            has_snapshot: false,
+            cursor: TopicCursor::default(),
             has_reclaimed: false,
             writer: LedgerWriter::default(),
             reported_at: Uptime::ZERO,
@@ -183,25 +184,25 @@
     }
 
     async fn read(&mut self) -> Result<(), LogCallError> {
-        if !self.has_snapshot {
-            let page = self.link.newest(LEDGER_TOPIC).await?;
-            self.apply(page.records, page.end);
-            self.has_snapshot = true;
-        }
         loop {
+            let now = self.context.now();
+            if self.cursor.next_read(now) == NextRead::Newest {
+                let page = self.link.newest(LEDGER_TOPIC).await?;
+                self.apply(page.records, page.end);
+                self.cursor.record_newest(page.end, self.context.now());
+            }
+            // Own appends move the ledger on between two reads.
             let from = self.context.lock_tokens().ledger.end();
             match self.link.read(LEDGER_TOPIC, from, Duration::ZERO).await {
                 Ok(batch) => {
+                    self.cursor.record_read(batch.next, batch.end, self.context.now());
                     let is_at_end = batch.next >= batch.end;
                     self.apply(batch.records, batch.next);
                     if is_at_end {
                         break;
                     }
                 }
-                Err(LogCallError::Answered(LogError::Trimmed(_))) => {
-                    let page = self.link.newest(LEDGER_TOPIC).await?;
-                    self.apply(page.records, page.end);
-                }
+                Err(LogCallError::Answered(LogError::Trimmed(_))) => self.cursor.record_trimmed(),
                 Err(error) => return Err(error),
             }
         }
--- a/crates/sassafrashoist/src/gateway/log_link.rs
+++ b/crates/sassafrashoist/src/gateway/log_link.rs
@@ -1,9 +1,11 @@
 //! A connection to the log service that is replaced when it fails or falls silent.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use futures::FutureExt;
 use http::Request;
 use http::header::HOST;
 use http_body_util::{BodyExt, Full};
@@ -18,8 +20,9 @@
 
 /// How long a connection may take to open; the service is one hop away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long a call may take beyond the time it asked to wait: 50 times the usual answer's time.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long the service may send nothing beyond the time it was asked to wait: 50 times the usual
+/// answer's time. A long answer over a narrow link takes longer as a whole.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Why a call of the log service has no result.
 #[derive(Debug, thiserror::Error)]
@@ -128,18 +131,29 @@
             .header(HOST, address.to_string())
             .body(Full::new(call.body))
             .map_err(|error| LogCallError::NotSent(error.to_string()))?;
-        let exchange = async {
-            let response = connection.send(request).await.map_err(|error| error.to_string())?;
-            let status = response.status().as_u16();
-            let body = response.into_body().collect().await.map_err(|error| error.to_string())?;
-            Ok((status, body.to_bytes()))
-        };
         // A connection on which an answer is lost never carries another one.
-        let answer = tokio::time::timeout(wait + ANSWER_TIMEOUT, exchange)
-            .await
-            .unwrap_or_else(|_| Err(format!("nothing in {:?}", wait + ANSWER_TIMEOUT)))
-            .map_err(LogCallError::Unanswered)?;
+        let response = within(wait + SILENCE_TIMEOUT, connection.send(request)).await?;
+        let status = response.status().as_u16();
+        let mut body = response.into_body();
+        let mut received = BytesMut::new();
+        while let Some(frame) = within(SILENCE_TIMEOUT, body.frame().map(Option::transpose)).await?
+        {
+            if let Some(data) = frame.data_ref() {
+                received.extend_from_slice(data);
+            }
+        }
         self.connection = Some(connection);
-        Ok(answer)
+        Ok((status, received.freeze()))
+    }
+}
+
+/// Waits for one part of an answer.
+async fn within<T, E: Display>(
+    timeout: Duration,
+    part: impl Future<Output = Result<T, E>>,
+) -> Result<T, LogCallError> {
+    match tokio::time::timeout(timeout, part).await {
+        Ok(result) => result.map_err(|error| LogCallError::Unanswered(error.to_string())),
+        Err(_) => Err(LogCallError::Unanswered(format!("nothing in {timeout:?}"))),
     }
 }
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -7,8 +7,8 @@
 //!   on ([`pass_events`]), settle.
 //! - [`follow_topic`] reads a topic of the log service; [`follow_config`] and [`follow_servers`] put
 //!   what it says in force.
-//! - [`keep_tokens`] keeps this VM's part of the ledger of prepaid tokens; [`ask_peers`] and
-//!   [`serve_peers`] move tokens between VMs.
+//! - [`keep_tokens`] keeps this VM's part of the ledger of prepaid tokens; [`ask_peers`],
+//!   [`hand_over`] and [`serve_peers`] move tokens between VMs.
 //! - [`serve_readiness`] answers the balancer, [`serve_metrics`] operators.
 //!
 //! The decisions are in `sassafrashoist_core::gateway`, the platform's names in
@@ -22,6 +22,7 @@
 pub mod follow_servers;
 pub mod follow_topic;
 pub mod gateway_context;
+pub mod hand_over;
 pub mod http_exchange;
 pub mod keep_tokens;
 pub mod listen;
@@ -34,6 +35,7 @@
 pub mod run_attempts;
 pub mod run_gateway;
 pub mod send_attempt;
+pub mod send_message;
 pub mod serve_clients;
 pub mod serve_metrics;
 pub mod serve_peers;
--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -102,11 +102,8 @@
     }
     let mut tokens = context.lock_tokens();
     tokens.record_shortage(account_id, needed, context.now());
-    let delay = if tokens.holding.is_held_back(account_id, needed) {
-        tokens.holding.time_to_unmarked(context.now()).max(MIN_RETRY_AFTER)
-    } else {
-        TOKENS_RETRY_AFTER
-    };
+    let held_back_for = tokens.holding.time_to_spendable(account_id, needed, context.now());
+    let delay = held_back_for.map_or(TOKENS_RETRY_AFTER, |time| time.max(MIN_RETRY_AFTER));
     Err(NoTokens::OutOfReach(delay))
 }
 
--- a/crates/sassafrashoist/src/gateway/peer_messages.rs
+++ b/crates/sassafrashoist/src/gateway/peer_messages.rs
@@ -1,13 +1,27 @@
 //! What VMs say to each other.
 
 use sassafrashoist_core::gateway::HolderId;
-use sassafrashoist_core::gateway::token_holding::TransferId;
+use sassafrashoist_core::gateway::token_holding::{AccountTokens, TransferId};
 use sassafrashoist_core::ids::{ClientAccountId, Tokens};
 use serde::{Deserialize, Serialize};
 
 /// The path on which VMs ask for tokens.
 pub const TRANSFER_PATH: &str = "/transfer";
 
+/// The path on which a VM that stops hands its tokens over.
+pub const HAND_OVER_PATH: &str = "/hand-over";
+
+/// Hands tokens over to another VM. A repeated message changes nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandOver {
+    /// Names the message.
+    pub transfer_id: TransferId,
+    /// The run that is to take them in; another run on the same VM refuses them.
+    pub holder_id: HolderId,
+    /// The tokens.
+    pub given: Vec<AccountTokens>,
+}
+
 /// Asks another VM for tokens. A repeated question gets the first answer again.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TransferQuestion {
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -14,8 +14,10 @@
 use super::follow_config::follow_config;
 use super::follow_servers::follow_servers;
 use super::gateway_context::GatewayContext;
+use super::hand_over::hand_over_tokens;
 use super::keep_tokens::keep_tokens;
 use super::listen::bind;
+use super::obtain_tokens::is_ledger_fresh;
 use super::serve_clients::serve_clients;
 use super::serve_metrics::serve_metrics;
 use super::serve_peers::serve_peers;
@@ -26,7 +28,9 @@
 const LINGER: Duration = Duration::from_millis(2_600);
 /// What is kept of the shutdown grace to hand back tokens and to exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(1_300);
-/// How long handing back tokens may take.
+/// How long handing tokens over to other VMs may take, out of `EXIT_MARGIN`.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long handing back tokens may take, out of `EXIT_MARGIN`.
 const HAND_BACK_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_LOOK_INTERVAL: Duration = Duration::from_secs(1);
@@ -79,6 +83,11 @@
         _ = interrupt.recv() => {}
     }
     drain(&context, &closing).await;
+    if !is_ledger_fresh(&context)
+        && tokio::time::timeout(HAND_OVER_TIMEOUT, hand_over_tokens(&context)).await.is_err()
+    {
+        log::warn!("tokens not handed over: other VMs did not answer in time");
+    }
     finished.cancel();
     if tokio::time::timeout(HAND_BACK_TIMEOUT, keeper).await.is_err() {
         log::warn!("tokens not handed back: the log service did not answer in time");
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -14,10 +14,12 @@
 use super::gateway_context::GatewayContext;
 use super::listen::serve_listener;
 use super::obtain_tokens::is_ledger_fresh;
-use super::peer_messages::{TRANSFER_PATH, TransferAnswer, TransferQuestion};
+use super::peer_messages::{
+    HAND_OVER_PATH, HandOver, TRANSFER_PATH, TransferAnswer, TransferQuestion,
+};
 
-/// The longest question of another VM.
-const MAX_QUESTION_BYTES: usize = 4_096;
+/// The longest message of another VM: tokens of a few thousand accounts.
+const MAX_MESSAGE_BYTES: usize = 65_536;
 /// How long a draw for another VM may take; the other one waits little longer.
 const DRAW_WAIT: Duration = Duration::from_millis(90);
 
@@ -32,23 +34,64 @@
 }
 
 async fn answer_peer(context: &GatewayContext, request: Request<Incoming>) -> Response<AnswerBody> {
-    if request.uri().path() != TRANSFER_PATH {
-        return answer(StatusCode::NOT_FOUND, HeaderMap::new(), Bytes::new());
-    }
-    let body = Limited::new(request.into_body(), MAX_QUESTION_BYTES).collect().await;
-    let question: Option<TransferQuestion> =
-        body.ok().and_then(|body| postcard::from_bytes(&body.to_bytes()).ok());
-    let Some(question) = question else {
-        log::warn!("malformed question of another VM");
-        return answer(StatusCode::BAD_REQUEST, HeaderMap::new(), Bytes::new());
+    let path = request.uri().path().to_owned();
+    let body = match Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::warn!(path = path, error:% = error; "message of another VM not read");
+            return empty(StatusCode::BAD_REQUEST);
+        }
     };
-    draw_for(context, &question).await;
-    let reply = give_tokens(context, &question);
+    match path.as_str() {
+        TRANSFER_PATH => match postcard::from_bytes(&body) {
+            Ok(question) => answer_question(context, &question).await,
+            Err(error) => refuse_malformed(&path, &error),
+        },
+        HAND_OVER_PATH => match postcard::from_bytes(&body) {
+            Ok(message) => take_in(context, &message),
+            Err(error) => refuse_malformed(&path, &error),
+        },
+        _ => empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn empty(status: StatusCode) -> Response<AnswerBody> {
+    answer(status, HeaderMap::new(), Bytes::new())
+}
+
+fn refuse_malformed(path: &str, error: &postcard::Error) -> Response<AnswerBody> {
+    log::warn!(path = path, error:% = error; "malformed message of another VM");
+    empty(StatusCode::BAD_REQUEST)
+}
+
+/// Takes in the tokens of a VM that stops.
+fn take_in(context: &GatewayContext, message: &HandOver) -> Response<AnswerBody> {
+    let mut tokens = context.lock_tokens();
+    if *tokens.holding.holder_id() != message.holder_id {
+        log::warn!(from = message.transfer_id.0; "tokens meant for another run not taken in");
+        return empty(StatusCode::CONFLICT);
+    }
+    tokens.holding.receive_all(&message.transfer_id, &message.given);
+    drop(tokens);
+    log::info!(
+        from = message.transfer_id.0, given:? = message.given;
+        "tokens of a VM that stops taken in"
+    );
+    context.tokens_changed.notify_waiters();
+    empty(StatusCode::OK)
+}
+
+async fn answer_question(
+    context: &GatewayContext,
+    question: &TransferQuestion,
+) -> Response<AnswerBody> {
+    draw_for(context, question).await;
+    let reply = give_tokens(context, question);
     match postcard::to_stdvec(&reply) {
         Ok(bytes) => answer(StatusCode::OK, HeaderMap::new(), bytes.into()),
         Err(error) => {
             log::error!(error:% = error; "answer to another VM cannot be encoded");
-            answer(StatusCode::INTERNAL_SERVER_ERROR, HeaderMap::new(), Bytes::new())
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
--- a/crates/sassafrashoist/src/gateway/token_book.rs
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -7,7 +7,7 @@
 
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
 use sassafrashoist_core::gateway::token_banks::TokenBanks;
-use sassafrashoist_core::gateway::token_holding::TokenHolding;
+use sassafrashoist_core::gateway::token_holding::{TokenHolding, TransferId};
 use sassafrashoist_core::gateway::token_ledger::TokenLedger;
 use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::ids::{ClientAccountId, Tokens};
@@ -26,8 +26,7 @@
     pub holding: TokenHolding,
     /// When the ledger was last read to its end.
     pub read_at: Option<Uptime>,
-    /// Counts the questions to other VMs.
-    pub transfer_count: u64,
+    transfer_count: u64,
     heard: HashMap<(HolderId, ClientAccountId), (Uptime, i64)>,
     shortages: HashMap<ClientAccountId, Shortage>,
 }
@@ -91,25 +90,49 @@
     /// What a VM said itself a moment ago goes before its record. One that had none may get some,
     /// so it is asked again after a while.
     pub fn rich_peers(&self, account_id: &str, now: Uptime) -> Vec<RichPeer> {
-        let banks = TokenBanks::pick(&self.ledger);
-        let prefers_near = banks.count() < self.ledger.live_holders().count();
-        let mut peers: Vec<(bool, RichPeer)> = Vec::new();
-        for (holder_id, record) in self.ledger.live_holders() {
-            if record.vm_id == *self.holding.vm_id() || !banks.contains(&record.vm_id) {
-                continue;
-            }
-            let available_tokens = self.believed_tokens(holder_id, record, account_id, now);
-            if available_tokens > 0 {
-                let is_remote = record.data_centre_id != *self.holding.data_centre_id();
-                let (holder_id, address) = (holder_id.clone(), record.peer_address);
-                let peer = RichPeer { holder_id, address, available_tokens };
-                peers.push((prefers_near && is_remote, peer));
-            }
-        }
-        peers.sort_by_key(|(is_last, peer)| (*is_last, Reverse(peer.available_tokens)));
+        let prefers_near = !TokenBanks::pick(&self.ledger).is_every_vm();
+        let believed = |holder_id: &HolderId, record: &HolderRecord| {
+            self.believed_tokens(holder_id, record, account_id, now)
+        };
+        let mut peers = self.peers(believed);
+        peers.retain(|(_, peer)| peer.available_tokens > 0);
+        peers.sort_by_key(|(is_remote, peer)| {
+            (prefers_near && *is_remote, Reverse(peer.available_tokens))
+        });
+        peers.into_iter().map(|(_, peer)| peer).collect()
+    }
+
+    /// Returns the other VMs that draw tokens, those of the own data centre first.
+    pub fn peers_by_distance(&self) -> Vec<RichPeer> {
+        let mut peers = self.peers(|_, _| 0);
+        peers.sort_by_key(|(is_remote, _)| *is_remote);
         peers.into_iter().map(|(_, peer)| peer).collect()
     }
 
+    /// Names a transfer that this run begins.
+    pub fn next_transfer_id(&mut self) -> TransferId {
+        self.transfer_count += 1;
+        (self.holding.holder_id().clone(), self.transfer_count)
+    }
+
+    /// Returns the other VMs that draw tokens and whether each is in another data centre.
+    fn peers(&self, available: impl Fn(&HolderId, &HolderRecord) -> i64) -> Vec<(bool, RichPeer)> {
+        let banks = TokenBanks::pick(&self.ledger);
+        let others = self.ledger.live_holders().filter(|(_, record)| {
+            record.vm_id != *self.holding.vm_id() && banks.contains(&record.vm_id)
+        });
+        let peers = others.map(|(holder_id, record)| {
+            let is_remote = record.data_centre_id != *self.holding.data_centre_id();
+            let peer = RichPeer {
+                holder_id: holder_id.clone(),
+                address: record.peer_address,
+                available_tokens: available(holder_id, record),
+            };
+            (is_remote, peer)
+        });
+        peers.collect()
+    }
+
     /// Returns the tokens that an account still has according to the ledger, wherever they are.
     pub fn unspent_tokens(&self, account_id: &str, paid_tokens: Tokens) -> i64 {
         paid_tokens as i64 - self.ledger.spent_tokens(account_id) as i64
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -218,6 +218,40 @@
     assert_eq!((old_key.status, new_key.status), (401, 200));
 }
 
+#[tokio::test]
+async fn the_newest_configuration_is_in_force_soon_after_an_outage_behind_a_narrow_link() {
+    let mut fleet = start("narrow", plan()).await;
+    fleet.log.set_fault(LogFault::Down);
+    fleet.change_keys_in_storm(&["another-key"], 40, 60_000);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    fleet.log.set_fault(LogFault::Narrow { bytes_per_s: 400_000 });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let new_key = Call { key: Some("another-key".to_owned()), ..bid() };
+    let answer = fleet.send(0, "b1", &new_key).await.unwrap();
+
+    assert_eq!(answer.status, 200);
+}
+
+#[tokio::test]
+async fn tokens_of_a_vm_that_stops_out_of_touch_are_spent_by_another() {
+    let plan = FleetPlan { gateway_count: 2, paid_tokens: 60_000, ..plan() };
+    let mut fleet = start("hand_over", plan).await;
+    for number in 0..12 {
+        assert_stream(&fleet.send(number % 2, &format!("c{number}"), &chat()).await.unwrap());
+    }
+    fleet.log.set_fault(LogFault::Silent);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    fleet.gateways[1].terminate().unwrap();
+    fleet.gateways[1].wait_for_end().await.unwrap();
+
+    let given = fleet.gateways[1].read_log().unwrap();
+    let taken = fleet.gateways[0].read_log().unwrap();
+    assert!(given.contains("tokens handed over"), "{given}");
+    assert!(taken.contains("tokens of a VM that stops taken in"), "{taken}");
+}
+
 #[tokio::test]
 async fn draining_and_unlisted_servers_get_no_requests() {
     let fleet = start("draining", plan()).await;
