Let requests that lack tokens wait in one queue for each account

Change: core::token_queue, one queue for each account, first come first served, one fetch for all that wait; VMs that do not draw ask for what is missing only, busy ones somewhat ahead (core::ask_ahead); a draw is not waited for when the account is drawn up; the answer of another VM says what it used, so that 402 is known sooner.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! - [`server_directory`]: the backend servers, their load and health, and the choice among them.
 //! - [`token_ledger`], [`token_holding`] and [`token_banks`]: who may spend which tokens of a client
 //!   account.
+//! - [`token_queue`] and [`ask_ahead`]: the requests that wait for tokens, and those to come.
 //! - [`ledger_writer`]: the append in progress, whose fate may be unknown.
 //! - [`reclaim`]: what a run that died cannot have used.
 //! - [`topic_cursor`]: where to read on in a topic of the log.
@@ -11,6 +12,7 @@
 //!
 //! Times are given as the time since the process started.
 
+pub mod ask_ahead;
 pub mod clock_reading;
 pub mod fleet_config;
 pub mod flow_rate;
@@ -30,6 +32,7 @@
 pub mod token_banks;
 pub mod token_holding;
 pub mod token_ledger;
+pub mod token_queue;
 pub mod topic_cursor;
 pub mod vm_settings;
 
--- a/crates/sassafrashoist-core/src/gateway/own_tokens.rs
+++ b/crates/sassafrashoist-core/src/gateway/own_tokens.rs
@@ -45,7 +45,7 @@
 /// The part of the room by which marks grow each second.
 const MARK_GROWTH_PER_S: f64 = 0.4;
 /// The usual requests that a VM that does not draw may hold.
-const ASKED_REQUESTS: f64 = 3.0;
+const ASKED_REQUESTS: f64 = 1.0;
 /// The weight of one request in the usual size of requests.
 const SIZE_SAMPLE_WEIGHT: f64 = 0.1;
 /// The usual requests for which a mark leaves room besides, if it leaves room for the longest time.
@@ -159,6 +159,11 @@
         self.use_rate.per_second(USE_DECAY_S, now)
     }
 
+    /// Returns the usual size of a request.
+    pub(super) fn usual_tokens(&self) -> f64 {
+        self.usual_tokens
+    }
+
     /// Learns the usual size of a request.
     pub(super) fn record_size(&mut self, tokens: Tokens) {
         self.usual_tokens += SIZE_SAMPLE_WEIGHT * (tokens as f64 - self.usual_tokens);
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -135,6 +135,37 @@
         Some(by_growth.min(self.time_to_unmarked(now)))
     }
 
+    /// Returns whether marks keep held tokens of an account from requests, so that a record frees
+    /// them.
+    pub fn is_held_back(&self, account_id: &str, now: Uptime) -> bool {
+        let own = self.accounts.get(account_id);
+        own.is_some_and(|own| {
+            own.spendable_tokens(MarkAges::default()) > own.spendable_tokens(self.mark_ages(now))
+        })
+    }
+
+    /// Returns the tokens of an account that were used here a second of late.
+    pub fn use_tokens_per_s(&self, account_id: &str, now: Uptime) -> f64 {
+        self.accounts.get(account_id).map_or(0.0, |own| own.use_per_s(now))
+    }
+
+    /// Returns the tokens of an account used here, with those that requests in progress may still use.
+    pub fn spent_tokens(&self, account_id: &str) -> Tokens {
+        self.accounts.get(account_id).map_or(0, |own| own.settled_tokens + own.reserved_tokens)
+    }
+
+    /// Returns the usual worst case of a request of an account.
+    pub fn usual_tokens(&self, account_id: &str) -> f64 {
+        self.accounts.get(account_id).map_or(0.0, OwnTokens::usual_tokens)
+    }
+
+    /// Frees what a request reserved that will not be sent.
+    pub fn release(&mut self, account_id: &str, worst_case_tokens: Tokens) {
+        if let Some(own) = self.accounts.get_mut(account_id) {
+            own.reserved_tokens = own.reserved_tokens.saturating_sub(worst_case_tokens);
+        }
+    }
+
     /// Takes over the recent use of the run before on this VM.
     pub fn adopt_use(&mut self, record: &HolderRecord, now: Uptime) {
         for held in &record.accounts {
--- a/crates/sassafrashoist/src/gateway/ask_peers.rs
+++ b/crates/sassafrashoist/src/gateway/ask_peers.rs
@@ -51,18 +51,21 @@
 ) {
     let account_id = &question.account_id;
     for count in 1..=MAX_QUESTIONS {
+        let asked_at = context.now();
         match ask_once(address, question).await {
             Ok(reply) => {
                 let mut tokens = context.lock_tokens();
                 let now = context.now();
+                tokens.ask_ahead.record_answer(now.saturating_sub(asked_at));
                 tokens.holding.receive(account_id, reply.given_tokens);
                 tokens.hear(&question.holder_id, account_id, reply.left_tokens, now);
+                tokens.hear_spent(&question.holder_id, account_id, reply.spent_tokens);
                 drop(tokens);
                 log::info!(
                     account = account_id, from = question.holder_id, given = reply.given_tokens;
                     "tokens received from another VM"
                 );
-                context.tokens_changed.notify_waiters();
+                context.tokens_came();
                 return;
             }
             Err(error) => {
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::obtain_tokens::is_ledger_fresh;
 use super::read_clocks::read_clocks;
 use super::token_book::TokenBook;
 
@@ -39,7 +40,7 @@
     pub started_at: ClockReading,
     /// Wakes the task that draws tokens.
     pub tokens_wanted: Notify,
-    /// Wakes requests that wait for tokens.
+    /// Wakes who fetches tokens.
     pub tokens_changed: Notify,
     /// Requests in progress.
     pub requests: TaskTracker,
@@ -163,6 +164,36 @@
         lock(&self.retries).try_repeat(pool_id, &bound, self.now())
     }
 
+    /// Returns whether a record in the ledger could bring tokens of an account here, soon.
+    pub fn gains_by_record(&self, account_id: &str) -> bool {
+        let paid_tokens = self.routes().and_then(|r| r.config().paid_tokens(account_id));
+        let now = self.now();
+        is_ledger_fresh(self)
+            && paid_tokens
+                .is_some_and(|paid| self.lock_tokens().gains_by_record(account_id, paid, now))
+    }
+
+    /// Asks for a record in the ledger that covers all requests that wait for tokens of an account;
+    /// false if none waits.
+    pub fn want_record(&self, account_id: &str) -> bool {
+        let mut tokens = self.lock_tokens();
+        let needed_tokens = tokens.queue.needed_tokens(account_id);
+        if needed_tokens == 0 {
+            return false;
+        }
+        tokens.holding.want(account_id, needed_tokens);
+        drop(tokens);
+        self.tokens_wanted.notify_one();
+        true
+    }
+
+    /// Gives tokens that came to the requests that wait for them.
+    pub fn tokens_came(&self) {
+        let now = self.now();
+        self.lock_tokens().serve_queue(now);
+        self.tokens_changed.notify_waiters();
+    }
+
     /// Returns how long ago the ledger was last read to its end.
     pub fn ledger_age(&self) -> Option<Duration> {
         let read_at = self.lock_tokens().read_at?;
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -98,7 +98,7 @@
             Ok(()) => self.reach.record_success(),
             Err(error) => self.reach.record_failure(&format_args!("{error:#}")),
         }
-        self.context.tokens_changed.notify_waiters();
+        self.context.tokens_came();
     }
 
     async fn read_and_append(&mut self) -> eyre::Result<()> {
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -17,7 +17,7 @@
 pub mod answer_body;
 pub mod ask_peers;
 pub mod caller_watch;
-pub mod draw_tokens;
+pub mod fetch_tokens;
 pub mod follow_config;
 pub mod follow_servers;
 pub mod follow_topic;
@@ -30,6 +30,7 @@
 pub mod obtain_tokens;
 pub mod pass_events;
 pub mod peer_messages;
+pub mod queue_place;
 pub mod read_clocks;
 pub mod request_life;
 pub mod run_attempts;
--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -5,26 +5,21 @@
 
 use sassafrashoist_core::ids::Tokens;
 
-use super::ask_peers::ask_peer;
-use super::draw_tokens::draw_until;
+use super::fetch_tokens::start_fetching;
 use super::gateway_context::GatewayContext;
+use super::queue_place::QueuePlace;
 use super::token_reservation::TokenReservation;
 
 /// How long a request waits for tokens: a draw takes two calls, a question to another VM one.
 const MAX_WAIT: Duration = Duration::from_millis(300);
-/// How long the log is waited for before other VMs are asked.
-const DRAW_WAIT: Duration = Duration::from_millis(130);
 /// The age up to which the ledger tells where tokens are.
 const MAX_LEDGER_AGE: Duration = Duration::from_millis(1_500);
 /// When a caller may come back whose tokens are out of reach: after the next draw.
 const TOKENS_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// When a caller may come back if this VM is out of touch with the ledger: outages last seconds.
+const OUT_OF_TOUCH_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// The least time after which a caller may come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Further requests for which a VM that does not draw asks, so that it asks less often.
-const LIKED_REQUESTS: Tokens = 1;
-/// The most other VMs that are asked for one request.
-const MAX_PEERS: usize = 6;
-
 /// Why a request gets no tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoTokens {
@@ -62,53 +57,39 @@
     worst_case: WorstCase,
 ) -> Result<TokenReservation, NoTokens> {
     let needed = worst_case.total();
-    let give_up_at = context.now() + MAX_WAIT;
-    if try_reserve(context, account_id, needed) {
+    let now = context.now();
+    if context.lock_tokens().try_reserve_unqueued(account_id, needed, now) {
+        if context.lock_tokens().runs_low(account_id, now) {
+            start_fetching(context, account_id);
+        }
         return Ok(reservation(context, account_id, worst_case));
     }
+    let is_short = context.lock_tokens().is_short(account_id, needed, now);
     if is_exhausted(context, account_id, paid_tokens, needed) {
         return Err(NoTokens::Exhausted);
     }
-    if context.lock_tokens().is_short(account_id, needed, context.now()) {
-        return Err(NoTokens::OutOfReach(TOKENS_RETRY_AFTER));
-    }
-    let is_bank = context.lock_tokens().is_bank();
-    if is_bank && is_ledger_fresh(context) {
-        let draw_until_at = context.now() + DRAW_WAIT;
-        let reserve = || try_reserve(context, account_id, needed);
-        if draw_until(context, account_id, needed, draw_until_at, reserve).await {
-            return Ok(reservation(context, account_id, worst_case));
-        }
-    }
-    let peers = context.lock_tokens().rich_peers(account_id, context.now());
-    for peer in peers.into_iter().take(MAX_PEERS) {
-        let now = context.now();
-        let held = context.lock_tokens().holding.available_tokens(account_id, now);
-        let held = held.max(0) as Tokens;
-        let missing = needed.saturating_sub(held);
-        let liked = if is_bank { missing } else { missing + LIKED_REQUESTS * needed };
-        let question = ask_peer(context, peer, account_id, missing, liked);
-        // Tokens that come later are taken in by the question's own task.
-        let is_late = tokio::time::timeout_at(context.instant(give_up_at), question).await.is_err();
-        if try_reserve(context, account_id, needed) {
+    if !is_short {
+        let place = QueuePlace::join(context, account_id, needed);
+        start_fetching(context, account_id);
+        if place.wait(now + MAX_WAIT).await {
             return Ok(reservation(context, account_id, worst_case));
         }
-        if is_late {
-            break;
+        if is_exhausted(context, account_id, paid_tokens, needed) {
+            return Err(NoTokens::Exhausted);
         }
     }
-    if is_exhausted(context, account_id, paid_tokens, needed) {
-        return Err(NoTokens::Exhausted);
-    }
-    let mut tokens = context.lock_tokens();
-    tokens.record_shortage(account_id, needed, context.now());
-    let held_back_for = tokens.holding.time_to_spendable(account_id, needed, context.now());
-    let delay = held_back_for.map_or(TOKENS_RETRY_AFTER, |time| time.max(MIN_RETRY_AFTER));
-    Err(NoTokens::OutOfReach(delay))
+    Err(NoTokens::OutOfReach(time_to_tokens(context, account_id, needed)))
 }
 
-fn try_reserve(context: &GatewayContext, account_id: &str, needed: Tokens) -> bool {
-    context.lock_tokens().holding.try_reserve(account_id, needed, context.now())
+/// Returns the time after which a request that found no tokens may find some.
+fn time_to_tokens(context: &GatewayContext, account_id: &str, needed: Tokens) -> Duration {
+    let now = context.now();
+    let held_back_for = context.lock_tokens().holding.time_to_spendable(account_id, needed, now);
+    match held_back_for {
+        Some(time) => time.max(MIN_RETRY_AFTER),
+        None if is_ledger_fresh(context) => TOKENS_RETRY_AFTER,
+        None => OUT_OF_TOUCH_RETRY_AFTER,
+    }
 }
 
 /// Returns whether the ledger was read to its end a short while ago.
--- a/crates/sassafrashoist/src/gateway/peer_messages.rs
+++ b/crates/sassafrashoist/src/gateway/peer_messages.rs
@@ -44,4 +44,6 @@
     pub given_tokens: Tokens,
     /// The tokens that the giver still has.
     pub left_tokens: i64,
+    /// The tokens that the giver's run used, with those that requests in progress may still use.
+    pub spent_tokens: Tokens,
 }
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -10,13 +10,12 @@
 use tokio::net::TcpListener;
 
 use super::answer_body::{AnswerBody, answer};
-use super::draw_tokens::draw_until;
 use super::gateway_context::GatewayContext;
 use super::listen::serve_listener;
-use super::obtain_tokens::is_ledger_fresh;
 use super::peer_messages::{
     HAND_OVER_PATH, HandOver, TRANSFER_PATH, TransferAnswer, TransferQuestion,
 };
+use super::queue_place::QueuePlace;
 
 /// The longest message of another VM: tokens of a few thousand accounts.
 const MAX_MESSAGE_BYTES: usize = 65_536;
@@ -33,7 +32,10 @@
     .await;
 }
 
-async fn answer_peer(context: &GatewayContext, request: Request<Incoming>) -> Response<AnswerBody> {
+async fn answer_peer(
+    context: &Arc<GatewayContext>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let path = request.uri().path().to_owned();
     let body = match Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
@@ -77,12 +79,12 @@
         from = message.transfer_id.0, given:? = message.given;
         "tokens of a VM that stops taken in"
     );
-    context.tokens_changed.notify_waiters();
+    context.tokens_came();
     empty(StatusCode::OK)
 }
 
 async fn answer_question(
-    context: &GatewayContext,
+    context: &Arc<GatewayContext>,
     question: &TransferQuestion,
 ) -> Response<AnswerBody> {
     draw_for(context, question).await;
@@ -96,18 +98,21 @@
     }
 }
 
-/// Draws tokens for another VM, which may be cut off from the log.
-async fn draw_for(context: &GatewayContext, question: &TransferQuestion) {
+/// Draws tokens for another VM, which may be cut off from the log. Its question waits among the
+/// requests of this VM.
+async fn draw_for(context: &Arc<GatewayContext>, question: &TransferQuestion) {
     let (account_id, needed_tokens) = (&question.account_id, question.needed_tokens);
-    let has_enough = || {
-        let now = context.now();
-        context.lock_tokens().holding.available_tokens(account_id, now) >= needed_tokens as i64
-    };
-    if has_enough() || !is_ledger_fresh(context) {
+    let now = context.now();
+    let held = context.lock_tokens().holding.available_tokens(account_id, now);
+    if held >= needed_tokens as i64 || !context.gains_by_record(account_id) {
         return;
     }
-    let give_up_at = context.now() + DRAW_WAIT;
-    draw_until(context, account_id, needed_tokens, give_up_at, has_enough).await;
+    let place = QueuePlace::join(context, account_id, needed_tokens);
+    context.want_record(account_id);
+    if place.wait(now + DRAW_WAIT).await {
+        // Reserved for the question, which takes them as a gift.
+        context.lock_tokens().holding.release(account_id, needed_tokens);
+    }
 }
 
 fn give_tokens(context: &GatewayContext, question: &TransferQuestion) -> TransferAnswer {
@@ -126,11 +131,12 @@
         0
     };
     let left_tokens = tokens.holding.available_tokens(account_id, context.now());
+    let spent_tokens = tokens.holding.spent_tokens(account_id);
     drop(tokens);
     log::info!(
         account = account_id, to = question.transfer_id.0, needed = question.needed_tokens,
         given = given_tokens, left = left_tokens;
         "tokens given to another VM"
     );
-    TransferAnswer { given_tokens, left_tokens }
+    TransferAnswer { given_tokens, left_tokens, spent_tokens }
 }
--- a/crates/sassafrashoist/src/gateway/token_book.rs
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -1,16 +1,19 @@
 //! The ledger as read from the log, with the tokens that this process holds.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sassafrashoist_core::gateway::ask_ahead::AskAhead;
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
 use sassafrashoist_core::gateway::token_banks::TokenBanks;
 use sassafrashoist_core::gateway::token_holding::{TokenHolding, TransferId};
 use sassafrashoist_core::gateway::token_ledger::TokenLedger;
+use sassafrashoist_core::gateway::token_queue::{Ticket, TokenQueue};
 use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::ids::{ClientAccountId, Tokens};
+use tokio::sync::oneshot;
 
 /// How long a search for tokens that failed is not repeated.
 const SHORT_FOR: Duration = Duration::from_millis(300);
@@ -27,6 +30,15 @@
     /// When the ledger was last read to its end.
     pub read_at: Option<Uptime>,
     transfer_count: u64,
+    /// The requests that wait for tokens.
+    pub queue: TokenQueue,
+    /// What to ask for in advance.
+    pub ask_ahead: AskAhead,
+    /// Whom to tell that a waiting request got its tokens.
+    grants: HashMap<Ticket, oneshot::Sender<()>>,
+    /// The accounts whose tokens are being fetched.
+    pub fetching: HashSet<ClientAccountId>,
+    heard_spent: HashMap<ClientAccountId, HashMap<HolderId, Tokens>>,
     heard: HashMap<(HolderId, ClientAccountId), (Uptime, i64)>,
     shortages: HashMap<ClientAccountId, Shortage>,
 }
@@ -57,11 +69,87 @@
             holding,
             read_at: None,
             transfer_count: 0,
+            queue: TokenQueue::default(),
+            ask_ahead: AskAhead::default(),
+            grants: HashMap::new(),
+            fetching: HashSet::new(),
+            heard_spent: HashMap::new(),
             heard: HashMap::new(),
             shortages: HashMap::new(),
         }
     }
 
+    /// Reserves the worst case of a request if it is held and no other request waits for it.
+    pub fn try_reserve_unqueued(
+        &mut self,
+        account_id: &str,
+        needed_tokens: Tokens,
+        now: Uptime,
+    ) -> bool {
+        self.queue.first(account_id).is_none()
+            && self.holding.try_reserve(account_id, needed_tokens, now)
+    }
+
+    /// Adds a request at the end of its account's queue; the receiver hears when its tokens are
+    /// reserved, or fails when it is turned away.
+    pub fn join_queue(
+        &mut self,
+        account_id: &str,
+        needed_tokens: Tokens,
+    ) -> (Ticket, oneshot::Receiver<()>) {
+        let (sender, receiver) = oneshot::channel();
+        let ticket = self.queue.join(account_id, needed_tokens);
+        self.grants.insert(ticket, sender);
+        (ticket, receiver)
+    }
+
+    /// Takes a request out of its account's queue.
+    pub fn leave_queue(&mut self, account_id: &str, ticket: Ticket) {
+        self.queue.leave(account_id, ticket);
+        self.grants.remove(&ticket);
+    }
+
+    /// Gives tokens that are held to the requests that wait for them.
+    pub fn serve_queue(&mut self, now: Uptime) {
+        for account_id in self.queue.accounts() {
+            while let Some(granted) = self.queue.grant_first(&account_id, &mut self.holding, now) {
+                let sender = self.grants.remove(&granted.ticket);
+                if sender.is_none_or(|sender| sender.send(()).is_err()) {
+                    self.holding.release(&account_id, granted.needed_tokens);
+                }
+            }
+        }
+    }
+
+    /// Returns the tokens that the requests of an account's queue lack.
+    pub fn missing_tokens(&self, account_id: &str, now: Uptime) -> Tokens {
+        let held = self.holding.available_tokens(account_id, now).max(0) as Tokens;
+        self.queue.needed_tokens(account_id).saturating_sub(held)
+    }
+
+    /// Returns the tokens of an account to ask other VMs for in advance.
+    pub fn tokens_ahead(&self, account_id: &str, now: Uptime) -> Tokens {
+        if self.is_bank() {
+            return 0;
+        }
+        let use_tokens_per_s = self.holding.use_tokens_per_s(account_id, now);
+        self.ask_ahead.tokens(use_tokens_per_s, self.holding.usual_tokens(account_id))
+    }
+
+    /// Returns whether tokens of an account should be asked for before a request lacks them.
+    pub fn runs_low(&self, account_id: &str, now: Uptime) -> bool {
+        let use_tokens_per_s = self.holding.use_tokens_per_s(account_id, now);
+        let usual_tokens = self.holding.usual_tokens(account_id);
+        let held_tokens = self.holding.available_tokens(account_id, now);
+        !self.is_bank() && self.ask_ahead.runs_low(held_tokens, use_tokens_per_s, usual_tokens)
+    }
+
+    /// Returns whether a record in the ledger could bring tokens of an account here.
+    pub fn gains_by_record(&self, account_id: &str, paid_tokens: Tokens, now: Uptime) -> bool {
+        let undrawn = paid_tokens as i64 - self.ledger.granted_tokens(account_id);
+        self.holding.is_held_back(account_id, now) || (self.is_bank() && undrawn > 0)
+    }
+
     /// Records that too few tokens were found for a request.
     pub fn record_shortage(&mut self, account_id: &str, needed_tokens: Tokens, now: Uptime) {
         self.shortages.insert(account_id.to_owned(), Shortage { at: now, needed_tokens });
@@ -133,9 +221,25 @@
         peers.collect()
     }
 
-    /// Returns the tokens that an account still has according to the ledger, wherever they are.
+    /// Records what another run said that it used.
+    pub fn hear_spent(&mut self, holder_id: &str, account_id: &str, spent_tokens: Tokens) {
+        let spent_by = self.heard_spent.entry(account_id.to_owned()).or_default();
+        spent_by.insert(holder_id.to_owned(), spent_tokens);
+    }
+
+    /// Returns the tokens that an account still has, wherever they are: by the ledger, by what this
+    /// VM used and by what others said since their records.
     pub fn unspent_tokens(&self, account_id: &str, paid_tokens: Tokens) -> i64 {
-        paid_tokens as i64 - self.ledger.spent_tokens(account_id) as i64
+        let own = (self.holding.holder_id(), self.holding.spent_tokens(account_id));
+        let heard = self.heard_spent.get(account_id).into_iter().flatten();
+        let newer = heard.map(|(holder_id, spent)| (holder_id, *spent)).chain([own]);
+        let unreported = newer.map(|(holder_id, spent)| {
+            let record = self.ledger.holder(holder_id).map(|(_, record)| record);
+            let reported = record.and_then(|record| record.account(account_id));
+            spent.saturating_sub(reported.map_or(0, |held| held.spent_tokens))
+        });
+        let spent = self.ledger.spent_tokens(account_id) + unreported.sum::<Tokens>();
+        paid_tokens as i64 - spent as i64
     }
 
     fn believed_tokens(
