Hand idle tokens of VMs that do not draw over to VMs that do

Cause: when a search found less than a request needs, what it found stayed at the VM that asked; nobody asks such VMs, and they wrote records every 5 s only. Ruled out: marks of VMs that draw (less than 1 s of use) and the lag of reports, which is real use.

--- a/crates/sassafrashoist-core/src/gateway/own_tokens.rs
+++ b/crates/sassafrashoist-core/src/gateway/own_tokens.rs
@@ -83,6 +83,8 @@
     pub(super) frozen_tokens: i64,
     pub(super) mark: SpendingMark,
     pub(super) pending_mark: Option<SpendingMark>,
+    /// When a request last reserved tokens, or some came for one.
+    pub(super) active_at: Uptime,
     expected_use: f64,
     left_s: f64,
     usual_tokens: f64,
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -30,6 +30,9 @@
 const RESTART_TIME: Duration = Duration::from_millis(1_600);
 /// The times between two records for which marks bind besides.
 const MARKED_INTERVALS: u32 = 2;
+/// Time without a reservation after which tokens count as idle: several times as long as requests
+/// wait for them.
+const IDLE_TIME: Duration = Duration::from_secs(1);
 /// The most answers to other VMs that are remembered, and messages of runs that ended.
 const MAX_REMEMBERED_GIFTS: usize = 512;
 
@@ -198,6 +201,7 @@
         }
         own.record_size(worst_case_tokens);
         own.reserved_tokens += worst_case_tokens;
+        own.active_at = now;
         true
     }
 
@@ -269,6 +273,29 @@
         parts
     }
 
+    /// Gives away the tokens of accounts that nothing was reserved of for a while. They are of more
+    /// use where others look for them, and are lost here if the process dies.
+    pub fn give_idle(&mut self, now: Uptime) -> Vec<AccountTokens> {
+        let ages = self.mark_ages(now);
+        let mut given = Vec::new();
+        for (account_id, own) in &mut self.accounts {
+            let idle = own.spendable_tokens(ages).max(0) as Tokens;
+            if idle > 0 && now >= own.active_at + IDLE_TIME {
+                own.given_tokens += idle;
+                given.push((account_id.clone(), idle));
+            }
+        }
+        given
+    }
+
+    /// Takes in tokens that another VM gave for a request.
+    pub fn receive_for_request(&mut self, account_id: &str, tokens: Tokens, now: Uptime) {
+        self.receive(account_id, tokens);
+        if let Some(own) = self.accounts.get_mut(account_id) {
+            own.active_at = now;
+        }
+    }
+
     /// Takes in tokens that another VM gave.
     pub fn receive(&mut self, account_id: &str, tokens: Tokens) {
         self.accounts.entry(account_id.to_owned()).or_default().received_tokens += tokens;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/token_holding.rs
@@ -134,3 +134,17 @@
 
     assert_eq!(before - world.vms[0].holding.available_tokens(ACCOUNT, later), 500);
 }
+
+#[test]
+fn tokens_of_accounts_without_requests_are_given_away() {
+    let mut world = TokenWorld::new(1, PAID_TOKENS);
+    let holding = &mut world.vms[0].holding;
+    holding.receive_for_request(ACCOUNT, 8_000, world.now);
+
+    let given_at_once = holding.give_idle(world.now + Duration::from_millis(300));
+    let given_later = holding.give_idle(world.now + Duration::from_secs(3));
+
+    assert_eq!(given_at_once, []);
+    assert_eq!(given_later, [(ACCOUNT.to_owned(), 8_000)]);
+    assert_eq!(holding.available_tokens(ACCOUNT, world.now + Duration::from_secs(3)), 0);
+}
--- a/crates/sassafrashoist/src/gateway/hand_over.rs
+++ b/crates/sassafrashoist/src/gateway/hand_over.rs
@@ -1,7 +1,8 @@
-//! Hands tokens over to other VMs when the process ends while the log is out of reach.
+//! Hands tokens over to other VMs.
 //!
 //! What a run holds when it ends can be handed back to the ledger only through the log. When that is
-//! out of reach, the other VMs usually are not, and they can go on spending the tokens at once.
+//! out of reach, the other VMs usually are not, and they can go on spending the tokens at once. A VM
+//! that does not draw also hands over what it holds of accounts that it has no requests of.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,23 @@
 const RECEIVER_COUNT: usize = 3;
 /// Pause before a message whose fate is unknown is sent again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(30);
+/// How often a message whose fate is unknown is sent; then its tokens are given up.
+const MAX_SENDS: u32 = 10;
+
+/// Hands tokens of accounts without requests over to another VM that draws.
+pub fn hand_over_idle(context: &Arc<GatewayContext>) {
+    let now = context.now();
+    let mut tokens = context.lock_tokens();
+    let receivers = tokens.peers_by_distance();
+    if receivers.is_empty() {
+        return;
+    }
+    let given = tokens.holding.give_idle(now);
+    drop(tokens);
+    if !given.is_empty() {
+        tokio::spawn(hand_over_part(Arc::clone(context), receivers, given));
+    }
+}
 
 /// Hands all tokens over to other VMs. Cancelled when time is up: what was sent counts as gone, what
 /// was not sent yet stays.
@@ -51,7 +69,7 @@
         let message =
             HandOver { transfer_id, holder_id: receiver.holder_id.clone(), given: given.clone() };
         let mut is_in_doubt = false;
-        loop {
+        for _ in 0..MAX_SENDS {
             match send_message(receiver.address, HAND_OVER_PATH, &message).await {
                 Ok(_) => {
                     log::info!(to = receiver.holder_id, given:? = given; "tokens handed over");
@@ -71,6 +89,10 @@
             // It may have them already, so no other VM can get them.
             tokio::time::sleep(REPEAT_PAUSE).await;
         }
+        if is_in_doubt {
+            log::warn!(to = receiver.holder_id, given:? = given; "tokens given up: no answer came");
+            return;
+        }
     }
     // Nobody has them, so they can still be handed back to the ledger.
     let mut tokens = context.lock_tokens();
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::gateway_context::GatewayContext;
+use super::hand_over::hand_over_idle;
 use super::log_link::{LogCallError, LogLink};
 use super::read_clocks::read_clocks;
 use super::topic_reach::TopicReach;
@@ -46,6 +47,9 @@
     let mut keeper = TokenKeeper::new(Arc::clone(&context));
     while !finished.is_cancelled() {
         keeper.look().await;
+        if !context.lock_tokens().is_bank() {
+            hand_over_idle(&context);
+        }
         let interval = keeper.look_interval();
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
