--- a/crates/sassafrashoist-core/tests/testsuite/gateway/token_queue.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/token_queue.rs
@@ -19,7 +19,9 @@
 fn served_after_one_fetch(request_tokens: &[u64], held_tokens: u64) -> usize {
     let mut queue = TokenQueue::default();
     let mut holding = holding_with(held_tokens);
-    request_tokens.iter().for_each(|needed| drop(queue.join(ACCOUNT, *needed)));
+    for needed in request_tokens {
+        queue.join(ACCOUNT, *needed);
+    }
 
     let held = holding.available_tokens(ACCOUNT, NOW) as u64;
     holding.receive(ACCOUNT, queue.needed_tokens(ACCOUNT) - held);
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -15,4 +15,5 @@
 mod router_process;
 mod routing;
 mod settings;
+mod soak;
 mod waiting;
