Give each process of tests its own loopback address

The gateway had been stopped and could not start again: another process had taken its port meanwhile ("Address already in use" in its log), and callers reached that process. Ruled out: an answer of the gateway (its logs hold no 404).

Change: gateways of the stand-ins listen on a loopback address of the test process's own, and keep their metrics port.

--- a/crates/sassafrashoist-testkit/src/http_util.rs
+++ b/crates/sassafrashoist-testkit/src/http_util.rs
@@ -28,11 +28,24 @@
 ///
 /// The port is below those that the system chooses, so no connection takes it meanwhile.
 pub fn find_free_address() -> SocketAddr {
+    find_free_address_on(Ipv4Addr::LOCALHOST)
+}
+
+/// Returns a loopback IP address that no other process of the tests uses, so that a port stays free
+/// while the process that listens on it is restarted.
+pub fn own_loopback_ip() -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    // Ends in 1, since 127.0.0.0 and 127.255.255.255 are no addresses of hosts.
+    Ipv4Addr::new(127, high, low, 1)
+}
+
+/// Returns an address on a loopback IP for a process that is about to start.
+pub fn find_free_address_on(ip: Ipv4Addr) -> SocketAddr {
     let start = (std::process::id() % PORT_STARTS) as u16 * PORTS_PER_START;
     loop {
         let step = NEXT_PORT_STEP.fetch_add(1, Ordering::Relaxed);
         let offset = start.wrapping_add(step) % (PORT_STARTS as u16 * PORTS_PER_START);
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PROCESS_PORT + offset));
+        let address = SocketAddr::from((ip, FIRST_PROCESS_PORT + offset));
         if std::net::TcpListener::bind(address).is_ok() {
             return address;
         }
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -173,7 +173,17 @@
         match self.link.append_at(LEDGER_TOPIC, at, &holder_id, &value).await {
             Ok(end) => {
                 self.has_reclaimed = true;
-                log::info!(run = holder_id, offset = at; "tokens of an earlier run handed back");
+                // What may have been used beyond the last report stays charged.
+                let charged: Vec<_> = record
+                    .accounts
+                    .iter()
+                    .map(|held| (held.account_id.as_str(), held.available_tokens()))
+                    .filter(|(_, tokens)| *tokens != 0)
+                    .collect();
+                log::info!(
+                    run = holder_id, offset = at, charged:? = charged;
+                    "tokens of an earlier run handed back"
+                );
                 let mut tokens = self.context.lock_tokens();
                 tokens.ledger.apply(at, holder_id, record);
                 tokens.ledger.read_to(end);
