--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -20,6 +20,7 @@
 const OUT_OF_TOUCH_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// The least time after which a caller may come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Why a request gets no tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoTokens {
