Forget what another VM said of its use when its record says it

Cause, found in reading: what another VM said that it used counts requests in progress at their worst case, and was believed for ever, also after its records said less. An account could then be refused with 402 although it could pay.

The test fails without the change.

--- a/crates/sassafrashoist/src/gateway/ask_peers.rs
+++ b/crates/sassafrashoist/src/gateway/ask_peers.rs
@@ -59,7 +59,7 @@
                 tokens.ask_ahead.record_answer(now.saturating_sub(asked_at));
                 tokens.holding.receive_for_request(account_id, reply.given_tokens, now);
                 tokens.hear(&question.holder_id, account_id, reply.left_tokens, now);
-                tokens.hear_spent(&question.holder_id, account_id, reply.spent_tokens);
+                tokens.hear_spent(&question.holder_id, account_id, reply.spent_tokens, now);
                 drop(tokens);
                 log::info!(
                     account = account_id, from = question.holder_id, given = reply.given_tokens;
--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -106,7 +106,8 @@
     paid_tokens: Tokens,
     needed: Tokens,
 ) -> bool {
-    let unspent = context.lock_tokens().unspent_tokens(account_id, paid_tokens);
+    let now = context.now();
+    let unspent = context.lock_tokens().unspent_tokens(account_id, paid_tokens, now);
     is_ledger_fresh(context) && unspent < needed as i64
 }
 
--- a/crates/sassafrashoist/src/gateway/token_book.rs
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -38,7 +38,7 @@
     grants: HashMap<Ticket, oneshot::Sender<()>>,
     /// The accounts whose tokens are being fetched.
     pub fetching: HashSet<ClientAccountId>,
-    heard_spent: HashMap<ClientAccountId, HashMap<HolderId, Tokens>>,
+    heard_spent: HashMap<ClientAccountId, HashMap<HolderId, (Uptime, Tokens)>>,
     heard: HashMap<(HolderId, ClientAccountId), (Uptime, i64)>,
     shortages: HashMap<ClientAccountId, Shortage>,
 }
@@ -222,17 +222,25 @@
     }
 
     /// Records what another run said that it used.
-    pub fn hear_spent(&mut self, holder_id: &str, account_id: &str, spent_tokens: Tokens) {
+    pub fn hear_spent(
+        &mut self,
+        holder_id: &str,
+        account_id: &str,
+        spent_tokens: Tokens,
+        now: Uptime,
+    ) {
         let spent_by = self.heard_spent.entry(account_id.to_owned()).or_default();
-        spent_by.insert(holder_id.to_owned(), spent_tokens);
+        spent_by.insert(holder_id.to_owned(), (now, spent_tokens));
     }
 
     /// Returns the tokens that an account still has, wherever they are: by the ledger, by what this
-    /// VM used and by what others said since their records.
-    pub fn unspent_tokens(&self, account_id: &str, paid_tokens: Tokens) -> i64 {
+    /// VM used and by what others said a moment ago. Their records say it later, and may say less,
+    /// since requests in progress count at their worst case.
+    pub fn unspent_tokens(&self, account_id: &str, paid_tokens: Tokens, now: Uptime) -> i64 {
         let own = (self.holding.holder_id(), self.holding.spent_tokens(account_id));
         let heard = self.heard_spent.get(account_id).into_iter().flatten();
-        let newer = heard.map(|(holder_id, spent)| (holder_id, *spent)).chain([own]);
+        let recent = heard.filter(|(_, (heard_at, _))| now < *heard_at + HEARD_FOR);
+        let newer = recent.map(|(holder_id, (_, spent))| (holder_id, *spent)).chain([own]);
         let unreported = newer.map(|(holder_id, spent)| {
             let record = self.ledger.holder(holder_id).map(|(_, record)| record);
             let reported = record.and_then(|record| record.account(account_id));
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -16,4 +16,5 @@
 mod routing;
 mod settings;
 mod soak;
+mod token_book;
 mod waiting;
--- /dev/null
+++ b/crates/sassafrashoist/tests/testsuite/token_book.rs
@@ -0,0 +1,27 @@
+//! What a VM believes of the tokens of an account.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sassafrashoist::gateway::token_book::TokenBook;
+use sassafrashoist_core::gateway::token_holding::TokenHolding;
+
+const ACCOUNT: &str = "workshop";
+const NOW: Duration = Duration::from_secs(100);
+
+fn book() -> TokenBook {
+    let address = SocketAddr::from(([10, 0, 0, 1], 7_000));
+    let (run, vm) = ("vm-1/1".to_owned(), "vm-1".to_owned());
+    TokenBook::new(TokenHolding::new(run, vm, "plateau".to_owned(), address))
+}
+
+#[test]
+fn what_another_vm_said_of_its_use_counts_until_its_record_says_it() {
+    let mut book = book();
+
+    // A request in progress there counts at its worst case and may use less in the end.
+    book.hear_spent("vm-2/1", ACCOUNT, 9_000, NOW);
+
+    assert_eq!(book.unspent_tokens(ACCOUNT, 10_000, NOW), 1_000);
+    assert_eq!(book.unspent_tokens(ACCOUNT, 10_000, NOW + Duration::from_secs(2)), 10_000);
+}
