Read every topic with one reader, and work out which VMs draw less often

Cause and change: - keep_tokens and follow_topic each joined a cursor, newest records and reads of what was appended; TopicReader does it for both, and skips own records. - Each request on a VM worked out which VMs draw, from the whole ledger, before the cheap check whether tokens run low; each search did it twice, each look of the keeper twice. Ruled out: one function for calls of the log and messages between VMs, whose time limits differ; one loop for questions and hand-overs, which end differently.

--- a/crates/sassafrashoist-core/src/gateway/topic_cursor.rs
+++ b/crates/sassafrashoist-core/src/gateway/topic_cursor.rs
@@ -51,6 +51,11 @@
         self.reached_at = now;
     }
 
+    /// Records that this VM itself appended up to `end`, so that this need not be read.
+    pub fn skip_to(&mut self, end: LogOffset) {
+        self.next = self.next.map(|next| next.max(end));
+    }
+
     /// Records that the service no longer has what was to be read.
     pub fn record_trimmed(&mut self) {
         self.next = None;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/topic_cursor.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/topic_cursor.rs
@@ -45,3 +45,14 @@
 
     assert_eq!(cursor.next_read(NOW), NextRead::Newest);
 }
+
+#[test]
+fn own_records_are_skipped_unless_more_was_missed() {
+    let mut cursor = cursor_at(40);
+    cursor.skip_to(41);
+    assert_eq!(cursor.next_read(NOW), NextRead::From(41));
+
+    cursor.record_trimmed();
+    cursor.skip_to(42);
+    assert_eq!(cursor.next_read(NOW), NextRead::Newest);
+}
--- a/crates/sassafrashoist/src/gateway/follow_config.rs
+++ b/crates/sassafrashoist/src/gateway/follow_config.rs
@@ -9,8 +9,9 @@
 use sassafrashoist_adapter::log_answers::KeyedRecord;
 use sassafrashoist_core::gateway::route_table::RouteTable;
 
-use super::follow_topic::{TopicNews, follow_topic};
+use super::follow_topic::follow_topic;
 use super::gateway_context::GatewayContext;
+use super::topic_reader::TopicNews;
 
 /// Least time between two configurations; a storm of changes is taken in steps.
 const PACE: Duration = Duration::from_millis(50);
@@ -18,7 +19,7 @@
 /// Follows the configuration until cancelled.
 pub async fn follow_config(context: Arc<GatewayContext>) {
     follow_topic(context, CONFIG_TOPIC, PACE, |context, news| {
-        let (TopicNews::All(records) | TopicNews::Appended(records)) = news;
+        let (TopicNews::All { records, .. } | TopicNews::Appended { records, .. }) = news;
         if let Some(record) = records.iter().rfind(|record| record.key == CONFIG_KEY) {
             put_in_force(context, record);
         }
--- a/crates/sassafrashoist/src/gateway/follow_servers.rs
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -6,8 +6,9 @@
 use sassafrashoist_adapter::log_answers::KeyedRecord;
 use sassafrashoist_adapter::server_entry::{SERVERS_TOPIC, decode_server_entry};
 
-use super::follow_topic::{TopicNews, follow_topic};
+use super::follow_topic::follow_topic;
 use super::gateway_context::GatewayContext;
+use super::topic_reader::TopicNews;
 
 /// Least time between two reads that bring entries; servers write often, and an entry may be this
 /// late without harm.
@@ -16,7 +17,7 @@
 /// Follows the list of servers until cancelled.
 pub async fn follow_servers(context: Arc<GatewayContext>) {
     follow_topic(context, SERVERS_TOPIC, PACE, |context, news| match news {
-        TopicNews::All(records) => {
+        TopicNews::All { records, .. } => {
             for record in &records {
                 take_entry(context, record);
             }
@@ -29,7 +30,7 @@
             context.mark_servers_listed();
             log::info!(listed = listed.len(); "list of servers read");
         }
-        TopicNews::Appended(records) => {
+        TopicNews::Appended { records, .. } => {
             records.iter().for_each(|record| take_entry(context, record));
         }
     })
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -15,7 +15,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::obtain_tokens::is_ledger_fresh;
 use super::read_clocks::read_clocks;
 use super::token_book::TokenBook;
 
@@ -23,6 +22,8 @@
 const MIN_RETRY_SHARERS: usize = 8;
 /// A VM that is not in the ledger may still send; the slack is divided by this much more.
 const UNSEEN_VM_FACTOR: f64 = 1.25;
+/// The age up to which the ledger tells where tokens are.
+const MAX_LEDGER_AGE: Duration = Duration::from_millis(1_500);
 
 /// The one value that is passed down to every action of the gateway.
 ///
@@ -168,7 +169,7 @@
     pub fn gains_by_record(&self, account_id: &str) -> bool {
         let paid_tokens = self.routes().and_then(|r| r.config().paid_tokens(account_id));
         let now = self.now();
-        is_ledger_fresh(self)
+        self.is_ledger_fresh()
             && paid_tokens
                 .is_some_and(|paid| self.lock_tokens().gains_by_record(account_id, paid, now))
     }
@@ -194,10 +195,10 @@
         self.tokens_changed.notify_waiters();
     }
 
-    /// Returns how long ago the ledger was last read to its end.
-    pub fn ledger_age(&self) -> Option<Duration> {
-        let read_at = self.lock_tokens().read_at?;
-        Some(self.now().saturating_sub(read_at))
+    /// Returns whether the ledger was read to its end a short while ago.
+    pub fn is_ledger_fresh(&self) -> bool {
+        let read_at = self.lock_tokens().read_at;
+        read_at.is_some_and(|read_at| self.now().saturating_sub(read_at) < MAX_LEDGER_AGE)
     }
 }
 
--- a/crates/sassafrashoist/src/gateway/keep_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/keep_tokens.rs
@@ -12,16 +12,16 @@
 use sassafrashoist_core::gateway::planned_record::PlannedRecord;
 use sassafrashoist_core::gateway::reclaim::reclaim_predecessor;
 use sassafrashoist_core::gateway::token_banks::TokenBanks;
-use sassafrashoist_core::gateway::topic_cursor::{NextRead, TopicCursor};
 use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::ids::LogOffset;
 use tokio_util::sync::CancellationToken;
 
 use super::gateway_context::GatewayContext;
 use super::hand_over::hand_over_idle;
-use super::log_link::{LogCallError, LogLink};
+use super::log_link::LogCallError;
 use super::read_clocks::read_clocks;
 use super::topic_reach::TopicReach;
+use super::topic_reader::{TopicNews, TopicReader};
 
 /// Time between two records while no request waits for tokens; well below the time after which a
 /// holder counts as out of touch.
@@ -47,10 +47,11 @@
     let mut keeper = TokenKeeper::new(Arc::clone(&context));
     while !finished.is_cancelled() {
         keeper.look().await;
-        if !context.lock_tokens().is_bank() {
+        let role = keeper.take_role();
+        if role == HolderRole::Asking {
             hand_over_idle(&context);
         }
-        let interval = keeper.look_interval();
+        let interval = look_interval(role);
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
             () = context.tokens_wanted.notified() => tokio::time::sleep(MIN_LOOK_INTERVAL).await,
@@ -60,10 +61,18 @@
     keeper.close().await;
 }
 
+/// Returns the time until the next look.
+fn look_interval(role: HolderRole) -> Duration {
+    let jitter = Duration::from_millis(rand::random_range(0..=LOOK_JITTER_MS));
+    match role {
+        HolderRole::Equal | HolderRole::Bank => LOOK_INTERVAL + jitter,
+        HolderRole::Asking => ASKING_LOOK_INTERVAL + jitter,
+    }
+}
+
 struct TokenKeeper {
     context: Arc<GatewayContext>,
-    link: LogLink,
-    cursor: TopicCursor,
+    reader: TopicReader,
     has_reclaimed: bool,
     writer: LedgerWriter,
     reported_at: Uptime,
@@ -73,11 +82,10 @@
 
 impl TokenKeeper {
     fn new(context: Arc<GatewayContext>) -> Self {
-        let link = LogLink::new(Arc::clone(&context));
+        let reader = TopicReader::new(Arc::clone(&context), LEDGER_TOPIC);
         Self {
             context,
-            link,
-            cursor: TopicCursor::default(),
+            reader,
             has_reclaimed: false,
             writer: LedgerWriter::default(),
             reported_at: Uptime::ZERO,
@@ -86,15 +94,12 @@
         }
     }
 
-    fn look_interval(&self) -> Duration {
-        let jitter = Duration::from_millis(rand::random_range(0..=LOOK_JITTER_MS));
+    /// Takes on the role that the ledger gives this VM.
+    fn take_role(&self) -> HolderRole {
         let mut tokens = self.context.lock_tokens();
         let role = TokenBanks::pick(&tokens.ledger).role(&self.context.settings().vm_id);
         tokens.holding.set_role(role, LOOK_INTERVAL);
-        match role {
-            HolderRole::Equal | HolderRole::Bank => LOOK_INTERVAL + jitter,
-            HolderRole::Asking => ASKING_LOOK_INTERVAL + jitter,
-        }
+        role
     }
 
     async fn look(&mut self) {
@@ -170,9 +175,10 @@
             return Ok(true);
         };
         let value = postcard::to_stdvec(&record).wrap_err("failed to encode a record")?;
-        match self.link.append_at(LEDGER_TOPIC, at, &holder_id, &value).await {
+        match self.reader.link.append_at(LEDGER_TOPIC, at, &holder_id, &value).await {
             Ok(end) => {
                 self.has_reclaimed = true;
+                self.reader.skip_to(end);
                 // What may have been used beyond the last report stays charged.
                 let charged: Vec<_> = record
                     .accounts
@@ -199,24 +205,16 @@
 
     async fn read(&mut self) -> Result<(), LogCallError> {
         loop {
-            let now = self.context.now();
-            if self.cursor.next_read(now) == NextRead::Newest {
-                let page = self.link.newest(LEDGER_TOPIC).await?;
-                self.apply(page.records, page.end);
-                self.cursor.record_newest(page.end, self.context.now());
-            }
-            // Own appends move the ledger on between two reads.
-            let from = self.context.lock_tokens().ledger.end();
-            match self.link.read(LEDGER_TOPIC, from, Duration::ZERO).await {
-                Ok(batch) => {
-                    self.cursor.record_read(batch.next, batch.end, self.context.now());
-                    let is_at_end = batch.next >= batch.end;
-                    self.apply(batch.records, batch.next);
+            match self.reader.read_news(Duration::ZERO).await {
+                Ok(TopicNews::All { records, end }) => self.apply(records, end),
+                Ok(TopicNews::Appended { records, next, is_at_end }) => {
+                    self.apply(records, next);
                     if is_at_end {
                         break;
                     }
                 }
-                Err(LogCallError::Answered(LogError::Trimmed(_))) => self.cursor.record_trimmed(),
+                // The next read begins with the newest records.
+                Err(LogCallError::Answered(LogError::Trimmed(_))) => {}
                 Err(error) => return Err(error),
             }
         }
@@ -285,7 +283,8 @@
         let value = postcard::to_stdvec(&pending.planned.record)
             .wrap_err("failed to encode a record of the ledger")?;
         let holder_id = self.context.lock_tokens().holding.holder_id().clone();
-        let result = self.link.append_at(LEDGER_TOPIC, pending.at, &holder_id, &value).await;
+        let link = &mut self.reader.link;
+        let result = link.append_at(LEDGER_TOPIC, pending.at, &holder_id, &value).await;
         let answer = match &result {
             Ok(_) => AppendAnswer::Done,
             Err(LogCallError::Answered(LogError::EndMoved)) => AppendAnswer::EndMoved,
@@ -333,6 +332,7 @@
 
     fn take_over(&mut self, done: &PendingAppend, end: LogOffset) {
         self.reported_at = self.context.now();
+        self.reader.skip_to(end);
         let mut tokens = self.context.lock_tokens();
         let book = &mut *tokens;
         let holder_id = book.holding.holder_id().clone();
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! - [`serve_clients`] accepts connections and [`serve_request`] takes a request through its life:
 //!   allow, reserve tokens ([`obtain_tokens`]), send to a server ([`send_attempt`]), pass the answer
 //!   on ([`pass_events`]), settle.
-//! - [`follow_topic`] reads a topic of the log service; [`follow_config`] and [`follow_servers`] put
+//! - [`topic_reader`] reads a topic of the log service, [`follow_topic`] follows one; [`follow_config`] and [`follow_servers`] put
 //!   what it says in force.
 //! - [`keep_tokens`] keeps this VM's part of the ledger of prepaid tokens; [`ask_peers`],
 //!   [`hand_over`] and [`serve_peers`] move tokens between VMs.
@@ -45,3 +45,4 @@
 pub mod token_book;
 pub mod token_reservation;
 pub mod topic_reach;
+pub mod topic_reader;
--- a/crates/sassafrashoist/src/gateway/obtain_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/obtain_tokens.rs
@@ -12,8 +12,6 @@
 
 /// How long a request waits for tokens: a draw takes two calls, a question to another VM one.
 const MAX_WAIT: Duration = Duration::from_millis(300);
-/// The age up to which the ledger tells where tokens are.
-const MAX_LEDGER_AGE: Duration = Duration::from_millis(1_500);
 /// When a caller may come back whose tokens are out of reach: after the next draw.
 const TOKENS_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// When a caller may come back if this VM is out of touch with the ledger: outages last seconds.
@@ -88,16 +86,11 @@
     let held_back_for = context.lock_tokens().holding.time_to_spendable(account_id, needed, now);
     match held_back_for {
         Some(time) => time.max(MIN_RETRY_AFTER),
-        None if is_ledger_fresh(context) => TOKENS_RETRY_AFTER,
+        None if context.is_ledger_fresh() => TOKENS_RETRY_AFTER,
         None => OUT_OF_TOUCH_RETRY_AFTER,
     }
 }
 
-/// Returns whether the ledger was read to its end a short while ago.
-pub fn is_ledger_fresh(context: &GatewayContext) -> bool {
-    context.ledger_age().is_some_and(|age| age < MAX_LEDGER_AGE)
-}
-
 /// Returns whether the account cannot pay for the request, wherever its tokens are. Requests in
 /// progress count at their worst case, as they do where they were reserved.
 fn is_exhausted(
@@ -108,7 +101,7 @@
 ) -> bool {
     let now = context.now();
     let unspent = context.lock_tokens().unspent_tokens(account_id, paid_tokens, now);
-    is_ledger_fresh(context) && unspent < needed as i64
+    context.is_ledger_fresh() && unspent < needed as i64
 }
 
 fn reservation(
--- a/crates/sassafrashoist/src/gateway/peer_messages.rs
+++ b/crates/sassafrashoist/src/gateway/peer_messages.rs
@@ -8,7 +8,7 @@
 /// The path on which VMs ask for tokens.
 pub const TRANSFER_PATH: &str = "/transfer";
 
-/// The path on which a VM that stops hands its tokens over.
+/// The path on which VMs hand tokens over.
 pub const HAND_OVER_PATH: &str = "/hand-over";
 
 /// Hands tokens over to another VM. A repeated message changes nothing.
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -17,7 +17,6 @@
 use super::hand_over::hand_over_tokens;
 use super::keep_tokens::keep_tokens;
 use super::listen::bind;
-use super::obtain_tokens::is_ledger_fresh;
 use super::serve_clients::serve_clients;
 use super::serve_metrics::serve_metrics;
 use super::serve_peers::serve_peers;
@@ -83,7 +82,7 @@
         _ = interrupt.recv() => {}
     }
     drain(&context, &closing).await;
-    if !is_ledger_fresh(&context)
+    if !context.is_ledger_fresh()
         && tokio::time::timeout(HAND_OVER_TIMEOUT, hand_over_tokens(&context)).await.is_err()
     {
         log::warn!("tokens not handed over: other VMs did not answer in time");
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -66,7 +66,7 @@
     empty(StatusCode::BAD_REQUEST)
 }
 
-/// Takes in the tokens of a VM that stops.
+/// Takes in tokens that another VM hands over.
 fn take_in(context: &GatewayContext, message: &HandOver) -> Response<AnswerBody> {
     let mut tokens = context.lock_tokens();
     if *tokens.holding.holder_id() != message.holder_id {
--- a/crates/sassafrashoist/src/gateway/token_book.rs
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -141,13 +141,13 @@
         let use_tokens_per_s = self.holding.use_tokens_per_s(account_id, now);
         let usual_tokens = self.holding.usual_tokens(account_id);
         let held_tokens = self.holding.available_tokens(account_id, now);
-        !self.is_bank() && self.ask_ahead.runs_low(held_tokens, use_tokens_per_s, usual_tokens)
+        self.ask_ahead.runs_low(held_tokens, use_tokens_per_s, usual_tokens) && !self.is_bank()
     }
 
     /// Returns whether a record in the ledger could bring tokens of an account here.
     pub fn gains_by_record(&self, account_id: &str, paid_tokens: Tokens, now: Uptime) -> bool {
         let undrawn = paid_tokens as i64 - self.ledger.granted_tokens(account_id);
-        self.holding.is_held_back(account_id, now) || (self.is_bank() && undrawn > 0)
+        self.holding.is_held_back(account_id, now) || (undrawn > 0 && self.is_bank())
     }
 
     /// Records that too few tokens were found for a request.
@@ -167,7 +167,7 @@
         self.heard.insert((holder_id.to_owned(), account_id.to_owned()), (now, available));
     }
 
-    /// Returns whether this VM draws tokens from the ledger.
+    /// Returns whether this VM draws tokens from the ledger, which is worked out from all of it.
     pub fn is_bank(&self) -> bool {
         TokenBanks::pick(&self.ledger).contains(self.holding.vm_id())
     }
@@ -178,11 +178,12 @@
     /// What a VM said itself a moment ago goes before its record. One that had none may get some,
     /// so it is asked again after a while.
     pub fn rich_peers(&self, account_id: &str, now: Uptime) -> Vec<RichPeer> {
-        let prefers_near = !TokenBanks::pick(&self.ledger).is_every_vm();
+        let banks = TokenBanks::pick(&self.ledger);
+        let prefers_near = !banks.is_every_vm();
         let believed = |holder_id: &HolderId, record: &HolderRecord| {
             self.believed_tokens(holder_id, record, account_id, now)
         };
-        let mut peers = self.peers(believed);
+        let mut peers = self.peers(&banks, believed);
         peers.retain(|(_, peer)| peer.available_tokens > 0);
         peers.sort_by_key(|(is_remote, peer)| {
             (prefers_near && *is_remote, Reverse(peer.available_tokens))
@@ -192,7 +193,7 @@
 
     /// Returns the other VMs that draw tokens, those of the own data centre first.
     pub fn peers_by_distance(&self) -> Vec<RichPeer> {
-        let mut peers = self.peers(|_, _| 0);
+        let mut peers = self.peers(&TokenBanks::pick(&self.ledger), |_, _| 0);
         peers.sort_by_key(|(is_remote, _)| *is_remote);
         peers.into_iter().map(|(_, peer)| peer).collect()
     }
@@ -204,8 +205,11 @@
     }
 
     /// Returns the other VMs that draw tokens and whether each is in another data centre.
-    fn peers(&self, available: impl Fn(&HolderId, &HolderRecord) -> i64) -> Vec<(bool, RichPeer)> {
-        let banks = TokenBanks::pick(&self.ledger);
+    fn peers(
+        &self,
+        banks: &TokenBanks,
+        available: impl Fn(&HolderId, &HolderRecord) -> i64,
+    ) -> Vec<(bool, RichPeer)> {
         let others = self.ledger.live_holders().filter(|(_, record)| {
             record.vm_id != *self.holding.vm_id() && banks.contains(&record.vm_id)
         });
