--- a/crates/sassafrashoist-platform/src/lib.rs
+++ b/crates/sassafrashoist-platform/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod http_client;
 pub mod log_client;
 pub mod platform_client;
+pub mod response_framing;
 pub mod streams;
 pub mod vm_list;
 pub mod weight_store;
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -13,6 +13,7 @@
 use sassafrashoist_core::event_splitter::{EventSplitter, StreamEvent};
 use sassafrashoist_core::ids::BackendServerId;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
+use sassafrashoist_platform::response_framing::ResponseFraming;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::gateway_context::GatewayContext;
@@ -78,7 +79,8 @@
             None => return Ok(StartedStream { started, splitter, is_complete: true }),
             Some(Err(error)) => {
                 log::info!(
-                    id = request.id(), server = started.slot.server_id(), error:% = error;
+                    id = request.id(), server = started.slot.server_id(),
+                    framing = started.framing.as_str(), error:% = error;
                     "stream broken off before its first event"
                 );
                 started.slot.set_verdict(AttemptVerdict::Failed);
@@ -144,7 +146,7 @@
     /// Forwards the stream to its end, from other servers if the first one fails.
     async fn run(mut self, mut started: StartedResponse, is_complete: bool) {
         let mut end = if is_complete {
-            self.forward_remainder().await
+            self.forward_remainder(started.framing).await
         } else {
             self.forward_segment(&mut started).await
         };
@@ -152,7 +154,7 @@
             started.slot.set_verdict(AttemptVerdict::Failed);
             log::info!(
                 id = self.request.id(), server = started.slot.server_id(), reason = reason,
-                last_event = self.last_event_id.as_deref().unwrap_or("-");
+                framing = started.framing.as_str(), last_event = self.last_event_id.as_deref().unwrap_or("-");
                 "stream broken off"
             );
             let failed_server_id = started.slot.server_id().to_owned();
@@ -173,6 +175,7 @@
                     &self.context,
                     &self.request,
                     started.slot.server_id(),
+                    started.framing,
                     status,
                     self.forwarded_bytes,
                 );
@@ -219,13 +222,13 @@
                     }
                 }
                 Some(Err(_)) => return SegmentEnd::Failed("connection lost"),
-                None => return self.forward_remainder().await,
+                None => return self.forward_remainder(started.framing).await,
             }
         }
     }
 
     /// Forwards what is left in the splitter at the end of a complete stream.
-    async fn forward_remainder(&mut self) -> SegmentEnd {
+    async fn forward_remainder(&mut self, framing: ResponseFraming) -> SegmentEnd {
         while let Some(event) = self.splitter.next_event() {
             if let Some(end) = self.forward_event(event).await {
                 return end;
@@ -235,6 +238,10 @@
         if rest.is_empty() {
             return SegmentEnd::Complete;
         }
+        log::info!(
+            id = self.request.id(), framing = framing.as_str(), bytes = rest.len();
+            "stream ended inside an event"
+        );
         let event = StreamEvent { raw: rest, id: None };
         self.forward_event(event).await.unwrap_or(SegmentEnd::Complete)
     }
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -10,6 +10,7 @@
 use sassafrashoist_adapter::response_headers::encode_response;
 use sassafrashoist_core::gateway::server_directory::ServerChoice;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
+use sassafrashoist_platform::response_framing::ResponseFraming;
 
 use super::forward_events::{forward_events, read_first_event};
 use super::gateway_context::GatewayContext;
@@ -195,7 +196,7 @@
     request: &Arc<RequestContext>,
     started: StartedResponse,
 ) -> Result<Response<ResponseBody>, &'static str> {
-    let StartedResponse { response, connection, mut slot } = started;
+    let StartedResponse { response, framing, connection, mut slot } = started;
     slot.record_bytes();
     let (head, mut body) = response.into_parts();
     let headers = encode_response(&head.headers);
@@ -207,7 +208,8 @@
             Ok(None) => break,
             Ok(Some(Err(error))) => {
                 log::info!(
-                    id = request.id(), server = slot.server_id(), error:% = error;
+                    id = request.id(), server = slot.server_id(),
+                    framing = framing.as_str(), error:% = error;
                     "answer broken off"
                 );
                 slot.set_verdict(AttemptVerdict::Failed);
@@ -238,7 +240,7 @@
     if !head.status.is_server_error() {
         slot.set_verdict(AttemptVerdict::Succeeded);
     }
-    record_response(context, request, slot.server_id(), head.status, buffered.len());
+    record_response(context, request, slot.server_id(), framing, head.status, buffered.len());
     Ok(full_response(head.status, headers, Bytes::from(buffered)))
 }
 
@@ -266,15 +268,19 @@
     context: &GatewayContext,
     request: &RequestContext,
     server_id: &str,
+    framing: ResponseFraming,
     status: StatusCode,
     size: usize,
 ) {
     let took = context.now().saturating_sub(request.arrived_at);
     metrics::counter!("sassafrashoist_answers_total", "status" => status.as_u16().to_string())
         .increment(1);
+    metrics::counter!("sassafrashoist_server_responses_total", "framing" => framing.as_str())
+        .increment(1);
     metrics::histogram!("sassafrashoist_request_seconds").record(took.as_secs_f64());
     log::info!(
-        id = request.id(), server = server_id, status = status.as_u16(), size = size,
+        id = request.id(), server = server_id, framing = framing.as_str(),
+        status = status.as_u16(), size = size,
         took_ms = took.as_millis() as u64;
         "request answered"
     );
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -11,6 +11,7 @@
 use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::gateway::server_directory::ServerChoice;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
+use sassafrashoist_platform::response_framing::ResponseFraming;
 
 use super::gateway_context::GatewayContext;
 use super::http_connection::Connection;
@@ -88,6 +89,8 @@
 pub struct StartedResponse {
     /// The head and body.
     pub response: Response<Incoming>,
+    /// How the end of the body is marked.
+    pub framing: ResponseFraming,
     /// The connection that the body arrives on.
     pub connection: Connection,
     /// The occupied slot of the server.
@@ -179,6 +182,7 @@
 ) -> AttemptStart {
     let request_id = request.caller.request_id.as_deref();
     let head = ResponseHead::decode(response.status(), response.headers(), request_id);
+    let framing = ResponseFraming::of(&response);
     let now = context.now();
     context.lock_servers().record_bytes(slot.server_id(), now);
     if let Some(load) = head.load {
@@ -186,11 +190,11 @@
     }
     match head.kind {
         ResponseKind::Served => {
-            AttemptStart::Served(StartedResponse { response, connection, slot })
+            AttemptStart::Served(StartedResponse { response, framing, connection, slot })
         }
         ResponseKind::Failed => {
             slot.set_verdict(AttemptVerdict::Failed);
-            AttemptStart::Failed(StartedResponse { response, connection, slot })
+            AttemptStart::Failed(StartedResponse { response, framing, connection, slot })
         }
         ResponseKind::NotRun => AttemptStart::NotRun("server refused"),
         ResponseKind::Misdirected => {
