Reproduce broken-off responses that are framed as complete

The stand-in of a backend server now also responds with neither a length nor chunks, and ends such a response properly, inside an event, or with a reset. The caller of the tests tells a body that is framed as complete from one that ends with its connection.

Seen with the stand-in: 'id: 1\nda' reached the caller of a stream as 200, chunked, complete; 'do' of a plain response got a content-length of 2; a stream that may be resumed was not.

--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use http::Method;
-use sassafrashoist_platform_stand_in::backend_server::ServerFault;
-use sassafrashoist_platform_stand_in::caller::{CallerRequest, CallerResponse};
+use sassafrashoist_platform_stand_in::backend_server::{ServerFault, event_text};
+use sassafrashoist_platform_stand_in::caller::{BodyEnd, CallerRequest, CallerResponse};
 use sassafrashoist_platform_stand_in::log_service::LogFault;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
     ACCOUNT, BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, FleetPlan, STATUS_PATH, StandInFleet,
@@ -46,7 +46,7 @@
 
 fn assert_stream(response: &CallerResponse) {
     assert_eq!(response.status, 200, "{response:?}");
-    assert!(response.is_complete, "{response:?}");
+    assert!(response.is_complete(), "{response:?}");
     assert_eq!(String::from_utf8_lossy(&response.body), whole_stream());
 }
 
@@ -110,7 +110,7 @@
 
     let response = fleet.send(0, "c1", &chat()).await.unwrap();
 
-    assert!(!response.is_complete);
+    assert!(!response.is_complete());
     assert_eq!(
         String::from_utf8_lossy(&response.body),
         "id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n"
@@ -325,3 +325,115 @@
     let line = log.lines().find(|line| line.contains("caller left")).unwrap_or_default();
     assert!(line.contains("\"id\":\"c1\""), "{log}");
 }
+
+fn run_count(fleet: &StandInFleet) -> usize {
+    let servers = fleet.engines.iter().chain(&fleet.plain_servers);
+    servers.map(|server| server.executed_requests().len()).sum()
+}
+
+fn first_events(count: u64) -> String {
+    (1..=count).map(event_text).collect()
+}
+
+// A server that crashes ends a stream without length or chunks inside an event, with a proper end
+// of its connection.
+#[tokio::test]
+async fn stream_that_ends_inside_an_event_is_not_framed_as_complete() {
+    let fleet = start("ends_inside_event", plan()).await;
+    for fault in
+        [ServerFault::CloseDelimitedClosesAfter(2), ServerFault::CloseDelimitedResetsAfter(2)]
+    {
+        fleet.engines.iter().for_each(|engine| engine.set_fault(fault));
+        let before = run_count(&fleet);
+
+        let response = fleet.send(0, "c1", &chat()).await.unwrap();
+
+        assert_eq!(response.end, BodyEnd::Aborted, "{fault:?}: {response:?}");
+        assert_eq!(String::from_utf8_lossy(&response.body), first_events(2), "{fault:?}");
+        assert_eq!(run_count(&fleet) - before, 1, "{fault:?}");
+    }
+}
+
+// The end of a connection inside the first event is no first event.
+#[tokio::test]
+async fn stream_that_ends_inside_its_first_event_is_not_a_success() {
+    let fleet = start("ends_inside_first_event", plan()).await;
+    let fault = ServerFault::CloseDelimitedClosesAfter(0);
+    fleet.engines.iter().for_each(|engine| engine.set_fault(fault));
+
+    let chat = fleet.send(0, "c1", &chat()).await.unwrap();
+    fleet.engines[0].set_fault(ServerFault::None);
+    let draft = fleet.send(0, "d1", &draft()).await.unwrap();
+
+    assert_eq!(chat.status, 502, "{chat:?}");
+    assert_stream(&draft);
+}
+
+// A stream that ends inside an event may be continued as one that was reset.
+#[tokio::test]
+async fn stream_that_ends_inside_an_event_continues_at_another_server() {
+    let fleet = start("continues_after_close", plan()).await;
+    for fault in [
+        ServerFault::CloseDelimitedClosesAfter(2),
+        ServerFault::CloseDelimitedResetsAfter(2),
+        ServerFault::LengthDisconnectsAfter(2),
+    ] {
+        for engine in 0..2 {
+            fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::None));
+            fleet.engines[engine].set_fault(fault);
+
+            let response = fleet.send(0, &format!("d{engine}"), &draft()).await.unwrap();
+
+            assert_ne!(response.end, BodyEnd::Aborted, "{fault:?}: {response:?}");
+            assert_eq!(String::from_utf8_lossy(&response.body), whole_stream(), "{fault:?}");
+        }
+    }
+}
+
+// The end of a connection does not show whether a response without length or chunks is complete.
+#[tokio::test]
+async fn response_without_framing_is_not_framed_as_complete() {
+    let fleet = start("without_framing", plan()).await;
+    let servers = fleet.engines.iter().chain(&fleet.plain_servers);
+    servers.for_each(|server| server.set_fault(ServerFault::CloseDelimited));
+
+    let chat = fleet.send(0, "c1", &chat()).await.unwrap();
+    let draft = fleet.send(0, "d1", &draft()).await.unwrap();
+    let bid = fleet.send(0, "b1", &bid()).await.unwrap();
+
+    for (response, body) in [(chat, whole_stream()), (draft, whole_stream()), (bid, "done".into())]
+    {
+        assert_eq!((response.status, response.end), (200, BodyEnd::Closed), "{response:?}");
+        assert_eq!(String::from_utf8_lossy(&response.body), body);
+    }
+}
+
+// A truncated plain response must not get the length of what arrived.
+#[tokio::test]
+async fn plain_response_cut_by_its_connection_is_not_framed_as_complete() {
+    let fleet = start("plain_cut", plan()).await;
+    let set_fault = |fault| fleet.plain_servers.iter().for_each(|server| server.set_fault(fault));
+
+    set_fault(ServerFault::CloseDelimitedClosesAfter(0));
+    let closed = fleet.send(0, "b1", &bid()).await.unwrap();
+    set_fault(ServerFault::CloseDelimitedResetsAfter(0));
+    let reset = fleet.send(0, "b2", &bid()).await.unwrap();
+
+    assert_eq!((closed.end, closed.body.as_ref()), (BodyEnd::Closed, b"do".as_slice()));
+    assert_eq!(reset.status, 502, "{reset:?}");
+}
+
+// The events of both servers are forwarded, but the end of the second connection proves nothing.
+#[tokio::test]
+async fn stream_continued_by_a_server_without_framing_is_not_framed_as_complete() {
+    let fleet = start("continued_without_framing", plan()).await;
+    for (first, second) in [(0, 1), (1, 0)] {
+        fleet.engines[first].set_fault(ServerFault::DisconnectsAfter(2));
+        fleet.engines[second].set_fault(ServerFault::CloseDelimited);
+
+        let response = fleet.send(0, "d1", &draft()).await.unwrap();
+
+        assert_ne!(response.end, BodyEnd::Complete, "{response:?}");
+        assert_eq!(String::from_utf8_lossy(&response.body), whole_stream());
+    }
+}
