Send the last chunks of a response before aborting it

What callers saw: events that had arrived from a server just before it broke off could be missing from the aborted response. Cause: the HTTP library drops the chunks that it has encoded but not written when the body returns an error in the same poll; it writes them while the body is pending. The body now stays pending once between its last chunk and its error. body_is_pending_between_its_last_chunk_and_its_error fails without it.

--- a/crates/sassafrashoist/src/gateway/response_body.rs
+++ b/crates/sassafrashoist/src/gateway/response_body.rs
@@ -24,7 +24,7 @@
 /// Appends chunks to a body that is streamed to the caller.
 ///
 /// Dropping the sender without calling [`finish`](Self::finish) ends the body with an error, so
-/// that a partial response never looks complete.
+/// that a partial response never looks complete. The chunks before it are sent first.
 #[derive(Debug)]
 pub struct BodySender {
     sender: mpsc::Sender<Bytes>,
@@ -60,7 +60,13 @@
     let is_complete = Arc::clone(&is_finished);
     let chunks = ReceiverStream::new(receiver).map(|chunk| Ok(Frame::data(chunk)));
     let end = stream::once(async move {
-        if is_complete.load(Ordering::Acquire) { None } else { Some(Err(IncompleteBody)) }
+        if is_complete.load(Ordering::Acquire) {
+            return None;
+        }
+        // The HTTP library drops what it has not written yet when a body fails, but writes it
+        // while the body is pending.
+        tokio::task::yield_now().await;
+        Some(Err(IncompleteBody))
     });
     let body = StreamBody::new(chunks.chain(end.filter_map(std::future::ready)));
     (BodySender { sender, is_finished }, body.boxed_unsync())
--- a/crates/sassafrashoist/tests/testsuite/response_body.rs
+++ b/crates/sassafrashoist/tests/testsuite/response_body.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use futures::FutureExt;
 use http_body_util::BodyExt;
 use sassafrashoist::gateway::response_body::streamed_body;
 
@@ -32,3 +33,18 @@
     sender.closed().await;
     assert!(!sender.send(Bytes::from_static(b"late")).await);
 }
+
+// An error at once after a chunk makes the HTTP library drop the chunk.
+#[tokio::test]
+async fn body_is_pending_between_its_last_chunk_and_its_error() {
+    let (sender, mut body) = streamed_body(2);
+    assert!(sender.send(Bytes::from_static(b"half")).await);
+    drop(sender);
+
+    let chunk = body.frame().now_or_never();
+    let end = body.frame().now_or_never();
+
+    assert!(chunk.is_some());
+    assert!(end.is_none());
+    assert!(body.frame().await.unwrap().is_err());
+}
