Do not take the end of a connection for the end of a response

A plain response got a content-length of whatever had arrived.

Cause: a response may have neither a length nor chunks and end with its connection. The HTTP library reports the end of the connection as the end of the body, and the gateway translated that into a framing that states completeness, which it did not know.

Change: a stream that ends inside an event has failed, whatever its framing; it is resumed where its route allows that, and else aborted. A response without length or chunks is forwarded without either, so that its caller knows as much as this VM. If a server without framing continues a stream that began with one, all events are forwarded and the response is aborted. The connection of such a response is reset if it is dropped early, also when the process is killed, because the kernel would close it properly. A stream loses the length of its first server, since another one may continue it with another length.

--- a/crates/sassafrashoist-core/src/event_splitter.rs
+++ b/crates/sassafrashoist-core/src/event_splitter.rs
@@ -44,6 +44,13 @@
         find_event_end(&self.pending).is_some()
     }
 
+    /// Returns whether the buffered bytes hold a part of an event, once [`Self::next_event`] has
+    /// returned `None`. Empty lines and comments are not part of an event.
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines = self.pending[..].split(|byte| *byte == b'\n');
+        lines.any(|line| !matches!(line, [] | b"\r" | [b':', ..]))
+    }
+
     /// Removes and returns all buffered bytes: what follows the last complete event once
     /// [`Self::next_event`] has returned `None`.
     pub fn take_rest(&mut self) -> Bytes {
--- a/crates/sassafrashoist-core/tests/testsuite/event_splitter.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/event_splitter.rs
@@ -48,3 +48,21 @@
         prop_assert_eq!(joined, data);
     }
 }
+
+#[test]
+fn only_a_part_of_an_event_counts_as_inside_an_event() {
+    for (rest, is_inside) in [
+        ("", false),
+        ("\n", false),
+        ("\r\n", false),
+        (": note", false),
+        ("i", true),
+        (": n\nd", true),
+    ] {
+        let mut splitter = EventSplitter::default();
+
+        splitter.push(rest.as_bytes());
+
+        assert_eq!(splitter.is_inside_event(), is_inside, "{rest:?}");
+    }
+}
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/caller_stream.rs
@@ -0,0 +1,106 @@
+//! The connection of a caller.
+//!
+//! A response without length or chunks is complete for its caller when its connection is closed
+//! properly. While such a response is in progress, the connection is set to be reset when it is
+//! dropped, which the kernel does even if the process is killed.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use rustix::net::sockopt::set_socket_linger;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Makes the connection end with a reset unless its response is written to its end.
+#[derive(Debug, Clone, Default)]
+pub struct ResetSwitch(Arc<AtomicBool>);
+
+impl ResetSwitch {
+    /// Turns the switch on for the rest of the connection.
+    pub fn turn_on(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+
+    fn is_on(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// The connection of a caller.
+#[derive(Debug)]
+pub struct CallerStream {
+    tcp: TcpStream,
+    reset_switch: ResetSwitch,
+    resets_when_dropped: bool,
+}
+
+impl CallerStream {
+    /// Wraps an accepted connection.
+    pub fn new(tcp: TcpStream, reset_switch: ResetSwitch) -> Self {
+        Self { tcp, reset_switch, resets_when_dropped: false }
+    }
+
+    fn set_reset_when_dropped(&mut self, resets: bool) {
+        // A connection that is closed with a linger time of zero is reset.
+        let linger = resets.then_some(Duration::ZERO);
+        if let Err(error) = set_socket_linger(&self.tcp, linger) {
+            log::warn!(error:% = error; "failed to set how a caller's connection ends");
+        }
+        self.resets_when_dropped = resets;
+    }
+
+    fn apply_reset_switch(&mut self) {
+        if self.reset_switch.is_on() && !self.resets_when_dropped {
+            self.set_reset_when_dropped(true);
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.apply_reset_switch();
+        Pin::new(&mut self.tcp).poll_write(cx, data)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.apply_reset_switch();
+        Pin::new(&mut self.tcp).poll_write_vectored(cx, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.resets_when_dropped {
+            self.set_reset_when_dropped(false);
+        }
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+}
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -1,12 +1,14 @@
 //! Forwards the events of a stream to the caller as they arrive.
 //!
 //! Only complete events are forwarded. When a server fails during a stream that may be resumed,
-//! another server continues after the last forwarded event, within the same response.
+//! another server continues after the last forwarded event, within the same response. A stream that
+//! ends inside an event has failed, whatever its framing.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::Response;
+use http::header::CONTENT_LENGTH;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sassafrashoist_adapter::response_headers::encode_response;
@@ -18,7 +20,7 @@
 
 use super::gateway_context::GatewayContext;
 use super::request_context::RequestContext;
-use super::response_body::{BodySender, ResponseBody, streamed_body};
+use super::response_body::{BodySender, ResponseBody, delimit_by_close, streamed_body};
 use super::run_attempts::{
     AttemptCounts, MAX_SERVERS_TRIED, initial_unresponsive_timeout, record_response,
 };
@@ -31,6 +33,9 @@
 /// at another server.
 const STREAM_UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// The reason of a failed attempt whose stream ended inside an event.
+const ENDED_INSIDE_EVENT: &str = "stream ended inside an event";
+
 /// A stream whose first event has arrived, or which has ended.
 #[derive(Debug)]
 pub struct StartedStream {
@@ -39,7 +44,7 @@
     /// The bytes that were read so far.
     pub splitter: EventSplitter,
     /// Whether the body has ended.
-    pub is_complete: bool,
+    pub has_ended: bool,
 }
 
 /// Reads a stream up to its first complete event.
@@ -72,11 +77,15 @@
                     started.slot.record_bytes();
                     splitter.push(data);
                     if splitter.has_event() {
-                        return Ok(StartedStream { started, splitter, is_complete: false });
+                        return Ok(StartedStream { started, splitter, has_ended: false });
                     }
                 }
             }
-            None => return Ok(StartedStream { started, splitter, is_complete: true }),
+            None if splitter.is_inside_event() => {
+                started.slot.set_verdict(AttemptVerdict::Failed);
+                return Err(ENDED_INSIDE_EVENT);
+            }
+            None => return Ok(StartedStream { started, splitter, has_ended: true }),
             Some(Err(error)) => {
                 log::info!(
                     id = request.id(), server = started.slot.server_id(),
@@ -98,11 +107,16 @@
     counts: AttemptCounts,
     first: StartedStream,
 ) -> Response<ResponseBody> {
-    let StartedStream { started, splitter, is_complete } = first;
+    let StartedStream { started, splitter, has_ended } = first;
     let (sender, body) = streamed_body(EVENT_BUFFER_CAPACITY);
     let mut response = Response::new(body);
     *response.status_mut() = started.response.status();
     *response.headers_mut() = encode_response(started.response.headers());
+    // Another server may continue the stream with another length.
+    response.headers_mut().remove(CONTENT_LENGTH);
+    if !started.framing.marks_end() {
+        delimit_by_close(&mut response);
+    }
     let forwarder = EventForwarder {
         in_progress: context.requests.token(),
         context,
@@ -111,17 +125,18 @@
         counts,
         splitter,
         sender,
+        caller_framing: started.framing,
         last_event_id: None,
         forwarded_bytes: 0,
     };
-    tokio::spawn(forwarder.run(started, is_complete));
+    tokio::spawn(forwarder.run(started, has_ended));
     response
 }
 
 /// How a segment of a stream ended; a segment is the part that one server sends.
 enum SegmentEnd {
-    /// The stream is complete.
-    Complete,
+    /// The body ended after an event.
+    Ended,
     /// The server cut the stream off or is unresponsive.
     Failed(&'static str),
     /// The caller disconnected.
@@ -138,14 +153,15 @@
     counts: AttemptCounts,
     splitter: EventSplitter,
     sender: BodySender,
+    caller_framing: ResponseFraming,
     last_event_id: Option<String>,
     forwarded_bytes: usize,
 }
 
 impl EventForwarder {
     /// Forwards the stream to its end, from other servers if the first one fails.
-    async fn run(mut self, mut started: StartedResponse, is_complete: bool) {
-        let mut end = if is_complete {
+    async fn run(mut self, mut started: StartedResponse, has_ended: bool) {
+        let mut end = if has_ended {
             self.forward_remainder(started.framing).await
         } else {
             self.forward_segment(&mut started).await
@@ -168,7 +184,7 @@
             end = self.forward_segment(&mut started).await;
         }
         match end {
-            SegmentEnd::Complete => {
+            SegmentEnd::Ended => {
                 started.slot.set_verdict(AttemptVerdict::Succeeded);
                 let status = started.response.status();
                 record_response(
@@ -179,7 +195,15 @@
                     status,
                     self.forwarded_bytes,
                 );
-                self.sender.finish();
+                if started.framing.marks_end() || !self.caller_framing.marks_end() {
+                    self.sender.finish();
+                } else {
+                    log::info!(
+                        id = self.request.id(), server = started.slot.server_id();
+                        "stream may be incomplete; response aborted after its last event"
+                    );
+                    metrics::counter!("sassafrashoist_streams_broken_total").increment(1);
+                }
             }
             SegmentEnd::CallerDisconnected => {
                 log::info!(id = self.request.id(); "caller left its stream")
@@ -227,23 +251,27 @@
         }
     }
 
-    /// Forwards what is left in the splitter at the end of a complete stream.
+    /// Forwards what is left in the splitter at the end of a body.
     async fn forward_remainder(&mut self, framing: ResponseFraming) -> SegmentEnd {
         while let Some(event) = self.splitter.next_event() {
             if let Some(end) = self.forward_event(event).await {
                 return end;
             }
         }
+        let is_inside_event = self.splitter.is_inside_event();
         let rest = self.splitter.take_rest();
+        if is_inside_event {
+            log::info!(
+                id = self.request.id(), framing = framing.as_str(), bytes = rest.len();
+                "stream ended inside an event"
+            );
+            return SegmentEnd::Failed(ENDED_INSIDE_EVENT);
+        }
         if rest.is_empty() {
-            return SegmentEnd::Complete;
+            return SegmentEnd::Ended;
         }
-        log::info!(
-            id = self.request.id(), framing = framing.as_str(), bytes = rest.len();
-            "stream ended inside an event"
-        );
         let event = StreamEvent { raw: rest, id: None };
-        self.forward_event(event).await.unwrap_or(SegmentEnd::Complete)
+        self.forward_event(event).await.unwrap_or(SegmentEnd::Ended)
     }
 
     /// Forwards an event unless it is a duplicate; returns how the segment ended if that ends it.
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use super::caller_stream::{CallerStream, ResetSwitch};
 use super::response_body::ResponseBody;
 
 /// Delay after a failed accept, which usually means that the process is out of file descriptors.
@@ -66,16 +67,26 @@
         log::debug!(error:% = error; "connection was closed before it was served");
         return;
     }
-    let service = service_fn(|request| {
+    let reset_switch = ResetSwitch::default();
+    let service = service_fn(|request: Request<Incoming>| {
+        let caller_version = request.version();
         let response = handle(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let reset_switch = &reset_switch;
+        async move {
+            let response = response.await;
+            // Such a response may end with its connection.
+            if caller_version == Version::HTTP_10 || response.version() == Version::HTTP_10 {
+                reset_switch.turn_on();
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(policy.head_timeout)
         .max_buf_size(policy.max_head_bytes)
         .preserve_header_case(true)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, reset_switch.clone())), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 //! Decisions are made in `sassafrashoist_core::gateway`; the platform's header names, paths and
 //! formats are in `sassafrashoist_adapter`.
 
+pub mod caller_stream;
 pub mod disconnect_guard;
 pub mod fetch_tokens;
 pub mod follow_config;
--- a/crates/sassafrashoist/src/gateway/response_body.rs
+++ b/crates/sassafrashoist/src/gateway/response_body.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use futures::{StreamExt, stream};
-use http::{HeaderMap, Response, StatusCode};
+use http::header::CONNECTION;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, Version};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
@@ -53,6 +54,11 @@
     Full::new(bytes).map_err(|never: Infallible| match never {}).boxed_unsync()
 }
 
+/// Returns a body whose bytes are all present, but whose length is not sent in the head.
+pub fn body_of_unknown_length(bytes: Bytes) -> ResponseBody {
+    StreamBody::new(stream::once(async { Ok(Frame::data(bytes)) })).boxed_unsync()
+}
+
 /// Returns a streamed body and its sender; up to `capacity` chunks are buffered.
 pub fn streamed_body(capacity: usize) -> (BodySender, ResponseBody) {
     let (sender, receiver) = mpsc::channel(capacity);
@@ -72,6 +78,14 @@
     (BodySender { sender, is_finished }, body.boxed_unsync())
 }
 
+/// Makes a response with a streamed body end with its connection, without length or chunks: its
+/// caller then knows as little about its completeness as this VM.
+pub fn delimit_by_close(response: &mut Response<ResponseBody>) {
+    // The HTTP library frames a response of version 1.1 by chunks, and one of version 1.0 not.
+    *response.version_mut() = Version::HTTP_10;
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 /// Returns a response whose body is not streamed.
 pub fn full_response(
     status: StatusCode,
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -15,7 +15,10 @@
 use super::forward_events::{forward_events, read_first_event};
 use super::gateway_context::GatewayContext;
 use super::request_context::RequestContext;
-use super::response_body::{BodySender, ResponseBody, full_response, streamed_body};
+use super::response_body::{
+    BodySender, ResponseBody, body_of_unknown_length, delimit_by_close, full_response,
+    streamed_body,
+};
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt};
 use super::serve_request::Refusal;
 use super::token_reservation::TokenReservation;
@@ -234,6 +237,9 @@
             let mut response = Response::new(response_body);
             *response.status_mut() = head.status;
             *response.headers_mut() = headers;
+            if !framing.marks_end() {
+                delimit_by_close(&mut response);
+            }
             return Ok(response);
         }
     }
@@ -241,7 +247,13 @@
         slot.set_verdict(AttemptVerdict::Succeeded);
     }
     record_response(context, request, slot.server_id(), framing, head.status, buffered.len());
-    Ok(full_response(head.status, headers, Bytes::from(buffered)))
+    if framing.marks_end() {
+        return Ok(full_response(head.status, headers, Bytes::from(buffered)));
+    }
+    let mut response = full_response(head.status, headers, Bytes::new());
+    *response.body_mut() = body_of_unknown_length(buffered.freeze());
+    delimit_by_close(&mut response);
+    Ok(response)
 }
 
 /// Forwards a long response body while it arrives.
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -5,7 +5,7 @@
 
 use http::Method;
 use sassafrashoist_platform_stand_in::backend_server::{ServerFault, event_text};
-use sassafrashoist_platform_stand_in::caller::{BodyEnd, CallerRequest, CallerResponse};
+use sassafrashoist_platform_stand_in::caller::{BodyEnd, CallerRequest, CallerResponse, send};
 use sassafrashoist_platform_stand_in::log_service::LogFault;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
     ACCOUNT, BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, FleetPlan, STATUS_PATH, StandInFleet,
@@ -437,3 +437,23 @@
         assert_eq!(String::from_utf8_lossy(&response.body), whole_stream());
     }
 }
+
+// The kernel closes the connections of a killed process properly unless they are set to be reset.
+#[tokio::test]
+async fn killed_gateway_does_not_end_a_response_without_framing_properly() {
+    let mut fleet = start("killed_in_response", plan()).await;
+    let fault = ServerFault::CloseDelimitedStallsAfter(2);
+    fleet.engines.iter().for_each(|engine| engine.set_fault(fault));
+    let address = fleet.gateways[0].caller_address;
+
+    let sending = tokio::spawn(async move { send(address, "c1", &chat()).await });
+    while run_count(&fleet) == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    fleet.gateways[0].kill().unwrap();
+    let response = sending.await.unwrap().unwrap();
+
+    assert_eq!(response.end, BodyEnd::Aborted, "{response:?}");
+    assert_eq!(String::from_utf8_lossy(&response.body), first_events(2));
+}
