End a router's stream as complete only when its last events were sent

What callers of the router's own interface saw: a stream whose sink was dropped, whose last events could not be sent before the deadline, or that was refused after its first part was framed as complete. A keyed stream could lose a part to a slow caller at the deadline, go on, and end with [DONE].

Cause: the body was the receiving end of a channel, and the end of the channel, for any reason, was the proper end of the body.

Change: router and gateway share one streamed body (util/streamed_body.rs), which ends with an error unless its sender calls finish. A part that was not taken aborts the stream; 'event: error' is still sent, and the body is then aborted.

--- a/crates/sassafrashoist/src/core/response_sink.rs
+++ b/crates/sassafrashoist/src/core/response_sink.rs
@@ -6,17 +6,16 @@
 //! mixed.
 
 use bytes::Bytes;
-use futures::StreamExt;
+use futures::TryStreamExt;
 use http::Response;
-use http_body::Frame;
 use serde_json::json;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
-use tokio_stream::wrappers::ReceiverStream;
 use volo_http::body::Body;
 
 use super::refusal::Refusal;
 use crate::util::http_response::{build_refusal_response, set_header, set_result_headers};
+use crate::util::streamed_body::{BodySender, streamed_frames};
 use sassafrashoist_core::ids::RequestKey;
 use sassafrashoist_core::requests::request_hash::{BodyHash, hash_body};
 use sassafrashoist_core::result_code::ResultCode;
@@ -53,7 +52,7 @@
     is_keyed: bool,
     deadline: Instant,
     sender: Option<ResponseSender>,
-    parts: Option<mpsc::Sender<Bytes>>,
+    parts: Option<BodySender>,
     forwarded_digests: Vec<BodyHash>,
     recorded_body: Vec<u8>,
 }
@@ -96,9 +95,8 @@
         let Some(sender) = self.sender.take() else {
             return;
         };
-        let (parts, receiver) = mpsc::channel(PART_QUEUE_LENGTH);
-        let frames = ReceiverStream::new(receiver).map(|part| Ok(Frame::data(part)));
-        let mut response = Response::new(Body::from_stream(frames));
+        let (parts, frames) = streamed_frames(PART_QUEUE_LENGTH);
+        let mut response = Response::new(Body::from_stream(frames.map_err(Into::into)));
         set_header(&mut response, "content-type", EVENT_STREAM_TYPE);
         set_result_headers(&mut response, &self.key, ResultCode::Done);
         let _ = sender.send(response);
@@ -136,10 +134,13 @@
         std::mem::take(&mut self.recorded_body)
     }
 
-    /// Sends the last bytes of a stream and closes it.
+    /// Sends the last bytes of a complete stream and ends it. If they cannot be sent before the
+    /// deadline, the response is aborted.
     pub async fn end_stream(&mut self, last: Bytes) {
-        if let Some(parts) = self.parts.take() {
-            let _ = tokio::time::timeout_at(self.deadline, parts.send(last)).await;
+        if self.send_part(last).await
+            && let Some(parts) = self.parts.take()
+        {
+            parts.finish();
         }
     }
 
@@ -151,7 +152,7 @@
     }
 
     /// Ends the request with a refusal, sent as the response or as the last event of an open
-    /// stream.
+    /// stream, which is then aborted.
     pub async fn refuse(&mut self, refusal: &Refusal) {
         self.send_response(build_refusal_response(&self.key, refusal));
         let data = json!({
@@ -160,13 +161,22 @@
             "outcome": refusal.outcome,
             "retry_after_ms": refusal.retry_after.map(|time| time.as_millis() as u64),
         });
-        self.end_stream(Bytes::from(format!("event: error\ndata: {data}\n\n"))).await;
+        self.send_part(Bytes::from(format!("event: error\ndata: {data}\n\n"))).await;
+        self.parts = None;
     }
 
-    async fn send_part(&self, raw: Bytes) -> bool {
+    /// Sends bytes of a stream. If that fails, the stream is aborted, because its caller must not
+    /// get a later part.
+    async fn send_part(&mut self, raw: Bytes) -> bool {
         let Some(parts) = &self.parts else {
             return false;
         };
-        matches!(tokio::time::timeout_at(self.deadline, parts.send(raw)).await, Ok(Ok(())))
+        let is_sent =
+            matches!(tokio::time::timeout_at(self.deadline, parts.send(raw)).await, Ok(true));
+        if !is_sent {
+            log::info!(key = self.key; "stream aborted: its caller did not take a part");
+            self.parts = None;
+        }
+        is_sent
     }
 }
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -20,12 +20,14 @@
 
 use super::gateway_context::GatewayContext;
 use super::request_context::RequestContext;
-use super::response_body::{BodySender, ResponseBody, delimit_by_close, streamed_body};
+use super::response_body::{ResponseBody, streamed_body};
 use super::run_attempts::{
     AttemptCounts, MAX_SERVERS_TRIED, initial_unresponsive_timeout, record_response,
 };
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt, wait_until_unresponsive};
 use super::token_reservation::TokenReservation;
+use crate::util::http_response::delimit_by_close;
+use crate::util::streamed_body::BodySender;
 
 /// The maximum number of events that are buffered for a slow caller.
 const EVENT_BUFFER_CAPACITY: usize = 16;
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -15,13 +15,12 @@
 use super::forward_events::{forward_events, read_first_event};
 use super::gateway_context::GatewayContext;
 use super::request_context::RequestContext;
-use super::response_body::{
-    BodySender, ResponseBody, body_of_unknown_length, delimit_by_close, full_response,
-    streamed_body,
-};
+use super::response_body::{ResponseBody, body_of_unknown_length, full_response, streamed_body};
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt};
 use super::serve_request::Refusal;
 use super::token_reservation::TokenReservation;
+use crate::util::http_response::delimit_by_close;
+use crate::util::streamed_body::BodySender;
 
 /// The maximum number of servers that are tried, including those that did not run the request.
 pub const MAX_SERVERS_TRIED: u32 = 4;
--- a/crates/sassafrashoist/src/util/http_response.rs
+++ b/crates/sassafrashoist/src/util/http_response.rs
@@ -1,8 +1,10 @@
 //! Builders for HTTP responses to callers and operators.
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderValue, Response, StatusCode};
+use futures::TryStreamExt;
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode, Version};
+use http_body_util::BodyStream;
 use serde::Serialize;
 use volo_http::body::Body;
 
@@ -62,6 +64,20 @@
     response
 }
 
+/// Returns a body with the same bytes whose length is not sent in the head.
+pub fn hide_length(body: Body) -> Body {
+    let frames = BodyStream::new(body).map_err(Into::into);
+    Body::from_stream(frames)
+}
+
+/// Makes a response whose body has no known length end with its connection, without chunks: its
+/// caller then knows as little about its completeness as this VM.
+pub fn delimit_by_close<B>(response: &mut Response<B>) {
+    // The HTTP library adds chunks to a response of version 1.1, and none to one of version 1.0.
+    *response.version_mut() = Version::HTTP_10;
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 /// Sets the request id and result code headers, which every response to a caller carries.
 pub fn set_result_headers(response: &mut Response<Body>, request_id: &str, code: ResultCode) {
     set_header(response, REQUEST_ID_HEADER, request_id);
--- a/crates/sassafrashoist/src/util/mod.rs
+++ b/crates/sassafrashoist/src/util/mod.rs
@@ -5,3 +5,4 @@
 pub mod logging;
 pub mod metrics_page;
 pub mod queued_stdout;
+pub mod streamed_body;
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod relay;
 mod relay_stream;
 mod response_body;
+mod response_sink;
 mod router_process;
 mod routing;
 mod settings;
