Do not store or frame a response whose end was not marked

What callers of the router's own interface would have seen: a plain response with neither length nor chunks, cut short by a crash of its server, was taken as complete, sent with the length of what had arrived, stored under its key and replayed.

Change: such a response is forwarded without framing and settled, but not stored; a retry under its key is told that the answer was not kept. A model's response that parses and a stream with [DONE] are complete by their content. Weights, the only response of the platform's services that is not parsed, are refused without framing. The caller of the test kit counts a body as complete only if its end is marked; the stand-in of the plain service plays the fault.

--- a/crates/sassafrashoist-platform/src/http_client.rs
+++ b/crates/sassafrashoist-platform/src/http_client.rs
@@ -9,6 +9,8 @@
 use volo_http::body::Body;
 use volo_http::client::Client;
 
+use crate::response_framing::ResponseFraming;
+
 /// Why a request has no response.
 #[derive(Debug, Error)]
 pub enum HttpRequestError {
@@ -40,15 +42,18 @@
 pub struct HttpResponse {
     /// The status.
     pub status: StatusCode,
+    /// How the end of the body was marked.
+    pub framing: ResponseFraming,
     /// The body.
     pub body: Bytes,
 }
 
-/// Sends a request and reads the whole response.
+/// Sends a request and reads the response to its end. Whether it is complete follows from its
+/// `framing`, or from a content that cannot be parsed if its end is missing.
 ///
 /// # Errors
 ///
-/// Fails when no complete response arrives within the timeout. The error says whether the server
+/// Fails when the response does not end properly within the timeout. The error says whether the server
 /// may have handled the request.
 pub async fn send_http_request(
     client: &Client,
@@ -78,13 +83,14 @@
             }
         })?;
     let status = response.status();
+    let framing = ResponseFraming::of(&response);
     let body = response
         .into_body()
         .collect()
         .await
         .map_err(|error| HttpRequestError::ResponseLost(url, error.to_string()))?
         .to_bytes();
-    Ok(HttpResponse { status, body })
+    Ok(HttpResponse { status, framing, body })
 }
 
 /// Returns whether a client error means that no connection was made.
--- a/crates/sassafrashoist-platform/src/weight_store.rs
+++ b/crates/sassafrashoist-platform/src/weight_store.rs
@@ -32,7 +32,10 @@
             .await
             .map_err(|error| WeightError::Unavailable(error.to_string()))?;
         match response.status {
-            StatusCode::OK => Ok(response.body),
+            StatusCode::OK if response.framing.marks_end() => Ok(response.body),
+            StatusCode::OK => Err(WeightError::Unavailable(
+                "response has neither a length nor chunks, so it may be incomplete".to_owned(),
+            )),
             StatusCode::TOO_MANY_REQUESTS => Err(WeightError::RateLimited),
             StatusCode::NOT_FOUND => Err(WeightError::Missing(name.to_owned())),
             status => Err(WeightError::Unavailable(format!("status {status}"))),
--- a/crates/sassafrashoist-testkit/src/client/caller.rs
+++ b/crates/sassafrashoist-testkit/src/client/caller.rs
@@ -13,6 +13,7 @@
 
 use sassafrashoist::core::response_sink::DONE_DATA;
 use sassafrashoist_core::event_splitter::EventSplitter;
+use sassafrashoist_platform::response_framing::ResponseFraming;
 
 /// How long a caller waits for a complete response.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -43,9 +44,11 @@
     pub text: String,
     /// The total tokens that the engine reports as used.
     pub used_tokens: u64,
-    /// Whether the response is complete: a stream has its end marker, any other body was read to
-    /// its end.
+    /// Whether the response is known to be complete: a stream has its end marker, any other body
+    /// was read to an end that its length or its last chunk marks.
     pub is_complete: bool,
+    /// Whether the body was aborted.
+    pub is_aborted: bool,
     /// Time from sending to the first token, or to the complete response when it is not streamed.
     pub time_to_first_token: Duration,
     /// Times between consecutive tokens.
@@ -144,26 +147,31 @@
         }
         let started = Instant::now();
         let incoming = builder.body(Body::from(request.body.clone())).send::<Body>().await?;
+        let framing = ResponseFraming::of(&incoming);
         let (head, body) = incoming.into_parts();
         let mut response = CallerResponse {
             status: head.status.as_u16(),
             headers: head.headers,
             ..CallerResponse::default()
         };
-        read_body(&mut response, body, started).await;
+        read_body(&mut response, framing, body, started).await;
         Ok(response)
     }
 }
 
-async fn read_body(response: &mut CallerResponse, mut body: Body, started: Instant) {
+async fn read_body(
+    response: &mut CallerResponse,
+    framing: ResponseFraming,
+    mut body: Body,
+    started: Instant,
+) {
     let is_stream = response.header("content-type").starts_with("text/event-stream");
     let mut splitter = EventSplitter::default();
     let mut bytes = Vec::new();
     let mut previous_token_at = started;
-    let mut is_broken = false;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
-            is_broken = true;
+            response.is_aborted = true;
             break;
         };
         let Some(data) = frame.data_ref() else {
@@ -177,7 +185,7 @@
     }
     if !is_stream {
         response.time_to_first_token = started.elapsed();
-        response.is_complete = !is_broken;
+        response.is_complete = !response.is_aborted && framing.marks_end();
         apply_body(response, &bytes);
     }
     response.body = Bytes::from(bytes);
--- a/crates/sassafrashoist-testkit/src/service/service_stand_in.rs
+++ b/crates/sassafrashoist-testkit/src/service/service_stand_in.rs
@@ -14,7 +14,9 @@
 
 use crate::http_util::{bind_loopback, build_broken_response, header_text, read_body_or_empty};
 use sassafrashoist::core::clock::read_clock;
-use sassafrashoist::util::http_response::{build_json_response, set_header};
+use sassafrashoist::util::http_response::{
+    build_json_response, delimit_by_close, hide_length, set_header,
+};
 use sassafrashoist::util::http_server::{HttpHandler, serve_http};
 use sassafrashoist_core::routing::server_view::LoadReport;
 
@@ -27,6 +29,16 @@
     pub lost_responses: u32,
     /// How many of the next responses carry the id of another request.
     pub mismatched_responses: u32,
+    /// How many of the next responses have neither a length nor chunks and end with their
+    /// connection.
+    pub close_delimited_responses: u32,
+}
+
+/// The faults of one response.
+struct ExecutionFaults {
+    is_lost: bool,
+    is_mismatched: bool,
+    is_close_delimited: bool,
 }
 
 #[derive(Debug, Default)]
@@ -95,7 +107,8 @@
         let body = read_body_or_empty(request).await;
         let (execution_count, added_latency) = self.start_execution(&key);
         tokio::time::sleep(added_latency).await;
-        let (is_lost, is_mismatched) = self.finish_execution();
+        let ExecutionFaults { is_lost, is_mismatched, is_close_delimited } =
+            self.finish_execution();
         if is_lost {
             return build_broken_response();
         }
@@ -106,6 +119,10 @@
         );
         set_header(&mut response, "x-request-id", response_id);
         set_header(&mut response, "x-attempt", &attempt);
+        if is_close_delimited {
+            response = response.map(hide_length);
+            delimit_by_close(&mut response);
+        }
         response
     }
 
@@ -117,13 +134,21 @@
         (*count, state.faults.added_latency)
     }
 
-    fn finish_execution(&self) -> (bool, bool) {
+    fn finish_execution(&self) -> ExecutionFaults {
         let mut state = self.lock();
         state.running_count -= 1;
-        let is_lost = state.faults.lost_responses > 0;
-        let is_mismatched = state.faults.mismatched_responses > 0;
-        state.faults.lost_responses -= u32::from(is_lost);
-        state.faults.mismatched_responses -= u32::from(is_mismatched);
-        (is_lost, is_mismatched)
+        let faults = &mut state.faults;
+        ExecutionFaults {
+            is_lost: take_one(&mut faults.lost_responses),
+            is_mismatched: take_one(&mut faults.mismatched_responses),
+            is_close_delimited: take_one(&mut faults.close_delimited_responses),
+        }
     }
 }
+
+/// Decrements a count; returns whether it was above 0.
+fn take_one(count: &mut u32) -> bool {
+    let is_due = *count > 0;
+    *count -= u32::from(is_due);
+    is_due
+}
--- a/crates/sassafrashoist/src/ops/end_request.rs
+++ b/crates/sassafrashoist/src/ops/end_request.rs
@@ -12,7 +12,9 @@
 use crate::ops::receive_response::CompleteResponse;
 use crate::ops::run_attempts::ActiveRequest;
 use crate::ops::settle_request::settle_request;
-use crate::util::http_response::{build_response, set_result_headers};
+use crate::util::http_response::{
+    build_response, delimit_by_close, hide_length, set_result_headers,
+};
 use sassafrashoist_core::ids::{AttemptNumber, Tokens};
 use sassafrashoist_core::invariants::Invariant;
 use sassafrashoist_core::owner::settle::{SettleDecision, SettleOutcome};
@@ -27,8 +29,9 @@
 /// The `Retry-After` of a request whose attempts failed.
 const FAILED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Settles a request that has a complete response, and then sends the response to the caller. Of a
-/// stream, only the events that end it are sent here; the others were forwarded before.
+/// Settles a request whose response was received to its end, and then sends the response to the
+/// caller. Of a stream, only the events that end it are sent here; the others were forwarded before.
+/// A response that may be incomplete is not stored.
 pub async fn end_complete(
     active: &mut ActiveRequest,
     dispatched: Request<Dispatched>,
@@ -48,6 +51,11 @@
         return active.sink.end_stream(complete.body).await;
     }
     let mut response = build_response(complete.http_status, &complete.content_type, complete.body);
+    if !complete.is_known_complete {
+        log::info!(key = request.key; "response without length or chunks; not stored");
+        response = response.map(hide_length);
+        delimit_by_close(&mut response);
+    }
     set_result_headers(&mut response, &request.key, ResultCode::Done);
     active.sink.send_response(response);
 }
@@ -142,7 +150,7 @@
     active: &mut ActiveRequest,
     complete: &CompleteResponse,
 ) -> Option<StoredResponse> {
-    if !active.request.is_keyed {
+    if !active.request.is_keyed || !complete.is_known_complete {
         return None;
     }
     if complete.is_stream {
--- a/crates/sassafrashoist/src/ops/forward_stream.rs
+++ b/crates/sassafrashoist/src/ops/forward_stream.rs
@@ -121,6 +121,7 @@
         ResponseEnd::Complete(CompleteResponse {
             used_tokens: usage_part.usage.total_tokens,
             is_stream: true,
+            is_known_complete: true,
             http_status: 200,
             content_type: EVENT_STREAM_TYPE.to_owned(),
             body: [usage_part.raw, done].concat().into(),
--- a/crates/sassafrashoist/src/ops/receive_response.rs
+++ b/crates/sassafrashoist/src/ops/receive_response.rs
@@ -15,6 +15,7 @@
 use crate::util::http_response::REQUEST_ID_HEADER;
 use sassafrashoist_core::ids::{AttemptNumber, Tokens};
 use sassafrashoist_core::requests::life_cycle::{Dispatched, Request};
+use sassafrashoist_platform::response_framing::ResponseFraming;
 
 /// The token usage that an engine reports for a request.
 #[derive(Debug, Clone, Copy, Deserialize)]
@@ -23,7 +24,7 @@
     pub total_tokens: Tokens,
 }
 
-/// A response that is complete and belongs to the request.
+/// A response that was received to its end and belongs to the request.
 #[derive(Debug)]
 pub struct CompleteResponse {
     /// The tokens that it cost.
@@ -34,6 +35,9 @@
     pub http_status: u16,
     /// The value of the `Content-Type` header.
     pub content_type: String,
+    /// Whether the body is known to be complete; a response without length or chunks is only so if
+    /// its content shows it.
+    pub is_known_complete: bool,
     /// The body; for a stream, the usage event and the event that ends it.
     pub body: Bytes,
 }
@@ -66,6 +70,7 @@
     if content_type.starts_with(EVENT_STREAM_TYPE) {
         return forward_stream(active, dispatched.attempt(), response.into_body()).await;
     }
+    let framing = ResponseFraming::of(&response);
     let (head, body) = response.into_parts();
     let collected = match tokio::time::timeout(active.request.time_left(), body.collect()).await {
         Ok(Ok(collected)) => collected,
@@ -84,9 +89,12 @@
         metrics::counter!("sassafrashoist_crossed_parts_dropped_total").increment(1);
         return ResponseEnd::Lost("response does not belong to the request".to_owned());
     };
+    // A model's response that was parsed is complete.
+    let is_parsed = active.request.is_model() && !is_refused;
     ResponseEnd::Complete(CompleteResponse {
         used_tokens,
         is_stream: false,
+        is_known_complete: framing.marks_end() || is_parsed,
         http_status: head.status.as_u16(),
         content_type,
         body,
--- a/crates/sassafrashoist/tests/testsuite/outcomes.rs
+++ b/crates/sassafrashoist/tests/testsuite/outcomes.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use sassafrashoist_core::ids::VmId;
+use sassafrashoist_core::result_code::ResultCode;
 use sassafrashoist_testkit::client::caller::{CallerRequest, CallerResponse};
 use sassafrashoist_testkit::engine::engine_settings::EngineSettings;
 use sassafrashoist_testkit::engine::response_tokens::response_text;
@@ -304,3 +305,22 @@
     }
     assert_clean(&fleet);
 }
+
+// A response that may be incomplete must not be replayed with the length of what arrived.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_without_framing_is_forwarded_without_framing_and_not_stored() {
+    let fleet = start_fleet(1, 1).await;
+    let service = &fleet.services[0].stand_in;
+    service.set_faults(|faults| faults.close_delimited_responses = 1);
+    let caller = fleet.caller(0).unwrap();
+
+    let first = caller.post(&bid("b-1")).await.unwrap();
+    let second = caller.post(&bid("b-1")).await.unwrap();
+
+    assert_eq!((first.status, first.is_complete, first.is_aborted), (200, false, false));
+    assert!(String::from_utf8_lossy(&first.body).contains("accepted"), "{first:?}");
+    assert_eq!(second.result_code(), ResultCode::AnswerNotKept.number(), "{second:?}");
+    assert_eq!(service.execution_count("fippu/b-1"), 1);
+    assert_eq!(sums(&fleet).reserved_tokens, 0);
+    assert_clean(&fleet);
+}
