--- a/crates/sassafrashoist/src/gateway/log_client.rs
+++ b/crates/sassafrashoist/src/gateway/log_client.rs
@@ -14,6 +14,7 @@
     LogError, NewestPage, RecordBatch, decode_append, decode_newest, decode_read,
 };
 use sassafrashoist_core::ids::LogOffset;
+use sassafrashoist_platform::response_framing::ResponseFraming;
 
 use super::gateway_context::GatewayContext;
 use super::http_connection::Connection;
@@ -135,6 +136,7 @@
         // After a missing or partial response, the connection is not used for another call.
         let response = with_timeout(wait + IDLE_TIMEOUT, connection.send(request)).await?;
         let status = response.status().as_u16();
+        let framing = ResponseFraming::of(&response);
         let mut body = response.into_body();
         let mut received = BytesMut::new();
         while let Some(frame) =
@@ -144,7 +146,11 @@
                 received.extend_from_slice(data);
             }
         }
-        self.connection = Some(connection);
+        // Without a marked end, the connection has ended too, and the decoders detect a response that
+        // is cut short.
+        if framing.marks_end() {
+            self.connection = Some(connection);
+        }
         Ok((status, received.freeze()))
     }
 }
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -8,7 +8,8 @@
 use sassafrashoist_platform_stand_in::caller::{BodyEnd, CallerRequest, CallerResponse, send};
 use sassafrashoist_platform_stand_in::log_service::LogFault;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    ACCOUNT, BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, FleetPlan, STATUS_PATH, StandInFleet,
+    ACCOUNT, API_KEY, BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, FleetPlan, STATUS_PATH,
+    StandInFleet,
 };
 
 const PROMPT_TOKENS: u64 = 900;
@@ -457,3 +458,22 @@
     assert_eq!(response.end, BodyEnd::Aborted, "{response:?}");
     assert_eq!(String::from_utf8_lossy(&response.body), first_events(2));
 }
+
+// A response that ends with its connection leaves no connection for the next call.
+#[tokio::test]
+async fn log_responses_without_framing_do_not_put_calls_in_doubt() {
+    let mut fleet = start("log_without_framing", plan()).await;
+
+    fleet.log.set_fault(LogFault::CloseDelimited);
+    fleet.change_keys(&["another-key"]);
+    tokio::time::sleep(PROPAGATION_TIME * 2).await;
+    let refused = fleet.send(0, "c1", &chat()).await.unwrap();
+    fleet.change_keys(&[API_KEY]);
+    tokio::time::sleep(PROPAGATION_TIME * 2).await;
+    let served = fleet.send(0, "c2", &chat()).await.unwrap();
+
+    assert_eq!(refused.status, 401);
+    assert_stream(&served);
+    let log = fleet.gateways[0].read_log().unwrap();
+    assert!(!log.contains("log service lost"), "{log}");
+}
