--- a/crates/sassafrashoist-testkit/src/engine/engine_stand_in.rs
+++ b/crates/sassafrashoist-testkit/src/engine/engine_stand_in.rs
@@ -21,8 +21,7 @@
 use super::sequence::Sequence;
 use super::slot_queue::SlotAcquisition;
 use crate::http_util::{
-    bind_loopback, build_broken_response, header_number, header_text, query_number,
-    read_body_or_empty,
+    bind_loopback, build_broken_response, header_number, header_text, query_number, read_body,
 };
 use sassafrashoist::core::clock::read_clock;
 use sassafrashoist::util::http_response::{build_json_response, build_response, set_header};
@@ -153,7 +152,10 @@
 
     async fn generate(&self, request: Request<Body>) -> Response<Body> {
         let headers = request.headers().clone();
-        let body = read_body_or_empty(request).await;
+        let body = match read_body(request).await {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
         let Ok(parsed) = serde_json::from_slice::<ModelRequest>(&body) else {
             return build_response(400, "text/plain", "malformed request\n");
         };
--- a/crates/sassafrashoist-testkit/src/http_util.rs
+++ b/crates/sassafrashoist-testkit/src/http_util.rs
@@ -7,6 +7,7 @@
 use eyre::Result;
 use http::{HeaderMap, Request, Response};
 use http_body_util::BodyExt;
+use sassafrashoist::util::http_response::build_response;
 use sassafrashoist::util::http_server::bind_listener;
 use tokio::net::TcpListener;
 use volo_http::body::Body;
@@ -65,11 +66,17 @@
     Ok((listener, address))
 }
 
-/// Reads a complete body; empty when the connection breaks.
-pub async fn read_body_or_empty(request: Request<Body>) -> Bytes {
+/// Reads a complete body.
+///
+/// # Errors
+///
+/// Fails when the connection breaks before the end of the body, with the response to the request.
+pub async fn read_body(request: Request<Body>) -> Result<Bytes, Response<Body>> {
     match request.into_body().collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(_) => Bytes::new(),
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) => {
+            Err(build_response(400, "text/plain", format!("failed to read the body: {error}\n")))
+        }
     }
 }
 
--- a/crates/sassafrashoist-testkit/src/platform/platform_stand_in.rs
+++ b/crates/sassafrashoist-testkit/src/platform/platform_stand_in.rs
@@ -16,7 +16,7 @@
 use super::log_streams::LogStreams;
 use super::platform_faults::PlatformFaults;
 use crate::http_util::{
-    bind_loopback, build_broken_response, header_text, query_number, read_body_or_empty,
+    bind_loopback, build_broken_response, header_text, query_number, read_body,
 };
 use sassafrashoist::util::http_response::{build_json_response, build_response};
 use sassafrashoist::util::http_server::{HttpHandler, serve_http};
@@ -172,7 +172,10 @@
     }
 
     async fn append(&self, stream: &str, request: Request<Body>) -> Response<Body> {
-        let body = read_body_or_empty(request).await;
+        let body = match read_body(request).await {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
         let Ok(batch) = serde_json::from_slice::<AppendRequest>(&body) else {
             return build_response(400, "text/plain", "malformed batch\n");
         };
--- a/crates/sassafrashoist-testkit/src/service/service_stand_in.rs
+++ b/crates/sassafrashoist-testkit/src/service/service_stand_in.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 use volo_http::body::Body;
 
-use crate::http_util::{bind_loopback, build_broken_response, header_text, read_body_or_empty};
+use crate::http_util::{bind_loopback, build_broken_response, header_text, read_body};
 use sassafrashoist::core::clock::read_clock;
 use sassafrashoist::util::http_response::{
     build_json_response, delimit_by_close, hide_length, set_header,
@@ -104,7 +104,10 @@
         let key = header_text(request.headers(), "idempotency-key");
         let request_id = header_text(request.headers(), "x-request-id");
         let attempt = header_text(request.headers(), "x-attempt");
-        let body = read_body_or_empty(request).await;
+        let body = match read_body(request).await {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
         let (execution_count, added_latency) = self.start_execution(&key);
         tokio::time::sleep(added_latency).await;
         let ExecutionFaults { is_lost, is_mismatched, is_close_delimited } =
--- a/crates/sassafrashoist-testkit/src/tcp_link.rs
+++ b/crates/sassafrashoist-testkit/src/tcp_link.rs
@@ -130,29 +130,41 @@
     };
     let _ = inbound.set_nodelay(true);
     let _ = outbound.set_nodelay(true);
-    let (inbound_read, inbound_write) = inbound.into_split();
-    let (outbound_read, outbound_write) = outbound.into_split();
-    let forward = forward_bytes(inbound_read, outbound_write, faults.clone(), &traffic, |faults| {
-        !faults.is_forward_cut
-    });
-    let backward = forward_bytes(outbound_read, inbound_write, faults, &traffic, |faults| {
-        !faults.is_backward_cut
-    });
-    tokio::join!(forward, backward);
+    let (mut inbound_read, mut inbound_write) = inbound.into_split();
+    let (mut outbound_read, mut outbound_write) = outbound.into_split();
+    let forward =
+        forward_bytes(&mut inbound_read, &mut outbound_write, faults.clone(), &traffic, |faults| {
+            !faults.is_forward_cut
+        });
+    let backward =
+        forward_bytes(&mut outbound_read, &mut inbound_write, faults, &traffic, |faults| {
+            !faults.is_backward_cut
+        });
+    if tokio::try_join!(forward, backward).is_err() {
+        // A reset of one connection resets the other.
+        for write in [inbound_write, outbound_write] {
+            let _ = write.as_ref().set_zero_linger();
+            write.forget();
+        }
+    }
 }
 
+/// The error when a connection was reset.
+struct ConnectionReset;
+
 async fn forward_bytes(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
     mut faults: watch::Receiver<LinkFaults>,
     traffic: &LinkTraffic,
     is_open: impl Fn(&LinkFaults) -> bool,
-) {
+) -> Result<(), ConnectionReset> {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
         let count = match from.read(&mut chunk).await {
             Ok(count) if count > 0 => count,
-            _ => break,
+            Ok(_) => break,
+            Err(_) => return Err(ConnectionReset),
         };
         traffic.count(count);
         let delay = faults.borrow().delay;
@@ -167,4 +179,5 @@
         }
     }
     let _ = to.shutdown().await;
+    Ok(())
 }
--- a/crates/sassafrashoist-testkit/tests/testsuite/tcp_link.rs
+++ b/crates/sassafrashoist-testkit/tests/testsuite/tcp_link.rs
@@ -51,3 +51,20 @@
     assert!(received_nothing);
     assert_eq!(&received, b"kept");
 }
+
+// A proxy that turns a reset into a proper end makes a broken-off response look closed.
+#[tokio::test]
+async fn tcp_link_forwards_a_reset_as_a_reset() {
+    let link = TcpLink::start(&CancellationToken::new()).await.unwrap();
+    let (mut client, mut server) = connect_ends(&link).await;
+    server.write_all(b"part").await.unwrap();
+    let mut received = Vec::new();
+    let mut part = [0; 4];
+    client.read_exact(&mut part).await.unwrap();
+
+    server.set_zero_linger().unwrap();
+    drop(server);
+    let end = client.read_to_end(&mut received).await;
+
+    assert_eq!(end.unwrap_err().kind(), std::io::ErrorKind::ConnectionReset);
+}
