Do not take a stream that is closed before its first event for a success

A close proves nothing, and at least one event was due. It is now a failed attempt, unless the caller itself resumes a stream, which may have no event left. The new test failed before.

--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -38,6 +38,9 @@
 /// The reason of a failed attempt whose stream ended inside an event.
 const ENDED_INSIDE_EVENT: &str = "stream ended inside an event";
 
+/// The reason of a failed attempt whose stream has no framing and was closed before any event.
+const CLOSED_BEFORE_EVENT: &str = "stream closed before its first event";
+
 /// A stream whose first event has arrived, or which has ended.
 #[derive(Debug)]
 pub struct StartedStream {
@@ -87,6 +90,11 @@
                 started.slot.set_verdict(AttemptVerdict::Failed);
                 return Err(ENDED_INSIDE_EVENT);
             }
+            // A stream that its caller resumes may have no event left.
+            None if !started.framing.marks_end() && request.caller.last_event_id.is_none() => {
+                started.slot.set_verdict(AttemptVerdict::Failed);
+                return Err(CLOSED_BEFORE_EVENT);
+            }
             None => return Ok(StartedStream { started, splitter, has_ended: true }),
             Some(Err(error)) => {
                 log::info!(
@@ -222,6 +230,7 @@
     async fn forward_segment(&mut self, started: &mut StartedResponse) -> SegmentEnd {
         let unresponsive_timeout =
             self.counts.allows_another_run(&self.request).then_some(STREAM_UNRESPONSIVE_TIMEOUT);
+        let earlier_bytes = self.forwarded_bytes;
         loop {
             while let Some(event) = self.splitter.next_event() {
                 if let Some(end) = self.forward_event(event).await {
@@ -248,6 +257,12 @@
                     }
                 }
                 Some(Err(_)) => return SegmentEnd::Failed("connection lost"),
+                None if !started.framing.marks_end()
+                    && self.forwarded_bytes == earlier_bytes
+                    && !self.splitter.is_inside_event() =>
+                {
+                    return SegmentEnd::Failed(CLOSED_BEFORE_EVENT);
+                }
                 None => return self.forward_remainder(started.framing).await,
             }
         }
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -370,6 +370,25 @@
     assert_stream(&draft);
 }
 
+// A connection that is closed before any event is no stream that a caller can use.
+#[tokio::test]
+async fn stream_closed_before_its_first_event_is_not_a_success() {
+    let fleet = start("closed_before_body", plan()).await;
+    let fault = ServerFault::CloseDelimitedClosesBeforeBody;
+    fleet.engines.iter().for_each(|engine| engine.set_fault(fault));
+
+    let fresh = fleet.send(0, "c1", &chat()).await.unwrap();
+    let resume_header = vec![("Last-Event-Id", EVENT_COUNT.to_string())];
+    let resumed =
+        fleet.send(0, "c2", &CallerRequest { headers: resume_header, ..chat() }).await.unwrap();
+    fleet.engines[0].set_fault(ServerFault::CloseDelimitedClosesAfter(2));
+    let broken = fleet.send(0, "d1", &draft()).await.unwrap();
+
+    assert_eq!(fresh.status, 502, "{fresh:?}");
+    assert_eq!((resumed.status, resumed.end), (200, BodyEnd::Closed), "{resumed:?}");
+    assert_ne!((broken.status, broken.end), (200, BodyEnd::Closed), "{broken:?}");
+}
+
 // A stream that ends inside an event may be continued as one that was reset.
 #[tokio::test]
 async fn stream_that_ends_inside_an_event_continues_at_another_server() {
