Send no requests to servers that leave or ask for a pause

What callers would have seen: requests sent to a server after it had said in its responses that it leaves ('Server-Leaving: 1'), and lost with it; and a server that turns requests away with 'Retry-After' asked again at once by every request, which is then refused later than it could be.

Change: a server that says that it leaves gets no new request, as if it had left the list, until another incarnation is listed. A server that asks for a pause gets none during it, even if its pool has no other; a caller that is refused for that is told to return when the first pause ends. Both are logged.

--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -38,9 +38,9 @@
 const REMOTE_COST_MS: f64 = 4.0;
 /// The maximum random addition to a cost, in milliseconds.
 const MAX_JITTER_MS: f64 = 3.0;
-/// The fraction of the drain timeout for which an unlisted server may be used when its pool has no
-/// other.
-const UNLISTED_USE_FRACTION: f64 = 0.75;
+/// The fraction of the drain timeout for which a server that left the list, or says that it leaves,
+/// may be used when its pool has no other.
+const ENDING_USE_FRACTION: f64 = 0.75;
 /// The most parts of prompts that are remembered.
 const MAX_KEPT_PARTS: usize = 4_096;
 
@@ -78,7 +78,7 @@
     cached_prefixes: HashMap<(BackendServerId, PromptPartId), Uptime>,
     data_centre_id: DataCentreId,
     cache_window: Duration,
-    unlisted_use_time: Duration,
+    ending_use_time: Duration,
     prefill_tokens_per_ms: f64,
 }
 
@@ -94,7 +94,7 @@
             cached_prefixes: HashMap::new(),
             data_centre_id,
             cache_window,
-            unlisted_use_time: drain_timeout.mul_f64(UNLISTED_USE_FRACTION),
+            ending_use_time: drain_timeout.mul_f64(ENDING_USE_FRACTION),
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
         }
     }
@@ -126,10 +126,10 @@
     ///
     /// Also removes servers that have been unlisted for long and have no requests in progress.
     pub fn mark_unlisted(&mut self, server_id: &str, now: Uptime) -> bool {
-        let unlisted_use_time = self.unlisted_use_time;
+        let ending_use_time = self.ending_use_time;
         self.servers.retain(|_, server| {
             server.in_flight_count > 0
-                || server.unlisted_at.is_none_or(|at| now < at + unlisted_use_time)
+                || server.unlisted_at.is_none_or(|at| now < at + ending_use_time)
         });
         let Some(server) = self.servers.get_mut(server_id) else {
             return false;
@@ -184,6 +184,31 @@
         }
     }
 
+    /// Records that a response of a server said that the server leaves; returns whether that is new.
+    pub fn record_leaving(&mut self, server_id: &str, now: Uptime) -> bool {
+        let Some(server) = self.servers.get_mut(server_id) else {
+            return false;
+        };
+        let is_new = server.leaving_since.is_none();
+        server.leaving_since.get_or_insert(now);
+        is_new
+    }
+
+    /// Records that a server turned a request away and wants no requests for the length of `pause`.
+    pub fn record_pause(&mut self, server_id: &str, pause: Duration, now: Uptime) {
+        if let Some(server) = self.servers.get_mut(server_id) {
+            server.record_pause(pause, now);
+        }
+    }
+
+    /// Returns the time until the first server of a pool takes requests again; zero if one does, or
+    /// if none is listed.
+    pub fn pause_left(&self, pool_id: &str, now: Uptime) -> Duration {
+        let in_pool = self.servers.values().filter(|server| server.listing.pool_id == pool_id);
+        let pauses = in_pool.filter(|s| s.accepts_requests()).map(|s| s.pause_left(now));
+        pauses.min().unwrap_or_default()
+    }
+
     /// Records that a response started `waited` after the attempt, which ends the prefill.
     pub fn record_response_start(
         &mut self,
@@ -230,12 +255,13 @@
         let in_pool = |server: &&ServerState| {
             server.listing.pool_id == requirements.pool_id
                 && !requirements.excluded.contains(&server.listing.id)
+                && server.pause_left(now).is_zero()
         };
         let mut usable: Vec<&ServerState> =
             self.servers.values().filter(in_pool).filter(|s| s.accepts_requests()).collect();
         if usable.is_empty() {
             let is_recent = |s: &&ServerState| {
-                s.unlisted_at.is_some_and(|at| now < at + self.unlisted_use_time)
+                s.ending_since().is_some_and(|at| now < at + self.ending_use_time)
             };
             usable = self.servers.values().filter(in_pool).filter(is_recent).collect();
         }
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -37,6 +37,9 @@
     pub listing: ServerListing,
     /// When the server left the platform's list; `None` while it is listed.
     pub unlisted_at: Option<Uptime>,
+    /// When a response of the server first said that it leaves.
+    pub leaving_since: Option<Uptime>,
+    pause_ends_at: Uptime,
     pub(super) breaker: CircuitBreaker,
     pub(super) in_flight_count: u32,
     pub(super) pending_prefill_tokens: u64,
@@ -53,6 +56,8 @@
         Self {
             listing,
             unlisted_at: None,
+            leaving_since: None,
+            pause_ends_at: Uptime::ZERO,
             breaker: CircuitBreaker::default(),
             in_flight_count: 0,
             pending_prefill_tokens: 0,
@@ -64,9 +69,20 @@
         }
     }
 
-    /// Returns whether the server is listed and not draining.
+    /// Returns whether the server is listed and neither drains nor leaves.
     pub fn accepts_requests(&self) -> bool {
-        self.unlisted_at.is_none() && !self.listing.is_draining
+        self.unlisted_at.is_none() && self.leaving_since.is_none() && !self.listing.is_draining
+    }
+
+    /// Returns since when the server is known to stop, by its responses or the platform's list;
+    /// `None` while it is not.
+    pub fn ending_since(&self) -> Option<Uptime> {
+        [self.unlisted_at, self.leaving_since].into_iter().flatten().min()
+    }
+
+    /// Returns how long the server still wants no requests; zero if it takes them.
+    pub fn pause_left(&self, now: Uptime) -> Duration {
+        self.pause_ends_at.saturating_sub(now)
     }
 
     /// Returns whether the server is expected to respond: its circuit breaker allows an attempt and
@@ -114,6 +130,10 @@
         self.last_activity_at = now;
     }
 
+    pub(super) fn record_pause(&mut self, pause: Duration, now: Uptime) {
+        self.pause_ends_at = self.pause_ends_at.max(now.saturating_add(pause));
+    }
+
     pub(super) fn record_load(&mut self, load: ReportedLoad, now: Uptime) {
         let reported = f64::from(load.running_count + load.waiting_count);
         self.other_vms_request_count = (reported - f64::from(self.in_flight_count)).max(0.0);
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
@@ -186,3 +186,42 @@
 
     assert_eq!(directory.server("server-0").unwrap().failure_rate(START), 0.0);
 }
+
+// The list entry of a leaving server may still say that it is ready.
+#[test]
+fn leaving_server_is_used_only_without_another_and_not_for_long() {
+    let mut directory = directory(2);
+    directory.record_leaving("server-0", START);
+    directory.add_or_update(ServerListing { slot_count: 32, ..listing(0) }, START);
+    let requirements = requirements_without_prefix();
+
+    let chosen = directory.choose(&requirements, 0, START).unwrap().listing.id;
+    let only_leaving = ServerRequirements { excluded: vec![chosen.clone()], ..requirements };
+    let soon = directory.choose(&only_leaving, 0, START + DRAIN_TIMEOUT / 2);
+    let late = directory.choose(&only_leaving, 0, START + DRAIN_TIMEOUT);
+    directory.add_or_update(ServerListing { started_at_unix_ms: 8, ..listing(0) }, START);
+    let restarted = directory.choose(&only_leaving, 0, START + DRAIN_TIMEOUT);
+
+    assert_eq!(chosen, "server-1");
+    assert_eq!(soon.unwrap().listing.id, "server-0");
+    assert!(late.is_none());
+    assert_eq!(restarted.unwrap().listing.id, "server-0");
+}
+
+#[test]
+fn server_is_not_chosen_during_its_pause_even_without_another() {
+    let mut directory = directory(2);
+    let requirements = requirements_without_prefix();
+    let pause = Duration::from_secs(3);
+    directory.record_pause("server-0", pause, START);
+    directory.record_pause("server-1", pause * 2, START);
+    directory.record_pause("server-1", pause / 3, START);
+
+    let pause_left = directory.pause_left("engines", START + pause / 3);
+    let during = directory.choose(&requirements, 0, START + pause / 2);
+    let after = directory.choose(&requirements, 0, START + pause);
+
+    assert_eq!(pause_left, pause * 2 / 3);
+    assert!(during.is_none());
+    assert_eq!(after.unwrap().listing.id, "server-0");
+}
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -161,7 +161,8 @@
     failure: &'static str,
 ) -> Response<ResponseBody> {
     let refusal = if counts.may_have_run == 0 {
-        Refusal::retry_later(NO_SERVER_RETRY_AFTER, failure)
+        let pause_left = context.lock_servers().pause_left(&request.pool_id, context.now());
+        Refusal::retry_later(NO_SERVER_RETRY_AFTER, failure).not_before(pause_left)
     } else if request.time_left(context.now()) < MIN_TIME_LEFT {
         Refusal::new(StatusCode::GATEWAY_TIMEOUT, failure)
     } else {
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -188,6 +188,9 @@
     if let Some(load) = head.load {
         context.lock_servers().record_load(slot.server_id(), load, now);
     }
+    if !matches!(head.kind, ResponseKind::Misdirected | ResponseKind::Unverified) {
+        record_announcements(context, &slot, &head, now);
+    }
     match head.kind {
         ResponseKind::Served => {
             AttemptStart::Served(StartedResponse { response, framing, connection, slot })
@@ -212,6 +215,26 @@
     }
 }
 
+/// Records what a server says in its response about the requests that it wants.
+fn record_announcements(
+    context: &GatewayContext,
+    slot: &ServerSlot,
+    head: &ResponseHead,
+    now: Uptime,
+) {
+    let server_id = slot.server_id();
+    if head.is_leaving && context.lock_servers().record_leaving(server_id, now) {
+        log::info!(server = server_id; "server says that it leaves");
+    }
+    if let Some(pause) = head.pause {
+        context.lock_servers().record_pause(server_id, pause, now);
+        log::info!(
+            server = server_id, pause_ms = pause.as_millis() as u64;
+            "server wants no requests for a time"
+        );
+    }
+}
+
 /// Completes when a server has sent nothing to any request for `unresponsive_timeout`; never if
 /// that is `None`.
 pub async fn wait_until_unresponsive(
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Adds a time before which a retry would be refused again.
+    pub fn not_before(self, time: Duration) -> Self {
+        Self { retry_after: self.retry_after.map(|delay| delay.saturating_add(time)), ..self }
+    }
+
     /// Counts and logs the refusal and builds the response.
     pub fn into_response(self, id: &str, detail: &dyn fmt::Display) -> Response<ResponseBody> {
         metrics::counter!("sassafrashoist_refusals_total", "reason" => self.reason).increment(1);
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -496,3 +496,60 @@
     let log = fleet.gateways[0].read_log().unwrap();
     assert!(!log.contains("log service lost"), "{log}");
 }
+
+fn status() -> CallerRequest {
+    CallerRequest::plain(Method::GET, STATUS_PATH)
+}
+
+async fn send_many(fleet: &StandInFleet, name: &str, request: &CallerRequest) {
+    for number in 0..20 {
+        let response = fleet.send(0, &format!("{name}-{number}"), request).await.unwrap();
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+}
+
+// A server may say that it leaves in its responses before its list entry does, or without it.
+#[tokio::test]
+async fn server_that_says_that_it_leaves_gets_no_more_requests() {
+    let fleet = start("leaving", plan()).await;
+    fleet.plain_servers[0].set_fault(ServerFault::Leaving);
+
+    send_many(&fleet, "first", &status()).await;
+    let first_count = fleet.plain_servers[0].arrived_count();
+    fleet.plain_servers[0].set_fault(ServerFault::None);
+    send_many(&fleet, "second", &status()).await;
+
+    assert_eq!(first_count, 1);
+    assert_eq!(fleet.plain_servers[0].arrived_count(), 1);
+}
+
+// A server that asks for a pause gets more load from each retry that comes too early.
+#[tokio::test]
+async fn server_that_asks_for_a_pause_gets_no_requests_during_it() {
+    let fleet = start("pause", plan()).await;
+    fleet.plain_servers[0].set_fault(ServerFault::TurnsAwayFor(2));
+
+    send_many(&fleet, "during", &status()).await;
+    let during_count = fleet.plain_servers[0].arrived_count();
+    fleet.plain_servers[0].set_fault(ServerFault::None);
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    send_many(&fleet, "after", &status()).await;
+
+    assert_eq!(during_count, 1);
+    assert!(fleet.plain_servers[0].arrived_count() > 1);
+}
+
+// A caller that is refused because all servers pause comes back when one of them does.
+#[tokio::test]
+async fn caller_is_told_to_return_when_the_first_server_ends_its_pause() {
+    let fleet = start("all_pause", plan()).await;
+    fleet.plain_servers.iter().for_each(|s| s.set_fault(ServerFault::TurnsAwayFor(3)));
+
+    let first = fleet.send(0, "b1", &bid()).await.unwrap();
+    let second = fleet.send(0, "b2", &bid()).await.unwrap();
+
+    let arrived_count: usize = fleet.plain_servers.iter().map(|s| s.arrived_count()).sum();
+    assert_eq!((first.status, second.status, arrived_count), (503, 503, 2));
+    let retry_after_s: f64 = second.headers["retry-after"].to_str().unwrap().parse().unwrap();
+    assert!((2.0..=4.0).contains(&retry_after_s), "{retry_after_s}");
+}
