Recognise a lost admission under a caller's key as the request's own

Cause: the owner admits the bid and replicates the entry, but its response is lost. The asking VM becomes the owner, finds the key running at itself, takes the entry for another request's, finds no such request running, and ends the bid as unknown, because a bid in doubt never runs again.

Change: if a try to admit got no response, and no other request of this process was admitted under the key, the entry of this VM's first attempt is the request's own. Only one request can claim it, so a bid still runs at most once. The claim is forgotten when the owner confirms the outcome.

The new test loses the admission on purpose: it got 504 before, and 200 with one run now.

--- a/crates/sassafrashoist/src/core/request_registry.rs
+++ b/crates/sassafrashoist/src/core/request_registry.rs
@@ -1,6 +1,6 @@
 //! Generates keys for requests that arrive without one, and tracks the requests that this VM runs.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -12,6 +12,7 @@
     prefix: String,
     next_number: AtomicU64,
     running: Arc<Mutex<HashMap<RequestKey, usize>>>,
+    admitted: Mutex<HashSet<RequestKey>>,
 }
 
 /// Keeps a request marked as running on this VM until it is dropped.
@@ -29,6 +30,7 @@
             prefix: format!("auto/{vm_id}-{incarnation}"),
             next_number: AtomicU64::new(1),
             running: Arc::default(),
+            admitted: Mutex::default(),
         }
     }
 
@@ -45,6 +47,18 @@
         RunningGuard { key: key.to_owned(), running: Arc::clone(&self.running) }
     }
 
+    /// Takes over the first attempt under a caller's key; returns whether no other request of this
+    /// process has taken it over, so that it was not sent to a backend server.
+    pub fn claim_admission(&self, key: &str) -> bool {
+        lock(&self.admitted).insert(key.to_owned())
+    }
+
+    /// Forgets a claim after the owner has confirmed the outcome of the request, which no later
+    /// request can be mistaken for.
+    pub fn release_claim(&self, key: &str) {
+        lock(&self.admitted).remove(key);
+    }
+
     /// Returns whether a request is running on this VM.
     pub fn is_running(&self, key: &str) -> bool {
         lock(&self.running).contains_key(key)
@@ -63,6 +77,6 @@
     }
 }
 
-fn lock(running: &Mutex<HashMap<RequestKey, usize>>) -> MutexGuard<'_, HashMap<RequestKey, usize>> {
-    running.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/sassafrashoist/src/ops/admit_request.rs
+++ b/crates/sassafrashoist/src/ops/admit_request.rs
@@ -19,6 +19,8 @@
 
 /// How long a request waits for a VM that can decide on its admission.
 const OWNER_TIMEOUT: Duration = Duration::from_secs(5);
+/// The number of the first attempt of a request.
+const FIRST_ATTEMPT: AttemptNumber = 1;
 /// Delay between two tries to reach the owner.
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -42,11 +44,13 @@
         runner: own_runner(context, server_id),
     };
     let deadline = Instant::now() + request.time_left().min(OWNER_TIMEOUT);
+    let mut may_be_admitted = false;
     loop {
-        let error = match try_admit(context, request, &admit).await {
+        let error = match try_admit(context, request, &admit, may_be_admitted).await {
             Ok(decision) => return Ok(decision),
             Err(error) => error,
         };
+        may_be_admitted = true;
         if Instant::now() >= deadline {
             return Err(error);
         }
@@ -58,6 +62,7 @@
     context: &RouterContext,
     request: &CallerRequest,
     admit: &AdmitRequest,
+    may_be_admitted: bool,
 ) -> Result<AdmitDecision, PeerError> {
     let owner_vm_id = find_owner(context, request)?;
     let decision = if owner_vm_id == context.settings.vm_id {
@@ -67,7 +72,7 @@
         let response = context.peers.owner_client(&owner_vm_id)?.admit(peer_request).await;
         decode_response(&owner_vm_id, response)?
     };
-    let decision = adopt_own_entry(request, admit, decision);
+    let decision = adopt_own_entry(context, request, admit, may_be_admitted, decision);
     record_admission(context, request, &owner_vm_id, &decision);
     Ok(decision)
 }
@@ -75,16 +80,32 @@
 /// Turns a known key into an admission if an earlier try to admit this same request created the
 /// entry and the owner's response was lost.
 ///
-/// Only for a key that this router generated, since no other request can use it.
+/// No other request can use a key that this router generated. Under a caller's key, the entry of
+/// this VM's first attempt is this request's if one of its tries got no response and no other
+/// request of this process was admitted under the key.
 fn adopt_own_entry(
+    context: &RouterContext,
     request: &CallerRequest,
     admit: &AdmitRequest,
+    may_be_admitted: bool,
     decision: AdmitDecision,
 ) -> AdmitDecision {
     match decision {
-        AdmitDecision::Known(KeyState::Running { attempt, runner })
-            if !request.is_keyed && runner == admit.runner =>
-        {
+        AdmitDecision::Known(KeyState::Running { attempt, runner }) if runner == admit.runner => {
+            let is_own = !request.is_keyed
+                || may_be_admitted
+                    && attempt == FIRST_ATTEMPT
+                    && context.registry.claim_admission(&request.key);
+            if is_own {
+                AdmitDecision::Admitted { attempt }
+            } else {
+                AdmitDecision::Known(KeyState::Running { attempt, runner })
+            }
+        }
+        AdmitDecision::Admitted { attempt } => {
+            if request.is_keyed {
+                context.registry.claim_admission(&request.key);
+            }
             AdmitDecision::Admitted { attempt }
         }
         decision => decision,
--- a/crates/sassafrashoist/src/ops/end_request.rs
+++ b/crates/sassafrashoist/src/ops/end_request.rs
@@ -191,6 +191,10 @@
     active.context.settlements.spawn(async move {
         let _running_guard = context.registry.mark_running(&request.key);
         let decision = settle_request(&context, &request, attempt, outcome, code).await;
+        if matches!(decision, Some(SettleDecision::Settled { .. } | SettleDecision::AlreadySettled))
+        {
+            context.registry.release_claim(&request.key);
+        }
         let is_lost = has_cost && decision == Some(SettleDecision::UnknownKey);
         context.invariants.check(!is_lost, Invariant::Unbilled, &request.key);
         decision
--- a/crates/sassafrashoist/tests/testsuite/outcomes.rs
+++ b/crates/sassafrashoist/tests/testsuite/outcomes.rs
@@ -9,6 +9,7 @@
 use sassafrashoist_testkit::fleet::fleet_bundle::{APPRAISAL_PATH, BID_PATH};
 use sassafrashoist_testkit::fleet::fleet_plan::FleetPlan;
 use sassafrashoist_testkit::fleet::running_fleet::RunningFleet;
+use sassafrashoist_testkit::tcp_link::LinkFaults;
 
 use super::waiting::wait_until;
 
@@ -324,3 +325,27 @@
     assert_eq!(sums(&fleet).reserved_tokens, 0);
     assert_clean(&fleet);
 }
+
+// An owner that freezes after it has admitted a bid leaves an entry that names the asking VM.
+#[tokio::test(flavor = "multi_thread")]
+async fn bid_whose_admission_was_lost_with_its_owner_runs_once_and_is_served() {
+    let mut fleet = start_fleet(2, 1).await;
+    let (asking, owner) = find_non_owner_and_owner(&fleet);
+    let link = fleet.peer_links[&(asking, owner)].clone();
+    link.set_faults(LinkFaults { is_backward_cut: true, ..LinkFaults::default() });
+
+    let caller = fleet.caller(asking).unwrap();
+    let bidding = tokio::spawn(async move { caller.post(&bid("b-1")).await });
+    let context = fleet.vms[asking].context().unwrap();
+    wait_until("the asking VM owns the entry", || {
+        context.tables.lock_owner().entry("fippu/b-1").is_some()
+    })
+    .await;
+    fleet.vms[owner].kill();
+    let response = bidding.await.unwrap().unwrap();
+
+    assert_eq!(response.status, 200, "{response:?}");
+    assert_eq!(fleet.services[0].stand_in.execution_count("fippu/b-1"), 1);
+    assert_eq!(sums(&fleet).reserved_tokens, 0);
+    assert_clean(&fleet);
+}
