Go on after the log service has lost acknowledged records

Cause: the end of the ledger only ever rose, so that every append named an end that the log no longer had; records at offsets that were given out again were ignored as old; an append in doubt waited for its old offset for ever.

Change: the end of a whole read is taken as it is; a holder's records are ordered by their sequence numbers; a VM that sees Store-Era rise or the end go back reads the newest records and writes its totals again; while an append in doubt waits for its offset, the VM appends its newest record again, so that the log reaches it.

--- a/crates/sassafrashoist-core/src/gateway/token_ledger.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_ledger.rs
@@ -31,11 +31,13 @@
         self.unreadable.is_empty()
     }
 
-    /// Applies a record, unless a newer one of its holder has been applied.
+    /// Applies a record, unless a newer one of its holder has been applied. The order is that of the
+    /// holder's sequence numbers, because a log that has lost records reuses their offsets.
     pub fn apply(&mut self, offset: LogOffset, holder_id: HolderId, record: HolderRecord) {
         self.unreadable.remove(&holder_id);
-        let newest = self.holders.get(&holder_id).map(|(offset, _)| *offset);
-        if newest.is_none_or(|newest| newest < offset) {
+        let order = |offset: &LogOffset, record: &HolderRecord| (record.sequence, *offset);
+        let newest = self.holders.get(&holder_id).map(|(offset, record)| order(offset, record));
+        if newest.is_none_or(|newest| newest < order(&offset, &record)) {
             self.holders.insert(holder_id, (offset, record));
         }
     }
@@ -45,6 +47,20 @@
         self.end_offset = self.end_offset.max(end_offset);
     }
 
+    /// Records that the newest record of each key of a log that ends at `end_offset` has been
+    /// applied; returns whether the log has lost records that were applied before.
+    ///
+    /// The lost records still count, because their holders still have the tokens.
+    pub fn set_end_offset(&mut self, end_offset: LogOffset) -> bool {
+        let has_lost_records = end_offset < self.end_offset;
+        self.end_offset = end_offset;
+        for (offset, _) in self.holders.values_mut() {
+            // Records that are appended from now on are newer.
+            *offset = (*offset).min(end_offset.saturating_sub(1));
+        }
+        has_lost_records
+    }
+
     /// Returns the offset before which everything has been applied.
     pub fn end_offset(&self) -> LogOffset {
         self.end_offset
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod simulated_fleet;
 mod simulated_fleet_properties;
 mod token_holding;
+mod token_ledger;
 mod token_prefetch;
 mod token_queue;
 mod topic_cursor;
--- /dev/null
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/token_ledger.rs
@@ -0,0 +1,98 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sassafrashoist_core::gateway::clock_reading::ClockReading;
+use sassafrashoist_core::gateway::holder_record::HolderRecord;
+use sassafrashoist_core::gateway::ledger_writer::{AppendOutcome, LedgerWriter};
+use sassafrashoist_core::gateway::token_holding::TokenHolding;
+use sassafrashoist_core::gateway::token_ledger::TokenLedger;
+
+use super::simulated_fleet::{config_with, holding_of};
+
+const VM_1: &str = "vm-1/1";
+const PEER_ADDRESS: ([u8; 4], u16) = ([10, 0, 0, 1], 7_000);
+
+fn record(sequence: u64) -> HolderRecord {
+    HolderRecord {
+        vm_id: "vm-1".to_owned(),
+        data_centre_id: "plateau".to_owned(),
+        peer_address: SocketAddr::from(PEER_ADDRESS),
+        sequence,
+        is_closed: false,
+        sent_at: ClockReading::default(),
+        limits_active_for: Duration::ZERO,
+        accounts: Vec::new(),
+    }
+}
+
+fn newest_sequence(ledger: &TokenLedger) -> u64 {
+    ledger.newest_record(VM_1).unwrap().1.sequence
+}
+
+// A log that has lost records gives their offsets out again.
+#[test]
+fn record_at_a_reused_offset_replaces_an_older_one_of_its_holder() {
+    let mut ledger = TokenLedger::default();
+    ledger.apply(90, VM_1.to_owned(), record(7));
+    ledger.advance_end_offset(91);
+
+    let has_lost_records = ledger.set_end_offset(60);
+    ledger.apply(40, VM_1.to_owned(), record(5));
+    let after_loss = newest_sequence(&ledger);
+    ledger.apply(60, VM_1.to_owned(), record(8));
+
+    assert!(has_lost_records);
+    assert_eq!(ledger.end_offset(), 60);
+    assert_eq!((after_loss, newest_sequence(&ledger)), (7, 8));
+}
+
+// The newest incarnation of a VM is the one that appended last, in the log as it is now.
+#[test]
+fn incarnation_after_a_loss_of_records_is_the_live_one() {
+    let mut ledger = TokenLedger::default();
+    ledger.apply(90, VM_1.to_owned(), record(7));
+    ledger.advance_end_offset(91);
+
+    ledger.set_end_offset(60);
+    ledger.apply(60, "vm-1/2".to_owned(), record(1));
+
+    let live: Vec<_> = ledger.live_holders().map(|(holder_id, _)| holder_id.as_str()).collect();
+    assert_eq!(live, ["vm-1/2"]);
+}
+
+/// Starts the append of a first draw at offset 91; returns the ledger after the log went back.
+fn begin_draw_before_loss(outcome: AppendOutcome) -> (LedgerWriter, TokenHolding, TokenLedger) {
+    let mut ledger = TokenLedger::default();
+    ledger.advance_end_offset(91);
+    let mut holding = holding_of("vm-1", 1, SocketAddr::from(PEER_ADDRESS));
+    let now = Duration::from_secs(50);
+    let planned = holding.plan_record(&ledger, &config_with(9_000), now, ClockReading::default());
+    let mut writer = LedgerWriter::default();
+    writer.begin(planned, ledger.end_offset());
+    writer.record_outcome(outcome, &mut holding);
+    ledger.set_end_offset(60);
+    (writer, holding, ledger)
+}
+
+// An append in doubt may be executed when the log reaches its offset again.
+#[test]
+fn append_in_doubt_waits_until_a_log_that_went_back_has_passed_its_offset() {
+    let (mut writer, mut holding, mut ledger) = begin_draw_before_loss(AppendOutcome::Unknown);
+
+    writer.resolve(&ledger, &mut holding);
+    let is_beyond_end = writer.is_beyond_end(&ledger);
+    ledger.advance_end_offset(92);
+    writer.resolve(&ledger, &mut holding);
+
+    assert!(is_beyond_end);
+    assert!(writer.pending().is_none());
+}
+
+#[test]
+fn rejected_append_does_not_wait_for_a_log_that_went_back() {
+    let (mut writer, mut holding, ledger) = begin_draw_before_loss(AppendOutcome::EndMoved);
+
+    writer.resolve(&ledger, &mut holding);
+
+    assert!(writer.pending().is_none());
+}
--- a/crates/sassafrashoist/src/gateway/log_client.rs
+++ b/crates/sassafrashoist/src/gateway/log_client.rs
@@ -6,12 +6,12 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::FutureExt;
-use http::Request;
 use http::header::HOST;
+use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Full};
 use sassafrashoist_adapter::log_calls::LogCall;
 use sassafrashoist_adapter::log_responses::{
-    LogError, NewestPage, RecordBatch, decode_append, decode_newest, decode_read,
+    ERA_HEADER, LogError, NewestPage, RecordBatch, decode_append, decode_newest, decode_read,
 };
 use sassafrashoist_core::ids::LogOffset;
 use sassafrashoist_platform::response_framing::ResponseFraming;
@@ -52,12 +52,20 @@
 pub struct LogClient {
     context: Arc<GatewayContext>,
     connection: Option<Connection>,
+    era: Option<u64>,
+    has_lost_records: bool,
 }
 
 impl LogClient {
     /// Creates a client that connects on the first call.
     pub fn new(context: Arc<GatewayContext>) -> Self {
-        Self { context, connection: None }
+        Self { context, connection: None, era: None, has_lost_records: false }
+    }
+
+    /// Returns whether the log service has lost acknowledged records since the last call of this
+    /// method, so that offsets may name other records than before.
+    pub fn take_loss_of_records(&mut self) -> bool {
+        std::mem::take(&mut self.has_lost_records)
     }
 
     /// Reads the newest record of each key of a topic; further reads start at `end` of the result.
@@ -118,6 +126,17 @@
         Ok(decode_newest(status, &body)?)
     }
 
+    fn record_era(&mut self, headers: &HeaderMap) {
+        let era = headers.get(ERA_HEADER).and_then(|value| value.to_str().ok()?.parse().ok());
+        if let Some(era) = era
+            && let Some(earlier_era) = self.era.replace(era)
+            && earlier_era != era
+        {
+            log::warn!(era = era; "log service has lost acknowledged records");
+            self.has_lost_records = true;
+        }
+    }
+
     async fn call(&mut self, call: LogCall, wait: Duration) -> Result<(u16, Bytes), LogCallError> {
         metrics::counter!("sassafrashoist_log_calls_total").increment(1);
         let address = self.context.settings().log_service_address;
@@ -137,6 +156,7 @@
         let response = with_timeout(wait + IDLE_TIMEOUT, connection.send(request)).await?;
         let status = response.status().as_u16();
         let framing = ResponseFraming::of(&response);
+        self.record_era(response.headers());
         let mut body = response.into_body();
         let mut received = BytesMut::new();
         while let Some(frame) =
--- a/crates/sassafrashoist/src/gateway/maintain_holding.rs
+++ b/crates/sassafrashoist/src/gateway/maintain_holding.rs
@@ -127,6 +127,9 @@
                 continue;
             }
             self.resolve_pending();
+            if self.append_newest_again().await? {
+                continue;
+            }
             if self.writer.pending().is_none() && !self.plan_next() {
                 return Ok(());
             }
@@ -222,9 +225,13 @@
     async fn read_ledger(&mut self) -> Result<(), LogCallError> {
         loop {
             match self.reader.read_update(Duration::ZERO).await {
-                Ok(TopicUpdate::Snapshot { records, end }) => self.apply_records(records, end),
+                Ok(TopicUpdate::Snapshot { records, end }) => {
+                    self.apply_records(records);
+                    self.set_ledger_end(end);
+                }
                 Ok(TopicUpdate::Appended { records, next, is_at_end }) => {
-                    self.apply_records(records, next);
+                    self.apply_records(records);
+                    self.context.lock_tokens().ledger.advance_end_offset(next);
                     if is_at_end {
                         break;
                     }
@@ -244,7 +251,17 @@
         Ok(())
     }
 
-    fn apply_records(&self, records: Vec<KeyedRecord>, end: LogOffset) {
+    /// Sets the end of the ledger after the newest record of each holder was read. If the ledger has
+    /// lost records, the next record of this VM, which states all that it holds, is due at once.
+    fn set_ledger_end(&mut self, end: LogOffset) {
+        let earlier_end = self.context.lock_tokens().ledger.end_offset();
+        if self.context.lock_tokens().ledger.set_end_offset(end) {
+            log::warn!(offset = end, earlier = earlier_end; "ledger has lost records");
+            self.appended_at = Uptime::ZERO;
+        }
+    }
+
+    fn apply_records(&self, records: Vec<KeyedRecord>) {
         let mut tokens = self.context.lock_tokens();
         for record in records {
             let Some(value) = record.value else {
@@ -261,7 +278,33 @@
                 }
             }
         }
-        tokens.ledger.advance_end_offset(end);
+    }
+
+    /// Appends this VM's newest record again if the append in progress waits for an end of the log
+    /// that the log has yet to reach again after it lost records; returns whether it did.
+    ///
+    /// The append in progress may still be executed there, so that it cannot be abandoned before.
+    /// Records state totals, so that the newest one may be in the log several times.
+    async fn append_newest_again(&mut self) -> eyre::Result<bool> {
+        let (holder_id, newest, end_offset) = {
+            let tokens = self.context.lock_tokens();
+            if !self.writer.is_beyond_end(&tokens.ledger) {
+                return Ok(false);
+            }
+            let holder_id = tokens.holding.holder_id().clone();
+            let newest = tokens.ledger.newest_record(&holder_id).map(|(_, record)| record.clone());
+            (holder_id, newest, tokens.ledger.end_offset())
+        };
+        let Some(newest) = newest else {
+            self.writer.abandon_first(&mut self.context.lock_tokens().holding);
+            return Ok(false);
+        };
+        let value = postcard::to_stdvec(&newest).wrap_err("failed to encode a record")?;
+        let log_client = &mut self.reader.log_client;
+        match log_client.append_at(LEDGER_TOPIC, end_offset, &holder_id, &value).await {
+            Ok(_) | Err(LogCallError::Response(LogError::EndMoved)) => Ok(true),
+            Err(error) => Err(error).wrap_err("newest record not appended again"),
+        }
     }
 
     fn resolve_pending(&mut self) {
--- a/crates/sassafrashoist/src/gateway/topic_reader.rs
+++ b/crates/sassafrashoist/src/gateway/topic_reader.rs
@@ -59,6 +59,16 @@
     ///
     /// Fails if a call fails; the next read continues from the same position.
     pub async fn read_update(&mut self, wait: Duration) -> Result<TopicUpdate, LogCallError> {
+        let update = self.read_at_cursor(wait).await;
+        if !self.log_client.take_loss_of_records() {
+            return update;
+        }
+        // The offsets of the cursor may name other records now.
+        self.cursor.record_trimmed();
+        self.read_at_cursor(Duration::ZERO).await
+    }
+
+    async fn read_at_cursor(&mut self, wait: Duration) -> Result<TopicUpdate, LogCallError> {
         let NextRead::From(from) = self.cursor.next_read(self.context.now()) else {
             let page = self.log_client.read_newest(self.topic).await?;
             self.cursor.record_newest(page.end, self.context.now());
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -553,3 +553,30 @@
     let retry_after_s: f64 = second.headers["retry-after"].to_str().unwrap().parse().unwrap();
     assert!((2.0..=4.0).contains(&retry_after_s), "{retry_after_s}");
 }
+
+// A VM that waits for the old end of a log that has gone back draws no tokens again.
+#[tokio::test]
+async fn tokens_are_drawn_again_after_the_log_lost_its_newest_records() {
+    let paid_tokens = 40_000;
+    let plan = FleetPlan { gateway_count: 2, paid_tokens, ..plan() };
+    let mut fleet = start("log_went_back", plan).await;
+    // More records than the gateways append during the rest of the test.
+    tokio::time::sleep(PROPAGATION_TIME * 10).await;
+
+    fleet.lose_newest_ledger_records(40);
+    tokio::time::sleep(PROPAGATION_TIME * 2).await;
+    let mut served = 0;
+    for number in 0..60 {
+        let response = fleet.send(number % 2, &format!("c{number}"), &chat()).await.unwrap();
+        served += u64::from(response.status == 200);
+        assert!([200, 402, 503].contains(&response.status), "{response:?}");
+    }
+    fleet.top_up(20_000);
+    tokio::time::sleep(PROPAGATION_TIME * 2).await;
+    let topped_up = fleet.send(0, "again", &chat()).await.unwrap();
+
+    let used_tokens = served * (PROMPT_TOKENS + EVENT_COUNT * 5);
+    assert!(used_tokens <= paid_tokens, "{used_tokens}");
+    assert!(used_tokens + 3 * (PROMPT_TOKENS + OUTPUT_TOKENS) > paid_tokens, "{used_tokens}");
+    assert_stream(&topped_up);
+}
