Log each stream that is broken off before its first event

A stream closed or cut inside its first event left no line of its own; it now has the line that a stream with an error has, with its reason and framing.

--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -4,6 +4,7 @@
 //! another server continues after the last forwarded event, within the same response. A stream that
 //! ends inside an event has failed, whatever its framing.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -87,28 +88,36 @@
                 }
             }
             None if splitter.is_inside_event() => {
-                started.slot.set_verdict(AttemptVerdict::Failed);
-                return Err(ENDED_INSIDE_EVENT);
+                return Err(record_no_event(request, &mut started, ENDED_INSIDE_EVENT, &"-"));
             }
             // A stream that its caller resumes may have no event left.
             None if !started.framing.marks_end() && request.caller.last_event_id.is_none() => {
-                started.slot.set_verdict(AttemptVerdict::Failed);
-                return Err(CLOSED_BEFORE_EVENT);
+                return Err(record_no_event(request, &mut started, CLOSED_BEFORE_EVENT, &"-"));
             }
             None => return Ok(StartedStream { started, splitter, has_ended: true }),
             Some(Err(error)) => {
-                log::info!(
-                    id = request.id(), server = started.slot.server_id(),
-                    framing = started.framing.as_str(), error:% = error;
-                    "stream broken off before its first event"
-                );
-                started.slot.set_verdict(AttemptVerdict::Failed);
-                return Err("stream broken off");
+                return Err(record_no_event(request, &mut started, "stream broken off", &error));
             }
         }
     }
 }
 
+/// Logs and records that a server broke a stream off before its first event; returns the reason.
+fn record_no_event(
+    request: &RequestContext,
+    started: &mut StartedResponse,
+    reason: &'static str,
+    error: &dyn fmt::Display,
+) -> &'static str {
+    log::info!(
+        id = request.id(), server = started.slot.server_id(),
+        framing = started.framing.as_str(), reason = reason, error:% = error;
+        "stream broken off before its first event"
+    );
+    started.slot.set_verdict(AttemptVerdict::Failed);
+    reason
+}
+
 /// Forwards a stream in a separate task and returns the response that the task writes to.
 pub fn forward_events(
     context: Arc<GatewayContext>,
@@ -180,7 +189,8 @@
             started.slot.set_verdict(AttemptVerdict::Failed);
             log::info!(
                 id = self.request.id(), server = started.slot.server_id(), reason = reason,
-                framing = started.framing.as_str(), last_event = self.last_event_id.as_deref().unwrap_or("-");
+                framing = started.framing.as_str(),
+                last_event = self.last_event_id.as_deref().unwrap_or("-");
                 "stream broken off"
             );
             let failed_server_id = started.slot.server_id().to_owned();
