--- a/crates/sassafrashoist-core/src/gateway/ledger_writer.rs
+++ b/crates/sassafrashoist-core/src/gateway/ledger_writer.rs
@@ -53,15 +53,15 @@
         self.pending = Some(PendingAppend { planned, expected_end_offset, is_in_doubt: false });
     }
 
-    /// Returns whether the append waits for an end of the log that the log, having lost records, has
-    /// yet to reach again.
+    /// Returns whether the append waits for an end of the log that the log, having lost records,
+    /// has yet to reach again.
     pub fn is_beyond_end(&self, ledger: &TokenLedger) -> bool {
         let expected = self.pending.as_ref().map(|pending| pending.expected_end_offset);
         expected.is_some_and(|expected| expected > ledger.end_offset())
     }
 
-    /// Abandons the append in progress. Only for a holder without a record in the log: it returns no
-    /// tokens, and what it would draw is not used.
+    /// Abandons the append in progress. Only for a holder without a record in the log: it returns
+    /// no tokens, and what it would draw is not used.
     pub fn abandon_first(&mut self, holding: &mut TokenHolding) {
         if let Some(pending) = self.pending.take() {
             holding.abandon(&pending.planned);
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -194,7 +194,7 @@
         is_new
     }
 
-    /// Records that a server turned a request away and wants no requests for the length of `pause`.
+    /// Records that a server turned a request away and wants no requests for the time of `pause`.
     pub fn record_pause(&mut self, server_id: &str, pause: Duration, now: Uptime) {
         if let Some(server) = self.servers.get_mut(server_id) {
             server.record_pause(pause, now);
--- a/crates/sassafrashoist-core/src/gateway/token_ledger.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_ledger.rs
@@ -31,8 +31,8 @@
         self.unreadable.is_empty()
     }
 
-    /// Applies a record, unless a newer one of its holder has been applied. The order is that of the
-    /// holder's sequence numbers, because a log that has lost records reuses their offsets.
+    /// Applies a record, unless a newer one of its holder has been applied. The order is that of
+    /// the holder's sequence numbers, because a log that has lost records reuses their offsets.
     pub fn apply(&mut self, offset: LogOffset, holder_id: HolderId, record: HolderRecord) {
         self.unreadable.remove(&holder_id);
         let order = |offset: &LogOffset, record: &HolderRecord| (record.sequence, *offset);
--- a/crates/sassafrashoist-platform/src/http_client.rs
+++ b/crates/sassafrashoist-platform/src/http_client.rs
@@ -53,8 +53,8 @@
 ///
 /// # Errors
 ///
-/// Fails when the response does not end properly within the timeout. The error says whether the server
-/// may have handled the request.
+/// Fails when the response does not end properly within the timeout. The error says whether the
+/// server may have handled the request.
 pub async fn send_http_request(
     client: &Client,
     request: HttpRequest,
--- a/crates/sassafrashoist/src/gateway/log_client.rs
+++ b/crates/sassafrashoist/src/gateway/log_client.rs
@@ -166,8 +166,8 @@
                 received.extend_from_slice(data);
             }
         }
-        // Without a marked end, the connection has ended too, and the decoders detect a response that
-        // is cut short.
+        // Without a marked end, the connection has ended too, and the decoders detect a response
+        // that is cut short.
         if framing.marks_end() {
             self.connection = Some(connection);
         }
--- a/crates/sassafrashoist/src/gateway/maintain_holding.rs
+++ b/crates/sassafrashoist/src/gateway/maintain_holding.rs
@@ -251,8 +251,8 @@
         Ok(())
     }
 
-    /// Sets the end of the ledger after the newest record of each holder was read. If the ledger has
-    /// lost records, the next record of this VM, which states all that it holds, is due at once.
+    /// Sets the end of the ledger after the newest record of each holder was read. If the ledger
+    /// has lost records, the next record of this VM, which states all that it holds, is due at once.
     fn set_ledger_end(&mut self, end: LogOffset) {
         let earlier_end = self.context.lock_tokens().ledger.end_offset();
         if self.context.lock_tokens().ledger.set_end_offset(end) {
--- a/crates/sassafrashoist/src/ops/end_request.rs
+++ b/crates/sassafrashoist/src/ops/end_request.rs
@@ -30,8 +30,8 @@
 const FAILED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Settles a request whose response was received to its end, and then sends the response to the
-/// caller. Of a stream, only the events that end it are sent here; the others were forwarded before.
-/// A response that may be incomplete is not stored.
+/// caller. Of a stream, only the events that end it are sent here; the others were forwarded
+/// before. A response that may be incomplete is not stored.
 pub async fn end_complete(
     active: &mut ActiveRequest,
     dispatched: Request<Dispatched>,
