Count no run for a request that no router sent

Cause: nine gateways of soaks that had been ended by a signal were still running; a signal to the soak does not end its gateways. They polled the loopback ports of their log service, some 14 times a second and port (a listener on all free ports saw 'GET /api/log-newest'), and the system had given one of the ports to the quickstart's plain service, which counts every request as a run, those without a key under one empty key. That the ports met in the failed run is inferred from this; its counters by key were not kept.

Change: the stand-in refuses a request without idempotency-key, which every router sends, and does not count it. The new test fails without it. Still open: a soak that is ended by a signal leaves its gateways behind.

--- a/crates/sassafrashoist-testkit/src/service/service_stand_in.rs
+++ b/crates/sassafrashoist-testkit/src/service/service_stand_in.rs
@@ -15,7 +15,7 @@
 use crate::http_util::{bind_loopback, build_broken_response, header_text, read_body};
 use sassafrashoist::core::clock::read_clock;
 use sassafrashoist::util::http_response::{
-    build_json_response, delimit_by_close, hide_length, set_header,
+    build_json_response, build_response, delimit_by_close, hide_length, set_header,
 };
 use sassafrashoist::util::http_server::{HttpHandler, serve_http};
 use sassafrashoist_core::routing::server_view::LoadReport;
@@ -102,6 +102,10 @@
             return build_json_response(200, &report);
         }
         let key = header_text(request.headers(), "idempotency-key");
+        if key.is_empty() {
+            // Routers send a key. A process of another run may still use this port's earlier owner.
+            return build_response(400, "text/plain", "request has no idempotency-key\n");
+        }
         let request_id = header_text(request.headers(), "x-request-id");
         let attempt = header_text(request.headers(), "x-attempt");
         let body = match read_body(request).await {
--- a/crates/sassafrashoist-testkit/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-testkit/tests/testsuite/main.rs
@@ -4,4 +4,5 @@
 
 mod platform;
 mod response_checks;
+mod service_stand_in;
 mod tcp_link;
