--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -16,6 +16,7 @@
 use crate::ids::{BackendServerId, DataCentreId, PoolId, Tokens};
 use crate::rendezvous::choose_owner;
 use crate::routing::circuit_breaker::AttemptVerdict;
+use crate::routing::server_limit::{LimitStatement, ServerLimit};
 
 /// The prefill speed of engines that is assumed before the first sample, in tokens per millisecond.
 const INITIAL_PREFILL_TOKENS_PER_MS: f64 = 50.0;
@@ -201,6 +202,19 @@
         }
     }
 
+    /// Records what a response says about the limit of its server; returns the limit if it has
+    /// changed. `sent_at` is when the request of that response was sent.
+    pub fn record_limit(
+        &mut self,
+        server_id: &str,
+        statement: LimitStatement,
+        sent_at: Uptime,
+        now: Uptime,
+    ) -> Option<ServerLimit> {
+        let server = self.servers.get_mut(server_id)?;
+        server.limit.record(statement, sent_at, now).then_some(server.limit)
+    }
+
     /// Returns the time until the first server of a pool takes requests again; zero if one does, or
     /// if none is listed.
     pub fn pause_left(&self, pool_id: &str, now: Uptime) -> Duration {
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -5,6 +5,7 @@
 use super::Uptime;
 use super::server_listing::ServerListing;
 use crate::routing::circuit_breaker::{AttemptVerdict, CircuitBreaker};
+use crate::routing::server_limit::ServerLimit;
 
 /// The half-life of the weight of a server's load report.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(700);
@@ -40,6 +41,8 @@
     /// When a response of the server first said that it leaves.
     pub leaving_since: Option<Uptime>,
     pause_ends_at: Uptime,
+    /// The limit that the server names in its responses.
+    pub limit: ServerLimit,
     pub(super) breaker: CircuitBreaker,
     pub(super) in_flight_count: u32,
     pub(super) pending_prefill_tokens: u64,
@@ -58,6 +61,7 @@
             unlisted_at: None,
             leaving_since: None,
             pause_ends_at: Uptime::ZERO,
+            limit: ServerLimit::default(),
             breaker: CircuitBreaker::default(),
             in_flight_count: 0,
             pending_prefill_tokens: 0,
--- a/crates/sassafrashoist-core/src/routing/mod.rs
+++ b/crates/sassafrashoist-core/src/routing/mod.rs
@@ -20,4 +20,5 @@
 pub mod sample_set;
 pub mod server_entry;
 pub mod server_group;
+pub mod server_limit;
 pub mod server_view;
--- a/crates/sassafrashoist-core/tests/testsuite/main.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod request_rules;
 mod result_codes;
 mod routing_table;
+mod server_limit;
 mod shard_model;
 mod shard_pair;
 mod shard_world;
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -11,6 +11,7 @@
 use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::gateway::server_directory::ServerChoice;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
+use sassafrashoist_core::routing::server_limit::LimitStatement;
 use sassafrashoist_platform::response_framing::ResponseFraming;
 
 use super::gateway_context::GatewayContext;
@@ -51,6 +52,12 @@
         &self.chosen.listing.id
     }
 
+    /// Returns whether the server is known to name a limit.
+    fn has_limit(&self) -> bool {
+        let servers = self.context.lock_servers();
+        servers.server(self.server_id()).is_some_and(|server| server.limit.per_s().is_some())
+    }
+
     /// Records that bytes of the response arrived.
     pub fn record_bytes(&mut self) {
         let now = self.context.now();
@@ -127,6 +134,9 @@
     let address = slot.chosen.listing.address;
     let timeout = CONNECT_TIMEOUT.min(request.time_left(context.now()));
     metrics::counter!("sassafrashoist_server_connections_total").increment(1);
+    if slot.has_limit() {
+        metrics::counter!("sassafrashoist_limited_server_requests_total").increment(1);
+    }
     let mut connection = match Connection::open(address, timeout).await {
         Ok(connection) => connection,
         Err(error) => {
@@ -226,6 +236,7 @@
     if head.is_leaving && context.lock_servers().record_leaving(server_id, now) {
         log::info!(server = server_id; "server says that it leaves");
     }
+    record_limit(context, slot, head, now);
     if let Some(pause) = head.pause {
         context.lock_servers().record_pause(server_id, pause, now);
         log::info!(
@@ -235,6 +246,28 @@
     }
 }
 
+/// Records what a server says about its limit. A response that the server may not have made itself,
+/// or that turns the request away, does not end the limit.
+fn record_limit(context: &GatewayContext, slot: &ServerSlot, head: &ResponseHead, now: Uptime) {
+    let server_id = slot.server_id();
+    let is_final = matches!(head.kind, ResponseKind::Served | ResponseKind::Failed);
+    match head.limit {
+        LimitStatement::NotNamed if !is_final => return,
+        LimitStatement::Malformed => {
+            log::warn!(server = server_id; "server names a malformed limit; the known one stays");
+        }
+        LimitStatement::Named(_) | LimitStatement::NotNamed => {}
+    }
+    let changed = context.lock_servers().record_limit(server_id, head.limit, slot.sent_at, now);
+    match changed.map(|limit| limit.per_s()) {
+        Some(Some(limit_per_s)) => {
+            log::info!(server = server_id, limit_per_s = limit_per_s; "server names its limit");
+        }
+        Some(None) => log::info!(server = server_id; "server names no limit any more"),
+        None => {}
+    }
+}
+
 /// Completes when a server has sent nothing to any request for `unresponsive_timeout`; never if
 /// that is `None`.
 pub async fn wait_until_unresponsive(
