--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -1,10 +1,10 @@
 //! Tests of the gateway process with stand-ins for the services of the platform.
 
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::Method;
-use sassafrashoist_platform_stand_in::backend_server::{ServerFault, event_text};
+use sassafrashoist_platform_stand_in::backend_server::{BackendServer, ServerFault, event_text};
 use sassafrashoist_platform_stand_in::caller::{BodyEnd, CallerRequest, CallerResponse, send};
 use sassafrashoist_platform_stand_in::log_service::LogFault;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
@@ -580,3 +580,56 @@
     assert!(used_tokens + 3 * (PROMPT_TOKENS + OUTPUT_TOKENS) > paid_tokens, "{used_tokens}");
     assert_stream(&topped_up);
 }
+
+/// The time after a server first named its limit from which on the limit is judged.
+const LIMIT_GRACE: Duration = Duration::from_secs(3);
+/// The length of the windows in which the requests to a server with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Sends requests to all gateways in turn, at `per_s`, and waits for their responses.
+async fn send_steadily(
+    fleet: &StandInFleet,
+    name: &str,
+    request: &CallerRequest,
+    per_s: u32,
+    duration: Duration,
+) -> Vec<CallerResponse> {
+    let count = (duration.as_secs_f64() * f64::from(per_s)) as usize;
+    let requests = (0..count).map(|number| async move {
+        tokio::time::sleep(Duration::from_secs(1) / per_s * number as u32).await;
+        let gateway = number % fleet.gateways.len();
+        fleet.send(gateway, &format!("{name}-{number}"), request).await.unwrap()
+    });
+    futures::future::join_all(requests).await
+}
+
+/// Returns the fewest and the most requests that arrived within [`LIMIT_WINDOW`], over the windows
+/// that begin [`LIMIT_GRACE`] or later after the server named its limit and end before `end`.
+fn arrivals_in_windows(server: &BackendServer, end: Instant) -> (usize, usize) {
+    let first = server.limit_named_at().unwrap() + LIMIT_GRACE;
+    let arrivals = server.arrivals();
+    let count_from = |from: Instant| {
+        let window = from..from + LIMIT_WINDOW;
+        arrivals.iter().filter(|arrival| window.contains(&arrival.at)).count()
+    };
+    let starts = std::iter::once(first).chain(arrivals.iter().map(|arrival| arrival.at));
+    let starts = starts.filter(|from| *from >= first && *from + LIMIT_WINDOW <= end);
+    let counts: Vec<usize> = starts.map(count_from).collect();
+    (counts.iter().copied().min().unwrap(), counts.into_iter().max().unwrap())
+}
+
+// Each VM that knows the limit of a server sent as many requests as if it were alone.
+#[tokio::test]
+async fn server_gets_no_more_requests_than_its_limit_from_all_vms_together() {
+    let plan = FleetPlan { gateway_count: 3, ..plan() };
+    let fleet = start("limit_of_all_vms", plan).await;
+    fleet.plain_servers.iter().for_each(|server| server.set_limit(Some("2")));
+
+    send_steadily(&fleet, "s", &status(), 40, LIMIT_GRACE + 2 * LIMIT_WINDOW).await;
+
+    for server in &fleet.plain_servers {
+        let (fewest, most) = arrivals_in_windows(server, Instant::now());
+        assert!(most as f64 <= 1.5 * 2.0 * LIMIT_WINDOW.as_secs_f64() + 5.0, "{most}");
+        assert!(fewest as f64 >= 0.5 * 2.0 * LIMIT_WINDOW.as_secs_f64(), "{fewest}");
+    }
+}
