Keep the limits that backend servers name over all VMs together

Cause: no VM decoded the limit, and no VM could have kept it, since each one decided alone what it sends to a server. Evidence: the rate at the servers is the same before and after they name the limit, from all seven VMs; the test of three VMs saw 84 requests in 4 s where 17 are allowed.

All requests to a server with a limit now need a permit: first attempts, repeats and resumed streams. One VM issues all permits of a server from one token bucket, so the sum holds however many VMs ask, and a share below one request does not arise. All VMs select the issuer and a backup in another data centre by rendezvous hashing among the VMs in the ledger. An issuer uses the whole limit only while its record in the ledger is recent; it and the backup use 0.4 of it otherwise, so that two issuers that do not know of each other stay within 1.5 times the limit. A changed limit is sent to all VMs. A request tries other servers first, then waits for a permit by priority, or is refused at once with the time of a permit that no earlier refused caller is expected to take.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -11,6 +11,8 @@
 //! - [`ledger_writer`]: the append in progress, whose outcome may be unknown.
 //! - [`reclaim`]: the tokens that a previous incarnation whose process died cannot have used.
 //! - [`topic_cursor`]: the offset from which to read a topic of the log.
+//! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
+//!   limit, and how many.
 //! - [`retry_limiter`]: how many requests may be sent a second time, in a sliding window.
 //!
 //! Times are given as [`Uptime`], except for a [`clock_reading::ClockReading`], which the next
@@ -25,6 +27,8 @@
 pub mod holder_role;
 pub mod ledger_writer;
 mod limit_periods;
+pub mod permit_bucket;
+pub mod permit_issuers;
 pub mod planned_record;
 pub mod reclaim;
 pub mod retry_limiter;
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -16,7 +16,7 @@
 use crate::ids::{BackendServerId, DataCentreId, PoolId, Tokens};
 use crate::rendezvous::choose_owner;
 use crate::routing::circuit_breaker::AttemptVerdict;
-use crate::routing::server_limit::{LimitStatement, ServerLimit};
+use crate::routing::server_limit::{LimitReport, LimitStatement, ServerLimit};
 
 /// The prefill speed of engines that is assumed before the first sample, in tokens per millisecond.
 const INITIAL_PREFILL_TOKENS_PER_MS: f64 = 50.0;
@@ -70,6 +70,8 @@
     pub cost_ms: f64,
     /// The prompt tokens that the server is estimated to prefill, as weighted in the cost.
     pub prefill_tokens: Tokens,
+    /// Whether the server names a limit, so that the attempt needs a permit.
+    pub needs_permit: bool,
 }
 
 /// The backend servers that the platform lists, and the choice of a server for each attempt.
@@ -157,18 +159,70 @@
         requirements: &ServerRequirements,
         random: u64,
         now: Uptime,
+    ) -> Option<ServerChoice> {
+        let chosen = self.find(requirements, random, now)?;
+        self.begin_attempt(&chosen, requirements, now);
+        Some(chosen)
+    }
+
+    /// Finds the server with the lowest cost for one attempt, among those without a limit and those
+    /// for which a permit may be available.
+    pub fn find(
+        &mut self,
+        requirements: &ServerRequirements,
+        random: u64,
+        now: Uptime,
     ) -> Option<ServerChoice> {
         for server in self.servers.values_mut() {
             server.breaker.advance(now);
         }
-        let chosen = self.find_cheapest(requirements, random, now)?;
+        self.find_cheapest(requirements, random, now)
+    }
+
+    /// Finds the server for which a permit is available first, among those for which none is
+    /// available now.
+    pub fn find_next_permitted(
+        &self,
+        requirements: &ServerRequirements,
+        now: Uptime,
+    ) -> Option<ServerChoice> {
+        let waiting = self.servers.values().filter(|server| {
+            server.may_take(requirements, now)
+                && server.accepts_requests()
+                && server.is_responsive(now)
+                && !server.permit_wait(now).is_zero()
+        });
+        let server = waiting.min_by_key(|server| server.permit_wait(now))?;
+        let prefill_tokens = self.estimate_prefill_tokens(server, requirements, None, now);
+        Some(ServerChoice {
+            listing: server.listing.clone(),
+            cost_ms: self.cost_ms(server, prefill_tokens, now),
+            prefill_tokens,
+            needs_permit: true,
+        })
+    }
+
+    /// Counts an attempt on a server that was found as started; returns false if the server takes
+    /// no requests any more.
+    pub fn begin_attempt(
+        &mut self,
+        found: &ServerChoice,
+        requirements: &ServerRequirements,
+        now: Uptime,
+    ) -> bool {
+        let server_id = &found.listing.id;
+        let ending_use_time = self.ending_use_time;
+        let Some(server) = self.servers.get_mut(server_id).filter(|server| {
+            server.may_take(requirements, now)
+                && (server.accepts_requests() || server.is_ending_recently(ending_use_time, now))
+        }) else {
+            return false;
+        };
+        server.begin_attempt(found.prefill_tokens, now);
         if let Some(prefix_id) = &requirements.prefix_id {
-            self.record_cached_prefix(&chosen.listing.id, prefix_id, now);
-        }
-        if let Some(server) = self.servers.get_mut(&chosen.listing.id) {
-            server.begin_attempt(chosen.prefill_tokens, now);
+            self.record_cached_prefix(server_id, prefix_id, now);
         }
-        Some(chosen)
+        true
     }
 
     /// Records that bytes of a response arrived.
@@ -215,6 +269,26 @@
         server.limit.record(statement, sent_at, now).then_some(server.limit)
     }
 
+    /// Records what another VM reports about the limit of a server; returns the limit if it has
+    /// changed. `max_transit` bounds the time since the report was sent.
+    pub fn record_limit_report(
+        &mut self,
+        server_id: &str,
+        report: &LimitReport,
+        max_transit: Duration,
+        now: Uptime,
+    ) -> Option<ServerLimit> {
+        let server = self.servers.get_mut(server_id)?;
+        server.limit.record_report(report, max_transit, now).then_some(server.limit)
+    }
+
+    /// Records that no permit for a server can be obtained before `at`.
+    pub fn record_next_permit(&mut self, server_id: &str, at: Uptime) {
+        if let Some(server) = self.servers.get_mut(server_id) {
+            server.record_next_permit(at);
+        }
+    }
+
     /// Returns the time until the first server of a pool takes requests again; zero if one does, or
     /// if none is listed.
     pub fn pause_left(&self, pool_id: &str, now: Uptime) -> Duration {
@@ -267,16 +341,12 @@
         now: Uptime,
     ) -> Option<ServerChoice> {
         let in_pool = |server: &&ServerState| {
-            server.listing.pool_id == requirements.pool_id
-                && !requirements.excluded.contains(&server.listing.id)
-                && server.pause_left(now).is_zero()
+            server.may_take(requirements, now) && server.permit_wait(now).is_zero()
         };
         let mut usable: Vec<&ServerState> =
             self.servers.values().filter(in_pool).filter(|s| s.accepts_requests()).collect();
         if usable.is_empty() {
-            let is_recent = |s: &&ServerState| {
-                s.ending_since().is_some_and(|at| now < at + self.ending_use_time)
-            };
+            let is_recent = |s: &&ServerState| s.is_ending_recently(self.ending_use_time, now);
             usable = self.servers.values().filter(in_pool).filter(is_recent).collect();
         }
         if usable.iter().any(|server| server.is_responsive(now)) {
@@ -292,7 +362,12 @@
             (self.cost_ms(server, prefill_tokens, now) + jitter, prefill_tokens, *server)
         });
         let (cost_ms, prefill_tokens, server) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        Some(ServerChoice { listing: server.listing.clone(), cost_ms, prefill_tokens })
+        Some(ServerChoice {
+            listing: server.listing.clone(),
+            cost_ms,
+            prefill_tokens,
+            needs_permit: server.limit.per_s().is_some(),
+        })
     }
 
     fn estimate_prefill_tokens(
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Uptime;
+use super::server_directory::ServerRequirements;
 use super::server_listing::ServerListing;
 use crate::routing::circuit_breaker::{AttemptVerdict, CircuitBreaker};
 use crate::routing::server_limit::ServerLimit;
@@ -43,6 +44,7 @@
     pause_ends_at: Uptime,
     /// The limit that the server names in its responses.
     pub limit: ServerLimit,
+    next_permit_at: Uptime,
     pub(super) breaker: CircuitBreaker,
     pub(super) in_flight_count: u32,
     pub(super) pending_prefill_tokens: u64,
@@ -62,6 +64,7 @@
             leaving_since: None,
             pause_ends_at: Uptime::ZERO,
             limit: ServerLimit::default(),
+            next_permit_at: Uptime::ZERO,
             breaker: CircuitBreaker::default(),
             in_flight_count: 0,
             pending_prefill_tokens: 0,
@@ -84,11 +87,32 @@
         [self.unlisted_at, self.leaving_since].into_iter().flatten().min()
     }
 
+    /// Returns whether the server has been known to stop for less than `time`.
+    pub(super) fn is_ending_recently(&self, time: Duration, now: Uptime) -> bool {
+        self.ending_since().is_some_and(|at| now < at + time)
+    }
+
+    /// Returns whether a request may be sent to the server as far as its pool, earlier attempts and
+    /// a pause of the server are concerned.
+    pub(super) fn may_take(&self, requirements: &ServerRequirements, now: Uptime) -> bool {
+        self.listing.pool_id == requirements.pool_id
+            && !requirements.excluded.contains(&self.listing.id)
+            && self.pause_left(now).is_zero()
+    }
+
     /// Returns how long the server still wants no requests; zero if it takes them.
     pub fn pause_left(&self, now: Uptime) -> Duration {
         self.pause_ends_at.saturating_sub(now)
     }
 
+    /// Returns how long no permit for the server can be obtained; zero if it names no limit.
+    pub fn permit_wait(&self, now: Uptime) -> Duration {
+        match self.limit.per_s() {
+            Some(_) => self.next_permit_at.saturating_sub(now),
+            None => Duration::ZERO,
+        }
+    }
+
     /// Returns whether the server is expected to respond: its circuit breaker allows an attempt and
     /// it has not been unresponsive for too long.
     pub fn is_responsive(&self, now: Uptime) -> bool {
@@ -138,6 +162,10 @@
         self.pause_ends_at = self.pause_ends_at.max(now.saturating_add(pause));
     }
 
+    pub(super) fn record_next_permit(&mut self, at: Uptime) {
+        self.next_permit_at = at;
+    }
+
     pub(super) fn record_load(&mut self, load: ReportedLoad, now: Uptime) {
         let reported = f64::from(load.running_count + load.waiting_count);
         self.other_vms_request_count = (reported - f64::from(self.in_flight_count)).max(0.0);
--- a/crates/sassafrashoist-core/src/rendezvous.rs
+++ b/crates/sassafrashoist-core/src/rendezvous.rs
@@ -18,7 +18,7 @@
 pub fn rank_owners<'a>(key: &str, candidates: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
     let mut ranked: Vec<&str> = candidates.into_iter().collect();
-    ranked.sort_by_key(|candidate| std::cmp::Reverse(score(seed, candidate)));
+    ranked.sort_by_cached_key(|candidate| std::cmp::Reverse(score(seed, candidate)));
     ranked
 }
 
--- a/crates/sassafrashoist-core/src/routing/server_limit.rs
+++ b/crates/sassafrashoist-core/src/routing/server_limit.rs
@@ -5,6 +5,11 @@
 //! the sending of its request and its arrival, so one of two responses is known to be newer only if
 //! its request was sent after the other response had arrived. Otherwise, the lower limit counts.
 
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
 use crate::ids::Timestamp;
 
 /// The largest limit that is told apart from an even larger one.
@@ -35,6 +40,23 @@
     }
 }
 
+/// What one VM tells another about the limit of a backend server. Ages are those at the time when
+/// the report is sent, because the VMs' clocks differ.
+#[serde_as]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// The limit in requests per second; `None` if the server names none.
+    pub per_s: Option<f64>,
+    /// The time since the request was sent whose response said so.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "sent_ago_ms")]
+    pub sent_ago: Duration,
+    /// The time since that response arrived.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "received_ago_ms")]
+    pub received_ago: Duration,
+}
+
 /// The limit of a backend server, as far as its responses are known.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ServerLimit {
@@ -66,11 +88,31 @@
             (LimitStatement::Named(new), Some(known)) if !is_newer => Some(new.min(known)),
             (LimitStatement::Named(new), _) => Some(new),
             (LimitStatement::NotNamed, _) if !is_newer => return false,
-            (LimitStatement::NotNamed, None) => return false,
-            (LimitStatement::NotNamed, Some(_)) => None,
+            (LimitStatement::NotNamed, _) => None,
         };
         self.stated_after = self.stated_after.max(sent_at);
         self.stated_before = self.stated_before.max(received_at);
         std::mem::replace(&mut self.named_per_s, named_per_s) != named_per_s
     }
+    /// Returns what is known, for another VM.
+    pub fn report(&self, now: Timestamp) -> LimitReport {
+        LimitReport {
+            per_s: self.named_per_s,
+            sent_ago: now.saturating_sub(self.stated_after),
+            received_ago: now.saturating_sub(self.stated_before),
+        }
+    }
+
+    /// Records what another VM reports; returns whether the limit has changed. The report may have
+    /// been sent up to `max_transit` ago.
+    pub fn record_report(
+        &mut self,
+        report: &LimitReport,
+        max_transit: Duration,
+        now: Timestamp,
+    ) -> bool {
+        let statement = report.per_s.map_or(LimitStatement::NotNamed, LimitStatement::Named);
+        let sent_at = now.saturating_sub(report.sent_ago.saturating_add(max_transit));
+        self.record(statement, sent_at, now.saturating_sub(report.received_ago))
+    }
 }
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -3,10 +3,13 @@
 mod allocator_vms;
 mod flow_rate;
 mod ledger_writer;
+mod limited_server_fleet;
+mod permit_bucket;
 mod reclaim;
 mod retry_limiter;
 mod route_table;
 mod server_directory;
+mod server_limit_over_vms;
 mod simulated_fleet;
 mod simulated_fleet_properties;
 mod token_holding;
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -19,6 +19,7 @@
 use sassafrashoist_platform::response_framing::ResponseFraming;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
+use super::choose_server::choose_server;
 use super::gateway_context::GatewayContext;
 use super::request_context::RequestContext;
 use super::response_body::{ResponseBody, streamed_body};
@@ -340,8 +341,10 @@
             && self.counts.allows_run(&self.request)
             && self.context.try_retry(&self.request.pool_id)
         {
-            let now = self.context.now();
-            let chosen = self.context.lock_servers().choose(&requirements, rand::random(), now)?;
+            let chosen = tokio::select! {
+                chosen = choose_server(&self.context, &self.request, &requirements) => chosen.ok()?,
+                () = self.sender.closed() => return None,
+            };
             requirements.excluded.push(chosen.listing.id.clone());
             self.counts.sent += 1;
             log::info!(
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
+use sassafrashoist_core::gateway::permit_issuers::{PermitIssuer, PermitIssuers};
 use sassafrashoist_core::gateway::retry_limiter::{RetryLimit, RetryLimiter};
 use sassafrashoist_core::gateway::route_table::RouteTable;
 use sassafrashoist_core::gateway::server_directory::ServerDirectory;
@@ -15,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::permit_book::PermitBook;
 use super::read_clocks::read_clocks;
 use super::token_book::TokenBook;
 
@@ -37,6 +39,7 @@
     servers_listed: Mutex<bool>,
     tokens: Mutex<TokenBook>,
     retries: Mutex<RetryLimiter>,
+    permits: Mutex<PermitBook>,
     started_instant: Instant,
     /// The VM's clocks when the process started.
     pub started_at: ClockReading,
@@ -64,6 +67,11 @@
             settings.data_centre_id.clone(),
             peer_address,
         );
+        let issuers = PermitIssuers::new(PermitIssuer {
+            vm_id: settings.vm_id.clone(),
+            peer_address,
+            data_centre_id: settings.data_centre_id.clone(),
+        });
         let directory = ServerDirectory::new(
             settings.data_centre_id.clone(),
             settings.bounds.cache_window,
@@ -74,8 +82,9 @@
             routes: Mutex::default(),
             servers: Mutex::new(directory),
             servers_listed: Mutex::default(),
-            tokens: Mutex::new(TokenBook::new(holding)),
+            tokens: Mutex::new(TokenBook::new(holding, issuers)),
             retries: Mutex::default(),
+            permits: Mutex::default(),
             started_instant: Instant::now(),
             started_at: read_clocks(),
             ledger_wakeup: Notify::new(),
@@ -127,6 +136,21 @@
         lock(&self.servers)
     }
 
+    /// Locks the permits that this VM issues.
+    pub fn lock_permits(&self) -> MutexGuard<'_, PermitBook> {
+        lock(&self.permits)
+    }
+
+    /// Returns the issuers of a server's permits that are not known to be unreachable, the first
+    /// choice first.
+    pub fn reachable_issuers(&self, server_id: &str) -> Vec<PermitIssuer> {
+        let now = self.now();
+        let mut issuers = self.lock_tokens().issuers.issuers(server_id, now);
+        let permits = self.lock_permits();
+        issuers.retain(|issuer| !permits.is_unreachable(&issuer.vm_id, now));
+        issuers
+    }
+
     /// Returns how long a server has sent nothing to any request in progress; `None` if the server
     /// is no longer in the directory.
     pub fn unresponsive_time(&self, server_id: &str, now: Uptime) -> Option<Duration> {
--- a/crates/sassafrashoist/src/gateway/maintain_holding.rs
+++ b/crates/sassafrashoist/src/gateway/maintain_holding.rs
@@ -242,12 +242,15 @@
             }
         }
         let routes = self.context.routes();
+        let now = self.context.now();
         let mut tokens = self.context.lock_tokens();
-        tokens.read_at = Some(self.context.now());
+        tokens.read_at = Some(now);
         if let Some(routes) = routes {
             let book = &mut *tokens;
             book.holding.freeze_excess_tokens(&book.ledger, routes.config());
         }
+        let book = &mut *tokens;
+        book.issuers.record_read(&book.ledger, now);
         Ok(())
     }
 
@@ -343,6 +346,7 @@
         let value = postcard::to_stdvec(&pending.planned.record)
             .wrap_err("failed to encode a record of the ledger")?;
         let holder_id = self.context.lock_tokens().holding.holder_id().clone();
+        let sent_at = self.context.now();
         let log_client = &mut self.reader.log_client;
         let result = log_client
             .append_at(LEDGER_TOPIC, pending.expected_end_offset, &holder_id, &value)
@@ -356,6 +360,7 @@
         let appended = self.writer.record_outcome(outcome, &mut self.context.lock_tokens().holding);
         match result {
             Ok(end) => {
+                self.context.lock_tokens().issuers.record_write(sent_at);
                 if let Some(appended) = appended {
                     self.apply_appended(&appended, end);
                 }
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -13,6 +13,9 @@
 //! - [`maintain_holding`] draws tokens from the ledger of prepaid tokens and returns them, by
 //!   conditional appends to the log; [`request_tokens`], [`transfer_tokens`] and [`serve_peers`]
 //!   move tokens between VMs.
+//! - [`choose_server`] chooses the server of each attempt, and obtains a permit if that server names
+//!   a limit; [`issue_permit`] issues permits to all VMs, and [`share_limit`] tells them of changed
+//!   limits.
 //! - [`serve_readiness`] serves the readiness check of the load balancer, [`serve_metrics`] the
 //!   metrics for operators.
 //!
@@ -20,6 +23,7 @@
 //! formats are in `sassafrashoist_adapter`.
 
 pub mod caller_stream;
+pub mod choose_server;
 pub mod disconnect_guard;
 pub mod fetch_tokens;
 pub mod follow_config;
@@ -28,11 +32,14 @@
 pub mod forward_events;
 pub mod gateway_context;
 pub mod http_connection;
+pub mod issue_permit;
 pub mod listen;
 pub mod log_client;
 pub mod maintain_holding;
 pub mod obtain_tokens;
 pub mod peer_messages;
+pub mod permit_book;
+pub mod permit_messages;
 pub mod queue_entry;
 pub mod read_clocks;
 pub mod request_context;
@@ -47,6 +54,7 @@
 pub mod serve_peers;
 pub mod serve_readiness;
 pub mod serve_request;
+pub mod share_limit;
 pub mod token_book;
 pub mod token_reservation;
 pub mod topic_connectivity;
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -12,6 +12,7 @@
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 use sassafrashoist_platform::response_framing::ResponseFraming;
 
+use super::choose_server::{NoServer, choose_server};
 use super::forward_events::{forward_events, read_first_event};
 use super::gateway_context::GatewayContext;
 use super::request_context::RequestContext;
@@ -78,6 +79,7 @@
     let mut requirements = request.server_requirements();
     let mut counts = AttemptCounts::default();
     let mut failure = "no server";
+    let mut return_after = Duration::ZERO;
     while counts.sent < MAX_SERVERS_TRIED && counts.allows_run(&request) {
         if request.time_left(context.now()) < MIN_TIME_LEFT {
             failure = "deadline reached";
@@ -87,10 +89,14 @@
             log::info!(id = request.id(), pool = request.pool_id; "retry limit reached");
             break;
         }
-        let now = context.now();
-        let chosen = context.lock_servers().choose(&requirements, rand::random(), now);
-        let Some(chosen) = chosen else {
-            break;
+        let chosen = match choose_server(&context, &request, &requirements).await {
+            Ok(chosen) => chosen,
+            Err(NoServer::NoneAvailable) => break,
+            Err(NoServer::LimitReached(return_in)) => {
+                failure = "limits of the servers reached";
+                return_after = return_in;
+                break;
+            }
         };
         log_choice(&request, &chosen, counts);
         requirements.excluded.push(chosen.listing.id.clone());
@@ -145,7 +151,7 @@
             }
         }
     }
-    refuse_unserved(&context, &request, counts, failure)
+    refuse_unserved(&context, &request, counts, failure, return_after)
 }
 
 fn mark_may_have_run(reservation: &mut Option<TokenReservation>) {
@@ -159,10 +165,12 @@
     request: &RequestContext,
     counts: AttemptCounts,
     failure: &'static str,
+    return_after: Duration,
 ) -> Response<ResponseBody> {
     let refusal = if counts.may_have_run == 0 {
         let pause_left = context.lock_servers().pause_left(&request.pool_id, context.now());
-        Refusal::retry_later(NO_SERVER_RETRY_AFTER, failure).not_before(pause_left)
+        Refusal::retry_later(NO_SERVER_RETRY_AFTER, failure)
+            .not_before(pause_left.max(return_after))
     } else if request.time_left(context.now()) < MIN_TIME_LEFT {
         Refusal::new(StatusCode::GATEWAY_TIMEOUT, failure)
     } else {
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -17,6 +17,7 @@
 use super::gateway_context::GatewayContext;
 use super::http_connection::Connection;
 use super::request_context::RequestContext;
+use super::share_limit::start_reporting;
 
 /// How long a connection to a backend server may take to open: many times the network latency, but
 /// less than the second after which TCP retransmits a lost first packet.
@@ -184,7 +185,7 @@
 }
 
 fn classify_response(
-    context: &GatewayContext,
+    context: &Arc<GatewayContext>,
     request: &RequestContext,
     response: Response<Incoming>,
     connection: Connection,
@@ -227,7 +228,7 @@
 
 /// Records what a server says in its response about the requests that it wants.
 fn record_announcements(
-    context: &GatewayContext,
+    context: &Arc<GatewayContext>,
     slot: &ServerSlot,
     head: &ResponseHead,
     now: Uptime,
@@ -248,7 +249,12 @@
 
 /// Records what a server says about its limit. A response that the server may not have made itself,
 /// or that turns the request away, does not end the limit.
-fn record_limit(context: &GatewayContext, slot: &ServerSlot, head: &ResponseHead, now: Uptime) {
+fn record_limit(
+    context: &Arc<GatewayContext>,
+    slot: &ServerSlot,
+    head: &ResponseHead,
+    now: Uptime,
+) {
     let server_id = slot.server_id();
     let is_final = matches!(head.kind, ResponseKind::Served | ResponseKind::Failed);
     match head.limit {
@@ -259,13 +265,16 @@
         LimitStatement::Named(_) | LimitStatement::NotNamed => {}
     }
     let changed = context.lock_servers().record_limit(server_id, head.limit, slot.sent_at, now);
-    match changed.map(|limit| limit.per_s()) {
-        Some(Some(limit_per_s)) => {
+    let Some(limit) = changed else {
+        return;
+    };
+    match limit.per_s() {
+        Some(limit_per_s) => {
             log::info!(server = server_id, limit_per_s = limit_per_s; "server names its limit");
         }
-        Some(None) => log::info!(server = server_id; "server names no limit any more"),
-        None => {}
+        None => log::info!(server = server_id; "server names no limit any more"),
     }
+    start_reporting(context, server_id);
 }
 
 /// Completes when a server has sent nothing to any request for `unresponsive_timeout`; never if
--- a/crates/sassafrashoist/src/gateway/send_message.rs
+++ b/crates/sassafrashoist/src/gateway/send_message.rs
@@ -12,7 +12,7 @@
 use super::http_connection::{Connection, NotConnected};
 
 /// How long another VM may take to respond: a hundred times the latency between data centres.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The reason why a message to another VM got no successful response.
 #[derive(Debug, thiserror::Error)]
@@ -57,6 +57,21 @@
     address: SocketAddr,
     path: &str,
     message: &M,
+) -> Result<Bytes, MessageError> {
+    send_message_within(address, path, message, RESPONSE_TIMEOUT).await
+}
+
+/// Sends one message to another VM, which may respond within `timeout`, and returns the body of its
+/// response.
+///
+/// # Errors
+///
+/// Fails when no response comes in time, or its status is not 200.
+pub async fn send_message_within<M: Serialize>(
+    address: SocketAddr,
+    path: &str,
+    message: &M,
+    timeout: Duration,
 ) -> Result<Bytes, MessageError> {
     let body = postcard::to_stdvec(message).map_err(|e| MessageError::NotBuilt(e.to_string()))?;
     let request = Request::builder()
@@ -77,7 +92,7 @@
         let body = response.into_body().collect().await;
         Ok(body.map_err(|error| no_response(error.to_string()))?.to_bytes())
     };
-    tokio::time::timeout(RESPONSE_TIMEOUT, exchange)
+    tokio::time::timeout(timeout, exchange)
         .await
-        .unwrap_or_else(|_| Err(no_response(format!("timed out after {RESPONSE_TIMEOUT:?}"))))
+        .unwrap_or_else(|_| Err(no_response(format!("timed out after {timeout:?}"))))
 }
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -1,4 +1,4 @@
-//! Serves the messages of other VMs: transfer requests and unrequested transfers of tokens.
+//! Serves the messages of other VMs: transfers of tokens, and permits and limits of backend servers.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,15 +7,19 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use serde::Serialize;
 use tokio::net::TcpListener;
 
 use super::gateway_context::GatewayContext;
+use super::issue_permit::issue_permit;
 use super::listen::serve_listener;
 use super::peer_messages::{
     HAND_OVER_PATH, TRANSFER_PATH, TokenTransferRequest, TokenTransferResponse, UnrequestedTransfer,
 };
+use super::permit_messages::{LIMIT_PATH, PERMIT_PATH};
 use super::queue_entry::QueueEntry;
 use super::response_body::{ResponseBody, full_response};
+use super::share_limit::receive_notice;
 
 /// The maximum size of a message from another VM: tokens of a few thousand accounts.
 const MAX_MESSAGE_BYTES: usize = 65_536;
@@ -53,6 +57,17 @@
             Ok(message) => receive_transfer(context, &message),
             Err(error) => reject_malformed(&path, &error),
         },
+        PERMIT_PATH => match postcard::from_bytes(&body) {
+            Ok(request) => encode_response(&issue_permit(context, &request).await),
+            Err(error) => reject_malformed(&path, &error),
+        },
+        LIMIT_PATH => match postcard::from_bytes(&body) {
+            Ok(notice) => {
+                receive_notice(context, &notice);
+                empty_response(StatusCode::OK)
+            }
+            Err(error) => reject_malformed(&path, &error),
+        },
         _ => empty_response(StatusCode::NOT_FOUND),
     }
 }
@@ -94,8 +109,11 @@
     request: &TokenTransferRequest,
 ) -> Response<ResponseBody> {
     draw_for_request(context, request).await;
-    let response = send_tokens(context, request);
-    match postcard::to_stdvec(&response) {
+    encode_response(&send_tokens(context, request))
+}
+
+fn encode_response<R: Serialize>(response: &R) -> Response<ResponseBody> {
+    match postcard::to_stdvec(response) {
         Ok(bytes) => full_response(StatusCode::OK, HeaderMap::new(), bytes.into()),
         Err(error) => {
             log::error!(error:% = error; "failed to encode the response to another VM");
--- a/crates/sassafrashoist/src/gateway/token_book.rs
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -10,6 +10,7 @@
 
 use sassafrashoist_core::gateway::allocator_vms::AllocatorVms;
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
+use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::token_holding::{TokenHolding, TransferId};
 use sassafrashoist_core::gateway::token_ledger::TokenLedger;
 use sassafrashoist_core::gateway::token_prefetch::TokenPrefetch;
@@ -31,6 +32,8 @@
     pub ledger: TokenLedger,
     /// The tokens that this process holds.
     pub holding: TokenHolding,
+    /// The VMs in the ledger that issue permits for backend servers that name limits.
+    pub issuers: PermitIssuers,
     /// When the ledger was last read to its end.
     pub read_at: Option<Uptime>,
     transfer_count: u64,
@@ -69,10 +72,11 @@
 
 impl TokenBook {
     /// Creates a book without tokens.
-    pub fn new(holding: TokenHolding) -> Self {
+    pub fn new(holding: TokenHolding, issuers: PermitIssuers) -> Self {
         Self {
             ledger: TokenLedger::default(),
             holding,
+            issuers,
             read_at: None,
             transfer_count: 0,
             queue: TokenQueue::default(),
@@ -227,6 +231,13 @@
         peers.into_iter().map(|(_, peer)| peer).collect()
     }
 
+    /// Returns the addresses at which all other VMs receive messages.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let others =
+            self.ledger.live_holders().filter(|(_, record)| record.vm_id != *self.holding.vm_id());
+        others.map(|(_, record)| record.peer_address).collect()
+    }
+
     /// Returns a new id for a transfer that this VM starts.
     pub fn next_transfer_id(&mut self) -> TransferId {
         self.transfer_count += 1;
