--- a/crates/sassafrashoist/tests/testsuite/soak.rs
+++ b/crates/sassafrashoist/tests/testsuite/soak.rs
@@ -15,6 +15,7 @@
         duration: Duration::from_secs(10),
         program: PathBuf::from(env!("CARGO_BIN_EXE_sassafrashoist")),
         folder,
+        gateway_count: 4,
         paid_tokens: 800_000,
     };
 
