Log the software version of servers and the stream that a request resumes

Both are decoded and logged; no decision uses them yet. An entry without a version, or with one that is no text, names no server to use, as one without any other field.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -51,6 +51,8 @@
 pub type Uptime = Duration;
 /// The version of a fleet configuration. Versions increase, but not always by 1.
 pub type ConfigVersion = u64;
+/// The version of the software of a backend server; versions have no order.
+pub type SoftwareVersion = String;
 /// A caller's secret key.
 pub type ApiKey = String;
 /// Identifies one incarnation of one VM's process; no two incarnations share an id.
--- a/crates/sassafrashoist-core/src/gateway/server_listing.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_listing.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::SoftwareVersion;
 use crate::ids::{BackendServerId, DataCentreId, PoolId};
 
 /// The entry of a backend server in the platform's server list.
@@ -22,4 +23,6 @@
     /// When the server started, in milliseconds since the Unix epoch; distinguishes incarnations
     /// with the same id.
     pub started_at_unix_ms: u64,
+    /// The version of its software. What two versions write does not fit into one stream.
+    pub software_version: SoftwareVersion,
 }
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
@@ -20,6 +20,7 @@
         slot_count: 64,
         is_draining: false,
         started_at_unix_ms: 7,
+        software_version: "v1".to_owned(),
     }
 }
 
--- a/crates/sassafrashoist/src/gateway/follow_servers.rs
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -48,9 +48,11 @@
     match decode_server_entry(server_id, value) {
         Ok(listing) => {
             let (pool, is_draining) = (listing.pool_id.clone(), listing.is_draining);
+            let version = listing.software_version.clone();
             if context.lock_servers().add_or_update(listing, context.now()) {
                 log::info!(
-                    server = server_id, pool = pool, draining = is_draining, offset = record.offset;
+                    server = server_id, pool = pool, version = version, draining = is_draining,
+                    offset = record.offset;
                     "server listed"
                 );
             }
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -349,6 +349,7 @@
             self.counts.sent += 1;
             log::info!(
                 id = self.request.id(), server = chosen.listing.id,
+                version = chosen.listing.software_version,
                 last_event = self.last_event_id.as_deref().unwrap_or("-");
                 "stream resumed"
             );
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -195,7 +195,10 @@
         id = request.id(), route = request.route.id, pool = request.pool_id,
         account = request.account_id.as_deref().unwrap_or("-"),
         server = chosen.listing.id, expected_ms = chosen.cost_ms as u64,
-        read_tokens = chosen.prefill_tokens, attempt = counts.sent + 1;
+        read_tokens = chosen.prefill_tokens, attempt = counts.sent + 1,
+        version = chosen.listing.software_version,
+        resumes = request.caller.resumed_request_id.as_deref().unwrap_or("-"),
+        after_event = request.caller.last_event_id.as_deref().unwrap_or("-");
         "request sent"
     );
 }
