Add failing tests of streams that go on at another software version

The stand-in's engines have versions. Of 12 streams that break off at a fleet with two versions, the second holds events of both, also when the gateway that began it is killed.

--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -633,3 +633,73 @@
         assert!(fewest as f64 >= 0.5 * 2.0 * LIMIT_WINDOW.as_secs_f64(), "{fewest}");
     }
 }
+
+/// Starts a fleet with four engines of two software versions whose streams break off after two
+/// events.
+async fn start_with_two_versions(name: &str) -> StandInFleet {
+    let plan = FleetPlan { gateway_count: 3, engine_count: 4, ..plan() };
+    let mut fleet = start(name, plan).await;
+    fleet.set_engine_version(1, "v2");
+    fleet.set_engine_version(3, "v2");
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::DisconnectsAfter(2)));
+    fleet
+}
+
+/// Returns a request that resumes a stream after the events of its response.
+fn resume(stream_id: &str, begun: &CallerResponse) -> CallerRequest {
+    let event_count = String::from_utf8_lossy(&begun.body).matches("\n\n").count();
+    let headers =
+        vec![("last-event-id", event_count.to_string()), ("resumes", stream_id.to_owned())];
+    CallerRequest { headers, ..draft() }
+}
+
+/// Begins streams at one gateway and resumes them at another; returns how many of them went on.
+async fn resume_streams(fleet: &StandInFleet, begun: &[(String, CallerResponse)]) -> usize {
+    let mut resumed_count = 0;
+    for (id, response) in begun {
+        assert_eq!(response.status, 200, "{response:?}");
+        let resumed_id = format!("{id}-resumed");
+        let resumed = fleet.send(1, &resumed_id, &resume(id, response)).await.unwrap();
+        resumed_count += usize::from(resumed.status == 200);
+        let mut versions = fleet.versions_of(id);
+        versions.extend(fleet.versions_of(&resumed_id));
+        assert_eq!(versions.len(), 1, "{id}: {versions:?}");
+    }
+    resumed_count
+}
+
+async fn begin_streams(fleet: &StandInFleet, count: usize) -> Vec<(String, CallerResponse)> {
+    let mut begun = Vec::new();
+    for number in 0..count {
+        let id = format!("d{number}");
+        let response = fleet.send(0, &id, &draft()).await.unwrap();
+        begun.push((id, response));
+    }
+    begun
+}
+
+// A stream was resumed at whichever server cost least, by another gateway and within one response.
+#[tokio::test]
+async fn stream_goes_on_only_at_the_software_version_that_began_it() {
+    let fleet = start_with_two_versions("two_versions").await;
+
+    let begun = begin_streams(&fleet, 12).await;
+    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::None));
+    let resumed_count = resume_streams(&fleet, &begun).await;
+
+    assert!(resumed_count * 2 >= begun.len(), "{resumed_count}");
+}
+
+// The VM that began a stream may be gone when another one has to know its software version.
+#[tokio::test]
+async fn stream_goes_on_when_the_gateway_that_began_it_is_killed() {
+    let mut fleet = start_with_two_versions("two_versions_killed").await;
+
+    let begun = begin_streams(&fleet, 12).await;
+    fleet.gateways[0].kill().unwrap();
+    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::None));
+    let resumed_count = resume_streams(&fleet, &begun).await;
+
+    assert!(resumed_count * 2 >= begun.len(), "{resumed_count}");
+}
