--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod holder_role;
 pub mod ledger_writer;
 mod limit_periods;
+pub mod live_vms;
 pub mod permit_bucket;
 pub mod permit_issuers;
 pub mod planned_record;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/limited_server_fleet.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/limited_server_fleet.rs
@@ -12,10 +12,11 @@
 use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
+use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::permit_bucket::{
     PermitBucket, PermitDecision, PermitRate, PermitTicket,
 };
-use sassafrashoist_core::gateway::permit_issuers::{PermitIssuer, PermitIssuers};
+use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::token_ledger::TokenLedger;
 
 pub const SERVER_ID: &str = "server-1";
@@ -72,7 +73,7 @@
 /// A fleet and a server with a limit.
 pub struct LimitedServerFleet {
     vms: Vec<Vm>,
-    ids: Vec<PermitIssuer>,
+    ids: Vec<FleetVm>,
     ledger: TokenLedger,
     record_count: u64,
     limit_per_s: f64,
@@ -85,7 +86,7 @@
 impl LimitedServerFleet {
     /// Creates a fleet whose VMs are ordered by their rank as issuers.
     pub fn new(vm_count: usize, limit_per_s: f64, faults: Faults) -> Self {
-        let mut ids: Vec<PermitIssuer> = (0..vm_count).map(issuer).collect();
+        let mut ids: Vec<FleetVm> = (0..vm_count).map(issuer).collect();
         let names: Vec<String> = ids.iter().map(|id| id.vm_id.clone()).collect();
         let ranked = sassafrashoist_core::rendezvous::rank_owners(
             SERVER_ID,
@@ -269,15 +270,15 @@
     }
 }
 
-fn issuer(index: usize) -> PermitIssuer {
-    PermitIssuer {
+fn issuer(index: usize) -> FleetVm {
+    FleetVm {
         vm_id: format!("vm-{index}"),
         peer_address: SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7_000)),
         data_centre_id: String::new(),
     }
 }
 
-fn holder_record(issuer: &PermitIssuer, sequence: u64) -> HolderRecord {
+fn holder_record(issuer: &FleetVm, sequence: u64) -> HolderRecord {
     HolderRecord {
         vm_id: issuer.vm_id.clone(),
         data_centre_id: issuer.data_centre_id.clone(),
--- a/crates/sassafrashoist/src/gateway/choose_server.rs
+++ b/crates/sassafrashoist/src/gateway/choose_server.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
-use sassafrashoist_core::gateway::permit_issuers::PermitIssuer;
+use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::server_directory::{ServerChoice, ServerRequirements};
 use sassafrashoist_core::gateway::server_listing::ServerListing;
 
@@ -158,7 +158,7 @@
 
 async fn request_permit(
     context: &Arc<GatewayContext>,
-    issuer: &PermitIssuer,
+    issuer: &FleetVm,
     request: &PermitRequest,
 ) -> eyre::Result<PermitResponse> {
     if issuer.vm_id == context.settings().vm_id {
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
-use sassafrashoist_core::gateway::permit_issuers::{PermitIssuer, PermitIssuers};
+use sassafrashoist_core::gateway::live_vms::FleetVm;
+use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::retry_limiter::{RetryLimit, RetryLimiter};
 use sassafrashoist_core::gateway::route_table::RouteTable;
 use sassafrashoist_core::gateway::server_directory::ServerDirectory;
@@ -67,7 +68,7 @@
             settings.data_centre_id.clone(),
             peer_address,
         );
-        let issuers = PermitIssuers::new(PermitIssuer {
+        let issuers = PermitIssuers::new(FleetVm {
             vm_id: settings.vm_id.clone(),
             peer_address,
             data_centre_id: settings.data_centre_id.clone(),
@@ -143,7 +144,7 @@
 
     /// Returns the issuers of a server's permits that are not known to be unreachable, the first
     /// choice first.
-    pub fn reachable_issuers(&self, server_id: &str) -> Vec<PermitIssuer> {
+    pub fn reachable_issuers(&self, server_id: &str) -> Vec<FleetVm> {
         let now = self.now();
         let mut issuers = self.lock_tokens().issuers.issuers(server_id, now);
         let permits = self.lock_permits();
--- a/crates/sassafrashoist/tests/testsuite/token_book.rs
+++ b/crates/sassafrashoist/tests/testsuite/token_book.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use sassafrashoist::gateway::token_book::TokenBook;
-use sassafrashoist_core::gateway::permit_issuers::{PermitIssuer, PermitIssuers};
+use sassafrashoist_core::gateway::live_vms::FleetVm;
+use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::token_holding::TokenHolding;
 
 const ACCOUNT: &str = "workshop";
@@ -13,7 +14,7 @@
 fn book() -> TokenBook {
     let address = SocketAddr::from(([10, 0, 0, 1], 7_000));
     let (holder_id, vm_id) = ("vm-1/1".to_owned(), "vm-1".to_owned());
-    let issuer = PermitIssuer {
+    let issuer = FleetVm {
         vm_id: vm_id.clone(),
         peer_address: address,
         data_centre_id: "plateau".to_owned(),
