Let streams go on only at the software version that began them

Cause: no VM knew the versions of servers, and the VM at which a stream is resumed knew nothing of how it began.

The VM that forwards the first event of a stream that may be resumed now sends where it began (pool, server, software version, account) in one datagram each to three VMs, which every VM selects in the same way by the id of the attempt; it waits for none. The VM at which the stream is resumed asks these three at once. A stream whose origin is not found goes on only if its pool has had one version for longer than a stream lasts; otherwise its caller is refused at once, as if no server of that version is left. A version is not taken as certain when the server may have started again under its id since its entry was read.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -13,6 +13,8 @@
 //! - [`topic_cursor`]: the offset from which to read a topic of the log.
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
+//! - [`stream_origins`] and [`pool_versions`]: the software version at which a stream may go on.
+//! - [`live_vms`]: the VMs that all others select in the same way for a task.
 //! - [`retry_limiter`]: how many requests may be sent a second time, in a sliding window.
 //!
 //! Times are given as [`Uptime`], except for a [`clock_reading::ClockReading`], which the next
@@ -31,6 +33,7 @@
 pub mod permit_bucket;
 pub mod permit_issuers;
 pub mod planned_record;
+pub mod pool_versions;
 pub mod reclaim;
 pub mod retry_limiter;
 pub mod route;
@@ -39,6 +42,7 @@
 pub mod server_listing;
 pub mod server_state;
 pub mod spending_limit;
+pub mod stream_origins;
 pub mod token_holding;
 pub mod token_ledger;
 pub mod token_prefetch;
--- /dev/null
+++ b/crates/sassafrashoist-core/src/gateway/pool_versions.rs
@@ -0,0 +1,63 @@
+//! The software versions that the servers of each pool have had.
+//!
+//! A stream whose origin is not known can go on only if every server that may have begun it has the
+//! same version. That is known if the server list was read without a gap for longer than a stream
+//! lasts, and no other version was in it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::server_listing::ServerListing;
+use super::{SoftwareVersion, Uptime};
+use crate::ids::PoolId;
+
+/// The longest time between two reads of the server list that counts as no gap.
+const MAX_READ_GAP: Duration = Duration::from_secs(3);
+
+/// The software versions that the servers of each pool have had.
+#[derive(Debug, Default)]
+pub struct PoolVersions {
+    last_seen: HashMap<(PoolId, SoftwareVersion), Uptime>,
+    read_at: Option<Uptime>,
+    read_since: Uptime,
+}
+
+impl PoolVersions {
+    /// Records that the server list was read to its end.
+    pub fn record_read(&mut self, now: Uptime) {
+        if !self.is_current(now) {
+            self.read_since = now;
+        }
+        self.read_at = Some(now);
+    }
+
+    /// Records that a server is in the directory, or was until now.
+    pub fn record_seen(&mut self, listing: &ServerListing, now: Uptime) {
+        let key = (listing.pool_id.clone(), listing.software_version.clone());
+        self.last_seen.insert(key, now);
+    }
+
+    /// Returns whether the server list was read recently.
+    pub fn is_current(&self, now: Uptime) -> bool {
+        self.read_at.is_some_and(|read_at| now <= read_at + MAX_READ_GAP)
+    }
+
+    /// Returns the version of all servers that a pool has had in the last `duration`; `None` if
+    /// there were several, or if that is not known.
+    pub fn sole_version(
+        &self,
+        pool_id: &str,
+        duration: Duration,
+        now: Uptime,
+    ) -> Option<&SoftwareVersion> {
+        if !self.is_current(now) || now < self.read_since + duration {
+            return None;
+        }
+        let mut recent = self
+            .last_seen
+            .iter()
+            .filter(|((pool, _), last_seen)| pool == pool_id && now < **last_seen + duration);
+        let ((_, version), _) = recent.next()?;
+        recent.next().is_none().then_some(version)
+    }
+}
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -10,9 +10,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use super::pool_versions::PoolVersions;
 use super::server_listing::ServerListing;
 use super::server_state::{ReportedLoad, ServerState};
-use super::{PromptPartId, Uptime};
+use super::stream_origins::StreamOrigin;
+use super::{PromptPartId, SoftwareVersion, Uptime};
 use crate::ids::{BackendServerId, DataCentreId, PoolId, Tokens};
 use crate::rendezvous::choose_owner;
 use crate::routing::circuit_breaker::AttemptVerdict;
@@ -42,6 +44,9 @@
 /// The fraction of the drain timeout for which a server that left the list, or says that it leaves,
 /// may be used when its pool has no other.
 const ENDING_USE_FRACTION: f64 = 0.75;
+/// The longest time until the entry of a server that started again is read, while the list can be
+/// read.
+const MAX_ENTRY_DELAY: Duration = Duration::from_secs(3);
 /// The most parts of prompts that are remembered.
 const MAX_KEPT_PARTS: usize = 4_096;
 
@@ -59,6 +64,8 @@
     pub suffix_tokens: Tokens,
     /// The servers that the request was already sent to.
     pub excluded: Vec<BackendServerId>,
+    /// The software version that began the stream, if the request resumes one.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// The server that was chosen for one attempt.
@@ -83,6 +90,8 @@
     cache_window: Duration,
     ending_use_time: Duration,
     prefill_tokens_per_ms: f64,
+    /// The software versions that the pools have had.
+    pub pool_versions: PoolVersions,
 }
 
 impl ServerDirectory {
@@ -99,6 +108,7 @@
             cache_window,
             ending_use_time: drain_timeout.mul_f64(ENDING_USE_FRACTION),
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
+            pool_versions: PoolVersions::default(),
         }
     }
 
@@ -109,16 +119,19 @@
 
     /// Adds a server or updates its listing; returns whether anything changed.
     ///
-    /// A server with another start time or address replaces the state of the previous one.
+    /// A server with another start time, address or software version replaces the state of the
+    /// previous one.
     pub fn add_or_update(&mut self, listing: ServerListing, now: Uptime) -> bool {
-        if let Some(server) = self.servers.get_mut(&listing.id)
-            && server.listing.started_at_unix_ms == listing.started_at_unix_ms
-            && server.listing.address == listing.address
-        {
-            let is_changed = server.listing != listing || server.unlisted_at.is_some();
-            server.listing = listing;
-            server.unlisted_at = None;
-            return is_changed;
+        self.pool_versions.record_seen(&listing, now);
+        if let Some(server) = self.servers.get_mut(&listing.id) {
+            self.pool_versions.record_seen(&server.listing, now);
+            if server.is_same_incarnation(&listing) {
+                let is_changed = server.listing != listing || server.unlisted_at.is_some();
+                server.listing = listing;
+                server.unlisted_at = None;
+                server.has_refused_connection = false;
+                return is_changed;
+            }
         }
         self.forget_cached_prefixes(&listing.id);
         self.servers.insert(listing.id.clone(), ServerState::new(listing, now));
@@ -139,6 +152,7 @@
         };
         let was_listed = server.unlisted_at.is_none();
         server.unlisted_at.get_or_insert(now);
+        self.pool_versions.record_seen(&server.listing, now);
         was_listed
     }
 
@@ -151,6 +165,53 @@
         }
     }
 
+    /// Records that a connection to a server could not be opened.
+    pub fn record_refused_connection(&mut self, server_id: &str) {
+        if let Some(server) = self.servers.get_mut(server_id) {
+            server.has_refused_connection = true;
+        }
+    }
+
+    /// Returns whether a server has the software version of its listing: it has not started again
+    /// under its id, as far as the list and the connections to it show.
+    pub fn is_version_certain(&self, listing: &ServerListing, now: Uptime) -> bool {
+        self.servers.get(&listing.id).is_none_or(|server| {
+            server.is_same_incarnation(listing)
+                && (self.pool_versions.is_current(now) || !server.has_refused_connection)
+        })
+    }
+
+    /// Returns whether a stream that began at `began_at` may have begun at a later incarnation of
+    /// its server than its origin names, because entries are read late.
+    pub fn is_origin_doubtful(&self, origin: &StreamOrigin, began_at: Uptime) -> bool {
+        self.servers.get(&origin.server_id).is_some_and(|server| {
+            server.listing.software_version != origin.software_version
+                && server.listed_at <= began_at + MAX_ENTRY_DELAY
+        })
+    }
+
+    /// Returns whether a server of a pool with this software version is listed.
+    pub fn has_version(&self, pool_id: &str, version: &str) -> bool {
+        self.servers.values().any(|server| {
+            server.listing.pool_id == pool_id
+                && server.listing.software_version == version
+                && server.unlisted_at.is_none()
+        })
+    }
+
+    /// Returns the version of all servers that a pool has had in the last `duration`; `None` if
+    /// there were several, or if that is not known.
+    pub fn sole_version(
+        &self,
+        pool_id: &str,
+        duration: Duration,
+        now: Uptime,
+    ) -> Option<SoftwareVersion> {
+        let version = self.pool_versions.sole_version(pool_id, duration, now)?;
+        let mut in_pool = self.servers.values().filter(|s| s.listing.pool_id == pool_id);
+        in_pool.all(|s| s.listing.software_version == *version).then(|| version.clone())
+    }
+
     /// Chooses the server with the lowest cost for one attempt and counts the attempt as started.
     ///
     /// `random` adds a small random cost, which spreads requests over servers of similar cost.
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -37,10 +37,15 @@
 pub struct ServerState {
     /// The server's entry in the platform's list.
     pub listing: ServerListing,
+    /// When this incarnation of the server was first seen in the platform's list.
+    pub listed_at: Uptime,
     /// When the server left the platform's list; `None` while it is listed.
     pub unlisted_at: Option<Uptime>,
     /// When a response of the server first said that it leaves.
     pub leaving_since: Option<Uptime>,
+    /// Whether a connection to the server failed since its entry was last read, so that it may have
+    /// started again under its id.
+    pub(super) has_refused_connection: bool,
     pause_ends_at: Uptime,
     /// The limit that the server names in its responses.
     pub limit: ServerLimit,
@@ -60,7 +65,9 @@
     pub fn new(listing: ServerListing, now: Uptime) -> Self {
         Self {
             listing,
+            listed_at: now,
             unlisted_at: None,
+            has_refused_connection: false,
             leaving_since: None,
             pause_ends_at: Uptime::ZERO,
             limit: ServerLimit::default(),
@@ -76,6 +83,13 @@
         }
     }
 
+    /// Returns whether a listing is of this incarnation of the server.
+    pub(super) fn is_same_incarnation(&self, listing: &ServerListing) -> bool {
+        self.listing.started_at_unix_ms == listing.started_at_unix_ms
+            && self.listing.address == listing.address
+            && self.listing.software_version == listing.software_version
+    }
+
     /// Returns whether the server is listed and neither drains nor leaves.
     pub fn accepts_requests(&self) -> bool {
         self.unlisted_at.is_none() && self.leaving_since.is_none() && !self.listing.is_draining
@@ -97,6 +111,10 @@
     pub(super) fn may_take(&self, requirements: &ServerRequirements, now: Uptime) -> bool {
         self.listing.pool_id == requirements.pool_id
             && !requirements.excluded.contains(&self.listing.id)
+            && requirements
+                .software_version
+                .as_ref()
+                .is_none_or(|version| *version == self.listing.software_version)
             && self.pause_left(now).is_zero()
     }
 
--- /dev/null
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/pool_versions.rs
@@ -0,0 +1,106 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sassafrashoist_core::gateway::pool_versions::PoolVersions;
+use sassafrashoist_core::gateway::server_directory::ServerDirectory;
+use sassafrashoist_core::gateway::server_listing::ServerListing;
+use sassafrashoist_core::gateway::stream_origins::StreamOrigin;
+
+const START: Duration = Duration::from_secs(100);
+const STREAM_TIME: Duration = Duration::from_secs(20);
+
+fn listing(version: &str, started_at_unix_ms: u64) -> ServerListing {
+    ServerListing {
+        id: "server-1".to_owned(),
+        pool_id: "engines".to_owned(),
+        address: SocketAddr::from(([10, 1, 0, 1], 8_000)),
+        data_centre_id: "plateau".to_owned(),
+        slot_count: 64,
+        is_draining: false,
+        started_at_unix_ms,
+        software_version: version.to_owned(),
+    }
+}
+
+/// Reads a list with one server every second, for so many seconds.
+fn read_for(versions: &mut PoolVersions, from: Duration, seconds: u64, version: &str) -> Duration {
+    for second in 0..=seconds {
+        let now = from + Duration::from_secs(second);
+        versions.record_seen(&listing(version, 1), now);
+        versions.record_read(now);
+    }
+    from + Duration::from_secs(seconds)
+}
+
+#[test]
+fn the_only_version_is_known_after_as_long_as_a_stream_lasts() {
+    let mut versions = PoolVersions::default();
+    let early = read_for(&mut versions, START, 10, "v1");
+    let version_early = versions.sole_version("engines", STREAM_TIME, early).cloned();
+    let late = read_for(&mut versions, early, 10, "v1");
+
+    let version_late = versions.sole_version("engines", STREAM_TIME, late).cloned();
+
+    assert_eq!((version_early, version_late), (None, Some("v1".to_owned())));
+}
+
+#[test]
+fn a_version_that_was_there_recently_is_not_forgotten() {
+    let mut versions = PoolVersions::default();
+    let changed = read_for(&mut versions, START, 30, "v1");
+    let soon = read_for(&mut versions, changed, 15, "v2");
+    let version_soon = versions.sole_version("engines", STREAM_TIME, soon).cloned();
+    let late = read_for(&mut versions, soon, 10, "v2");
+
+    let version_late = versions.sole_version("engines", STREAM_TIME, late).cloned();
+
+    assert_eq!((version_soon, version_late), (None, Some("v2".to_owned())));
+}
+
+#[test]
+fn nothing_is_known_after_a_gap_in_the_reads() {
+    let mut versions = PoolVersions::default();
+    let before = read_for(&mut versions, START, 30, "v1");
+    let after = read_for(&mut versions, before + Duration::from_secs(5), 1, "v1");
+
+    assert_eq!(versions.sole_version("engines", STREAM_TIME, after), None);
+}
+
+// Entries are read late: the server may have started again when the stream began there.
+#[test]
+fn the_origin_is_doubtful_if_the_server_has_just_returned_with_another_version() {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    directory.add_or_update(listing("v1", 1), START);
+    let origin = StreamOrigin {
+        pool_id: "engines".to_owned(),
+        server_id: "server-1".to_owned(),
+        started_at_unix_ms: 1,
+        software_version: "v1".to_owned(),
+        account_id: None,
+    };
+    let returned_at = START + Duration::from_secs(60);
+
+    let before = directory.is_origin_doubtful(&origin, returned_at);
+    directory.add_or_update(listing("v2", 2), returned_at);
+    let just_before = directory.is_origin_doubtful(&origin, returned_at - Duration::from_secs(1));
+    let long_before = directory.is_origin_doubtful(&origin, returned_at - Duration::from_secs(10));
+
+    assert_eq!((before, just_before, long_before), (false, true, false));
+}
+
+#[test]
+fn the_version_is_uncertain_without_the_list_and_after_a_refused_connection() {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    directory.add_or_update(listing("v1", 1), START);
+    directory.pool_versions.record_read(START);
+    let during_outage = START + Duration::from_secs(10);
+
+    let without_list = directory.is_version_certain(&listing("v1", 1), during_outage);
+    directory.record_refused_connection("server-1");
+    let with_list = directory.is_version_certain(&listing("v1", 1), START);
+    let refused = directory.is_version_certain(&listing("v1", 1), during_outage);
+
+    assert_eq!((without_list, with_list, refused), (true, true, false));
+}
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
@@ -39,6 +39,7 @@
         prefix_tokens: 5_000,
         suffix_tokens,
         excluded: Vec::new(),
+        software_version: None,
     }
 }
 
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/find_stream_origin.rs
@@ -0,0 +1,148 @@
+//! Finds where a stream began that a caller resumes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use sassafrashoist_core::gateway::live_vms::FleetVm;
+use sassafrashoist_core::gateway::stream_origins::{StreamKey, StreamOrigin, stream_key};
+
+use super::gateway_context::GatewayContext;
+use super::request_context::{RequestContext, ResumedStream};
+use super::send_message::send_message;
+use super::share_stream_origin::KEEPER_COUNT;
+use super::stream_origin_messages::{KeptOrigin, STREAM_ORIGIN_PATH, StreamOriginRequest};
+
+/// A stream that a caller may still resume began at most this multiple of its route's timeout ago.
+const MAX_STREAM_AGE_FACTOR: u32 = 2;
+/// How long a server may still begin streams after it left the server list.
+const MAX_ENDING_TIME: Duration = Duration::from_secs(10);
+
+/// The reason when the origin of a stream is not found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnknownOrigin {
+    /// A VM that may keep the origin did not respond.
+    KeeperOutOfReach,
+    /// No VM that should keep the origin does.
+    NotKept,
+}
+
+/// Finds where the stream began that a request resumes: on this VM, on the VMs that keep its origin,
+/// or by the fact that its pool has had one software version only for as long as a stream lasts.
+///
+/// # Errors
+///
+/// Fails if the origin is not known. It is never guessed.
+pub async fn find_stream_origin(
+    context: &Arc<GatewayContext>,
+    request: &RequestContext,
+) -> Result<ResumedStream, UnknownOrigin> {
+    let mut unknown = UnknownOrigin::NotKept;
+    if let Some(stream_id) = &request.caller.resumed_request_id {
+        let key = stream_key(stream_id);
+        if let Some(found) = find_here(context, request, key) {
+            return check_origin(context, found);
+        }
+        match ask_keepers(context, request, stream_id).await {
+            Ok(found) => return check_origin(context, found),
+            Err(error) => unknown = error,
+        }
+    }
+    find_by_sole_version(context, request).ok_or(unknown)
+}
+
+fn check_origin(
+    context: &GatewayContext,
+    found: ResumedStream,
+) -> Result<ResumedStream, UnknownOrigin> {
+    if context.lock_servers().is_origin_doubtful(&found.origin, found.began_at) {
+        return Err(UnknownOrigin::NotKept);
+    }
+    Ok(found)
+}
+
+fn find_here(
+    context: &GatewayContext,
+    request: &RequestContext,
+    key: StreamKey,
+) -> Option<ResumedStream> {
+    let streams = context.lock_streams();
+    let (began_at, origin) = streams.find(key, request.account_id.as_deref())?;
+    Some(ResumedStream { origin: origin.clone(), began_at: *began_at })
+}
+
+async fn ask_keepers(
+    context: &Arc<GatewayContext>,
+    request: &RequestContext,
+    stream_id: &str,
+) -> Result<ResumedStream, UnknownOrigin> {
+    let now = context.now();
+    let keepers = context.lock_tokens().issuers.live_vms.spread(stream_id, KEEPER_COUNT, now);
+    let own_id = context.settings().vm_id.clone();
+    let question =
+        StreamOriginRequest { key: stream_key(stream_id), account_id: request.account_id.clone() };
+    let others = keepers.iter().filter(|keeper| keeper.vm_id != own_id);
+    let mut answers: FuturesUnordered<_> =
+        others.map(|keeper| ask_keeper(keeper, &question)).collect();
+    let mut unknown = UnknownOrigin::NotKept;
+    while let Some(answer) = answers.next().await {
+        match answer {
+            Ok(Some(kept)) => {
+                let began_at = context.now().saturating_sub(kept.began_ago);
+                return Ok(ResumedStream { origin: kept.origin, began_at });
+            }
+            Ok(None) => {}
+            Err(error) => {
+                log::info!(
+                    id = request.id(), stream = stream_id, error:% = format!("{error:#}");
+                    "origin of a stream not received from another VM"
+                );
+                unknown = UnknownOrigin::KeeperOutOfReach;
+            }
+        }
+    }
+    Err(unknown)
+}
+
+async fn ask_keeper(
+    keeper: &FleetVm,
+    question: &StreamOriginRequest,
+) -> eyre::Result<Option<KeptOrigin>> {
+    let body = send_message(keeper.peer_address, STREAM_ORIGIN_PATH, question).await?;
+    postcard::from_bytes(&body).wrap_err("failed to decode the response")
+}
+
+fn find_by_sole_version(
+    context: &GatewayContext,
+    request: &RequestContext,
+) -> Option<ResumedStream> {
+    let now = context.now();
+    let max_age = request.route.timeout * MAX_STREAM_AGE_FACTOR + MAX_ENDING_TIME;
+    // Any of the route's pools may have begun the stream.
+    let [destination] = request.route.destinations.as_slice() else {
+        return None;
+    };
+    let pool_id = &destination.pool_id;
+    let software_version = context.lock_servers().sole_version(pool_id, max_age, now)?;
+    let origin = StreamOrigin {
+        pool_id: pool_id.clone(),
+        server_id: String::new(),
+        started_at_unix_ms: 0,
+        software_version,
+        account_id: request.account_id.clone(),
+    };
+    Some(ResumedStream { origin, began_at: now })
+}
+
+/// Returns the origin of a stream that this VM keeps, for another VM.
+pub fn find_kept_origin(
+    context: &GatewayContext,
+    question: &StreamOriginRequest,
+) -> Option<KeptOrigin> {
+    let now = context.now();
+    let streams = context.lock_streams();
+    let (began_at, origin) = streams.find(question.key, question.account_id.as_deref())?;
+    Some(KeptOrigin { origin: origin.clone(), began_ago: now.saturating_sub(*began_at) })
+}
--- a/crates/sassafrashoist/src/gateway/follow_servers.rs
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -26,12 +26,16 @@
                 .filter(|record| record.value.is_some())
                 .map(|record| record.key.clone())
                 .collect();
-            context.lock_servers().mark_unlisted_except(&listed, context.now());
+            let mut servers = context.lock_servers();
+            servers.mark_unlisted_except(&listed, context.now());
+            servers.pool_versions.record_read(context.now());
+            drop(servers);
             context.mark_servers_listed();
             log::info!(listed = listed.len(); "server list read");
         }
         TopicUpdate::Appended { records, .. } => {
             records.iter().for_each(|record| apply_entry(context, record));
+            context.lock_servers().pool_versions.record_read(context.now());
         }
     })
     .await;
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -21,12 +21,13 @@
 
 use super::choose_server::choose_server;
 use super::gateway_context::GatewayContext;
-use super::request_context::RequestContext;
+use super::request_context::{RequestContext, ResumedStream};
 use super::response_body::{ResponseBody, streamed_body};
 use super::run_attempts::{
     AttemptCounts, MAX_SERVERS_TRIED, initial_unresponsive_timeout, record_response,
 };
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt, wait_until_unresponsive};
+use super::share_stream_origin::record_origin;
 use super::token_reservation::TokenReservation;
 use crate::util::http_response::delimit_by_close;
 use crate::util::streamed_body::BodySender;
@@ -137,6 +138,7 @@
     if !started.framing.marks_end() {
         delimit_by_close(&mut response);
     }
+    let origin = record_origin(&context, &request, started.slot.listing());
     let forwarder = EventForwarder {
         in_progress: context.requests.token(),
         context,
@@ -147,6 +149,7 @@
         sender,
         caller_framing: started.framing,
         last_event_id: None,
+        origin,
         forwarded_bytes: 0,
     };
     tokio::spawn(forwarder.run(started, has_ended));
@@ -175,6 +178,8 @@
     sender: BodySender,
     caller_framing: ResponseFraming,
     last_event_id: Option<String>,
+    /// Where the stream began; `None` if its software version is not certain.
+    origin: Option<ResumedStream>,
     forwarded_bytes: usize,
 }
 
@@ -335,7 +340,12 @@
 
     /// Sends the request to another server, which continues after the last forwarded event.
     async fn resume(&mut self, failed_server_id: BackendServerId) -> Option<StartedResponse> {
+        let ResumedStream { origin, began_at } = self.origin.clone()?;
+        if self.context.lock_servers().is_origin_doubtful(&origin, began_at) {
+            return None;
+        }
         let mut requirements = self.request.server_requirements();
+        requirements.software_version = Some(origin.software_version);
         requirements.excluded.push(failed_server_id);
         while self.counts.sent < MAX_SERVERS_TRIED
             && self.counts.allows_run(&self.request)
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -1,7 +1,7 @@
 //! The state that all actions of the gateway share.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
@@ -10,9 +10,11 @@
 use sassafrashoist_core::gateway::retry_limiter::{RetryLimit, RetryLimiter};
 use sassafrashoist_core::gateway::route_table::RouteTable;
 use sassafrashoist_core::gateway::server_directory::ServerDirectory;
+use sassafrashoist_core::gateway::stream_origins::StreamOrigins;
 use sassafrashoist_core::gateway::token_holding::TokenHolding;
 use sassafrashoist_core::gateway::vm_settings::VmSettings;
 use sassafrashoist_core::gateway::{HolderId, Uptime};
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -41,6 +43,8 @@
     tokens: Mutex<TokenBook>,
     retries: Mutex<RetryLimiter>,
     permits: Mutex<PermitBook>,
+    streams: Mutex<StreamOrigins>,
+    datagram_socket: OnceLock<Arc<UdpSocket>>,
     started_instant: Instant,
     /// The VM's clocks when the process started.
     pub started_at: ClockReading,
@@ -86,6 +90,8 @@
             tokens: Mutex::new(TokenBook::new(holding, issuers)),
             retries: Mutex::default(),
             permits: Mutex::default(),
+            streams: Mutex::default(),
+            datagram_socket: OnceLock::new(),
             started_instant: Instant::now(),
             started_at: read_clocks(),
             ledger_wakeup: Notify::new(),
@@ -142,6 +148,21 @@
         lock(&self.permits)
     }
 
+    /// Locks the origins of streams that this VM keeps.
+    pub fn lock_streams(&self) -> MutexGuard<'_, StreamOrigins> {
+        lock(&self.streams)
+    }
+
+    /// Returns the socket for datagrams to other VMs, once it is open.
+    pub fn datagram_socket(&self) -> Option<&UdpSocket> {
+        self.datagram_socket.get().map(|socket| &**socket)
+    }
+
+    /// Sets the socket for datagrams to other VMs; it is set once.
+    pub fn set_datagram_socket(&self, socket: Arc<UdpSocket>) {
+        self.datagram_socket.get_or_init(|| socket);
+    }
+
     /// Returns the issuers of a server's permits that are not known to be unreachable, the first
     /// choice first.
     pub fn reachable_issuers(&self, server_id: &str) -> Vec<FleetVm> {
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -16,6 +16,8 @@
 //! - [`choose_server`] chooses the server of each attempt, and obtains a permit if that server names
 //!   a limit; [`issue_permit`] issues permits to all VMs, and [`share_limit`] tells them of changed
 //!   limits.
+//! - [`share_stream_origin`] sends where a stream began to the VMs that keep it, and
+//!   [`find_stream_origin`] finds it when a caller resumes the stream.
 //! - [`serve_readiness`] serves the readiness check of the load balancer, [`serve_metrics`] the
 //!   metrics for operators.
 //!
@@ -26,6 +28,7 @@
 pub mod choose_server;
 pub mod disconnect_guard;
 pub mod fetch_tokens;
+pub mod find_stream_origin;
 pub mod follow_config;
 pub mod follow_servers;
 pub mod follow_topic;
@@ -55,6 +58,8 @@
 pub mod serve_readiness;
 pub mod serve_request;
 pub mod share_limit;
+pub mod share_stream_origin;
+pub mod stream_origin_messages;
 pub mod token_book;
 pub mod token_reservation;
 pub mod topic_connectivity;
--- a/crates/sassafrashoist/src/gateway/request_context.rs
+++ b/crates/sassafrashoist/src/gateway/request_context.rs
@@ -6,10 +6,20 @@
 use http::{HeaderMap, Method, Uri};
 use sassafrashoist_adapter::request_headers::{CallerHeaders, PromptPart};
 use sassafrashoist_core::gateway::Uptime;
-use sassafrashoist_core::gateway::route::Route;
+use sassafrashoist_core::gateway::route::{Repeatability, Route};
 use sassafrashoist_core::gateway::server_directory::ServerRequirements;
+use sassafrashoist_core::gateway::stream_origins::StreamOrigin;
 use sassafrashoist_core::ids::{ClientAccountId, PoolId, Tokens};
 
+/// A stream that a request resumes.
+#[derive(Debug, Clone)]
+pub struct ResumedStream {
+    /// Where it began.
+    pub origin: StreamOrigin,
+    /// When it began.
+    pub began_at: Uptime,
+}
+
 /// The data of a caller's request while it is served.
 #[derive(Debug)]
 pub struct RequestContext {
@@ -29,6 +39,8 @@
     pub pool_id: PoolId,
     /// Output tokens per event, if the pool consists of engines.
     pub tokens_per_event: Option<Tokens>,
+    /// Where the stream began, if the request resumes one.
+    pub resumed: Option<ResumedStream>,
     /// The client account that pays.
     pub account_id: Option<ClientAccountId>,
     /// The priority; 0 is the most urgent.
@@ -45,6 +57,18 @@
         self.caller.request_id.as_deref().unwrap_or("-")
     }
 
+    /// Returns whether the response is a stream that may be resumed.
+    pub fn is_resumable(&self) -> bool {
+        self.route.repeatability == Repeatability::ResumableStream
+    }
+
+    /// Returns whether the caller resumes a stream.
+    pub fn is_resumption(&self) -> bool {
+        let caller = &self.caller;
+        self.is_resumable()
+            && (caller.last_event_id.is_some() || caller.resumed_request_id.is_some())
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self, now: Uptime) -> Duration {
         self.deadline.saturating_sub(now)
@@ -63,6 +87,7 @@
             prefix_tokens,
             suffix_tokens: prompt_tokens.saturating_sub(prefix_tokens),
             excluded: Vec::new(),
+            software_version: self.resumed.as_ref().map(|r| r.origin.software_version.clone()),
         }
     }
 }
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -8,6 +8,7 @@
 use eyre::WrapErr;
 use sassafrashoist_adapter::vm_settings_file::parse_vm_settings;
 use sassafrashoist_core::gateway::vm_settings::VmSettings;
+use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
@@ -20,6 +21,7 @@
 use super::serve_metrics::serve_metrics;
 use super::serve_peers::serve_peers;
 use super::serve_readiness::serve_readiness;
+use super::share_stream_origin::receive_origins;
 use super::transfer_tokens::transfer_all_tokens;
 use crate::util::metrics_page::{init_metrics, run_metrics_upkeep};
 
@@ -57,7 +59,12 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hang_up = signal(SignalKind::hangup())?;
-    let peer_listener = bind(SocketAddr::new(settings.ip, settings.peer_port)).await?;
+    let peer_address = SocketAddr::new(settings.ip, settings.peer_port);
+    let peer_listener = bind(peer_address).await?;
+    let datagram_socket = UdpSocket::bind(peer_address)
+        .await
+        .wrap_err_with(|| format!("failed to receive datagrams on {peer_address}"))?;
+    let datagram_socket = Arc::new(datagram_socket);
     let readiness_listener = bind(settings.readiness_address).await?;
     let caller_listener = bind(settings.caller_address).await?;
     let metrics_listener = bind(SocketAddr::new(settings.ip, metrics_port)).await?;
@@ -71,6 +78,8 @@
     let (closing, finished) = (CancellationToken::new(), CancellationToken::new());
     tokio::spawn(follow_config(Arc::clone(&context)));
     tokio::spawn(follow_servers(Arc::clone(&context)));
+    context.set_datagram_socket(Arc::clone(&datagram_socket));
+    tokio::spawn(receive_origins(Arc::clone(&context), datagram_socket));
     tokio::spawn(serve_peers(Arc::clone(&context), peer_listener));
     tokio::spawn(serve_readiness(Arc::clone(&context), readiness_listener));
     tokio::spawn(serve_metrics(Arc::clone(&context), metrics_listener));
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -10,6 +10,7 @@
 use sassafrashoist_adapter::response_headers::{ResponseHead, ResponseKind};
 use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::gateway::server_directory::ServerChoice;
+use sassafrashoist_core::gateway::server_listing::ServerListing;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 use sassafrashoist_core::routing::server_limit::LimitStatement;
 use sassafrashoist_platform::response_framing::ResponseFraming;
@@ -53,6 +54,11 @@
         &self.chosen.listing.id
     }
 
+    /// Returns the listing of the server, as of when it was chosen.
+    pub fn listing(&self) -> &ServerListing {
+        &self.chosen.listing
+    }
+
     /// Returns whether the server is known to name a limit.
     fn has_limit(&self) -> bool {
         let servers = self.context.lock_servers();
@@ -146,6 +152,7 @@
                 "not connected"
             );
             slot.set_verdict(AttemptVerdict::Failed);
+            context.lock_servers().record_refused_connection(slot.server_id());
             return AttemptStart::NotReached;
         }
     };
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -1,4 +1,5 @@
-//! Serves the messages of other VMs: transfers of tokens, and permits and limits of backend servers.
+//! Serves the messages of other VMs: transfers of tokens, permits and limits of
+//! backend servers, and the origins of streams.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 
+use super::find_stream_origin::find_kept_origin;
 use super::gateway_context::GatewayContext;
 use super::issue_permit::issue_permit;
 use super::listen::serve_listener;
@@ -20,6 +22,7 @@
 use super::queue_entry::QueueEntry;
 use super::response_body::{ResponseBody, full_response};
 use super::share_limit::receive_notice;
+use super::stream_origin_messages::STREAM_ORIGIN_PATH;
 
 /// The maximum size of a message from another VM: tokens of a few thousand accounts.
 const MAX_MESSAGE_BYTES: usize = 65_536;
@@ -68,6 +71,10 @@
             }
             Err(error) => reject_malformed(&path, &error),
         },
+        STREAM_ORIGIN_PATH => match postcard::from_bytes(&body) {
+            Ok(question) => encode_response(&find_kept_origin(context, &question)),
+            Err(error) => reject_malformed(&path, &error),
+        },
         _ => empty_response(StatusCode::NOT_FOUND),
     }
 }
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -12,14 +12,15 @@
 use sassafrashoist_adapter::request_headers::{CallerHeaders, single_host};
 use sassafrashoist_adapter::response_headers::encode_refusal;
 use sassafrashoist_core::gateway::Uptime;
-use sassafrashoist_core::gateway::route::Repeatability;
+use sassafrashoist_core::gateway::route::{Destination, Repeatability};
 use sassafrashoist_core::gateway::route_table::{NotAllowed, RouteTable};
 use sassafrashoist_core::ids::{RequestId, Tokens};
 
 use super::disconnect_guard::DisconnectGuard;
+use super::find_stream_origin::{UnknownOrigin, find_stream_origin};
 use super::gateway_context::GatewayContext;
 use super::obtain_tokens::{NoTokens, WorstCase, obtain_tokens};
-use super::request_context::RequestContext;
+use super::request_context::{RequestContext, ResumedStream};
 use super::response_body::{ResponseBody, full_response};
 use super::run_attempts::run_attempts;
 use super::token_reservation::TokenReservation;
@@ -27,6 +28,9 @@
 /// The retry delay while this VM has not read a configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// The retry delay while a VM that may know the software version of a stream cannot be reached.
+const KEEPER_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// A response that this VM itself makes, in place of one from a backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct Refusal {
@@ -122,6 +126,12 @@
             Ok(body) => body,
             Err(refusal) => return refusal.into_response(&id, &""),
         };
+    if request.is_resumption()
+        && let Err(refusal) = resolve_stream(context, &routes, &mut request).await
+    {
+        let stream_id = request.caller.resumed_request_id.as_deref().unwrap_or("-");
+        return refusal.into_response(&id, &format_args!("stream {stream_id}"));
+    }
     let reservation = match reserve(context, &routes, &request).await {
         Ok(reservation) => reservation,
         Err(refusal) => {
@@ -164,7 +174,6 @@
     let Some(pool_id) = route.choose_pool(rand::random()) else {
         return Err(Refusal::new(StatusCode::NOT_FOUND, "route has no destination"));
     };
-    let pool = routes.config().pool(pool_id);
     let timeout = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
     Ok(RequestContext {
         method: parts.method,
@@ -174,7 +183,8 @@
         body: Bytes::new(),
         route: route.clone(),
         pool_id: pool_id.clone(),
-        tokens_per_event: pool.and_then(|pool| pool.engine).map(|engine| engine.tokens_per_event),
+        tokens_per_event: tokens_per_event(routes, pool_id),
+        resumed: None,
         account_id: account.map(|account| account.id.clone()),
         priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
         arrived_at,
@@ -182,6 +192,43 @@
     })
 }
 
+/// Returns the output tokens per event of a pool if it consists of engines.
+fn tokens_per_event(routes: &RouteTable, pool_id: &str) -> Option<Tokens> {
+    let engine = routes.config().pool(pool_id)?.engine?;
+    Some(engine.tokens_per_event)
+}
+
+/// Finds where the stream began that a request resumes, and the pool at which it goes on.
+async fn resolve_stream(
+    context: &Arc<GatewayContext>,
+    routes: &RouteTable,
+    request: &mut RequestContext,
+) -> Result<(), Refusal> {
+    let found = find_stream_origin(context, request).await.map_err(|unknown| match unknown {
+        UnknownOrigin::KeeperOutOfReach => {
+            Refusal::retry_later(KEEPER_RETRY_AFTER, "software version of the stream out of reach")
+        }
+        UnknownOrigin::NotKept => Refusal::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "software version of the stream is not known",
+        ),
+    })?;
+    let ResumedStream { origin, .. } = &found;
+    let goes_to_pool = |destination: &Destination| destination.pool_id == origin.pool_id;
+    if !request.route.destinations.iter().any(goes_to_pool)
+        || !context.lock_servers().has_version(&origin.pool_id, &origin.software_version)
+    {
+        return Err(Refusal::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no server of the stream's software version",
+        ));
+    }
+    request.pool_id.clone_from(&origin.pool_id);
+    request.tokens_per_event = tokens_per_event(routes, &origin.pool_id);
+    request.resumed = Some(found);
+    Ok(())
+}
+
 async fn read_body(
     request: &RequestContext,
     context: &GatewayContext,
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -703,3 +703,39 @@
 
     assert!(resumed_count * 2 >= begun.len(), "{resumed_count}");
 }
+
+// Without the log service, no VM reads the list of servers or of VMs.
+#[tokio::test]
+async fn stream_goes_on_while_the_log_service_is_away() {
+    let fleet = start_with_two_versions("two_versions_log_away").await;
+    fleet.log.set_fault(LogFault::Down);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+
+    let begun = begin_streams(&fleet, 12).await;
+    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::None));
+    let resumed_count = resume_streams(&fleet, &begun).await;
+
+    assert!(resumed_count * 2 >= begun.len(), "{resumed_count}");
+}
+
+// A stream whose software version is not known, or gone, is refused before it waits for anything.
+#[tokio::test]
+async fn stream_of_an_unknown_software_version_is_refused_at_once() {
+    let mut fleet = start_with_two_versions("unknown_version").await;
+    let begun = begin_streams(&fleet, 1).await;
+    let (id, response) = &begun[0];
+    let unnamed = CallerRequest { headers: vec![("last-event-id", "2".to_owned())], ..draft() };
+    let started_at = Instant::now();
+
+    let of_unknown = fleet.send(1, "r1", &resume("never-begun", response)).await.unwrap();
+    let of_unnamed = fleet.send(1, "r2", &unnamed).await.unwrap();
+    (0..4).for_each(|engine| fleet.set_engine_version(engine, "v3"));
+    tokio::time::sleep(PROPAGATION_TIME * 2).await;
+    let of_gone = fleet.send(1, "r3", &resume(id, response)).await.unwrap();
+
+    assert_eq!((of_unknown.status, of_unnamed.status, of_gone.status), (503, 503, 503));
+    assert!(started_at.elapsed() < PROPAGATION_TIME * 2 + Duration::from_secs(1));
+    for resumed_id in ["r1", "r2", "r3"] {
+        assert!(fleet.versions_of(resumed_id).is_empty());
+    }
+}
