Cut off heads, events and messages without end

A backend server whose stream has an event without end filled the memory of a VM until the caller's deadline: the buffer of incomplete events had no bound. So had the responses of the log service and of other VMs, and whole responses read by the router's own path; a message from another VM could take any time to arrive.

All have a longest length now, and messages a longest time; the connection is closed, the attempt counts as failed with `event too long` or `connection lost`, with a log line each. The search for the end of an event no longer starts at the first byte again. Without the bound on events, bytes_without_end_from_a_server_are_not_read_to_the_deadline sees 504 at the deadline instead of 502 at once.

--- a/crates/sassafrashoist-core/src/event_splitter.rs
+++ b/crates/sassafrashoist-core/src/event_splitter.rs
@@ -18,10 +18,17 @@
     }
 }
 
+/// The longest event. Bytes beyond it without the end of an event are no event stream.
+const MAX_EVENT_BYTES: usize = 262_144;
+/// The length of the longest empty line that ends an event, with the end of the line before it.
+const MAX_EVENT_END_BYTES: usize = 4;
+
 /// Buffers the bytes of an event stream and splits off complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    /// The bytes at the start of `pending` in which no event ends.
+    searched_bytes: usize,
 }
 
 impl EventSplitter {
@@ -32,16 +39,23 @@
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = find_event_end(&self.pending)?;
+        let end = self.find_event_end()?;
         let raw = self.pending.split_to(end).freeze();
+        self.searched_bytes = 0;
         let id =
             find_field(&raw, b"id:").map(|value| String::from_utf8_lossy(value).trim().to_owned());
         Some(StreamEvent { raw, id })
     }
 
     /// Returns whether a complete event is buffered.
-    pub fn has_event(&self) -> bool {
-        find_event_end(&self.pending).is_some()
+    pub fn has_event(&mut self) -> bool {
+        self.find_event_end().is_some()
+    }
+
+    /// Returns whether the buffered bytes exceed the longest event, once [`Self::next_event`] has
+    /// returned `None`.
+    pub fn is_too_long(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
     }
 
     /// Returns whether the buffered bytes hold a part of an event, once [`Self::next_event`] has
@@ -54,12 +68,21 @@
     /// Removes and returns all buffered bytes: what follows the last complete event once
     /// [`Self::next_event`] has returned `None`.
     pub fn take_rest(&mut self) -> Bytes {
+        self.searched_bytes = 0;
         self.pending.split().freeze()
     }
+
+    fn find_event_end(&mut self) -> Option<usize> {
+        let end = find_event_end(&self.pending, self.searched_bytes);
+        if end.is_none() {
+            self.searched_bytes = self.pending.len().saturating_sub(MAX_EVENT_END_BYTES - 1);
+        }
+        end
+    }
 }
 
-fn find_event_end(data: &[u8]) -> Option<usize> {
-    (0..data.len()).find_map(|start| {
+fn find_event_end(data: &[u8], from: usize) -> Option<usize> {
+    (from..data.len()).find_map(|start| {
         let rest = &data[start..];
         if rest.starts_with(b"\n\n") {
             Some(start + 2)
--- a/crates/sassafrashoist-core/tests/testsuite/event_splitter.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/event_splitter.rs
@@ -66,3 +66,35 @@
         assert_eq!(splitter.is_inside_event(), is_inside, "{rest:?}");
     }
 }
+
+#[test]
+fn an_event_without_end_becomes_too_long() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: part 1\n\nid: 2\ndata: ");
+    let first = splitter.next_event();
+
+    let mut pushed_bytes = 0;
+    while !splitter.is_too_long() {
+        splitter.push(&[b'x'; 1_000]);
+        pushed_bytes += 1_000;
+        assert_eq!(splitter.next_event(), None);
+    }
+
+    assert!(first.is_some());
+    assert_eq!(pushed_bytes, 263_000);
+}
+
+#[test]
+fn an_event_end_that_comes_in_pieces_is_found() {
+    let mut splitter = EventSplitter::default();
+
+    let found: Vec<bool> = [b"id: 1\r".as_slice(), b"\n", b"\r", b"\n"]
+        .into_iter()
+        .map(|piece| {
+            splitter.push(piece);
+            splitter.has_event()
+        })
+        .collect();
+
+    assert_eq!(found, [false, false, false, true]);
+}
--- a/crates/sassafrashoist-platform/src/http_client.rs
+++ b/crates/sassafrashoist-platform/src/http_client.rs
@@ -4,13 +4,16 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use thiserror::Error;
 use volo_http::body::Body;
 use volo_http::client::Client;
 
 use crate::response_framing::ResponseFraming;
 
+/// The longest response body that is read into memory.
+pub const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
 /// Why a request has no response.
 #[derive(Debug, Error)]
 pub enum HttpRequestError {
@@ -84,8 +87,7 @@
         })?;
     let status = response.status();
     let framing = ResponseFraming::of(&response);
-    let body = response
-        .into_body()
+    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
         .collect()
         .await
         .map_err(|error| HttpRequestError::ResponseLost(url, error.to_string()))?
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -41,6 +41,9 @@
 /// The reason of a failed attempt whose stream ended inside an event.
 const ENDED_INSIDE_EVENT: &str = "stream ended inside an event";
 
+/// The reason of a failed attempt whose stream has an event without end.
+const EVENT_TOO_LONG: &str = "event too long";
+
 /// The reason of a failed attempt whose stream has no framing and was closed before any event.
 const CLOSED_BEFORE_EVENT: &str = "stream closed before its first event";
 
@@ -87,6 +90,9 @@
                     if splitter.has_event() {
                         return Ok(StartedStream { started, splitter, has_ended: false });
                     }
+                    if splitter.is_too_long() {
+                        return Err(record_no_event(request, &mut started, EVENT_TOO_LONG, &"-"));
+                    }
                 }
             }
             None if splitter.is_inside_event() => {
@@ -253,6 +259,9 @@
                     return end;
                 }
             }
+            if self.splitter.is_too_long() {
+                return SegmentEnd::Failed(EVENT_TOO_LONG);
+            }
             let StartedResponse { response, slot, .. } = started;
             let body: &mut Incoming = response.body_mut();
             let frame = tokio::select! {
--- a/crates/sassafrashoist/src/gateway/http_connection.rs
+++ b/crates/sassafrashoist/src/gateway/http_connection.rs
@@ -15,6 +15,9 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+/// The longest response head.
+const MAX_HEAD_BYTES: usize = 65_536;
+
 /// The error when no connection could be opened, so that nothing was sent.
 #[derive(Debug, thiserror::Error)]
 #[error("failed to connect to {address}: {reason}")]
@@ -59,6 +62,7 @@
         stream.set_nodelay(true).map_err(|error| not_connected(error.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .preserve_header_case(true)
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_connected(error.to_string()))?;
--- a/crates/sassafrashoist/src/gateway/log_client.rs
+++ b/crates/sassafrashoist/src/gateway/log_client.rs
@@ -26,6 +26,9 @@
 /// one takes longer on a link with little bandwidth.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The longest response; several times the longest that the service is asked for.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
 /// The error when a call of the log service has no result.
 #[derive(Debug, thiserror::Error)]
 pub enum LogCallError {
@@ -165,6 +168,10 @@
             if let Some(data) = frame.data_ref() {
                 received.extend_from_slice(data);
             }
+            if received.len() > MAX_RESPONSE_BYTES {
+                let reason = format!("response exceeds {MAX_RESPONSE_BYTES} bytes");
+                return Err(LogCallError::NoResponse(reason));
+            }
         }
         // Without a marked end, the connection has ended too, and the decoders detect a response
         // that is cut short.
--- a/crates/sassafrashoist/src/gateway/send_message.rs
+++ b/crates/sassafrashoist/src/gateway/send_message.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use serde::Serialize;
 
 use super::http_connection::{Connection, NotConnected};
@@ -14,6 +14,9 @@
 /// How long another VM may take to respond: a hundred times the latency between data centres.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The maximum size of a message between VMs and of its response: tokens of a few thousand accounts.
+pub const MAX_MESSAGE_BYTES: usize = 65_536;
+
 /// The reason why a message to another VM got no successful response.
 #[derive(Debug, thiserror::Error)]
 pub enum MessageError {
@@ -89,7 +92,7 @@
         if status != StatusCode::OK {
             return Err(MessageError::Refused { address, status });
         }
-        let body = response.into_body().collect().await;
+        let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect().await;
         Ok(body.map_err(|error| no_response(error.to_string()))?.to_bytes())
     };
     tokio::time::timeout(timeout, exchange)
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -21,11 +21,12 @@
 use super::permit_messages::{LIMIT_PATH, PERMIT_PATH};
 use super::queue_entry::QueueEntry;
 use super::response_body::{ResponseBody, full_response};
+use super::send_message::MAX_MESSAGE_BYTES;
 use super::share_limit::receive_notice;
 use super::stream_origin_messages::STREAM_ORIGIN_PATH;
 
-/// The maximum size of a message from another VM: tokens of a few thousand accounts.
-const MAX_MESSAGE_BYTES: usize = 65_536;
+/// How long a message from another VM may take to arrive; longer than that VM waits.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a draw for another VM may take; slightly shorter than that VM waits for the response.
 const DRAW_TIMEOUT: Duration = Duration::from_millis(90);
 
@@ -44,12 +45,17 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let path = request.uri().path().to_owned();
-    let body = match Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
+    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
+    let body = match tokio::time::timeout(MESSAGE_TIMEOUT, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => {
             log::warn!(path = path, error:% = error; "failed to read a message from another VM");
             return empty_response(StatusCode::BAD_REQUEST);
         }
+        Err(_) => {
+            log::warn!(path = path; "message from another VM not complete in time");
+            return empty_response(StatusCode::REQUEST_TIMEOUT);
+        }
     };
     match path.as_str() {
         TRANSFER_PATH => match postcard::from_bytes(&body) {
--- a/crates/sassafrashoist/src/ops/forward_stream.rs
+++ b/crates/sassafrashoist/src/ops/forward_stream.rs
@@ -70,6 +70,9 @@
                     return end;
                 }
             }
+            if splitter.is_too_long() {
+                return ResponseEnd::Lost("event too long".to_owned());
+            }
         }
     }
 
--- a/crates/sassafrashoist/src/ops/receive_response.rs
+++ b/crates/sassafrashoist/src/ops/receive_response.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Response};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
 use volo_http::body::Body;
 
@@ -15,6 +15,7 @@
 use crate::util::http_response::REQUEST_ID_HEADER;
 use sassafrashoist_core::ids::{AttemptNumber, Tokens};
 use sassafrashoist_core::requests::life_cycle::{Dispatched, Request};
+use sassafrashoist_platform::http_client::MAX_RESPONSE_BYTES;
 use sassafrashoist_platform::response_framing::ResponseFraming;
 
 /// The token usage that an engine reports for a request.
@@ -72,7 +73,8 @@
     }
     let framing = ResponseFraming::of(&response);
     let (head, body) = response.into_parts();
-    let collected = match tokio::time::timeout(active.request.time_left(), body.collect()).await {
+    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+    let collected = match tokio::time::timeout(active.request.time_left(), body).await {
         Ok(Ok(collected)) => collected,
         Ok(Err(error)) => return ResponseEnd::Lost(error.to_string()),
         Err(_) => return ResponseEnd::Lost("timeout".to_owned()),
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -6,6 +6,7 @@
 use http::Method;
 use sassafrashoist_platform_stand_in::backend_server::{BackendServer, ServerFault, event_text};
 use sassafrashoist_platform_stand_in::caller::{BodyEnd, CallerRequest, CallerResponse, send};
+use sassafrashoist_platform_stand_in::endless_server::EndlessServer;
 use sassafrashoist_platform_stand_in::log_service::LogFault;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
     ACCOUNT, API_KEY, BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, FleetPlan, STATUS_PATH,
@@ -739,3 +740,46 @@
         assert!(fleet.versions_of(resumed_id).is_empty());
     }
 }
+
+/// More than the buffers of a connection hold, on both sides, but far less than a server can send
+/// until a caller's deadline.
+const MAX_ENDLESS_BYTES: usize = 16 * 1024 * 1024;
+
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nupstream-signature: s\r\ncontent-type: text/event-stream\r\n\r\n";
+
+// Bytes that are no response may come without end until the connection is closed.
+#[tokio::test]
+async fn bytes_without_end_from_a_server_are_not_read_to_the_deadline() {
+    let empty = FleetPlan { engine_count: 0, plain_count: 0, ..plan() };
+    let cases = [
+        ("head", "HTTP/1.1 200 OK\r\nupstream-signature: s\r\nx: ".to_owned(), status(), 502),
+        ("no_http", String::new(), status(), 502),
+        ("first_event", STREAM_HEAD.to_owned(), draft(), 502),
+        ("later_event", format!("{STREAM_HEAD}id: 1\ndata: part 1\n\n"), draft(), 200),
+        (
+            "after_response",
+            "HTTP/1.1 200 OK\r\nupstream-signature: s\r\ncontent-length: 4\r\n\r\ndone".to_owned(),
+            status(),
+            200,
+        ),
+    ];
+    for (name, start_bytes, request, expected_status) in cases {
+        let fleet = start(&format!("endless_{name}"), empty.clone()).await;
+        let server = EndlessServer::start(start_bytes, b'x').await.unwrap();
+        for pool in ["llm", "desk"] {
+            fleet.list_server(pool, &format!("endless-{pool}"), server.address);
+        }
+        tokio::time::sleep(PROPAGATION_TIME).await;
+        let started_at = Instant::now();
+
+        let response = fleet.send(0, "e1", &request).await.unwrap();
+
+        tokio::time::sleep(PROPAGATION_TIME / 4).await;
+        assert_eq!(response.status, expected_status, "{name}: {response:?}");
+        assert!(started_at.elapsed() < Duration::from_secs(2), "{name}");
+        assert_eq!(server.open_count(), 0, "{name}");
+        assert!(server.sent_bytes() < MAX_ENDLESS_BYTES, "{name}: {}", server.sent_bytes());
+        assert!(name != "later_event" || response.end == BodyEnd::Aborted, "{response:?}");
+    }
+}
