Do not take a resumed stream without framing and events for a success

Without length or chunks, a stream that has no event left and one whose server failed look alike. On routes whose streams may be resumed, such an attempt has failed now and the stream goes on at another server. resumed_stream_closed_before_its_first_event_is_not_a_success failed before (200, an empty body) and passes. A request that may run once keeps its response, as before.

--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -98,8 +98,11 @@
             None if splitter.is_inside_event() => {
                 return Err(record_no_event(request, &mut started, ENDED_INSIDE_EVENT, &"-"));
             }
-            // A stream that its caller resumes may have no event left.
-            None if !started.framing.marks_end() && request.caller.last_event_id.is_none() => {
+            // A stream that its caller resumes may have no event left, but one that may run again is
+            // rather sent to another server.
+            None if !started.framing.marks_end()
+                && (request.caller.last_event_id.is_none() || request.is_resumption()) =>
+            {
                 return Err(record_no_event(request, &mut started, CLOSED_BEFORE_EVENT, &"-"));
             }
             None => return Ok(StartedStream { started, splitter, has_ended: true }),
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -783,3 +783,20 @@
         assert!(name != "later_event" || response.end == BodyEnd::Aborted, "{response:?}");
     }
 }
+
+// Without framing, a stream that has no event left looks like one whose server has failed.
+#[tokio::test]
+async fn resumed_stream_closed_before_its_first_event_is_not_a_success() {
+    let fleet = start("resumed_closed", plan()).await;
+    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::DisconnectsAfter(2)));
+    let begun = begin_streams(&fleet, 1).await;
+    let (id, response) = &begun[0];
+    fleet
+        .engines
+        .iter()
+        .for_each(|engine| engine.set_fault(ServerFault::CloseDelimitedClosesBeforeBody));
+
+    let resumed = fleet.send(0, "r1", &resume(id, response)).await.unwrap();
+
+    assert_eq!(resumed.status, 502, "{resumed:?}");
+}
