--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod flow_rate;
 mod ledger_writer;
 mod limited_server_fleet;
+mod live_vms;
 mod permit_bucket;
 mod pool_versions;
 mod reclaim;
