Use a server without a limit when three others have reached theirs

A caller got 503, "limits of the servers reached", although another server of the pool named no limit: after three refused permits, a request waited for a permit or gave up, and did not consider the servers that cost more. Found by reading the change again. With seven servers that name a limit of 0 and one that names none, the ninth request failed.

After three refused permits, the request now goes to the cheapest server without a limit, if there is one. server_without_a_limit_is_used_when_all_others_have_reached_theirs failed before and passes.

--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -66,6 +66,8 @@
     pub excluded: Vec<BackendServerId>,
     /// The software version that began the stream, if the request resumes one.
     pub software_version: Option<SoftwareVersion>,
+    /// Whether servers that name limits are left out.
+    pub excludes_limited: bool,
 }
 
 /// The server that was chosen for one attempt.
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -106,11 +106,12 @@
         self.ending_since().is_some_and(|at| now < at + time)
     }
 
-    /// Returns whether a request may be sent to the server as far as its pool, earlier attempts and
-    /// a pause of the server are concerned.
+    /// Returns whether a request may be sent to the server as far as the requirements and a pause
+    /// of the server are concerned.
     pub(super) fn may_take(&self, requirements: &ServerRequirements, now: Uptime) -> bool {
         self.listing.pool_id == requirements.pool_id
             && !requirements.excluded.contains(&self.listing.id)
+            && !(requirements.excludes_limited && self.limit.per_s().is_some())
             && requirements
                 .software_version
                 .as_ref()
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
@@ -40,6 +40,7 @@
         suffix_tokens,
         excluded: Vec::new(),
         software_version: None,
+        excludes_limited: false,
     }
 }
 
--- a/crates/sassafrashoist/src/gateway/choose_server.rs
+++ b/crates/sassafrashoist/src/gateway/choose_server.rs
@@ -53,27 +53,36 @@
     requirements: &ServerRequirements,
 ) -> Result<ServerChoice, NoServer> {
     for _ in 0..MAX_SERVERS_ASKED {
-        let now = context.now();
-        let found = {
-            let mut servers = context.lock_servers();
-            let found = servers.find(requirements, rand::random(), now);
-            match found {
-                Some(found) if !found.needs_permit => {
-                    servers.begin_attempt(&found, requirements, now);
-                    return Ok(found);
-                }
-                found => found,
-            }
-        };
-        let Some(found) = found else {
+        let Some(found) = find_server(context, requirements) else {
             break;
         };
+        if !found.needs_permit {
+            return Ok(found);
+        }
         let outcome = obtain_permit(context, request, &found.listing, Duration::ZERO).await;
         if outcome.is_ok() && begin_attempt(context, &found, requirements) {
             return Ok(found);
         }
     }
-    wait_for_server(context, request, requirements).await
+    let without_limit = ServerRequirements { excludes_limited: true, ..requirements.clone() };
+    match find_server(context, &without_limit) {
+        Some(found) => Ok(found),
+        None => wait_for_server(context, request, requirements).await,
+    }
+}
+
+/// Finds the server with the lowest cost; counts the attempt as started if it needs no permit.
+fn find_server(
+    context: &GatewayContext,
+    requirements: &ServerRequirements,
+) -> Option<ServerChoice> {
+    let now = context.now();
+    let mut servers = context.lock_servers();
+    let found = servers.find(requirements, rand::random(), now)?;
+    if !found.needs_permit {
+        servers.begin_attempt(&found, requirements, now);
+    }
+    Some(found)
 }
 
 /// Waits for a permit of the server that has one first.
--- a/crates/sassafrashoist/src/gateway/request_context.rs
+++ b/crates/sassafrashoist/src/gateway/request_context.rs
@@ -87,6 +87,7 @@
             prefix_tokens,
             suffix_tokens: prompt_tokens.saturating_sub(prefix_tokens),
             excluded: Vec::new(),
+            excludes_limited: false,
             software_version: self.resumed.as_ref().map(|r| r.origin.software_version.clone()),
         }
     }
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -800,3 +800,14 @@
 
     assert_eq!(resumed.status, 502, "{resumed:?}");
 }
+
+// A request gave up after three servers without a permit, although another server names no limit.
+#[tokio::test]
+async fn server_without_a_limit_is_used_when_all_others_have_reached_theirs() {
+    let fleet = start("one_without_limit", FleetPlan { plain_count: 8, ..plan() }).await;
+    fleet.plain_servers[1..].iter().for_each(|server| server.set_limit(Some("0")));
+
+    send_many(&fleet, "s", &status()).await;
+
+    assert!(fleet.plain_servers[1..].iter().all(|server| server.arrived_count() <= 1));
+}
