Log whether a server ended under a request, and which requests are copies

The logs named neither whether two requests are the same nor whether a lost connection was a server that ended, a reset, or a server that is cut off. Each request now has a fingerprint of account, method, path and body, and a lost connection is probed with a new one: a process that has ended refuses it. No decision depends on either yet.

--- a/crates/sassafrashoist-core/src/requests/quarantine.rs
+++ b/crates/sassafrashoist-core/src/requests/quarantine.rs
@@ -11,11 +11,12 @@
 //! lets the request crash only one server at a time, however many copies are sent at once.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use super::request_hash::BodyHash;
+use super::request_hash::{BodyHash, hash_request};
 use crate::ids::{BackendServerId, ClientAccountId, Timestamp};
 
 /// The number of crashes under a request that quarantines it.
@@ -33,10 +34,26 @@
 pub struct RequestFingerprint {
     /// The client account that sends it.
     pub account_id: ClientAccountId,
-    /// The hash of its body.
+    /// The hash of what the caller asks for: the body, and on the gateway the method and path too.
     pub body_hash: BodyHash,
 }
 
+impl RequestFingerprint {
+    /// Returns the fingerprint of an HTTP request; a request without an account has an empty one.
+    pub fn of_http(account_id: Option<&str>, method: &str, path: &str, body: &[u8]) -> Self {
+        Self {
+            account_id: account_id.unwrap_or_default().to_owned(),
+            body_hash: hash_request(method, path, body),
+        }
+    }
+}
+
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{:032x}", self.account_id, self.body_hash)
+    }
+}
+
 /// A crash of a backend server that was seen while the server had a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashSighting {
--- a/crates/sassafrashoist-core/src/requests/request_hash.rs
+++ b/crates/sassafrashoist-core/src/requests/request_hash.rs
@@ -1,6 +1,6 @@
 //! The hash that binds an idempotency key to a request's content.
 
-use xxhash_rust::xxh3::xxh3_128;
+use xxhash_rust::xxh3::{Xxh3, xxh3_128};
 
 /// The hash of a request's body.
 pub type BodyHash = u128;
@@ -9,3 +9,14 @@
 pub fn hash_body(body: &[u8]) -> BodyHash {
     xxh3_128(body)
 }
+
+/// Hashes the method, the path with its query, and the body of an HTTP request.
+pub fn hash_request(method: &str, path: &str, body: &[u8]) -> BodyHash {
+    let mut hash = Xxh3::new();
+    for field in [method.as_bytes(), path.as_bytes()] {
+        hash.update(field);
+        hash.update(b"\n");
+    }
+    hash.update(body);
+    hash.digest128()
+}
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -21,6 +21,7 @@
 
 use super::choose_server::choose_server;
 use super::gateway_context::GatewayContext;
+use super::report_server_end::report_lost_connection;
 use super::request_context::{RequestContext, ResumedStream};
 use super::response_body::{ResponseBody, streamed_body};
 use super::run_attempts::{
@@ -96,6 +97,7 @@
                 }
             }
             None if splitter.is_inside_event() => {
+                report_lost_connection(context, request, &started.slot).await;
                 return Err(record_no_event(request, &mut started, ENDED_INSIDE_EVENT, &"-"));
             }
             // A stream that its caller resumes may have no event left, but one that may run again is
@@ -103,10 +105,12 @@
             None if !started.framing.marks_end()
                 && (request.caller.last_event_id.is_none() || request.is_resumption()) =>
             {
+                report_lost_connection(context, request, &started.slot).await;
                 return Err(record_no_event(request, &mut started, CLOSED_BEFORE_EVENT, &"-"));
             }
             None => return Ok(StartedStream { started, splitter, has_ended: true }),
             Some(Err(error)) => {
+                report_lost_connection(context, request, &started.slot).await;
                 return Err(record_no_event(request, &mut started, "stream broken off", &error));
             }
         }
@@ -169,7 +173,9 @@
 enum SegmentEnd {
     /// The body ended after an event.
     Ended,
-    /// The server cut the stream off or is unresponsive.
+    /// The connection ended before the stream did.
+    ConnectionLost(&'static str),
+    /// The server is unresponsive or violates the format.
     Failed(&'static str),
     /// The caller disconnected.
     CallerDisconnected,
@@ -200,7 +206,7 @@
         } else {
             self.forward_segment(&mut started).await
         };
-        while let SegmentEnd::Failed(reason) = end {
+        while let SegmentEnd::Failed(reason) | SegmentEnd::ConnectionLost(reason) = end {
             started.slot.set_verdict(AttemptVerdict::Failed);
             log::info!(
                 id = self.request.id(), server = started.slot.server_id(), reason = reason,
@@ -208,6 +214,9 @@
                 last_event = self.last_event_id.as_deref().unwrap_or("-");
                 "stream broken off"
             );
+            if matches!(end, SegmentEnd::ConnectionLost(_)) {
+                report_lost_connection(&self.context, &self.request, &started.slot).await;
+            }
             let failed_server_id = started.slot.server_id().to_owned();
             drop(started);
             let Some(next) = self.resume(failed_server_id).await else {
@@ -246,7 +255,7 @@
             SegmentEnd::DeadlineExceeded => {
                 log::info!(id = self.request.id(); "stream cut at the deadline");
             }
-            SegmentEnd::Failed(_) => {}
+            SegmentEnd::Failed(_) | SegmentEnd::ConnectionLost(_) => {}
         }
         drop(self.in_progress);
     }
@@ -284,12 +293,12 @@
                         self.splitter.push(data);
                     }
                 }
-                Some(Err(_)) => return SegmentEnd::Failed("connection lost"),
+                Some(Err(_)) => return SegmentEnd::ConnectionLost("connection lost"),
                 None if !started.framing.marks_end()
                     && self.forwarded_bytes == earlier_bytes
                     && !self.splitter.is_inside_event() =>
                 {
-                    return SegmentEnd::Failed(CLOSED_BEFORE_EVENT);
+                    return SegmentEnd::ConnectionLost(CLOSED_BEFORE_EVENT);
                 }
                 None => return self.forward_remainder(started.framing).await,
             }
@@ -310,7 +319,7 @@
                 id = self.request.id(), framing = framing.as_str(), bytes = rest.len();
                 "stream ended inside an event"
             );
-            return SegmentEnd::Failed(ENDED_INSIDE_EVENT);
+            return SegmentEnd::ConnectionLost(ENDED_INSIDE_EVENT);
         }
         if rest.is_empty() {
             return SegmentEnd::Ended;
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 //! - [`choose_server`] chooses the server of each attempt, and obtains a permit if that server names
 //!   a limit; [`issue_permit`] issues permits to all VMs, and [`share_limit`] tells them of changed
 //!   limits.
+//! - [`report_server_end`] finds out whether a lost connection was the end of the server.
 //! - [`share_stream_origin`] sends where a stream began to the VMs that keep it, and
 //!   [`find_stream_origin`] finds it when a caller resumes the stream.
 //! - [`serve_readiness`] serves the readiness check of the load balancer, [`serve_metrics`] the
@@ -45,6 +46,7 @@
 pub mod permit_messages;
 pub mod queue_entry;
 pub mod read_clocks;
+pub mod report_server_end;
 pub mod request_context;
 pub mod request_tokens;
 pub mod response_body;
--- a/crates/sassafrashoist/src/gateway/request_context.rs
+++ b/crates/sassafrashoist/src/gateway/request_context.rs
@@ -10,6 +10,7 @@
 use sassafrashoist_core::gateway::server_directory::ServerRequirements;
 use sassafrashoist_core::gateway::stream_origins::StreamOrigin;
 use sassafrashoist_core::ids::{ClientAccountId, PoolId, Tokens};
+use sassafrashoist_core::requests::quarantine::RequestFingerprint;
 
 /// A stream that a request resumes.
 #[derive(Debug, Clone)]
@@ -33,6 +34,8 @@
     pub caller: CallerHeaders,
     /// The request body.
     pub body: Bytes,
+    /// Identifies all copies of the request; known once the body has been read.
+    pub fingerprint: Option<RequestFingerprint>,
     /// The route that the request matched.
     pub route: Route,
     /// The pool of backend servers that was chosen.
@@ -57,6 +60,20 @@
         self.caller.request_id.as_deref().unwrap_or("-")
     }
 
+    /// Returns the fingerprint for log lines.
+    pub fn fingerprint_text(&self) -> String {
+        self.fingerprint.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string)
+    }
+
+    /// Sets the body, which was read to its end.
+    pub fn set_body(&mut self, body: Bytes) {
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let account_id = self.account_id.as_deref();
+        self.fingerprint =
+            Some(RequestFingerprint::of_http(account_id, self.method.as_str(), path, &body));
+        self.body = body;
+    }
+
     /// Returns whether the response is a stream that may be resumed.
     pub fn is_resumable(&self) -> bool {
         self.route.repeatability == Repeatability::ResumableStream
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -15,6 +15,7 @@
 use super::choose_server::{NoServer, choose_server};
 use super::forward_events::{forward_events, read_first_event};
 use super::gateway_context::GatewayContext;
+use super::report_server_end::report_lost_connection;
 use super::request_context::RequestContext;
 use super::response_body::{ResponseBody, body_of_unknown_length, full_response, streamed_body};
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt};
@@ -194,6 +195,7 @@
     log::info!(
         id = request.id(), route = request.route.id, pool = request.pool_id,
         account = request.account_id.as_deref().unwrap_or("-"),
+        fingerprint:% = request.fingerprint_text(),
         server = chosen.listing.id, expected_ms = chosen.cost_ms as u64,
         read_tokens = chosen.prefill_tokens, attempt = counts.sent + 1,
         version = chosen.listing.software_version,
@@ -227,6 +229,7 @@
                     "answer broken off"
                 );
                 slot.set_verdict(AttemptVerdict::Failed);
+                report_lost_connection(context, request, &slot).await;
                 return Err("answer broken off");
             }
             Err(_) => return Err("answer not whole before the deadline"),
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -17,6 +17,7 @@
 
 use super::gateway_context::GatewayContext;
 use super::http_connection::Connection;
+use super::report_server_end::report_lost_connection;
 use super::request_context::RequestContext;
 use super::share_limit::start_reporting;
 
@@ -59,6 +60,11 @@
         &self.chosen.listing
     }
 
+    /// Returns how long ago the request was sent.
+    pub fn sent_ago(&self) -> Duration {
+        self.context.now().saturating_sub(self.sent_at)
+    }
+
     /// Returns whether the server is known to name a limit.
     fn has_limit(&self) -> bool {
         let servers = self.context.lock_servers();
@@ -185,6 +191,7 @@
                 "connection lost"
             );
             slot.set_verdict(AttemptVerdict::Failed);
+            report_lost_connection(context, request, &slot).await;
             return AttemptStart::Lost("connection lost");
         }
     };
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -121,11 +121,10 @@
             return refusal.into_response(&id, &format_args!("configuration {version}"));
         }
     };
-    request.body =
-        match read_body(&request, context, routes.config().limits.max_body_bytes, body).await {
-            Ok(body) => body,
-            Err(refusal) => return refusal.into_response(&id, &""),
-        };
+    match read_body(&request, context, routes.config().limits.max_body_bytes, body).await {
+        Ok(body) => request.set_body(body),
+        Err(refusal) => return refusal.into_response(&id, &""),
+    }
     if request.is_resumption()
         && let Err(refusal) = resolve_stream(context, &routes, &mut request).await
     {
@@ -181,6 +180,7 @@
         headers: parts.headers,
         caller,
         body: Bytes::new(),
+        fingerprint: None,
         route: route.clone(),
         pool_id: pool_id.clone(),
         tokens_per_event: tokens_per_event(routes, pool_id),
