--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
-use sassafrashoist_platform_stand_in::backend_server::{BackendServer, ServerFault, event_text};
+use sassafrashoist_platform_stand_in::backend_server::{
+    Arrival, BackendServer, CrashTrigger, ServerFault, event_text,
+};
 use sassafrashoist_platform_stand_in::caller::{BodyEnd, CallerRequest, CallerResponse, send};
 use sassafrashoist_platform_stand_in::endless_server::EndlessServer;
 use sassafrashoist_platform_stand_in::log_service::LogFault;
@@ -811,3 +813,56 @@
 
     assert!(fleet.plain_servers[1..].iter().all(|server| server.arrived_count() <= 1));
 }
+
+/// The time after a crash within which all gateways know of it.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// The copies of a crashing request that may reach servers after that time.
+const MAX_LATE_ARRIVALS: usize = 3;
+/// The path of a request that crashes servers.
+const CRASHING_PATH: &str = "/status/1?lot=crash";
+
+fn crashing_request() -> CallerRequest {
+    CallerRequest::plain(Method::GET, CRASHING_PATH)
+}
+
+async fn start_crashing_fleet(name: &str) -> StandInFleet {
+    let plan = FleetPlan { gateway_count: 3, plain_count: 12, ..plan() };
+    let fleet = start(name, plan).await;
+    for server in &fleet.plain_servers {
+        server.set_crash_trigger(Some(CrashTrigger::Path("lot=crash".to_owned())));
+    }
+    fleet
+}
+
+fn crash_count(fleet: &StandInFleet) -> usize {
+    fleet.plain_servers.iter().map(|server| server.crashes().len()).sum()
+}
+
+fn arrivals_of(fleet: &StandInFleet, id_prefix: &str) -> Vec<Arrival> {
+    let arrivals = fleet.plain_servers.iter().flat_map(BackendServer::arrivals);
+    arrivals.filter(|arrival| arrival.request_id.starts_with(id_prefix)).collect()
+}
+
+// A request that had crashed three servers was sent to more by each VM that got a copy.
+#[tokio::test]
+async fn copies_of_a_request_that_crashed_servers_reach_no_more_servers() {
+    let fleet = start_crashing_fleet("crashing_request").await;
+    for number in 0..12 {
+        if crash_count(&fleet) < 3 {
+            fleet.send(number % 3, &format!("early-{number}"), &crashing_request()).await.unwrap();
+        }
+    }
+
+    tokio::time::sleep(CONTACT_TIME).await;
+    let late = (0..9).map(|number| {
+        let fleet = &fleet;
+        async move {
+            fleet.send(number % 3, &format!("late-{number}"), &crashing_request()).await.unwrap()
+        }
+    });
+    let responses = futures::future::join_all(late).await;
+
+    let arrived_count = arrivals_of(&fleet, "late-").len();
+    assert!(arrived_count <= MAX_LATE_ARRIVALS, "{arrived_count} copies reached servers");
+    assert!(responses.iter().all(|response| response.status >= 500), "{responses:?}");
+}
