Play crashing requests in a fleet of 7, 60 and 336 VMs in virtual time

The decisions about crashing requests move from the gateway process to core (crash_book.rs, crash_report.rs), so that they can be played without sockets. With 5 of 100 datagrams lost, one copy crashes 2 servers; n copies at the same moment crash n, since each is sent before the first one ends; none reaches a server later than 3 s after the third crash. With half of the VMs restarted, 3 to 5 crash in all.

--- a/crates/sassafrashoist/src/gateway/crash_book.rs
+++ b/crates/sassafrashoist-core/src/gateway/crash_book.rs
@@ -3,16 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use sassafrashoist_core::gateway::Uptime;
-use sassafrashoist_core::gateway::crash_trials::CrashTrials;
-use sassafrashoist_core::gateway::recent_answers::RecentAnswers;
-use sassafrashoist_core::ids::BackendServerId;
-use sassafrashoist_core::requests::quarantine::{
-    CrashSighting, QuarantineTable, RequestFingerprint,
-};
-use sassafrashoist_core::requests::request_hash::hash_body;
-
-use super::crash_messages::{ClearedSuspect, CrashReport, SeenCrash};
+use super::Uptime;
+use super::crash_report::{ClearedSuspect, CrashReport, SeenCrash};
+use super::crash_trials::CrashTrials;
+use super::recent_answers::RecentAnswers;
+use crate::ids::BackendServerId;
+use crate::requests::quarantine::{CrashSighting, QuarantineTable, RequestFingerprint};
+use crate::requests::request_hash::hash_body;
 
 /// The most suspects that VMs send each other in one report, so that it fits into one message.
 const MAX_SHARED_REQUESTS: usize = 256;
--- /dev/null
+++ b/crates/sassafrashoist-core/src/gateway/crash_report.rs
@@ -0,0 +1,48 @@
+//! What VMs tell each other about requests that crash backend servers.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::ids::BackendServerId;
+use crate::requests::quarantine::RequestFingerprint;
+
+/// A backend server that ended while it had a request.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenCrash {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// The server.
+    pub server_id: BackendServerId,
+    /// The time since the end of the server was seen.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "seen_ago_ms")]
+    pub seen_ago: Duration,
+    /// The time from when the request was sent to the server until then.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "ran_for_ms")]
+    pub ran_for: Duration,
+}
+
+/// A suspect that a backend server answered completely.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClearedSuspect {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// The time since it was cleared. Crashes that were seen before do not count.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "cleared_ago_ms")]
+    pub cleared_ago: Duration,
+}
+
+/// What a VM knows about crashes, or what it has just learned.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Crashes.
+    pub crashes: Vec<SeenCrash>,
+    /// Suspects that were cleared.
+    pub cleared: Vec<ClearedSuspect>,
+}
--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -14,9 +14,9 @@
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
 //! - [`stream_origins`] and [`pool_versions`]: the software version at which a stream may go on.
-//! - [`crash_trials`] and [`recent_answers`]: which copy of a request that may crash backend servers
-//!   runs, and which requests are known not to. The rule itself is
-//!   [`quarantine`](crate::requests::quarantine), as on the router's own path.
+//! - [`crash_book`]: the requests that may crash backend servers; [`crash_trials`] and
+//!   [`recent_answers`]: which copy of one runs, and which requests are known not to. The rule itself
+//!   is [`quarantine`](crate::requests::quarantine), as on the router's own path.
 //! - [`live_vms`]: the VMs that all others select in the same way for a task.
 //! - [`retry_limiter`]: how many requests may be sent a second time, in a sliding window.
 //!
@@ -26,6 +26,8 @@
 mod account_holding;
 pub mod allocator_vms;
 pub mod clock_reading;
+pub mod crash_book;
+pub mod crash_report;
 pub mod crash_trials;
 pub mod fleet_config;
 pub mod flow_rate;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -1,7 +1,9 @@
 //! Tests of the gateway's decisions.
 
 mod allocator_vms;
+mod crash_fleet;
 mod crash_trials;
+mod crashes_over_vms;
 mod flow_rate;
 mod ledger_writer;
 mod limited_server_fleet;
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
+use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::retry_limiter::{RetryLimit, RetryLimiter};
@@ -19,7 +20,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::crash_book::CrashBook;
 use super::permit_book::PermitBook;
 use super::read_clocks::read_clocks;
 use super::token_book::TokenBook;
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -29,7 +29,6 @@
 
 pub mod caller_stream;
 pub mod choose_server;
-pub mod crash_book;
 pub mod crash_messages;
 pub mod disconnect_guard;
 pub mod fetch_tokens;
--- a/crates/sassafrashoist/src/gateway/peer_datagram.rs
+++ b/crates/sassafrashoist/src/gateway/peer_datagram.rs
@@ -1,8 +1,8 @@
 //! The datagrams that VMs send to each other.
 
+use sassafrashoist_core::gateway::crash_report::CrashReport;
 use serde::{Deserialize, Serialize};
 
-use super::crash_messages::CrashReport;
 use super::stream_origin_messages::StreamBegun;
 
 /// The longest datagram; it fits into one packet.
--- a/crates/sassafrashoist/src/gateway/share_crashes.rs
+++ b/crates/sassafrashoist/src/gateway/share_crashes.rs
@@ -9,9 +9,10 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use sassafrashoist_core::gateway::crash_report::{ClearedSuspect, CrashReport, SeenCrash};
 use sassafrashoist_core::requests::quarantine::{RequestFingerprint, Suspicion};
 
-use super::crash_messages::{CRASHES_PATH, ClearedSuspect, CrashReport, SeenCrash};
+use super::crash_messages::CRASHES_PATH;
 use super::gateway_context::GatewayContext;
 use super::peer_datagram::{MAX_DATAGRAM_BYTES, PeerDatagram};
 use super::request_context::RequestContext;
