--- a/crates/sassafrashoist/src/gateway/report_server_end.rs
+++ b/crates/sassafrashoist/src/gateway/report_server_end.rs
@@ -53,6 +53,7 @@
     let lost = probe(context, slot).await;
     log::info!(
         id = request.id(), fingerprint:% = request.fingerprint_text(),
+        parts = request.shared_parts_text(),
         server = slot.server_id(), version = slot.listing().software_version,
         found = lost.as_str(), sent_ago_ms = slot.sent_ago().as_millis() as u64;
         "server lost under a request"
--- a/crates/sassafrashoist/src/gateway/request_context.rs
+++ b/crates/sassafrashoist/src/gateway/request_context.rs
@@ -11,6 +11,10 @@
 use sassafrashoist_core::gateway::stream_origins::StreamOrigin;
 use sassafrashoist_core::ids::{ClientAccountId, PoolId, Tokens};
 use sassafrashoist_core::requests::quarantine::RequestFingerprint;
+use sassafrashoist_core::requests::request_hash::{PromptPartKey, hash_prompt_part};
+
+/// The most parts of a prompt that are considered as the cause of a crash.
+const MAX_SHARED_PARTS: usize = 32;
 
 /// A stream that a request resumes.
 #[derive(Debug, Clone)]
@@ -65,6 +69,18 @@
         self.fingerprint.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string)
     }
 
+    /// Returns the parts of the prompt that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> Vec<PromptPartKey> {
+        let parts = self.caller.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        parts.iter().take(MAX_SHARED_PARTS).map(|part| hash_prompt_part(&part.id)).collect()
+    }
+
+    /// Returns the shared parts for log lines.
+    pub fn shared_parts_text(&self) -> String {
+        let parts = self.shared_parts();
+        parts.iter().map(|part| format!("{part:016x}")).collect::<Vec<_>>().join(",")
+    }
+
     /// Sets the body, which was read to its end.
     pub fn set_body(&mut self, body: Bytes) {
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -213,7 +213,7 @@
     log::info!(
         id = request.id(), route = request.route.id, pool = request.pool_id,
         account = request.account_id.as_deref().unwrap_or("-"),
-        fingerprint:% = request.fingerprint_text(),
+        fingerprint:% = request.fingerprint_text(), parts = request.shared_parts_text(),
         server = chosen.listing.id, expected_ms = chosen.cost_ms as u64,
         read_tokens = chosen.prefill_tokens, attempt = counts.sent + 1,
         version = chosen.listing.software_version,
--- a/crates/sassafrashoist/src/gateway/share_crashes.rs
+++ b/crates/sassafrashoist/src/gateway/share_crashes.rs
@@ -97,7 +97,10 @@
         let suspicion = book.table.suspicion(&crash.fingerprint, now);
         let is_answered = book.answers.contains(&crash.fingerprint, now);
         drop(book);
-        log_suspicion(crash, suspicion, "another VM");
+        // A batch of an engine holds many suspects, each of which its own VM has logged.
+        if matches!(suspicion, Suspicion::Quarantined(_)) {
+            log_suspicion(crash, suspicion, "another VM");
+        }
         if is_answered {
             let (context, fingerprint) = (Arc::clone(context), crash.fingerprint.clone());
             tokio::spawn(async move {
