--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -976,3 +976,59 @@
 
     after.iter().for_each(assert_stream);
 }
+
+/// A part of a prompt that crashes engines.
+const CRASHING_PART: &str = "bad0";
+
+/// Returns a request whose prompt has these shared parts, and a last one of its own.
+fn prompt(number: usize, parts: &[&str]) -> CallerRequest {
+    let shared: String = parts.iter().map(|part| format!("{part}:100,")).collect();
+    let prefix = format!("{shared}{number:06x}:100");
+    CallerRequest {
+        headers: vec![("prefix-hash", prefix)],
+        body: format!("prompt {number} of {parts:?}").into(),
+        ..chat()
+    }
+}
+
+async fn start_fleet_with_crashing_part(name: &str, engine_count: usize) -> StandInFleet {
+    let fleet = start(name, FleetPlan { gateway_count: 3, engine_count, ..plan() }).await;
+    for engine in &fleet.engines {
+        engine.set_crash_trigger(Some(CrashTrigger::PromptPart(CRASHING_PART.to_owned())));
+    }
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    fleet
+}
+
+fn engine_crash_count(fleet: &StandInFleet) -> usize {
+    fleet.engines.iter().map(|engine| engine.crashes().len()).sum()
+}
+
+// Requests with one part in their prompts crashed one engine after the other, no two alike.
+#[tokio::test]
+async fn requests_with_a_part_that_crashed_engines_reach_no_more_engines() {
+    let fleet = start_fleet_with_crashing_part("crashing_part", 24).await;
+    for number in 0..12 {
+        if engine_crash_count(&fleet) < 5 {
+            let request = prompt(number, &["a0", CRASHING_PART]);
+            fleet.send(number % 3, &format!("early-{number}"), &request).await.unwrap();
+            let sound = prompt(100 + number, &["a0", "b0"]);
+            assert_stream(&fleet.send(number % 3, &format!("s-{number}"), &sound).await.unwrap());
+        }
+    }
+
+    tokio::time::sleep(CONTACT_TIME).await;
+    let mut sound_served = 0;
+    for number in 0..12 {
+        let request = prompt(200 + number, &["a0", CRASHING_PART]);
+        fleet.send(number % 3, &format!("late-{number}"), &request).await.unwrap();
+        let sound = prompt(300 + number, &["a0", "b0"]);
+        let response = fleet.send(number % 3, &format!("t-{number}"), &sound).await.unwrap();
+        sound_served += usize::from(response.status == 200);
+    }
+
+    let arrivals = fleet.engines.iter().flat_map(BackendServer::arrivals);
+    let late_count = arrivals.filter(|arrival| arrival.request_id.starts_with("late-")).count();
+    assert!(late_count <= MAX_LATE_ARRIVALS, "{late_count} requests reached engines");
+    assert_eq!(sound_served, 12);
+}
