Let only a successful answer clear a request that may crash servers

A server also answers a request that it never began to run, as with 504 at the deadline in its queue. Such an answer says nothing about what happens when the request runs, but cleared it. Found by reading the change again; streams reach this place with success only.

--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -280,7 +280,9 @@
     }
     record_response(context, request, slot.server_id(), framing, head.status, buffered.len());
     if framing.marks_end() {
-        record_answer(context, request);
+        if head.status.is_success() {
+            record_answer(context, request);
+        }
         return Ok(full_response(head.status, headers, Bytes::from(buffered)));
     }
     let mut response = full_response(head.status, headers, Bytes::new());
