Do not blame popular parts of prompts when servers end for other reasons

Causes: servers that ended within some milliseconds were a chain; a part whose answers last longer than the time between two such moments had no complete answer; a clearance that arrived before the crash it referred to was lost; two moments with four servers were enough.

Requests of the next link of a chain are now sent 300 ms after the crash or later; servers that end at the same instant count only against a part that all of them had; no part is judged while answers on it go on; crashes are recorded before clearances; a chain of three is needed. The repeat of a datagram carries its age.

--- a/crates/sassafrashoist-core/src/gateway/crash_book.rs
+++ b/crates/sassafrashoist-core/src/gateway/crash_book.rs
@@ -154,6 +154,7 @@
                     sent_ago: now.saturating_sub(at),
                 })
                 .collect(),
+            parts_going_on: Vec::new(),
         }
     }
 
--- a/crates/sassafrashoist-core/src/gateway/crash_report.rs
+++ b/crates/sassafrashoist-core/src/gateway/crash_report.rs
@@ -80,4 +80,19 @@
     pub part_crashes: Vec<SeenPartCrash>,
     /// Parts of prompts that were cleared.
     pub cleared_parts: Vec<ClearedParts>,
+    /// Parts of prompts on which answers go on.
+    pub parts_going_on: Vec<PromptPartKey>,
+}
+
+impl CrashReport {
+    /// Adds the time that has passed since the report was made.
+    pub fn add_age(&mut self, age: Duration) {
+        self.crashes.iter_mut().for_each(|crash| crash.seen_ago += age);
+        self.cleared.iter_mut().for_each(|cleared| cleared.cleared_ago += age);
+        for crash in &mut self.part_crashes {
+            crash.seen_ago += age;
+            crash.sent_ago += age;
+        }
+        self.cleared_parts.iter_mut().for_each(|cleared| cleared.sent_ago += age);
+    }
 }
--- a/crates/sassafrashoist-core/src/requests/crashing_parts.rs
+++ b/crates/sassafrashoist-core/src/requests/crashing_parts.rs
@@ -6,15 +6,19 @@
 //! the part that causes crashes is never cleared. What is left is compared:
 //!
 //! - A part is blamed when it explains [`CHAIN_CRASH_COUNT`] crashes in a chain, and no other part
-//!   explains all of these. In a chain, each request was sent after the crash before; servers that
-//!   end at the same moment, for any reason, count as one.
+//!   explains all of these. In a chain, each request was sent well after the crash before; servers
+//!   that end at the same moment, for any reason, count as one.
 //! - When [`MAX_UNDECIDED_CRASHES`] servers have ended under a part, it is blamed even if others
 //!   explain the same crashes; these are blamed too.
 //!
-//! The part that explains the most crashes is judged first.
+//! The part that explains the most crashes is judged first. No part is judged while an answer to a
+//! request with it has been going on for some time: a popular part is then under way at several
+//! servers that do not end, although none of its answers may be complete yet. Such an answer clears
+//! nothing, because its server may still end.
 //!
-//! A crash of a server that had a request with a blamed part does not count against other parts. A
-//! blamed part is tried again, one request at a time, after a time that grows with each crash.
+//! A crash of a server that had a request with a blamed part does not count against other parts, and
+//! servers that end at the same instant have a common cause: only a part that all of them had counts.
+//! A blamed part is tried again, one request at a time, after a time that grows with each crash.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -24,8 +28,16 @@
 
 /// The number of crashes in a chain after which a part is blamed.
 const CHAIN_CRASH_COUNT: usize = 3;
-/// The number of crashes, if they are in a chain of two, after which a part is blamed.
-const SHORT_CHAIN_CRASH_COUNT: usize = 4;
+/// The time from a crash until requests are sent that count for the next link of a chain.
+const MOMENT: Duration = Duration::from_millis(300);
+/// Servers whose ends are seen less than this apart ended at the same instant; ends are seen some
+/// network latency late.
+const INSTANT: Duration = Duration::from_millis(40);
+/// The most ends of servers that are remembered.
+const MAX_ENDS: usize = 512;
+/// How long a report that an answer goes on keeps a part from being judged; longer than the time
+/// between two reports.
+const GOING_ON_TIME: Duration = Duration::from_secs(2);
 /// The number of crashes after which parts are blamed that no crash tells apart.
 const MAX_UNDECIDED_CRASHES: usize = 5;
 /// The time after these crashes in which a complete answer may still clear a part.
@@ -71,6 +83,7 @@
     crashes: Vec<Crash>,
     cleared_at: Option<Timestamp>,
     blamed_at: Option<Timestamp>,
+    going_on_until: Option<Timestamp>,
 }
 
 impl PartRecord {
@@ -91,11 +104,15 @@
 #[derive(Debug, Default)]
 pub struct CrashingParts {
     parts: BTreeMap<PromptPartKey, PartRecord>,
+    ends: BTreeMap<BackendServerId, Timestamp>,
 }
 
 impl CrashingParts {
     /// Records a crash; returns whether it was not known.
     pub fn record(&mut self, crash: &PartCrash) -> bool {
+        if self.ends.len() < MAX_ENDS {
+            self.ends.entry(crash.server_id.clone()).or_insert(crash.seen_at);
+        }
         if self.parts.len() >= MAX_PARTS && !self.parts.contains_key(&crash.part) {
             self.evict();
         }
@@ -137,6 +154,17 @@
         record.crashes.len() < crash_count
     }
 
+    /// Records that answers to requests with a part go on; returns whether that is news and matters.
+    pub fn record_going_on(&mut self, part: PromptPartKey, now: Timestamp) -> bool {
+        let Some(record) = self.parts.get_mut(&part).filter(|record| !record.crashes.is_empty())
+        else {
+            return false;
+        };
+        let is_known = record.going_on_until.is_some_and(|until| now + GOING_ON_TIME / 2 < until);
+        record.going_on_until = Some(now + GOING_ON_TIME);
+        !is_known
+    }
+
     /// Blames the parts that explain enough crashes; returns them. To be called after each crash and
     /// at times.
     pub fn evaluate(&mut self, now: Timestamp) -> Vec<PromptPartKey> {
@@ -152,6 +180,7 @@
     }
 
     fn forget_old(&mut self, now: Timestamp) {
+        self.ends.retain(|_, seen_at| now < *seen_at + SUSPICION_TIME);
         for record in self.parts.values_mut().filter(|record| record.blamed_at.is_none()) {
             record.crashes.retain(|crash| now < crash.seen_at + SUSPICION_TIME);
         }
@@ -171,9 +200,16 @@
             .collect();
         let mut suspects: Vec<(PromptPartKey, Vec<&Crash>)> = Vec::new();
         for (part, record) in self.parts.iter().filter(|(_, record)| record.blamed_at.is_none()) {
+            if record.going_on_until.is_some_and(|until| now < until) {
+                continue;
+            }
             let crashes = record.crashes.iter();
-            let unexplained: Vec<_> =
-                crashes.filter(|crash| !explained.contains(crash.server_id.as_str())).collect();
+            let unexplained: Vec<_> = crashes
+                .filter(|crash| {
+                    !explained.contains(crash.server_id.as_str())
+                        && !self.ended_with_others(crash, record)
+                })
+                .collect();
             if unexplained.len() >= CHAIN_CRASH_COUNT {
                 suspects.push((*part, unexplained));
             }
@@ -199,6 +235,16 @@
         blamed
     }
 
+    /// Returns whether another server ended at the same instant that had no request with the part.
+    fn ended_with_others(&self, crash: &Crash, record: &PartRecord) -> bool {
+        let mut others = self
+            .ends
+            .iter()
+            .filter(|(_, seen_at)| seen_at.abs_diff(crash.seen_at) < INSTANT)
+            .map(|(server_id, _)| server_id);
+        others.any(|server_id| record.crashes.iter().all(|known| known.server_id != *server_id))
+    }
+
     /// Returns when a request with a part may be sent again; `None` if the part is not blamed.
     pub fn trial_at(&self, part: PromptPartKey) -> Option<Timestamp> {
         self.parts.get(&part)?.trial_at()
@@ -268,22 +314,19 @@
 /// Returns whether a part is to be blamed for these crashes; `is_distinct` if no other part explains
 /// all of them.
 fn is_to_blame(crashes: &[&Crash], is_distinct: bool, now: Timestamp) -> bool {
-    let count = crashes.len();
-    if is_distinct {
-        let chain = chain_length(crashes);
-        if chain >= CHAIN_CRASH_COUNT || (chain >= 2 && count >= SHORT_CHAIN_CRASH_COUNT) {
-            return true;
-        }
+    if is_distinct && chain_length(crashes) >= CHAIN_CRASH_COUNT {
+        return true;
     }
     crashes.get(MAX_UNDECIDED_CRASHES - 1).is_some_and(|crash| now >= crash.seen_at + ANSWER_TIME)
 }
 
-/// Returns the number of crashes in a chain, in which each request was sent after the crash before.
+/// Returns the number of crashes in a chain, in which each request was sent well after the crash
+/// before.
 fn chain_length(crashes: &[&Crash]) -> usize {
     let mut length = 0;
     let mut seen_at = None;
     for crash in crashes {
-        if seen_at.is_none_or(|before| crash.sent_at > before) {
+        if seen_at.is_none_or(|before| crash.sent_at > before + MOMENT) {
             length += 1;
             seen_at = Some(crash.seen_at);
         }
--- a/crates/sassafrashoist-core/tests/testsuite/crashing_parts.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/crashing_parts.rs
@@ -48,6 +48,56 @@
     assert_eq!((at_once, later), (vec![], vec![]));
 }
 
+// Popular parts were blamed while servers ended in quick succession and no answer was complete.
+#[test]
+fn part_is_not_blamed_while_answers_on_it_go_on() {
+    let mut parts = CrashingParts::default();
+    for number in 0..6 {
+        let (sent, seen) = (1_000 * number, 1_000 * number + 500);
+        parts.record(&crash(BAD, number, sent, seen));
+        parts.record(&crash(SHARED, number, sent, seen));
+        parts.record_going_on(SHARED, at(seen));
+    }
+
+    let blamed = parts.evaluate(at(5_600));
+    let after_they_ended = parts.evaluate(at(9_000));
+
+    assert_eq!(blamed, [BAD]);
+    assert_eq!(after_they_ended, []);
+    assert!(parts.has_crashes(SHARED));
+}
+
+#[test]
+fn servers_that_end_at_the_same_instant_blame_only_a_part_of_all_of_them() {
+    let mut parts = CrashingParts::default();
+    for number in 0..3 {
+        let (sent, seen) = (1_000 * number, 1_000 * number + 500);
+        parts.record(&crash(SHARED, 2 * number, sent, seen));
+        parts.record(&crash(3, 2 * number + 1, sent, seen + 10));
+        for server in [2 * number, 2 * number + 1] {
+            parts.record(&crash(BAD, server, sent, seen));
+        }
+    }
+
+    let blamed = parts.evaluate(at(2_600));
+
+    assert_eq!(blamed, [BAD]);
+    assert_eq!(parts.trial_at(SHARED), None);
+}
+
+#[test]
+fn servers_that_end_within_a_moment_are_no_chain() {
+    let mut parts = CrashingParts::default();
+    for number in 0..4 {
+        let (sent, seen) = (100 * number + 50, 100 * number + 100);
+        parts.record(&crash(SHARED, number, sent, seen));
+    }
+
+    let blamed = parts.evaluate(at(500));
+
+    assert_eq!(blamed, []);
+}
+
 #[test]
 fn parts_that_no_crash_tells_apart_are_blamed_after_five_and_freed_by_an_answer() {
     let mut parts = CrashingParts::default();
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -29,7 +29,7 @@
     AttemptCounts, MAX_SERVERS_TRIED, initial_unresponsive_timeout, record_response,
 };
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt, wait_until_unresponsive};
-use super::share_crashes::record_answer;
+use super::share_crashes::{record_answer, record_going_on};
 use super::share_stream_origin::record_origin;
 use super::token_reservation::TokenReservation;
 use crate::util::http_response::delimit_by_close;
@@ -41,6 +41,9 @@
 /// at another server.
 const STREAM_UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// How long a segment of a stream has to go on, and the time between two reports of that.
+const GOING_ON_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The reason of a failed attempt whose stream ended inside an event.
 const ENDED_INSIDE_EVENT: &str = "stream ended inside an event";
 
@@ -270,6 +273,7 @@
         let unresponsive_timeout =
             self.counts.allows_another_run(&self.request).then_some(STREAM_UNRESPONSIVE_TIMEOUT);
         let earlier_bytes = self.forwarded_bytes;
+        let mut reported_at = self.context.now();
         loop {
             while let Some(event) = self.splitter.next_event() {
                 if let Some(end) = self.forward_event(event).await {
@@ -297,6 +301,11 @@
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
                     }
+                    let now = self.context.now();
+                    if now >= reported_at + GOING_ON_INTERVAL {
+                        reported_at = now;
+                        record_going_on(&self.context, &self.request);
+                    }
                 }
                 Some(Err(_)) => return SegmentEnd::ConnectionLost("connection lost"),
                 None if !started.framing.marks_end()
--- a/crates/sassafrashoist/src/gateway/share_crashes.rs
+++ b/crates/sassafrashoist/src/gateway/share_crashes.rs
@@ -110,6 +110,19 @@
     }
 }
 
+/// Records that a server goes on with an answer to a request. This keeps the parts of its prompt from
+/// being judged, but clears nothing.
+pub fn record_going_on(context: &Arc<GatewayContext>, request: &RequestContext) {
+    let now = context.now();
+    let mut parts_going_on = request.shared_parts();
+    let mut book = context.lock_crashes();
+    parts_going_on.retain(|part| book.parts.record_going_on(*part, now));
+    drop(book);
+    if !parts_going_on.is_empty() {
+        broadcast(context, CrashReport { parts_going_on, ..CrashReport::default() });
+    }
+}
+
 /// Clears parts of prompts; returns those that had crashes.
 fn clear_parts(
     context: &GatewayContext,
@@ -159,12 +172,16 @@
             );
         }
     }
-    for answered in &report.cleared_parts {
-        clear_parts(context, answered, "another VM");
+    for part in &report.parts_going_on {
+        context.lock_crashes().parts.record_going_on(*part, now);
     }
     for crash in &report.part_crashes {
         context.lock_crashes().record_part_crash(crash, now);
     }
+    // A part is cleared only from crashes that are recorded.
+    for answered in &report.cleared_parts {
+        clear_parts(context, answered, "another VM");
+    }
     blame_parts(context);
     for crash in &report.crashes {
         let mut book = context.lock_crashes();
@@ -199,14 +216,15 @@
 }
 
 /// Sends a report to all other VMs, twice, because datagrams may be lost.
-fn broadcast(context: &Arc<GatewayContext>, report: CrashReport) {
+fn broadcast(context: &Arc<GatewayContext>, mut report: CrashReport) {
     let context = Arc::clone(context);
     tokio::spawn(async move {
         let peers = context.lock_tokens().peer_addresses();
-        let datagram = PeerDatagram::CrashReport(report);
-        send_datagram(&context, &datagram, &peers);
+        send_datagram(&context, &PeerDatagram::CrashReport(report.clone()), &peers);
+        let made_at = context.now();
         tokio::time::sleep(REPEAT_DELAY).await;
-        send_datagram(&context, &datagram, &peers);
+        report.add_age(context.now().saturating_sub(made_at));
+        send_datagram(&context, &PeerDatagram::CrashReport(report), &peers);
     });
 }
 
