Let a VM that starts take over which parts are blamed, and since when

A grantor that did not know the part granted one too.

Reports now name the blamed parts and since when; the earliest time counts, if the crashes are known that a blame takes. A grantor that does not blame the part grants nothing. The class: state that is derived again by each VM from shared facts, but depends on when it was derived.

--- a/crates/sassafrashoist-core/src/gateway/crash_book.rs
+++ b/crates/sassafrashoist-core/src/gateway/crash_book.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use super::Uptime;
-use super::crash_report::{ClearedParts, ClearedSuspect, CrashReport, SeenCrash, SeenPartCrash};
+use super::crash_report::{
+    BlamedPart, ClearedParts, ClearedSuspect, CrashReport, SeenCrash, SeenPartCrash,
+};
 use super::crash_trials::{CrashTrials, TrialSubject};
 use super::recent_answers::RecentAnswers;
 use crate::ids::BackendServerId;
@@ -92,6 +94,23 @@
         parts.filter(|part| self.parts.clear(*part, sent_at)).collect()
     }
 
+    /// Records what another VM reports about parts of prompts; returns the parts that it clears here.
+    pub fn record_report(&mut self, report: &CrashReport, now: Uptime) -> Vec<PromptPartKey> {
+        for part in &report.parts_going_on {
+            self.parts.record_going_on(*part, now);
+        }
+        for crash in &report.part_crashes {
+            self.record_part_crash(crash, now);
+        }
+        // A part is cleared only from crashes that are recorded, and blamed only if they remain.
+        let cleared = report.cleared_parts.iter();
+        let cleared = cleared.flat_map(|cleared| self.clear_parts(cleared, now)).collect();
+        for blamed in &report.blamed_parts {
+            self.parts.record_blame(blamed.part, now.saturating_sub(blamed.blamed_ago));
+        }
+        cleared
+    }
+
     /// Blames the parts that explain enough crashes, and returns them. Their crashes do not count
     /// against requests any more.
     pub fn blame_parts(&mut self, now: Uptime) -> Vec<PromptPartKey> {
@@ -154,6 +173,11 @@
                     sent_ago: now.saturating_sub(at),
                 })
                 .collect(),
+            blamed_parts: self
+                .parts
+                .blamed()
+                .map(|(part, at)| BlamedPart { part, blamed_ago: now.saturating_sub(at) })
+                .collect(),
             parts_going_on: Vec::new(),
         }
     }
--- a/crates/sassafrashoist-core/src/gateway/crash_report.rs
+++ b/crates/sassafrashoist-core/src/gateway/crash_report.rs
@@ -69,6 +69,18 @@
     pub cleared_ago: Duration,
 }
 
+/// A part of prompts that is blamed for crashes.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BlamedPart {
+    /// The part.
+    pub part: PromptPartKey,
+    /// The time since it was blamed; the crashes since then were trials.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "blamed_ago_ms")]
+    pub blamed_ago: Duration,
+}
+
 /// What a VM knows about crashes, or what it has just learned.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -80,6 +92,8 @@
     pub part_crashes: Vec<SeenPartCrash>,
     /// Parts of prompts that were cleared.
     pub cleared_parts: Vec<ClearedParts>,
+    /// Parts of prompts that are blamed.
+    pub blamed_parts: Vec<BlamedPart>,
     /// Parts of prompts on which answers go on.
     pub parts_going_on: Vec<PromptPartKey>,
 }
@@ -94,5 +108,6 @@
             crash.sent_ago += age;
         }
         self.cleared_parts.iter_mut().for_each(|cleared| cleared.sent_ago += age);
+        self.blamed_parts.iter_mut().for_each(|blamed| blamed.blamed_ago += age);
     }
 }
--- a/crates/sassafrashoist-core/src/requests/crashing_parts.rs
+++ b/crates/sassafrashoist-core/src/requests/crashing_parts.rs
@@ -245,6 +245,20 @@
         others.any(|server_id| record.crashes.iter().all(|known| known.server_id != *server_id))
     }
 
+    /// Records that another VM has blamed a part, if the crashes are known that it takes.
+    pub fn record_blame(&mut self, part: PromptPartKey, blamed_at: Timestamp) {
+        let record = self.parts.get_mut(&part);
+        if let Some(record) = record.filter(|record| record.crashes.len() >= CHAIN_CRASH_COUNT) {
+            let earliest = record.blamed_at.unwrap_or(blamed_at);
+            record.blamed_at = Some(blamed_at.min(earliest));
+        }
+    }
+
+    /// Returns the blamed parts, and when each was blamed.
+    pub fn blamed(&self) -> impl Iterator<Item = (PromptPartKey, Timestamp)> {
+        self.parts.iter().filter_map(|(part, record)| Some((*part, record.blamed_at?)))
+    }
+
     /// Returns when a request with a part may be sent again; `None` if the part is not blamed.
     pub fn trial_at(&self, part: PromptPartKey) -> Option<Timestamp> {
         self.parts.get(&part)?.trial_at()
--- a/crates/sassafrashoist/src/gateway/isolate_suspects.rs
+++ b/crates/sassafrashoist/src/gateway/isolate_suspects.rs
@@ -247,7 +247,14 @@
             Suspicion::Quarantined(until) => Some(until),
             Suspicion::None | Suspicion::Suspect => None,
         },
-        TrialSubject::PromptPart(part) => book.parts.trial_at(*part),
+        TrialSubject::PromptPart(part) => {
+            let trial_at = book.parts.trial_at(*part);
+            if trial_at.is_none() {
+                // This VM has just started, or has cleared the part; the requester will learn that.
+                return TrialResponse::Busy;
+            }
+            trial_at
+        }
     };
     if let Some(until) = not_before.filter(|until| now < *until) {
         return TrialResponse::Quarantined(until.saturating_sub(now));
--- a/crates/sassafrashoist/src/gateway/share_crashes.rs
+++ b/crates/sassafrashoist/src/gateway/share_crashes.rs
@@ -12,6 +12,7 @@
 use sassafrashoist_core::gateway::crash_report::{
     ClearedParts, ClearedSuspect, CrashReport, SeenCrash, SeenPartCrash,
 };
+use sassafrashoist_core::ids::Timestamp;
 use sassafrashoist_core::requests::quarantine::{RequestFingerprint, Suspicion};
 use sassafrashoist_core::requests::request_hash::PromptPartKey;
 
@@ -103,7 +104,7 @@
     context.lock_crashes().answers.record(fingerprint, now);
     clear_suspect(context, fingerprint);
     let answered = ClearedParts { parts: request.shared_parts(), sent_ago };
-    let cleared = clear_parts(context, &answered, "this VM");
+    let cleared = clear_parts(context, &answered);
     if !cleared.is_empty() {
         let cleared_parts = vec![ClearedParts { parts: cleared, sent_ago }];
         broadcast(context, CrashReport { cleared_parts, ..CrashReport::default() });
@@ -124,29 +125,42 @@
 }
 
 /// Clears parts of prompts; returns those that had crashes.
-fn clear_parts(
-    context: &GatewayContext,
-    answered: &ClearedParts,
-    by: &'static str,
-) -> Vec<PromptPartKey> {
+fn clear_parts(context: &GatewayContext, answered: &ClearedParts) -> Vec<PromptPartKey> {
     let now = context.now();
     let mut book = context.lock_crashes();
-    let parts = answered.parts.iter().copied();
-    let blamed: Vec<_> = parts.filter(|part| book.parts.trial_at(*part).is_some()).collect();
+    let blamed: Vec<_> = book.parts.blamed().collect();
     let cleared = book.clear_parts(answered, now);
-    let freed: Vec<_> =
-        blamed.into_iter().filter(|part| book.parts.trial_at(*part).is_none()).collect();
     drop(book);
-    for part in freed {
-        log::info!(
-            part = format!("{part:016x}"), by = by,
-            sent_ago_ms = answered.sent_ago.as_millis() as u64;
-            "blamed part of prompts cleared by a complete answer"
-        );
-    }
+    log_freed(context, &blamed, "this VM");
     cleared
 }
 
+/// Records what another VM reports about parts of prompts.
+fn record_part_report(context: &GatewayContext, report: &CrashReport) {
+    let now = context.now();
+    let mut book = context.lock_crashes();
+    let blamed: Vec<_> = book.parts.blamed().collect();
+    book.record_report(report, now);
+    drop(book);
+    log_freed(context, &blamed, "another VM");
+}
+
+/// Logs which of the parts that were blamed before are blamed no longer.
+fn log_freed(
+    context: &GatewayContext,
+    blamed_before: &[(PromptPartKey, Timestamp)],
+    by: &'static str,
+) {
+    for (part, _) in blamed_before {
+        if context.lock_crashes().parts.trial_at(*part).is_none() {
+            log::info!(
+                part = format!("{part:016x}"), by = by;
+                "blamed part of prompts cleared by a complete answer"
+            );
+        }
+    }
+}
+
 /// Clears a suspect because of a complete answer, and tells the other VMs.
 fn clear_suspect(context: &Arc<GatewayContext>, fingerprint: &RequestFingerprint) {
     let now = context.now();
@@ -172,16 +186,7 @@
             );
         }
     }
-    for part in &report.parts_going_on {
-        context.lock_crashes().parts.record_going_on(*part, now);
-    }
-    for crash in &report.part_crashes {
-        context.lock_crashes().record_part_crash(crash, now);
-    }
-    // A part is cleared only from crashes that are recorded.
-    for answered in &report.cleared_parts {
-        clear_parts(context, answered, "another VM");
-    }
+    record_part_report(context, report);
     blame_parts(context);
     for crash in &report.crashes {
         let mut book = context.lock_crashes();
