Record crashes before the clearances of requests, as for parts of prompts

A report that names a crash and the later answer that clears it left the crash, if the receiver did not know it before. Found by reading the code again after the same fault with parts.

--- a/crates/sassafrashoist/src/gateway/share_crashes.rs
+++ b/crates/sassafrashoist/src/gateway/share_crashes.rs
@@ -176,16 +176,6 @@
 /// Records what another VM reports.
 pub fn receive_report(context: &Arc<GatewayContext>, report: &CrashReport) {
     let now = context.now();
-    for cleared in &report.cleared {
-        let at = now.saturating_sub(cleared.cleared_ago);
-        if context.lock_crashes().clear(&cleared.fingerprint, at, now) {
-            log::info!(
-                fingerprint:% = cleared.fingerprint, by = "another VM",
-                age_ms = cleared.cleared_ago.as_millis() as u64;
-                "suspect cleared by a complete answer"
-            );
-        }
-    }
     record_part_report(context, report);
     blame_parts(context);
     for crash in &report.crashes {
@@ -209,6 +199,17 @@
             });
         }
     }
+    // A suspect is cleared only from crashes that are recorded.
+    for cleared in &report.cleared {
+        let at = now.saturating_sub(cleared.cleared_ago);
+        if context.lock_crashes().clear(&cleared.fingerprint, at, now) {
+            log::info!(
+                fingerprint:% = cleared.fingerprint, by = "another VM",
+                age_ms = cleared.cleared_ago.as_millis() as u64;
+                "suspect cleared by a complete answer"
+            );
+        }
+    }
 }
 
 fn log_suspicion(crash: &SeenCrash, suspicion: Suspicion, by: &'static str) {
