Judge parts of prompts at regular times, not for each report

Each datagram about a crash, a clearance or an answer that goes on went through all parts, and for each crash through all requests with an allocation. Parts are now judged each 200 ms, and requests and parts with too few crashes are skipped.

The news of a report is found in core, where the order of crashes and clearances has a test. New tests, each for a line that could be removed unnoticed: trials one at a time, one server for an attempt, resets and leaving servers, errors, answers before and after a crash, digests.

--- a/crates/sassafrashoist-core/src/gateway/crash_book.rs
+++ b/crates/sassafrashoist-core/src/gateway/crash_book.rs
@@ -31,6 +31,15 @@
     last_begun: RequestFingerprint,
 }
 
+/// What was news in a report of another VM.
+#[derive(Debug, Default)]
+pub struct ReportedNews {
+    /// Crashes under requests.
+    pub crashes: Vec<SeenCrash>,
+    /// Requests that are no longer suspects.
+    pub cleared: Vec<ClearedSuspect>,
+}
+
 /// What this VM knows about requests that crash backend servers.
 #[derive(Debug, Default)]
 pub struct CrashBook {
@@ -94,21 +103,29 @@
         parts.filter(|part| self.parts.clear(*part, sent_at)).collect()
     }
 
-    /// Records what another VM reports about parts of prompts; returns the parts that it clears here.
-    pub fn record_report(&mut self, report: &CrashReport, now: Uptime) -> Vec<PromptPartKey> {
+    /// Records what another VM reports; returns what was news.
+    pub fn record_report(&mut self, report: &CrashReport, now: Uptime) -> ReportedNews {
         for part in &report.parts_going_on {
             self.parts.record_going_on(*part, now);
         }
         for crash in &report.part_crashes {
             self.record_part_crash(crash, now);
         }
-        // A part is cleared only from crashes that are recorded, and blamed only if they remain.
-        let cleared = report.cleared_parts.iter();
-        let cleared = cleared.flat_map(|cleared| self.clear_parts(cleared, now)).collect();
+        let mut crashes = report.crashes.clone();
+        crashes.retain(|crash| self.record_crash(crash, now));
+        // A suspect is cleared only from crashes that are recorded, and blamed only if they remain.
+        for cleared in &report.cleared_parts {
+            self.clear_parts(cleared, now);
+        }
+        let mut cleared = report.cleared.clone();
+        cleared.retain(|cleared| {
+            let at = now.saturating_sub(cleared.cleared_ago);
+            self.clear(&cleared.fingerprint, at, now)
+        });
         for blamed in &report.blamed_parts {
             self.parts.record_blame(blamed.part, now.saturating_sub(blamed.blamed_ago));
         }
-        cleared
+        ReportedNews { crashes, cleared }
     }
 
     /// Blames the parts that explain enough crashes, and returns them. Their crashes do not count
--- a/crates/sassafrashoist-core/src/requests/crashing_parts.rs
+++ b/crates/sassafrashoist-core/src/requests/crashing_parts.rs
@@ -164,8 +164,8 @@
         !is_known
     }
 
-    /// Blames the parts that explain enough crashes; returns them. To be called after each crash and
-    /// at times.
+    /// Blames the parts that explain enough crashes; returns them. To be called at regular times, not
+    /// for each report: it goes through all parts.
     pub fn evaluate(&mut self, now: Timestamp) -> Vec<PromptPartKey> {
         self.forget_old(now);
         let mut all_blamed = Vec::new();
@@ -199,7 +199,8 @@
             .collect();
         let mut suspects: Vec<(PromptPartKey, Vec<&Crash>)> = Vec::new();
         for (part, record) in self.parts.iter().filter(|(_, record)| record.blamed_at.is_none()) {
-            if record.going_on_until.is_some_and(|until| now < until) {
+            let goes_on = record.going_on_until.is_some_and(|until| now < until);
+            if goes_on || record.crashes.len() < CHAIN_CRASH_COUNT {
                 continue;
             }
             let crashes = record.crashes.iter();
--- a/crates/sassafrashoist-core/src/requests/quarantine.rs
+++ b/crates/sassafrashoist-core/src/requests/quarantine.rs
@@ -195,21 +195,18 @@
         fingerprint: &RequestFingerprint,
         crash: &(BackendServerId, Timestamp),
     ) -> bool {
-        let reached_at = self.reached_crash_count_at(fingerprint).unwrap_or(Timestamp::MAX);
+        let reached_at = self
+            .crashes
+            .get(fingerprint)
+            .and_then(|crashes| reached_crash_count_at(crashes))
+            .unwrap_or(Timestamp::MAX);
         self.crashes.iter().any(|(other, crashes)| {
-            other != fingerprint
-                && self.reached_crash_count_at(other).is_some_and(|at| at < reached_at)
+            reached_crash_count_at(crashes).is_some_and(|at| at < reached_at)
+                && other != fingerprint
                 && crashes.iter().any(|seen| is_same_crash(seen, crash))
         })
     }
 
-    /// Returns when the number of crashes under a request reached [`QUARANTINE_CRASH_COUNT`].
-    fn reached_crash_count_at(&self, fingerprint: &RequestFingerprint) -> Option<Timestamp> {
-        let mut times: Vec<_> = self.crashes.get(fingerprint)?.iter().map(|(_, at)| *at).collect();
-        times.sort_unstable();
-        times.get(QUARANTINE_CRASH_COUNT - 1).copied()
-    }
-
     /// Returns the crashes seen under a request.
     pub fn sightings(&self, fingerprint: &RequestFingerprint) -> Vec<CrashSighting> {
         let crashes = self.crashes.get(fingerprint).into_iter().flatten();
@@ -305,6 +302,16 @@
     }
 }
 
+/// Returns when the number of crashes under a request reached [`QUARANTINE_CRASH_COUNT`].
+fn reached_crash_count_at(crashes: &[(BackendServerId, Timestamp)]) -> Option<Timestamp> {
+    if crashes.len() < QUARANTINE_CRASH_COUNT {
+        return None;
+    }
+    let mut times: Vec<_> = crashes.iter().map(|(_, at)| *at).collect();
+    times.sort_unstable();
+    times.get(QUARANTINE_CRASH_COUNT - 1).copied()
+}
+
 fn newest_crash(crashes: &[(BackendServerId, Timestamp)]) -> Timestamp {
     crashes.iter().map(|(_, seen_at)| *seen_at).max().unwrap_or_default()
 }
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/crash_book.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/crash_book.rs
@@ -2,7 +2,10 @@
 
 use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
-use sassafrashoist_core::gateway::crash_report::{CrashReport, SeenPartCrash};
+use sassafrashoist_core::gateway::crash_report::{
+    ClearedParts, ClearedSuspect, CrashReport, SeenCrash, SeenPartCrash,
+};
+use sassafrashoist_core::requests::quarantine::{RequestFingerprint, Suspicion};
 
 const PART: u64 = 7;
 
@@ -61,3 +64,68 @@
 
     assert_eq!(other.blamed_parts(&[PART], now), []);
 }
+
+// A clearance was lost if the receiver did not know the crash that it refers to.
+#[test]
+fn clearance_in_the_report_that_names_its_crash_counts() {
+    let fingerprint = RequestFingerprint::of_http(None, "GET", "/x", b"");
+    let seen_ago = Duration::from_secs(2);
+    let ago = Duration::from_secs(1);
+    let report = CrashReport {
+        crashes: vec![SeenCrash {
+            fingerprint: fingerprint.clone(),
+            server_id: "s1".into(),
+            seen_ago,
+            ran_for: Duration::ZERO,
+        }],
+        cleared: vec![ClearedSuspect { fingerprint: fingerprint.clone(), cleared_ago: ago }],
+        part_crashes: vec![SeenPartCrash {
+            parts: vec![PART],
+            server_id: "s1".into(),
+            seen_ago,
+            sent_ago: seen_ago,
+        }],
+        cleared_parts: vec![ClearedParts { parts: vec![PART], sent_ago: ago }],
+        ..CrashReport::default()
+    };
+    let mut book = CrashBook::default();
+
+    book.record_report(&report, at(0));
+
+    assert_eq!(book.table.suspicion(&fingerprint, at(0)), Suspicion::None);
+    assert!(!book.parts.has_crashes(PART));
+}
+
+#[test]
+fn servers_that_a_blamed_part_explains_do_not_count_against_requests() {
+    let fingerprint = RequestFingerprint::of_http(None, "POST", "/x", b"sound");
+    let mut book = CrashBook::default();
+    for number in 0..2 {
+        let crash = SeenCrash {
+            fingerprint: fingerprint.clone(),
+            server_id: format!("s{number}"),
+            seen_ago: Duration::ZERO,
+            ran_for: Duration::ZERO,
+        };
+        book.record_crash(&crash, at(1_000 * number));
+    }
+    let before = book.table.suspicion(&fingerprint, at(2_000));
+
+    (0..3).for_each(|number| end_server(&mut book, number, 1_000 * number));
+
+    assert!(matches!(before, Suspicion::Quarantined(_)));
+    assert_eq!(book.table.suspicion(&fingerprint, at(2_000)), Suspicion::None);
+}
+
+#[test]
+fn repeat_of_a_report_carries_its_age() {
+    let mut report = book_after_two_trials().report(at(17_000));
+    let fresh = report.clone();
+
+    report.add_age(Duration::from_millis(100));
+
+    let (mut one, mut other) = (CrashBook::default(), CrashBook::default());
+    learn(&mut one, &fresh, at(17_000));
+    learn(&mut other, &report, at(17_100));
+    assert_eq!(one.parts.sightings_of(PART), other.parts.sightings_of(PART));
+}
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -22,7 +22,7 @@
 use super::serve_metrics::serve_metrics;
 use super::serve_peers::serve_peers;
 use super::serve_readiness::serve_readiness;
-use super::share_crashes::send_digests;
+use super::share_crashes::{judge_parts, send_digests};
 use super::transfer_tokens::transfer_all_tokens;
 use crate::util::metrics_page::{init_metrics, run_metrics_upkeep};
 
@@ -81,6 +81,7 @@
     tokio::spawn(follow_servers(Arc::clone(&context)));
     context.set_datagram_socket(Arc::clone(&datagram_socket));
     tokio::spawn(receive_datagrams(Arc::clone(&context), datagram_socket));
+    tokio::spawn(judge_parts(Arc::clone(&context)));
     tokio::spawn(send_digests(Arc::clone(&context)));
     tokio::spawn(serve_peers(Arc::clone(&context), peer_listener));
     tokio::spawn(serve_readiness(Arc::clone(&context), readiness_listener));
--- a/crates/sassafrashoist/src/gateway/share_crashes.rs
+++ b/crates/sassafrashoist/src/gateway/share_crashes.rs
@@ -27,6 +27,8 @@
 const REPEAT_DELAY: Duration = Duration::from_millis(100);
 /// The time between two digests that this VM sends.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
+/// The time between two judgements of the parts of prompts.
+const BLAME_INTERVAL: Duration = Duration::from_millis(200);
 /// The number of VMs that get each digest.
 const DIGEST_RECEIVERS: usize = 2;
 /// The longest time until a VM that knows a complete answer of a suspect clears it. Most VMs then
@@ -59,7 +61,6 @@
     let is_suspect = !book.answers.contains(fingerprint, now) && book.record_crash(&crash, now);
     let suspicion = book.table.suspicion(fingerprint, now);
     drop(book);
-    blame_parts(context);
     if is_suspect {
         log_suspicion(&crash, suspicion, "this VM");
         metrics::counter!("sassafrashoist_crash_suspects_total").increment(1);
@@ -135,16 +136,6 @@
     cleared
 }
 
-/// Records what another VM reports about parts of prompts.
-fn record_part_report(context: &GatewayContext, report: &CrashReport) {
-    let now = context.now();
-    let mut book = context.lock_crashes();
-    let blamed: Vec<_> = book.parts.blamed().collect();
-    book.record_report(report, now);
-    drop(book);
-    log_freed(context, &blamed, "another VM");
-}
-
 /// Logs which of the parts that were blamed before are blamed no longer.
 fn log_freed(
     context: &GatewayContext,
@@ -176,13 +167,13 @@
 /// Records what another VM reports.
 pub fn receive_report(context: &Arc<GatewayContext>, report: &CrashReport) {
     let now = context.now();
-    record_part_report(context, report);
-    blame_parts(context);
-    for crash in &report.crashes {
+    let mut book = context.lock_crashes();
+    let blamed: Vec<_> = book.parts.blamed().collect();
+    let news = book.record_report(report, now);
+    drop(book);
+    log_freed(context, &blamed, "another VM");
+    for crash in &news.crashes {
         let mut book = context.lock_crashes();
-        if !book.record_crash(crash, now) {
-            continue;
-        }
         let suspicion = book.table.suspicion(&crash.fingerprint, now);
         let is_answered = book.answers.contains(&crash.fingerprint, now);
         drop(book);
@@ -191,27 +182,28 @@
             log_suspicion(crash, suspicion, "another VM");
         }
         if is_answered {
-            let (context, fingerprint) = (Arc::clone(context), crash.fingerprint.clone());
-            tokio::spawn(async move {
-                let delay = rand::random_range(0..=MAX_CLEARING_DELAY_MS);
-                tokio::time::sleep(Duration::from_millis(delay)).await;
-                clear_suspect(&context, &fingerprint);
-            });
+            start_clearing(context, crash.fingerprint.clone());
         }
     }
-    // A suspect is cleared only from crashes that are recorded.
-    for cleared in &report.cleared {
-        let at = now.saturating_sub(cleared.cleared_ago);
-        if context.lock_crashes().clear(&cleared.fingerprint, at, now) {
-            log::info!(
-                fingerprint:% = cleared.fingerprint, by = "another VM",
-                age_ms = cleared.cleared_ago.as_millis() as u64;
-                "suspect cleared by a complete answer"
-            );
-        }
+    for cleared in &news.cleared {
+        log::info!(
+            fingerprint:% = cleared.fingerprint, by = "another VM",
+            age_ms = cleared.cleared_ago.as_millis() as u64;
+            "suspect cleared by a complete answer"
+        );
     }
 }
 
+/// Clears a suspect of which this VM knows a complete answer, unless another VM does so first.
+fn start_clearing(context: &Arc<GatewayContext>, fingerprint: RequestFingerprint) {
+    let context = Arc::clone(context);
+    tokio::spawn(async move {
+        let delay = rand::random_range(0..=MAX_CLEARING_DELAY_MS);
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+        clear_suspect(&context, &fingerprint);
+    });
+}
+
 fn log_suspicion(crash: &SeenCrash, suspicion: Suspicion, by: &'static str) {
     log::info!(
         fingerprint:% = crash.fingerprint, server = crash.server_id, by = by,
@@ -256,15 +248,24 @@
     }
 }
 
-/// Sends digests of the crashes that this VM knows to random VMs, and decides on parts of prompts that
-/// no answer has cleared, until cancelled.
+/// Judges the parts of prompts at regular times until cancelled, however many reports arrive.
+pub async fn judge_parts(context: Arc<GatewayContext>) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(BLAME_INTERVAL) => {}
+            () = context.cancel.cancelled() => return,
+        }
+        blame_parts(&context);
+    }
+}
+
+/// Sends digests of the crashes that this VM knows to random VMs until cancelled.
 pub async fn send_digests(context: Arc<GatewayContext>) {
     loop {
         tokio::select! {
             () = tokio::time::sleep(DIGEST_INTERVAL) => {}
             () = context.cancel.cancelled() => return,
         }
-        blame_parts(&context);
         let peers = context.lock_tokens().peer_addresses();
         if peers.is_empty() {
             continue;
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -915,6 +915,8 @@
         fleet.send(number % 2, &id, &crashing_request()).await.unwrap();
     }
     let early_crash_count = crash_count(&fleet);
+    // No datagram about the crashes is on its way any more.
+    tokio::time::sleep(PROPAGATION_TIME).await;
     fleet.gateways[2].kill().unwrap();
     fleet.gateways[2].respawn().unwrap();
 
@@ -1032,3 +1034,135 @@
     assert!(late_count <= MAX_LATE_ARRIVALS, "{late_count} requests reached engines");
     assert_eq!(sound_served, 12);
 }
+
+#[tokio::test]
+async fn one_client_attempt_crashes_one_server() {
+    let fleet = start_crashing_fleet("crashing_attempt", 4).await;
+
+    let response = fleet.send(0, "c1", &crashing_request()).await.unwrap();
+
+    assert_eq!((response.status, crash_count(&fleet)), (502, 1));
+}
+
+#[tokio::test]
+async fn copies_of_a_suspect_run_one_at_a_time() {
+    let fleet = start_crashing_fleet("crashing_trials", 20).await;
+    fleet.send(0, "c0", &crashing_request()).await.unwrap();
+    tokio::time::sleep(PROPAGATION_TIME).await;
+
+    let copies =
+        (1..10).map(|number| {
+            let fleet = &fleet;
+            async move {
+                fleet.send(number % 3, &format!("c{number}"), &crashing_request()).await.unwrap()
+            }
+        });
+    futures::future::join_all(copies).await;
+
+    assert_eq!(crash_count(&fleet), 2);
+}
+
+#[tokio::test]
+async fn connection_that_is_reset_is_no_crash() {
+    let fleet = start("reset_is_no_crash", plan()).await;
+    let set = |fault| fleet.plain_servers.iter().for_each(|server| server.set_fault(fault));
+    let status = CallerRequest::plain(Method::GET, STATUS_PATH);
+    set(ServerFault::DisconnectsAfter(0));
+    for number in 0..3 {
+        fleet.send(0, &format!("s{number}"), &status).await.unwrap();
+    }
+
+    set(ServerFault::None);
+    let response = fleet.send(0, "s3", &status).await.unwrap();
+
+    assert_eq!(response.status, 200);
+}
+
+// A server's 504 to a request that never left its queue cleared it.
+#[tokio::test]
+async fn answer_with_an_error_does_not_clear_a_request() {
+    let fleet = start_crashing_fleet("error_clears_nothing", 6).await;
+    let set = |trigger: Option<CrashTrigger>, fault| {
+        for server in &fleet.plain_servers {
+            server.set_crash_trigger(trigger.clone());
+            server.set_fault(fault);
+        }
+    };
+    fleet.send(0, "c1", &crashing_request()).await.unwrap();
+    set(None, ServerFault::InternalError);
+    let error = fleet.send(0, "c2", &crashing_request()).await.unwrap();
+    set(Some(CrashTrigger::Path("lot=crash".to_owned())), ServerFault::None);
+    fleet.send(0, "c3", &crashing_request()).await.unwrap();
+
+    let refused = fleet.send(0, "c4", &crashing_request()).await.unwrap();
+
+    assert_eq!((error.status, refused.status, crash_count(&fleet)), (500, 503, 2));
+}
+
+/// Sends a draft, kills all engines in the middle of its stream, and starts them again.
+async fn lose_engines_under(fleet: &mut StandInFleet, id: &str, request: &CallerRequest) {
+    let kill = async {
+        tokio::time::sleep(Duration::from_millis(25)).await;
+        fleet.engines.iter().for_each(BackendServer::kill);
+    };
+    let (response, ()) = tokio::join!(fleet.send(0, id, request), kill);
+    assert!(!response.is_ok_and(|response| response.is_complete()), "{id} was not cut off");
+    fleet.restart_ended_servers().await.unwrap();
+    tokio::time::sleep(PROPAGATION_TIME).await;
+}
+
+#[tokio::test]
+async fn request_that_was_answered_shortly_before_is_no_suspect() {
+    let mut fleet = start("answered_before", FleetPlan { gateway_count: 3, ..plan() }).await;
+    let popular = sound_draft(0);
+    assert_stream(&fleet.send(0, "p0", &popular).await.unwrap());
+    for number in 0..2 {
+        lose_engines_under(&mut fleet, &format!("lost-{number}"), &popular).await;
+    }
+
+    let response = fleet.send(1, "p1", &popular).await.unwrap();
+
+    assert_stream(&response);
+}
+
+#[tokio::test]
+async fn suspect_that_is_answered_is_cleared_for_good() {
+    let mut fleet = start("cleared", FleetPlan { gateway_count: 3, ..plan() }).await;
+    let draft = sound_draft(0);
+    lose_engines_under(&mut fleet, "lost-0", &draft).await;
+    assert_stream(&fleet.send(1, "trial", &draft).await.unwrap());
+    // Answers of the last ten seconds acquit by themselves.
+    tokio::time::sleep(Duration::from_millis(10_200)).await;
+    lose_engines_under(&mut fleet, "lost-1", &draft).await;
+
+    let response = fleet.send(2, "again", &draft).await.unwrap();
+
+    assert_stream(&response);
+}
+
+#[tokio::test]
+async fn server_that_says_that_it_leaves_has_not_crashed() {
+    let fleet = start("left_is_no_crash", FleetPlan { engine_count: 3, ..plan() }).await;
+    let draft = sound_draft(0);
+    fleet.engines[..2].iter().for_each(|engine| engine.set_fault(ServerFault::Leaving));
+    fleet.engines[2].set_fault(ServerFault::Overloaded);
+    for engine in 0..2 {
+        let kill = async {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            (0..2).for_each(|index| fleet.drain_engine(index));
+            tokio::time::sleep(Duration::from_millis(15)).await;
+            fleet.engines[engine].kill();
+        };
+        let id = format!("d{engine}");
+        let (sent, ()) = tokio::join!(fleet.send(0, &id, &draft), kill);
+        drop(sent);
+    }
+    fleet.engines[2].set_fault(ServerFault::None);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+
+    let response = fleet.send(0, "after", &draft).await.unwrap();
+
+    assert_stream(&response);
+    let log = std::fs::read_to_string(&fleet.gateways[0].log_path).unwrap();
+    assert!(!log.contains("request suspected of crashing a server"));
+}
