Keep the split of crash reports from overflowing

Cause: the lengths of two entries were added without a bound; an entry whose length cannot be computed counts as usize::MAX, and the sum overflowed. Change: a saturating sum; such an entry is a part of its own. A test for it, and one on the datagrams that the end of many engines costs at 60 and 336 VMs.

--- a/crates/sassafrashoist-core/src/gateway/crash_report.rs
+++ b/crates/sassafrashoist-core/src/gateway/crash_report.rs
@@ -117,12 +117,12 @@
         encoded_bytes: impl Fn(&CrashReport) -> usize,
     ) -> Vec<Self> {
         let mut parts: Vec<Self> = Vec::new();
-        let mut last_bytes = 0;
+        let mut last_bytes: usize = 0;
         for entry in self.into_entries() {
             // Joining two reports makes them shorter, never longer.
             let entry_bytes = encoded_bytes(&entry);
             match parts.last_mut() {
-                Some(last) if last_bytes + entry_bytes <= max_bytes => {
+                Some(last) if last_bytes.saturating_add(entry_bytes) <= max_bytes => {
                     last.append(entry);
                     last_bytes += entry_bytes;
                 }
--- a/crates/sassafrashoist-core/tests/testsuite/crashing_parts.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/crashing_parts.rs
@@ -18,6 +18,13 @@
     PartCrash { part, server_id, seen_at: at(seen_ms), sent_at: at(sent_ms) }
 }
 
+/// Records three crashes under [`BAD`] in a chain.
+fn record_chain(parts: &mut CrashingParts) {
+    for number in 0..3 {
+        parts.record(&crash(BAD, number, 1_000 * number, 1_000 * number + 100));
+    }
+}
+
 #[test]
 fn part_under_three_crashes_in_a_row_is_blamed_and_those_beside_it_are_not() {
     let mut parts = CrashingParts::default();
@@ -104,9 +111,7 @@
 #[test]
 fn blamed_part_whose_trial_crashed_is_not_tried_again_for_a_minute() {
     let mut parts = CrashingParts::default();
-    for number in 0..3 {
-        parts.record(&crash(BAD, number, 1_000 * number, 1_000 * number + 100));
-    }
+    record_chain(&mut parts);
     parts.evaluate(at(2_100));
 
     let first_trial_at = parts.trial_at(BAD);
@@ -139,9 +144,7 @@
     (0..2).for_each(|number| {
         parts.record(&crash(SHARED, number, 1_000 * number, 1_000 * number + 100));
     });
-    (0..3).for_each(|number| {
-        parts.record(&crash(BAD, number, 1_000 * number, 1_000 * number + 100));
-    });
+    record_chain(&mut parts);
 
     let exchanged: Vec<_> = parts.sightings(10).into_iter().map(|crash| crash.part).collect();
 
@@ -193,9 +196,7 @@
 #[test]
 fn blamed_part_is_tried_twice_a_day() {
     let mut parts = CrashingParts::default();
-    for number in 0..3 {
-        parts.record(&crash(BAD, number, 1_000 * number, 1_000 * number + 100));
-    }
+    record_chain(&mut parts);
     parts.evaluate(at(2_100));
     let mut trial_count = 0;
 
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/crash_outbox.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/crash_outbox.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::gateway::crash_outbox::CrashOutbox;
 use sassafrashoist_core::gateway::crash_report::{
@@ -59,6 +61,40 @@
     assert_eq!(datagrams.iter().map(entry_count).sum::<usize>(), 24);
 }
 
+// A quarter of 256 engines ends at once, each with requests of 12 random VMs.
+#[test]
+fn end_of_many_engines_costs_fewer_datagrams_than_reports() {
+    for vm_count in [60, 336] {
+        let mut rng = StdRng::seed_from_u64(11);
+        let mut outboxes: Vec<_> = (0..vm_count).map(|_| CrashOutbox::default()).collect();
+        let report_count = 64 * SLOT_COUNT;
+        for number in 0..report_count {
+            let vm = rng.random_range(0..vm_count);
+            outboxes[vm].add(crash_of_request(number), at(number % 10));
+        }
+
+        let datagrams: Vec<_> = outboxes
+            .iter_mut()
+            .map(|outbox| outbox.take(at(10)).split(MAX_BYTES, encoded_bytes).len())
+            .collect();
+
+        let most_entries = 1 + 2 * report_count as usize * ENTRY_BYTES / MAX_BYTES;
+        let sent: usize = datagrams.iter().sum();
+        assert!(sent <= vm_count + most_entries, "{vm_count} VMs: {sent}");
+        assert!(sent < report_count as usize, "{vm_count} VMs: {sent}");
+    }
+}
+
+// The sum of the lengths overflowed.
+#[test]
+fn entry_whose_length_is_not_known_is_a_part_of_its_own() {
+    let report = crash_of_request(1);
+
+    let parts = report.split(MAX_BYTES, |_| usize::MAX);
+
+    assert_eq!(parts.iter().map(entry_count).collect::<Vec<_>>(), [1, 1]);
+}
+
 #[test]
 fn reports_are_sent_once_with_their_own_ages() {
     let mut outbox = CrashOutbox::default();
