--- a/crates/sassafrashoist-core/tests/testsuite/gateway/append_pacing.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/append_pacing.rs
@@ -12,6 +12,10 @@
 
 const LATENCY: Duration = Duration::from_millis(2);
 const APPEND_TIME: Duration = Duration::from_millis(4);
+/// The VMs that draw tokens and the client VMs of fleets of 23, 60, 295 and 336 VMs.
+const FLEETS: [(usize, usize); 4] = [(18, 5), (12, 48), (18, 277), (18, 318)];
+/// The part of the calls of VMs without pacing that is aimed at.
+const MAX_CALLS_FRACTION: f64 = 0.5;
 const RUN_TIME: Duration = Duration::from_secs(60);
 /// All VMs start within this time. Before its first record, a VM has no lease.
 const START_TIME: Duration = Duration::from_millis(300);
@@ -138,7 +142,7 @@
 // The VMs of a large fleet kept each other's appends from succeeding and repeated them at once.
 #[test]
 fn large_fleet_appends_in_time_with_fewer_calls_than_without_pacing() {
-    for (drawing_count, client_count) in [(18, 5), (18, 277), (18, 318)] {
+    for (drawing_count, client_count) in FLEETS {
         let unpaced = play(Policy::Unpaced, drawing_count, client_count);
         let paced = play(Policy::Paced, drawing_count, client_count);
 
@@ -148,6 +152,17 @@
     }
 }
 
+#[test]
+fn pacing_halves_the_calls_of_large_fleets() {
+    for (drawing_count, client_count) in FLEETS {
+        let unpaced = play(Policy::Unpaced, drawing_count, client_count);
+        let paced = play(Policy::Paced, drawing_count, client_count);
+
+        let fraction = paced.call_count as f64 / unpaced.call_count as f64;
+        assert!(fraction <= MAX_CALLS_FRACTION, "{client_count} client VMs: {fraction:.2}");
+    }
+}
+
 #[test]
 fn vm_of_a_small_fleet_appends_as_often_as_alone() {
     let alone = record_interval(HolderRole::DrawsForItself, 1, 0.5);
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/ledger_writer.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/ledger_writer.rs
@@ -17,9 +17,31 @@
 
 /// Plans a first draw and starts its append.
 fn begin_draw(holding: &mut TokenHolding, ledger: &TokenLedger) -> LedgerWriter {
-    let config = config_with(PAID_TOKENS);
+    let writer = begin_first(holding, ledger, PAID_TOKENS);
+    assert!(writer.pending().unwrap().planned.moves_tokens());
+    writer
+}
+
+/// Starts the append of a record that moves no tokens.
+fn begin_unchanged(holding: &mut TokenHolding, ledger: &TokenLedger) -> LedgerWriter {
+    let writer = begin_first(holding, ledger, 0);
+    assert!(!writer.pending().unwrap().planned.moves_tokens());
+    writer
+}
+
+/// Starts the append of a record that moves no tokens, whose tries end like this.
+fn unchanged_after(ledger: &TokenLedger, outcomes: &[AppendOutcome]) -> LedgerWriter {
+    let mut holding = holding();
+    let mut writer = begin_unchanged(&mut holding, ledger);
+    for outcome in outcomes {
+        writer.record_outcome(*outcome, &mut holding);
+    }
+    writer
+}
+
+fn begin_first(holding: &mut TokenHolding, ledger: &TokenLedger, paid_tokens: u64) -> LedgerWriter {
+    let config = config_with(paid_tokens);
     let planned = holding.plan_record(ledger, &config, NOW, ClockReading::default());
-    assert!(planned.moves_tokens());
     let mut writer = LedgerWriter::default();
     writer.begin(planned, ledger.end_offset());
     writer
@@ -114,21 +136,10 @@
     assert!(!planned.moves_tokens());
 }
 
-/// Starts the append of a record that moves no tokens.
-fn begin_unchanged(holding: &mut TokenHolding, ledger: &TokenLedger) -> LedgerWriter {
-    let planned = holding.plan_record(ledger, &config_with(0), NOW, ClockReading::default());
-    assert!(!planned.moves_tokens());
-    let mut writer = LedgerWriter::default();
-    writer.begin(planned, ledger.end_offset());
-    writer
-}
-
 // A record that moves no tokens was planned anew after each append of another VM.
 #[test]
 fn rejected_append_that_moves_no_tokens_goes_to_the_new_end() {
-    let (mut holding, ledger) = (holding(), TokenLedger::default());
-    let mut writer = begin_unchanged(&mut holding, &ledger);
-    writer.record_outcome(AppendOutcome::EndMoved, &mut holding);
+    let mut writer = unchanged_after(&TokenLedger::default(), &[AppendOutcome::EndMoved]);
 
     let is_moved = writer.retarget(7);
 
@@ -138,10 +149,8 @@
 
 #[test]
 fn append_in_doubt_is_not_moved() {
-    let (mut holding, ledger) = (holding(), TokenLedger::default());
-    let mut writer = begin_unchanged(&mut holding, &ledger);
-    writer.record_outcome(AppendOutcome::Unknown, &mut holding);
-    writer.record_outcome(AppendOutcome::EndMoved, &mut holding);
+    let outcomes = [AppendOutcome::Unknown, AppendOutcome::EndMoved];
+    let mut writer = unchanged_after(&TokenLedger::default(), &outcomes);
 
     let is_moved = writer.retarget(7);
 
@@ -161,10 +170,9 @@
 
 #[test]
 fn append_is_not_moved_to_an_end_that_went_back() {
-    let (mut holding, mut ledger) = (holding(), TokenLedger::default());
+    let mut ledger = TokenLedger::default();
     ledger.advance_end_offset(9);
-    let mut writer = begin_unchanged(&mut holding, &ledger);
-    writer.record_outcome(AppendOutcome::EndMoved, &mut holding);
+    let mut writer = unchanged_after(&ledger, &[AppendOutcome::EndMoved]);
 
     let is_moved = writer.retarget(7);
 
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -314,6 +314,35 @@
     assert!(served >= 18, "{served} after the restart");
 }
 
+// A VM took requests until it had no memory left, and ended with all of them.
+#[tokio::test]
+async fn vm_refuses_requests_that_its_memory_does_not_hold_and_runs_none_of_them() {
+    let fleet = start("memory", plan()).await;
+    fleet.gateways[0].add_setting("limits.memoryMb=16").unwrap();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    fleet.plain_servers.iter().for_each(|server| server.set_fault(ServerFault::Unresponsive));
+    let bid = bid();
+
+    let responses = futures::future::join_all((0..100).map(|number| {
+        let (fleet, bid) = (&fleet, &bid);
+        async move { fleet.send(0, &format!("b{number}"), bid).await }
+    }))
+    .await;
+
+    let refused = responses.iter().flatten().filter(|response| response.status == 503);
+    let refused: Vec<_> = refused
+        .filter(|response| response.body == b"VM holds too many requests".as_slice())
+        .collect();
+    assert!(!refused.is_empty());
+    assert!(refused.iter().all(|response| response.headers.contains_key("retry-after")));
+    let arrivals = fleet.plain_servers.iter().flat_map(BackendServer::arrivals);
+    let arrived: Vec<_> = arrivals.map(|arrival| arrival.request_id).collect();
+    for response in refused {
+        let id = response.headers["request-id"].to_str().unwrap();
+        assert!(!arrived.iter().any(|arrived| arrived == id), "{id} was refused and has run");
+    }
+}
+
 // A process that starts must not use what was withdrawn before it started.
 #[tokio::test]
 async fn gateway_that_starts_uses_neither_a_withdrawn_key_nor_a_server_that_left() {
