Log how many servers a VM reaches when a connection does not open

Cause: a VM that lost its paths and a fleet whose servers are gone log the same line, "not connected"; only the logs of several VMs side by side tell them apart. Change: the outcome of the last connection to each server, its counts in the line and in two gauges. No decision uses it yet.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! - [`fleet_config`] and [`route_table`]: which requests are allowed and where they are routed.
 //! - [`server_directory`]: the backend servers, their load and health, and the choice among them by
 //!   cost, rendezvous hashing and circuit breakers.
+//! - [`server_paths`]: which of these servers this VM reaches.
 //! - [`token_ledger`], [`token_holding`] and [`allocator_vms`]: which VM may use which tokens of a
 //!   client account.
 //! - [`spending_limit`]: the write-ahead bound on the tokens that a holder spends.
@@ -51,6 +52,7 @@
 pub mod route_table;
 pub mod server_directory;
 pub mod server_listing;
+pub mod server_paths;
 pub mod server_state;
 pub mod spending_limit;
 pub mod stream_origins;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod route_table;
 mod server_directory;
 mod server_limit_over_vms;
+mod server_paths;
 mod simulated_fleet;
 mod simulated_fleet_properties;
 mod stream_origins;
--- a/crates/sassafrashoist/src/gateway/follow_servers.rs
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -30,6 +30,7 @@
             servers.mark_unlisted_except(&listed, context.now());
             servers.pool_versions.record_read(context.now());
             drop(servers);
+            context.lock_paths().retain(|id| listed.iter().any(|listed_id| listed_id == id));
             context.mark_servers_listed();
             log::info!(listed = listed.len(); "server list read");
         }
@@ -46,6 +47,7 @@
     let Some(value) = &record.value else {
         if context.lock_servers().mark_unlisted(server_id, context.now()) {
             log::info!(server = server_id, offset = record.offset; "server left the list");
+            context.lock_paths().retain(|id| id != server_id);
         }
         return;
     };
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -11,6 +11,7 @@
 use sassafrashoist_core::gateway::retry_limiter::{RetryLimit, RetryLimiter};
 use sassafrashoist_core::gateway::route_table::RouteTable;
 use sassafrashoist_core::gateway::server_directory::ServerDirectory;
+use sassafrashoist_core::gateway::server_paths::{ReachCounts, ServerPaths};
 use sassafrashoist_core::gateway::stream_origins::StreamOrigins;
 use sassafrashoist_core::gateway::token_holding::TokenHolding;
 use sassafrashoist_core::gateway::vm_settings::VmSettings;
@@ -41,6 +42,7 @@
     routes: Mutex<Option<Arc<RouteTable>>>,
     servers: Mutex<ServerDirectory>,
     servers_listed: Mutex<bool>,
+    paths: Mutex<ServerPaths>,
     tokens: Mutex<TokenBook>,
     retries: Mutex<RetryLimiter>,
     permits: Mutex<PermitBook>,
@@ -89,6 +91,7 @@
             routes: Mutex::default(),
             servers: Mutex::new(directory),
             servers_listed: Mutex::default(),
+            paths: Mutex::default(),
             tokens: Mutex::new(TokenBook::new(holding, issuers)),
             retries: Mutex::default(),
             permits: Mutex::default(),
@@ -146,6 +149,22 @@
         lock(&self.servers)
     }
 
+    /// Locks what this VM knows of its paths to backend servers.
+    pub fn lock_paths(&self) -> MutexGuard<'_, ServerPaths> {
+        lock(&self.paths)
+    }
+
+    /// Records how a connection to a server ended up; returns how many servers this VM reaches.
+    pub fn record_connection(&self, server_id: &str, has_opened: bool) -> ReachCounts {
+        let mut paths = self.lock_paths();
+        paths.record_connection(server_id, has_opened);
+        let counts = paths.counts();
+        drop(paths);
+        metrics::gauge!("sassafrashoist_servers_reachable").set(counts.reached as f64);
+        metrics::gauge!("sassafrashoist_servers_unreachable").set(counts.failed as f64);
+        counts
+    }
+
     /// Locks the permits that this VM issues.
     pub fn lock_permits(&self) -> MutexGuard<'_, PermitBook> {
         lock(&self.permits)
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -156,10 +156,15 @@
         metrics::counter!("sassafrashoist_limited_server_requests_total").increment(1);
     }
     let mut connection = match Connection::open(address, timeout).await {
-        Ok(connection) => connection,
+        Ok(connection) => {
+            context.record_connection(slot.server_id(), true);
+            connection
+        }
         Err(error) => {
+            let counts = context.record_connection(slot.server_id(), false);
             log::info!(
-                id = request.id(), server = slot.server_id(), error:% = error;
+                id = request.id(), server = slot.server_id(), error:% = error,
+                servers_reached = counts.reached, servers_not_reached = counts.failed;
                 "not connected"
             );
             slot.set_verdict(AttemptVerdict::Failed);
