Show that a gateway without paths serves nothing and blames sound requests

The stand-ins give each gateway a path of its own to each server, a port and a view of the server list, that can hang, be reset or refuse new connections while open ones live on.

--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -22,7 +22,13 @@
 const PROPAGATION_TIME: Duration = Duration::from_millis(800);
 
 fn plan() -> FleetPlan {
-    FleetPlan { gateway_count: 1, engine_count: 2, plain_count: 2, paid_tokens: 1_000_000 }
+    FleetPlan {
+        gateway_count: 1,
+        engine_count: 2,
+        plain_count: 2,
+        paid_tokens: 1_000_000,
+        has_own_paths: false,
+    }
 }
 
 async fn start(name: &str, plan: FleetPlan) -> StandInFleet {
--- /dev/null
+++ b/crates/sassafrashoist/tests/testsuite/lost_paths.rs
@@ -0,0 +1,135 @@
+//! Tests of gateways that lose their paths to backend servers, which other gateways still reach.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use http::Method;
+use sassafrashoist_platform_stand_in::caller::{CallerRequest, CallerResponse};
+use sassafrashoist_platform_stand_in::http_listener::PathFault;
+use sassafrashoist_platform_stand_in::stand_in_fleet::{
+    BID_PATH, CHAT_PATH, DRAFT_PATH, FleetPlan, STATUS_PATH, StandInFleet,
+};
+
+/// The time after which a gateway that lost its paths must serve its callers like the others.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+const PROMPT_TOKENS: u64 = 900;
+const OUTPUT_TOKENS: u64 = 100;
+/// The faults of a path that is lost.
+const LOST: [PathFault; 3] = [PathFault::Hangs, PathFault::Resets, PathFault::RefusesNew];
+
+async fn start(name: &str) -> StandInFleet {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("lost_paths").join(name);
+    std::fs::remove_dir_all(&folder).ok();
+    let program = Path::new(env!("CARGO_BIN_EXE_sassafrashoist"));
+    let plan = FleetPlan {
+        gateway_count: 3,
+        engine_count: 3,
+        plain_count: 2,
+        paid_tokens: 10_000_000,
+        has_own_paths: true,
+    };
+    StandInFleet::start(program, &folder, plan).await.unwrap()
+}
+
+fn requests() -> [CallerRequest; 4] {
+    [
+        CallerRequest::to_model(DRAFT_PATH, PROMPT_TOKENS, OUTPUT_TOKENS),
+        CallerRequest::to_model(CHAT_PATH, PROMPT_TOKENS, OUTPUT_TOKENS),
+        CallerRequest::plain(Method::POST, BID_PATH),
+        CallerRequest::plain(Method::GET, STATUS_PATH),
+    ]
+}
+
+fn is_served(response: &CallerResponse) -> bool {
+    response.status == 200 && response.is_complete()
+}
+
+/// Sends `count` requests of each kind to a gateway, and returns how many were served.
+async fn count_served(fleet: &StandInFleet, gateway: usize, name: &str, count: usize) -> usize {
+    let mut served = 0;
+    for number in 0..count {
+        for (kind, request) in requests().iter().enumerate() {
+            let id = format!("{name}-{gateway}-{kind}-{number}");
+            let response = fleet.send(gateway, &id, request).await;
+            served += usize::from(response.is_ok_and(|response| is_served(&response)));
+        }
+    }
+    served
+}
+
+/// Sends requests to a gateway for [`CONTACT_TIME`], whatever becomes of them.
+async fn send_for_contact_time(fleet: &StandInFleet, gateway: usize, name: &str) {
+    let sending = async {
+        for number in 0.. {
+            count_served(fleet, gateway, &format!("{name}-early-{number}"), 1).await;
+        }
+    };
+    assert!(tokio::time::timeout(CONTACT_TIME, sending).await.is_err());
+}
+
+// VMs without a path to any server served almost nothing, while the others reached all servers.
+#[tokio::test]
+async fn callers_of_a_gateway_without_paths_are_served_as_often_as_the_others() {
+    let fleet = start("served").await;
+    for fault in LOST {
+        let name = format!("{fault:?}");
+        fleet.set_path_fault(0, fault);
+        send_for_contact_time(&fleet, 0, &name).await;
+
+        let served = count_served(&fleet, 0, &name, 10).await;
+        let served_by_other = count_served(&fleet, 1, &name, 10).await;
+
+        assert!(3 * served >= 2 * served_by_other, "{name}: {served}, other {served_by_other}");
+        assert!(served_by_other >= 36, "{name}: {served_by_other}");
+        fleet.set_path_fault(0, PathFault::None);
+    }
+}
+
+// A path that refuses connections was taken for a server whose process ended.
+#[tokio::test]
+async fn gateway_without_paths_suspects_no_request_of_crashing_servers() {
+    let fleet = start("suspects").await;
+    let bid = CallerRequest::plain(Method::POST, BID_PATH);
+
+    for number in 0..4 {
+        let ids = (0..8).map(|request| format!("cut-{number}-{request}"));
+        let draft = &requests()[0];
+        let sent = futures::future::join_all(ids.map(|id| {
+            let fleet = &fleet;
+            async move { fleet.send(0, &id, draft).await }
+        }));
+        let cut = async {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            fleet.set_path_fault(0, PathFault::Resets);
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            fleet.set_path_fault(0, PathFault::None);
+        };
+        tokio::join!(sent, cut);
+    }
+
+    for gateway in 0..3 {
+        let log = fleet.gateways[gateway].read_log().unwrap();
+        assert!(!log.contains("request suspected of crashing a server"), "gateway {gateway}");
+    }
+    assert_eq!(fleet.send(1, "after", &bid).await.unwrap().status, 200);
+}
+
+// Breakers that opened while the paths were lost kept requests from sound servers afterwards.
+#[tokio::test]
+async fn gateway_serves_directly_again_soon_after_its_paths_are_back() {
+    let fleet = start("return").await;
+    for fault in LOST {
+        let name = format!("{fault:?}");
+        fleet.set_path_fault(0, fault);
+        send_for_contact_time(&fleet, 0, &name).await;
+        fleet.set_path_fault(0, PathFault::None);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+
+        // The others can no longer help.
+        (1..3).for_each(|gateway| fleet.set_path_fault(gateway, PathFault::Resets));
+        let served = count_served(&fleet, 0, &format!("{name}-back"), 5).await;
+        (1..3).for_each(|gateway| fleet.set_path_fault(gateway, PathFault::None));
+
+        assert_eq!(served, 20, "{name}");
+    }
+}
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod bad_requests;
 mod bundles;
 mod gateway;
+mod lost_paths;
 mod outcomes;
 mod processes;
 mod recovery;
