Reach servers through other VMs when a VM has lost its own paths

What callers saw: at VMs that had lost their paths to all servers, 9 of 184 and 0 of 88 first tries were served, 275 of 277 and 249 of 266 at the others. Cause: a connection that does not open was taken for the server's fault. A VM had no second opinion and no second way, so it tried four servers in vain, 350 ms each, and refused the request; refused connections of a lost path were reported as ends of servers, and sound requests suspected for them. Change: when a connection does not open, another VM is asked to open one to the same server. If it does, the path is lost, which says nothing about the server: no breaker counts it, no version becomes uncertain, no crash is reported. The request goes over that connection, whose bytes the other VM carries; all decisions, tokens and retries stay with the VM that has the request. After two lost paths in a row all of the pool count as lost; probes, four a second at most, find out when they are back. The end of a server is reported only if other VMs are refused too.

--- a/crates/sassafrashoist-core/src/gateway/live_vms.rs
+++ b/crates/sassafrashoist-core/src/gateway/live_vms.rs
@@ -92,15 +92,19 @@
         self.members.retain(|_, member| member.read_at == now);
     }
 
-    /// Returns this VM and the others that are not lost, in the order of their hash with `key`.
-    /// While the ledger cannot be read, no VM counts as lost.
-    pub fn ranked(&self, key: &str, now: Uptime) -> Vec<&FleetVm> {
+    /// Returns the other VMs that are not lost. While the ledger cannot be read, no VM counts as lost.
+    pub fn others(&self, now: Uptime) -> impl Iterator<Item = &FleetVm> {
         let has_current_view = self.read_at.is_some_and(|at| now < at + MAX_READ_GAP);
-        let others = self.members.values().filter(|member| {
+        let others = self.members.values().filter(move |member| {
             let is_lost = has_current_view && now >= member.written_at + LOST_AFTER;
             member.vm.vm_id != self.own.vm_id && !is_lost
         });
-        let vm_ids = others.map(|member| member.vm.vm_id.as_str());
+        others.map(|member| &member.vm)
+    }
+
+    /// Returns this VM and the others that are not lost, in the order of their hash with `key`.
+    pub fn ranked(&self, key: &str, now: Uptime) -> Vec<&FleetVm> {
+        let vm_ids = self.others(now).map(|vm| vm.vm_id.as_str());
         let ranked = rank_owners(key, vm_ids.chain([self.own.vm_id.as_str()]));
         ranked.into_iter().map(|vm_id| self.vm(vm_id)).collect()
     }
--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 //! - [`fleet_config`] and [`route_table`]: which requests are allowed and where they are routed.
 //! - [`server_directory`]: the backend servers, their load and health, and the choice among them by
 //!   cost, rendezvous hashing and circuit breakers.
-//! - [`server_paths`]: which of these servers this VM reaches.
+//! - [`server_paths`] and [`relay_vms`]: which of these servers this VM reaches, and through which
+//!   other VM it reaches the rest.
 //! - [`token_ledger`], [`token_holding`] and [`allocator_vms`]: which VM may use which tokens of a
 //!   client account.
 //! - [`spending_limit`]: the write-ahead bound on the tokens that a holder spends.
@@ -46,6 +47,7 @@
 pub mod pool_versions;
 pub mod recent_answers;
 pub mod reclaim;
+pub mod relay_vms;
 pub mod request_limit;
 pub mod retry_limiter;
 pub mod route;
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -174,6 +174,30 @@
         }
     }
 
+    /// Forgets the failures of attempts on a server that other VMs reach and this VM does not: its path
+    /// failed, not the server.
+    pub fn forget_failures(&mut self, server_id: &str) {
+        if let Some(server) = self.servers.get_mut(server_id) {
+            server.forget_failures();
+        }
+    }
+
+    /// Returns the ids of the servers of a pool that are in the directory.
+    pub fn servers_of(&self, pool_id: &str) -> Vec<BackendServerId> {
+        let in_pool = self.servers.values().filter(|server| server.listing.pool_id == pool_id);
+        in_pool.map(|server| server.listing.id.clone()).collect()
+    }
+
+    /// Returns the listing of another server that accepts requests; at best one that this VM has heard
+    /// from last.
+    pub fn another_server(&self, server_id: &str) -> Option<&ServerListing> {
+        let others = self.servers.values().filter(|server| server.listing.id != server_id);
+        let server = others
+            .filter(|server| server.accepts_requests())
+            .max_by_key(|server| (server.breaker.allows_attempt(), server.last_activity_at()))?;
+        Some(&server.listing)
+    }
+
     /// Returns whether a server has the software version of its listing: it has not started again
     /// under its id, as far as the list and the connections to it show.
     pub fn is_version_certain(&self, listing: &ServerListing, now: Uptime) -> bool {
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -173,6 +173,18 @@
         self.breaker.begin_attempt();
     }
 
+    /// Returns when bytes of the server arrived last.
+    pub(super) fn last_activity_at(&self) -> Uptime {
+        self.last_activity_at
+    }
+
+    /// Forgets failures of attempts that were due to the path of this VM.
+    pub(super) fn forget_failures(&mut self) {
+        self.breaker = CircuitBreaker::default();
+        self.failure_rate = 0.0;
+        self.has_refused_connection = false;
+    }
+
     pub(super) fn record_activity(&mut self, now: Uptime) {
         self.last_activity_at = now;
     }
--- a/crates/sassafrashoist-core/src/gateway/token_ledger.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_ledger.rs
@@ -106,6 +106,11 @@
         newest.map(|(_, holder_id, record)| (holder_id, record))
     }
 
+    /// Returns whether a holder has a record and has not closed it.
+    pub fn is_open(&self, holder_id: &str) -> bool {
+        self.holders.get(holder_id).is_some_and(|(_, record)| !record.is_closed)
+    }
+
     fn account_totals(&self, account_id: &str) -> AccountTotals {
         let totals = self.totals.get_or_init(|| self.compute_totals());
         totals.get(account_id).copied().unwrap_or_default()
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -84,7 +84,7 @@
                 return Err("no event before the deadline");
             }
             () = wait_until_unresponsive(context, &started.slot, unresponsive_timeout) => {
-                started.slot.set_verdict(AttemptVerdict::Failed);
+                started.slot.set_failed();
                 return Err("server is silent");
             }
         };
@@ -134,7 +134,7 @@
         framing = started.framing.as_str(), reason = reason, error:% = error;
         "stream broken off before its first event"
     );
-    started.slot.set_verdict(AttemptVerdict::Failed);
+    started.slot.set_failed();
     reason
 }
 
@@ -212,7 +212,6 @@
             self.forward_segment(&mut started).await
         };
         while let SegmentEnd::Failed(reason) | SegmentEnd::ConnectionLost(reason) = end {
-            started.slot.set_verdict(AttemptVerdict::Failed);
             log::info!(
                 id = self.request.id(), server = started.slot.server_id(), reason = reason,
                 framing = started.framing.as_str(),
@@ -222,6 +221,7 @@
             if matches!(end, SegmentEnd::ConnectionLost(_)) {
                 report_lost_connection(&self.context, &self.request, &started.slot).await;
             }
+            started.slot.set_failed();
             let failed_server_id = started.slot.server_id().to_owned();
             drop(started);
             let Some(next) = self.resume(failed_server_id).await else {
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -1,5 +1,7 @@
 //! The state that all actions of the gateway share.
 
+use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,14 +10,17 @@
 use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
+use sassafrashoist_core::gateway::relay_vms::RelayVms;
 use sassafrashoist_core::gateway::retry_limiter::{RetryLimit, RetryLimiter};
 use sassafrashoist_core::gateway::route_table::RouteTable;
 use sassafrashoist_core::gateway::server_directory::ServerDirectory;
-use sassafrashoist_core::gateway::server_paths::{ReachCounts, ServerPaths};
+use sassafrashoist_core::gateway::server_listing::ServerListing;
+use sassafrashoist_core::gateway::server_paths::{Opened, ReachCounts, ServerPaths};
 use sassafrashoist_core::gateway::stream_origins::StreamOrigins;
 use sassafrashoist_core::gateway::token_holding::TokenHolding;
 use sassafrashoist_core::gateway::vm_settings::VmSettings;
 use sassafrashoist_core::gateway::{HolderId, Uptime};
+use sassafrashoist_core::ids::BackendServerId;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -23,6 +28,7 @@
 
 use super::permit_book::PermitBook;
 use super::read_clocks::read_clocks;
+use super::report_server_end::Inquiry;
 use super::token_book::TokenBook;
 
 /// The retry slack of the fleet is divided by at least this number of VMs.
@@ -33,6 +39,9 @@
 /// counts as disconnected from the ledger.
 const MAX_LEDGER_AGE: Duration = Duration::from_millis(1_500);
 
+/// The most servers about which the last answers of other VMs are kept.
+const MAX_INQUIRIES: usize = 1_024;
+
 /// The state that all actions of the gateway share.
 ///
 /// A lock is held for a single step only, and never two locks at a time.
@@ -43,6 +52,8 @@
     servers: Mutex<ServerDirectory>,
     servers_listed: Mutex<bool>,
     paths: Mutex<ServerPaths>,
+    relays: Mutex<RelayVms>,
+    inquiries: Mutex<HashMap<BackendServerId, Inquiry>>,
     tokens: Mutex<TokenBook>,
     retries: Mutex<RetryLimiter>,
     permits: Mutex<PermitBook>,
@@ -92,6 +103,8 @@
             servers: Mutex::new(directory),
             servers_listed: Mutex::default(),
             paths: Mutex::default(),
+            relays: Mutex::default(),
+            inquiries: Mutex::default(),
             tokens: Mutex::new(TokenBook::new(holding, issuers)),
             retries: Mutex::default(),
             permits: Mutex::default(),
@@ -154,15 +167,79 @@
         lock(&self.paths)
     }
 
-    /// Records how a connection to a server ended up; returns how many servers this VM reaches.
-    pub fn record_connection(&self, server_id: &str, has_opened: bool) -> ReachCounts {
+    /// Returns what other VMs answered last about a server that a connection of this VM lost.
+    pub fn inquiry(&self, server_id: &str) -> Inquiry {
+        let mut inquiries = lock(&self.inquiries);
+        if inquiries.len() >= MAX_INQUIRIES {
+            inquiries.retain(|_, inquiry| Arc::strong_count(inquiry) > 1);
+        }
+        Arc::clone(inquiries.entry(server_id.to_owned()).or_default())
+    }
+
+    /// Locks what this VM knows of the VMs that help it.
+    pub fn lock_relays(&self) -> MutexGuard<'_, RelayVms> {
+        lock(&self.relays)
+    }
+
+    /// Returns the other VMs of the fleet that are not lost.
+    pub fn other_vms(&self) -> Vec<FleetVm> {
+        let now = self.now();
+        let others: Vec<_> = self.lock_tokens().issuers.live_vms.others(now).cloned().collect();
+        self.lock_relays().retain(&others);
+        others
+    }
+
+    /// Records that a connection of this VM to a server opened.
+    pub fn record_opened(&self, pool_id: &str, server_id: &str) {
         let mut paths = self.lock_paths();
-        paths.record_connection(server_id, has_opened);
+        let opened = paths.record_opened(pool_id, server_id, self.now());
+        if opened == Opened::AsBefore {
+            return;
+        }
         let counts = paths.counts();
         drop(paths);
-        metrics::gauge!("sassafrashoist_servers_reachable").set(counts.reached as f64);
-        metrics::gauge!("sassafrashoist_servers_unreachable").set(counts.failed as f64);
-        counts
+        publish(counts);
+        if opened == Opened::Regained {
+            log::info!(
+                server = server_id, paths_lost = counts.lost;
+                "path to a server regained"
+            );
+        }
+    }
+
+    /// Records that a connection of this VM to a server did not open.
+    pub fn record_failed(&self, server_id: &str) {
+        let mut paths = self.lock_paths();
+        paths.record_failed(server_id);
+        let counts = paths.counts();
+        drop(paths);
+        publish(counts);
+    }
+
+    /// Records that another VM reaches a server to which a connection of this VM did not open.
+    pub fn record_path_lost(
+        &self,
+        listing: &ServerListing,
+        found_by: &str,
+        error: &dyn fmt::Display,
+    ) {
+        let pool = self.lock_servers().servers_of(&listing.pool_id);
+        let mut paths = self.lock_paths();
+        let lost = paths.record_lost(&listing.pool_id, &listing.id, &pool, self.now());
+        let counts = paths.counts();
+        drop(paths);
+        publish(counts);
+        if !lost.is_new {
+            return;
+        }
+        self.lock_servers().forget_failures(&listing.id);
+        metrics::counter!("sassafrashoist_paths_lost_total").increment(1);
+        log::warn!(
+            server = listing.id, pool = listing.pool_id, found_by = found_by, error:% = error,
+            servers_reached = counts.reached, servers_not_reached = counts.failed,
+            paths_lost = counts.lost, assumed = lost.assumed_count;
+            "path to a server lost: another VM reaches it"
+        );
     }
 
     /// Locks the permits that this VM issues.
@@ -279,6 +356,13 @@
     }
 }
 
+/// Publishes how many servers this VM reaches.
+fn publish(counts: ReachCounts) {
+    metrics::gauge!("sassafrashoist_servers_reachable").set(counts.reached as f64);
+    metrics::gauge!("sassafrashoist_servers_unreachable").set(counts.failed as f64);
+    metrics::gauge!("sassafrashoist_paths_lost").set(counts.lost as f64);
+}
+
 /// Locks a mutex, also a poisoned one: a panic ends only the task that held the lock, and the
 /// guarded value is valid after each step.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/sassafrashoist/src/gateway/http_connection.rs
+++ b/crates/sassafrashoist/src/gateway/http_connection.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::rt::{Read, Write};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -60,14 +61,26 @@
             Err(_) => return Err(not_connected(format!("no response within {timeout:?}"))),
         };
         stream.set_nodelay(true).map_err(|error| not_connected(error.to_string()))?;
+        Self::over(address, TokioIo::new(stream)).await
+    }
+
+    /// Wraps an open connection to an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has ended.
+    pub async fn over<T>(address: SocketAddr, io: T) -> Result<Self, NotConnected>
+    where
+        T: Read + Write + Unpin + Send + 'static,
+    {
         let (sender, connection) = http1::Builder::new()
             .preserve_header_case(true)
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(io)
             .await
-            .map_err(|error| not_connected(error.to_string()))?;
+            .map_err(|error| NotConnected { address, reason: error.to_string() })?;
         let driver = tokio::spawn(async move {
-            if let Err(error) = connection.await {
+            if let Err(error) = connection.with_upgrades().await {
                 log::debug!(address:% = address, error:% = error; "connection ended");
             }
         });
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
-use http::{Request, Response, Version};
+use http::{Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -74,8 +74,11 @@
         let reset_switch = &reset_switch;
         async move {
             let response = response.await;
-            // Such a response may end with its connection.
-            if caller_version == Version::HTTP_10 || response.version() == Version::HTTP_10 {
+            // Such a response, or the bytes after it, may end with its connection.
+            if caller_version == Version::HTTP_10
+                || response.version() == Version::HTTP_10
+                || response.status() == StatusCode::SWITCHING_PROTOCOLS
+            {
                 reset_switch.turn_on();
             }
             Ok::<_, Infallible>(response)
@@ -86,7 +89,8 @@
         .header_read_timeout(policy.head_timeout)
         .max_buf_size(policy.max_head_bytes)
         .preserve_header_case(true)
-        .serve_connection(TokioIo::new(CallerStream::new(stream, reset_switch.clone())), service);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, reset_switch.clone())), service)
+        .with_upgrades();
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -16,6 +16,9 @@
 //! - [`choose_server`] chooses the server of each attempt, and obtains a permit if that server names
 //!   a limit; [`issue_permit`] issues permits to all VMs, and [`share_limit`] tells them of changed
 //!   limits.
+//! - [`reach_server`] opens the connection of an attempt. If this VM has lost its path to the server,
+//!   [`open_relay`] asks another VM for a connection, which [`serve_relay`] opens and carries there;
+//!   [`probe_paths`] finds out when the path is back.
 //! - [`report_server_end`] finds out whether a lost connection was the end of the server,
 //!   [`share_crashes`] tells all VMs under which request, and [`isolate_suspects`] keeps requests
 //!   that crash servers from them.
@@ -45,13 +48,17 @@
 pub mod log_client;
 pub mod maintain_holding;
 pub mod obtain_tokens;
+pub mod open_relay;
 pub mod peer_datagram;
 pub mod peer_messages;
 pub mod permit_book;
 pub mod permit_messages;
+pub mod probe_paths;
 pub mod queue_entry;
+pub mod reach_server;
 pub mod read_clocks;
 pub mod receive_datagrams;
+pub mod relay_messages;
 pub mod report_server_end;
 pub mod request_context;
 pub mod request_tokens;
@@ -64,6 +71,7 @@
 pub mod serve_metrics;
 pub mod serve_peers;
 pub mod serve_readiness;
+pub mod serve_relay;
 pub mod serve_request;
 pub mod share_crashes;
 pub mod share_limit;
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -246,8 +246,8 @@
                     framing = framing.as_str(), error:% = error;
                     "answer broken off"
                 );
-                slot.set_verdict(AttemptVerdict::Failed);
                 report_lost_connection(context, request, &slot).await;
+                slot.set_failed();
                 return Err("answer broken off");
             }
             Err(_) => return Err("answer not whole before the deadline"),
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -17,6 +17,7 @@
 use super::gateway_context::GatewayContext;
 use super::listen::bind;
 use super::maintain_holding::maintain_holding;
+use super::probe_paths::probe_paths;
 use super::receive_datagrams::receive_datagrams;
 use super::serve_clients::serve_clients;
 use super::serve_metrics::serve_metrics;
@@ -83,6 +84,7 @@
     tokio::spawn(receive_datagrams(Arc::clone(&context), datagram_socket));
     tokio::spawn(judge_parts(Arc::clone(&context)));
     tokio::spawn(send_digests(Arc::clone(&context)));
+    tokio::spawn(probe_paths(Arc::clone(&context)));
     tokio::spawn(serve_peers(Arc::clone(&context), peer_listener));
     tokio::spawn(serve_readiness(Arc::clone(&context), readiness_listener));
     tokio::spawn(serve_metrics(Arc::clone(&context), metrics_listener));
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -18,13 +18,14 @@
 use super::gateway_context::GatewayContext;
 use super::http_connection::Connection;
 use super::isolate_suspects::Trial;
+use super::reach_server::{RelayUse, reach_server};
 use super::report_server_end::report_lost_connection;
 use super::request_context::RequestContext;
 use super::share_limit::start_reporting;
 
-/// How long a connection to a backend server may take to open: many times the network latency, but
-/// less than the second after which TCP retransmits a lost first packet.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// How long a connection of this VM may be silent when its path counts as lost. Old connections may
+/// live on while new ones do not open.
+const LOST_PATH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two checks whether a server is unresponsive.
 const UNRESPONSIVE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -34,7 +35,10 @@
     context: Arc<GatewayContext>,
     chosen: ServerChoice,
     sent_at: Uptime,
+    last_bytes_at: Uptime,
     has_response_started: bool,
+    /// The connection through another VM.
+    relay_use: Option<RelayUse>,
     /// Ends when the slot is freed.
     _trial: Option<Trial>,
     verdict: AttemptVerdict,
@@ -48,7 +52,9 @@
             context,
             chosen,
             sent_at,
+            last_bytes_at: sent_at,
             has_response_started: false,
+            relay_use: None,
             _trial: trial,
             verdict: AttemptVerdict::Neutral,
         }
@@ -78,6 +84,7 @@
     /// Records that bytes of the response arrived.
     pub fn record_bytes(&mut self) {
         let now = self.context.now();
+        self.last_bytes_at = now;
         let mut servers = self.context.lock_servers();
         servers.record_bytes(&self.chosen.listing.id, now);
         if !self.has_response_started {
@@ -91,6 +98,22 @@
         }
     }
 
+    /// Returns whether this VM has lost its own path to the server.
+    pub fn has_lost_path(&self) -> bool {
+        self.context.lock_paths().is_lost(self.server_id())
+    }
+
+    /// Returns the VM through which the server was reached.
+    pub fn relay_vm_id(&self) -> Option<&str> {
+        self.relay_use.as_ref().map(RelayUse::vm_id)
+    }
+
+    /// Records that the attempt failed. It says nothing about the server if the path to it is lost.
+    pub fn set_failed(&mut self) {
+        let is_of_server = self.relay_use.is_none() && !self.has_lost_path();
+        self.verdict = if is_of_server { AttemptVerdict::Failed } else { AttemptVerdict::Neutral };
+    }
+
     /// Records how the attempt ended.
     pub fn set_verdict(&mut self, verdict: AttemptVerdict) {
         self.verdict = verdict;
@@ -149,26 +172,28 @@
     unresponsive_timeout: Option<Duration>,
 ) -> AttemptStart {
     let mut slot = ServerSlot::new(Arc::clone(context), chosen, trial);
-    let address = slot.chosen.listing.address;
-    let timeout = CONNECT_TIMEOUT.min(request.time_left(context.now()));
+    let time_left = request.time_left(context.now());
     metrics::counter!("sassafrashoist_server_connections_total").increment(1);
     if slot.has_limit() {
         metrics::counter!("sassafrashoist_limited_server_requests_total").increment(1);
     }
-    let mut connection = match Connection::open(address, timeout).await {
-        Ok(connection) => {
-            context.record_connection(slot.server_id(), true);
+    let mut connection = match reach_server(context, slot.listing(), time_left).await {
+        Ok((connection, relay_use)) => {
+            slot.relay_use = relay_use;
             connection
         }
         Err(error) => {
-            let counts = context.record_connection(slot.server_id(), false);
+            let counts = context.lock_paths().counts();
             log::info!(
                 id = request.id(), server = slot.server_id(), error:% = error,
-                servers_reached = counts.reached, servers_not_reached = counts.failed;
+                servers_reached = counts.reached, servers_not_reached = counts.failed,
+                paths_lost = counts.lost;
                 "not connected"
             );
-            slot.set_verdict(AttemptVerdict::Failed);
-            context.lock_servers().record_refused_connection(slot.server_id());
+            slot.set_failed();
+            if !slot.has_lost_path() {
+                context.lock_servers().record_refused_connection(slot.server_id());
+            }
             return AttemptStart::NotReached;
         }
     };
@@ -189,7 +214,7 @@
             return AttemptStart::Lost("no answer before the deadline");
         }
         () = wait_until_unresponsive(context, &slot, unresponsive_timeout) => {
-            slot.set_verdict(AttemptVerdict::Failed);
+            slot.set_failed();
             return AttemptStart::Lost("server is silent");
         }
     };
@@ -200,8 +225,8 @@
                 id = request.id(), server = slot.server_id(), error:% = error;
                 "connection lost"
             );
-            slot.set_verdict(AttemptVerdict::Failed);
             report_lost_connection(context, request, &slot).await;
+            slot.set_failed();
             return AttemptStart::Lost("connection lost");
         }
     };
@@ -303,6 +328,9 @@
 
 /// Completes when a server has sent nothing to any request for `unresponsive_timeout`; never if
 /// that is `None`.
+///
+/// A connection of this VM whose path is lost gets less time, and what the server sends through other
+/// VMs does not count for it.
 pub async fn wait_until_unresponsive(
     context: &GatewayContext,
     slot: &ServerSlot,
@@ -313,6 +341,13 @@
     };
     loop {
         let now = context.now();
+        let silent_time = now.saturating_sub(slot.last_bytes_at);
+        if slot.relay_use.is_none()
+            && slot.has_lost_path()
+            && silent_time >= unresponsive_timeout.min(LOST_PATH_TIMEOUT)
+        {
+            return;
+        }
         let unresponsive_time = context.unresponsive_time(slot.server_id(), now);
         let waited = now.saturating_sub(slot.sent_at);
         if waited >= unresponsive_timeout
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -1,5 +1,6 @@
 //! Serves the messages of other VMs: transfers of tokens, permits and limits of
-//! backend servers, the origins of streams, and crashes of backend servers.
+//! backend servers, the origins of streams, crashes of backend servers, and connections to backend
+//! servers for VMs that have lost their own paths.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,8 +23,10 @@
 };
 use super::permit_messages::{LIMIT_PATH, PERMIT_PATH};
 use super::queue_entry::QueueEntry;
+use super::relay_messages::RELAY_PATH;
 use super::response_body::{ResponseBody, full_response};
 use super::send_message::MAX_MESSAGE_BYTES;
+use super::serve_relay::serve_relay;
 use super::share_crashes::answer_exchange;
 use super::share_limit::receive_notice;
 use super::stream_origin_messages::STREAM_ORIGIN_PATH;
@@ -45,9 +48,10 @@
 
 async fn handle_request(
     context: &Arc<GatewayContext>,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let path = request.uri().path().to_owned();
+    let upgrade = hyper::upgrade::on(&mut request);
     let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
     let body = match tokio::time::timeout(MESSAGE_TIMEOUT, body).await {
         Ok(Ok(body)) => body.to_bytes(),
@@ -99,6 +103,10 @@
             }
             Err(error) => reject_malformed(&path, &error),
         },
+        RELAY_PATH => match postcard::from_bytes(&body) {
+            Ok(request) => serve_relay(context, &request, upgrade).await,
+            Err(error) => reject_malformed(&path, &error),
+        },
         _ => empty_response(StatusCode::NOT_FOUND),
     }
 }
@@ -143,7 +151,8 @@
     encode_response(&send_tokens(context, request))
 }
 
-fn encode_response<R: Serialize>(response: &R) -> Response<ResponseBody> {
+/// Encodes the response to a message.
+pub fn encode_response<R: Serialize>(response: &R) -> Response<ResponseBody> {
     match postcard::to_stdvec(response) {
         Ok(bytes) => full_response(StatusCode::OK, HeaderMap::new(), bytes.into()),
         Err(error) => {
--- /dev/null
+++ b/crates/sassafrashoist/src/gateway/serve_relay.rs
@@ -0,0 +1,153 @@
+//! Opens connections to backend servers for VMs that have lost their own paths, and carries their
+//! bytes.
+//!
+//! The VM that asks keeps the request, its tokens and all decisions. A connection to a server that
+//! ends, fails or is cancelled ends the connection to that VM in the same way: closed if the server
+//! closed it, reset in all other cases, also if this process is killed.
+
+use std::io::ErrorKind;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::{CONNECTION, UPGRADE};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use hyper::upgrade::{OnUpgrade, Upgraded};
+use hyper_util::rt::TokioIo;
+use sassafrashoist_core::gateway::request_limit::RequestLimit;
+use sassafrashoist_core::gateway::server_paths::Way;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::gateway_context::GatewayContext;
+use super::relay_messages::{RELAY_PROTOCOL, RelayOutcome, RelayPurpose, RelayRequest};
+use super::response_body::{ResponseBody, full_response};
+use super::serve_peers::encode_response;
+
+/// How long a connection for another VM may take to open; shorter than that VM waits.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// The most bytes that are read at once.
+const CHUNK_BYTES: usize = 8_192;
+
+/// Opens a connection to a server for another VM.
+pub async fn serve_relay(
+    context: &Arc<GatewayContext>,
+    request: &RelayRequest,
+    upgrade: OnUpgrade,
+) -> Response<ResponseBody> {
+    let opened = open(context, request).await;
+    let outcome = opened.as_ref().err().copied().unwrap_or(RelayOutcome::Reached);
+    log::info!(
+        from = request.holder_id, server = request.server_id, outcome:? = outcome;
+        "connection for another VM"
+    );
+    match (opened, request.purpose) {
+        (Ok(server), RelayPurpose::Carry(max_time)) => {
+            let in_progress = context.requests.token();
+            tokio::spawn(async move {
+                carry(upgrade, server, max_time).await;
+                drop(in_progress);
+            });
+            switch_protocol()
+        }
+        _ => encode_response(&outcome),
+    }
+}
+
+fn switch_protocol() -> Response<ResponseBody> {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
+    headers.insert(UPGRADE, HeaderValue::from_static(RELAY_PROTOCOL));
+    full_response(StatusCode::SWITCHING_PROTOCOLS, headers, bytes::Bytes::new())
+}
+
+async fn open(context: &GatewayContext, request: &RelayRequest) -> Result<TcpStream, RelayOutcome> {
+    if !context.lock_tokens().ledger.is_open(&request.holder_id) {
+        return Err(RelayOutcome::UnknownSender);
+    }
+    let limit = RequestLimit::of_memory(context.settings().memory_bytes);
+    if context.draining.is_cancelled() || !limit.allows(context.requests.len()) {
+        return Err(RelayOutcome::Busy);
+    }
+    let server_id = &request.server_id;
+    let listing = context.lock_servers().server(server_id).map(|server| server.listing.clone());
+    let listing = listing
+        .filter(|listing| listing.started_at_unix_ms == request.started_at_unix_ms)
+        .ok_or(RelayOutcome::UnknownServer)?;
+    if context.lock_paths().way_to(&listing.pool_id, server_id, context.now()) != Way::Direct {
+        return Err(RelayOutcome::NoPath);
+    }
+    let connecting = TcpStream::connect(listing.address);
+    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Err(RelayOutcome::Refused);
+        }
+        Ok(Err(_)) | Err(_) => return Err(RelayOutcome::Unreachable),
+    };
+    context.record_opened(&listing.pool_id, server_id);
+    stream.set_nodelay(true).map_err(|_| RelayOutcome::Unreachable)?;
+    Ok(stream)
+}
+
+/// Passes bytes on until one side ends its connection or `max_time` has passed.
+async fn carry(upgrade: OnUpgrade, server: TcpStream, max_time: Duration) {
+    let carried = tokio::time::timeout(max_time, async {
+        match upgrade.await {
+            Ok(vm) => splice(vm, server).await,
+            Err(error) => log::info!(error:% = error; "other VM left before its connection opened"),
+        }
+    });
+    if carried.await.is_err() {
+        log::info!("connection for another VM ended after its longest time");
+    }
+}
+
+async fn splice(vm: Upgraded, server: TcpStream) {
+    let (mut from_vm, mut to_vm) = tokio::io::split(TokioIo::new(vm));
+    let (mut from_server, mut to_server) = server.into_split();
+    let requests = pass_on(&mut from_vm, &mut to_server);
+    let responses = async {
+        if pass_on(&mut from_server, &mut to_vm).await == PassEnd::Closed
+            && let Err(error) = to_vm.shutdown().await
+        {
+            log::debug!(error:% = error; "other VM left before the end of a response");
+        }
+    };
+    tokio::pin!(responses);
+    tokio::select! {
+        // The other VM closes its connection only when it gives the request up.
+        end = requests => if end == PassEnd::NotTaken { responses.await },
+        () = &mut responses => {}
+    }
+}
+
+/// How the flow of bytes in one direction ended.
+#[derive(Debug, PartialEq, Eq)]
+enum PassEnd {
+    /// The sender closed its connection properly.
+    Closed,
+    /// The sender's connection failed.
+    Broken,
+    /// The receiver takes no more bytes.
+    NotTaken,
+}
+
+async fn pass_on(
+    from: &mut (impl AsyncRead + Unpin),
+    to: &mut (impl AsyncWrite + Unpin),
+) -> PassEnd {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let count = match from.read(&mut chunk).await {
+            Ok(0) => return PassEnd::Closed,
+            Ok(count) => count,
+            Err(error) => {
+                log::debug!(error:% = error; "connection carried for another VM failed");
+                return PassEnd::Broken;
+            }
+        };
+        if to.write_all(&chunk[..count]).await.is_err() || to.flush().await.is_err() {
+            return PassEnd::NotTaken;
+        }
+    }
+}
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -11,8 +11,8 @@
 use sassafrashoist_platform_stand_in::endless_server::EndlessServer;
 use sassafrashoist_platform_stand_in::log_service::LogFault;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    ACCOUNT, API_KEY, BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, FleetPlan, STATUS_PATH,
-    StandInFleet,
+    ACCOUNT, API_KEY, BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, EVENT_INTERVAL, FleetPlan,
+    STATUS_PATH, StandInFleet,
 };
 
 const PROMPT_TOKENS: u64 = 900;
@@ -28,6 +28,7 @@
         plain_count: 2,
         paid_tokens: 1_000_000,
         has_own_paths: false,
+        event_interval: EVENT_INTERVAL,
     }
 }
 
--- a/crates/sassafrashoist/tests/testsuite/lost_paths.rs
+++ b/crates/sassafrashoist/tests/testsuite/lost_paths.rs
@@ -7,7 +7,7 @@
 use sassafrashoist_platform_stand_in::caller::{CallerRequest, CallerResponse};
 use sassafrashoist_platform_stand_in::http_listener::PathFault;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    BID_PATH, CHAT_PATH, DRAFT_PATH, FleetPlan, STATUS_PATH, StandInFleet,
+    BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_INTERVAL, FleetPlan, STATUS_PATH, StandInFleet,
 };
 
 /// The time after which a gateway that lost its paths must serve its callers like the others.
@@ -18,6 +18,10 @@
 const LOST: [PathFault; 3] = [PathFault::Hangs, PathFault::Resets, PathFault::RefusesNew];
 
 async fn start(name: &str) -> StandInFleet {
+    start_with(name, EVENT_INTERVAL).await
+}
+
+async fn start_with(name: &str, event_interval: Duration) -> StandInFleet {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("lost_paths").join(name);
     std::fs::remove_dir_all(&folder).ok();
     let program = Path::new(env!("CARGO_BIN_EXE_sassafrashoist"));
@@ -27,6 +31,7 @@
         plain_count: 2,
         paid_tokens: 10_000_000,
         has_own_paths: true,
+        event_interval,
     };
     StandInFleet::start(program, &folder, plan).await.unwrap()
 }
