Move streams of a silent server on routes with two runs, after 1.5 s

What callers saw: a stream whose server fell silent midway stood still until its deadline, also when it might be resumed elsewhere and a server was free. Cause: the run in progress was counted twice, so that a route with maxAttempts 2, as the platform's routes have, never allowed the next one midway. Change: one count. The time is 1.5 s instead of 0.9 s: sound servers may be silent for a second, and callers leave after two.

--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -38,8 +38,9 @@
 /// The maximum number of events that are buffered for a slow caller.
 const EVENT_BUFFER_CAPACITY: usize = 16;
 /// How long a server may send nothing to any request before a stream that may be resumed continues
-/// at another server.
-const STREAM_UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(900);
+/// at another server: longer than the second for which sound servers may fall silent, shorter than
+/// the two seconds after which callers give up.
+const STREAM_UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// How long a segment of a stream has to go on, and the time between two reports of that.
 const GOING_ON_INTERVAL: Duration = Duration::from_secs(1);
@@ -271,7 +272,7 @@
     /// Forwards the events that one server sends until the segment ends.
     async fn forward_segment(&mut self, started: &mut StartedResponse) -> SegmentEnd {
         let unresponsive_timeout =
-            self.counts.allows_another_run(&self.request).then_some(STREAM_UNRESPONSIVE_TIMEOUT);
+            self.counts.allows_run(&self.request).then_some(STREAM_UNRESPONSIVE_TIMEOUT);
         let earlier_bytes = self.forwarded_bytes;
         let mut reported_at = self.context.now();
         loop {
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -114,6 +114,20 @@
     assert_eq!(runs, 3);
 }
 
+// The current run counted twice, so that a route with two runs waited for a silent server in vain.
+#[tokio::test]
+async fn a_stream_whose_server_falls_silent_continues_at_another_server() {
+    let fleet = start("silent", plan()).await;
+
+    for engine in 0..2 {
+        fleet.engines[engine].set_fault(ServerFault::CloseDelimitedStallsAfter(2));
+        let response = fleet.send(0, &format!("d{engine}"), &draft()).await.unwrap();
+        fleet.engines[engine].set_fault(ServerFault::None);
+
+        assert_eq!(String::from_utf8_lossy(&response.body), whole_stream());
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_may_run_once_ends_where_its_server_broke_it_off() {
     let fleet = start("broken_off", plan()).await;
--- a/crates/sassafrashoist/tests/testsuite/lost_paths.rs
+++ b/crates/sassafrashoist/tests/testsuite/lost_paths.rs
@@ -138,3 +138,32 @@
         assert_eq!(served, 20, "{name}");
     }
 }
+
+// What a server sent through other VMs hid that it sent nothing on the connections of a lost path.
+#[tokio::test]
+async fn streams_in_progress_go_on_while_the_paths_of_their_gateway_hang() {
+    let fleet = start_with("streams", Duration::from_millis(150)).await;
+    let draft = &requests()[0];
+    let ids = (0..6).map(|number| format!("stream-{number}"));
+    let streams = futures::future::join_all(ids.map(|id| {
+        let fleet = &fleet;
+        async move { fleet.send(0, &id, draft).await }
+    }));
+    let others = async {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        fleet.set_path_fault(0, PathFault::Hangs);
+        for number in 0.. {
+            count_served(&fleet, 0, &format!("other-{number}"), 1).await;
+        }
+    };
+
+    let streams = tokio::select! {
+        streams = streams => streams,
+        () = others => unreachable!("requests are sent without end"),
+    };
+
+    for stream in streams {
+        let stream = stream.unwrap();
+        assert!(is_served(&stream), "{stream:?}");
+    }
+}
