Replay lost paths at 7, 60 and 336 VMs, with three ways to treat requests

The decisions of core (server_paths, relay_vms) in virtual time: one VM, half, all but one and all of a data centre, and 45 in 100 VMs lose their paths, by connections that hang or are refused, for 12 s.

--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -11,6 +11,8 @@
 mod ledger_writer;
 mod limited_server_fleet;
 mod live_vms;
+mod lost_paths_over_vms;
+mod path_fleet;
 mod permit_bucket;
 mod pool_versions;
 mod recent_answers;
