--- a/crates/sassafrashoist-core/src/gateway/relay_vms.rs
+++ b/crates/sassafrashoist-core/src/gateway/relay_vms.rs
@@ -15,6 +15,11 @@
 const REMOTE_COST: f64 = 2.0;
 /// The cost of a VM in a data centre in which another VM has no path either.
 const SUSPECT_DATA_CENTRE_COST: f64 = 8.0;
+/// The cost of a VM that did not reach a server of the pool a moment ago: the server may have ended,
+/// or the VM may have lost its path and not know it yet.
+const DENIED_COST: f64 = 16.0;
+/// How long such a denial counts.
+const DENIED_TIME: Duration = Duration::from_secs(2);
 
 /// How long a VM without a path to a pool is not asked for connections to it.
 const NO_PATH_TIME: Duration = Duration::from_secs(2);
@@ -28,8 +33,12 @@
     Busy,
     /// It did not respond.
     NoResponse,
-    /// It does not know the request, the server or this VM.
-    Unknown,
+    /// It did not reach the server.
+    Denied,
+    /// It does not know the server.
+    UnknownServer,
+    /// It does not know this VM, or this kind of request.
+    NotServed,
 }
 
 impl RelayFailure {
@@ -37,9 +46,10 @@
     fn pause(self) -> Duration {
         match self {
             Self::NoPath => NO_PATH_TIME,
-            Self::Unknown => Duration::from_secs(1),
+            Self::Denied => DENIED_TIME,
+            Self::UnknownServer => Duration::ZERO,
             Self::Busy => Duration::from_millis(300),
-            Self::NoResponse => Duration::from_secs(3),
+            Self::NoResponse | Self::NotServed => Duration::from_secs(1),
         }
     }
 }
@@ -60,9 +70,15 @@
     paused_until: Uptime,
     /// Until when it counts as without a path to each pool.
     no_path_until: BTreeMap<PoolId, Uptime>,
+    /// Until when it counts as having denied a connection to each pool.
+    denied_until: BTreeMap<PoolId, Uptime>,
 }
 
 impl Helper {
+    fn has_denied(&self, pool_id: &str, now: Uptime) -> bool {
+        self.denied_until.get(pool_id).is_some_and(|until| now < *until)
+    }
+
     fn has_no_path(&self, pool_id: &str, now: Uptime) -> bool {
         self.no_path_until.get(pool_id).is_some_and(|until| now < *until)
     }
@@ -90,13 +106,16 @@
             self.is_usable(&vm.vm_id, target.pool_id, now) && !tried.contains(&vm.vm_id)
         });
         let costs = usable.enumerate().map(|(index, vm)| {
-            let open_count = self.helpers.get(&vm.vm_id).map_or(0, |helper| helper.open_count);
+            let helper = self.helpers.get(&vm.vm_id);
+            let open_count = helper.map_or(0, |helper| helper.open_count);
+            let has_denied = helper.is_some_and(|h| h.has_denied(target.pool_id, now));
             let is_remote = vm.data_centre_id != *target.data_centre_id;
             let is_suspect = suspect.contains(&vm.data_centre_id);
             let jitter = spread(random, index) as f64 / u64::MAX as f64;
             let cost = open_count as f64
                 + if is_remote { REMOTE_COST } else { 0.0 }
-                + if is_suspect { SUSPECT_DATA_CENTRE_COST } else { 0.0 };
+                + if is_suspect { SUSPECT_DATA_CENTRE_COST } else { 0.0 }
+                + if has_denied { DENIED_COST } else { 0.0 };
             (cost + jitter, vm)
         });
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, vm)| vm)
@@ -145,10 +164,14 @@
     ) {
         let helper = self.helpers.entry(vm_id.clone()).or_default();
         let until = now + failure.pause();
-        if failure == RelayFailure::NoPath {
-            helper.no_path_until.insert(pool_id.clone(), until);
-        } else {
-            helper.paused_until = until;
+        match failure {
+            RelayFailure::NoPath => {
+                helper.no_path_until.insert(pool_id.clone(), until);
+            }
+            RelayFailure::Denied => {
+                helper.denied_until.insert(pool_id.clone(), until);
+            }
+            _ => helper.paused_until = helper.paused_until.max(until),
         }
     }
 
--- a/crates/sassafrashoist/src/gateway/reach_server.rs
+++ b/crates/sassafrashoist/src/gateway/reach_server.rs
@@ -126,13 +126,17 @@
     let request = relay_request(context, listing, purpose);
     let mut tried = Vec::new();
     let mut denied_by = Vec::new();
+    // A VM that does not reach this server, or does not know it, may reach the others of the pool.
+    let mut is_pool_out_of_reach = true;
     for _ in 0..MAX_RELAYS_TRIED {
         let now = context.now();
         if now >= give_up_at {
             return Err("no time left");
         }
         let Some(helper) = choose_helper(context, &others, listing, &tried) else {
-            context.lock_paths().record_no_relay(&listing.pool_id, now);
+            if is_pool_out_of_reach {
+                context.lock_paths().record_no_relay(&listing.pool_id, now);
+            }
             break;
         };
         tried.push(helper.vm_id.clone());
@@ -150,21 +154,30 @@
         count_relay("failed");
         let failure = match outcome {
             Some(RelayOutcome::Refused | RelayOutcome::Unreachable) => {
+                is_pool_out_of_reach = false;
+                record_failure(context, &helper.vm_id, listing, RelayFailure::Denied);
                 denied_by.push(helper.vm_id);
                 if denied_by.len() < DENIALS_TO_CONFIRM {
                     continue;
                 }
-                context.lock_paths().record_confirmed_down(&listing.id, context.now());
-                return Err("not reached either");
+                break;
             }
             Some(RelayOutcome::NoPath) => RelayFailure::NoPath,
             Some(RelayOutcome::Busy) => RelayFailure::Busy,
-            Some(_) => RelayFailure::Unknown,
+            Some(RelayOutcome::UnknownServer) => {
+                is_pool_out_of_reach = false;
+                RelayFailure::UnknownServer
+            }
+            Some(RelayOutcome::UnknownSender | RelayOutcome::Reached) => RelayFailure::NotServed,
             None => RelayFailure::NoResponse,
         };
         record_failure(context, &helper.vm_id, listing, failure);
     }
-    Err(if denied_by.is_empty() { "no help" } else { "not reached either" })
+    if denied_by.is_empty() {
+        return Err("no help");
+    }
+    context.lock_paths().record_confirmed_down(&listing.id, context.now());
+    Err("not reached either")
 }
 
 fn choose_helper(
