Spare brittle servers: few VMs use each, and rejections are shared

What callers would see: a server that says Server-Brittle = N and has to turn more than N requests away in a second falls over, and its load knocks over the next one. Nothing read that header. While a server is brittle, seven VMs, selected by rendezvous hashing, use it, and each VM uses one server at least: their own requests are a large part of its load. They send only below 0.85 of its slots. After a rejection a VM pauses for its share of the rejections, and tells the other six, who pause for a moment and then send one request at a time. What no server can take is refused at once. Process test: both of two servers ended before (red), at most 2 falls now.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod account_totals;
 pub mod allocator_vms;
 pub mod append_pacing;
+pub mod brittle_users;
 pub mod clock_reading;
 pub mod crash_book;
 pub mod crash_outbox;
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -12,7 +12,7 @@
 
 use super::pool_versions::PoolVersions;
 use super::server_listing::ServerListing;
-use super::server_state::{ReportedLoad, ServerState};
+use super::server_state::{RejectedBy, ReportedLoad, ServerState};
 use super::stream_origins::StreamOrigin;
 use super::{PromptPartId, SoftwareVersion, Uptime};
 use crate::ids::{BackendServerId, DataCentreId, PoolId, Tokens};
@@ -47,6 +47,8 @@
 /// The longest time until the entry of a server that started again is read, while the list can be
 /// read.
 const MAX_ENTRY_DELAY: Duration = Duration::from_secs(3);
+/// The time after which the VMs that use a brittle server are selected anew.
+const BRITTLE_USE_INTERVAL: Duration = Duration::from_secs(1);
 /// The most parts of prompts that are remembered.
 const MAX_KEPT_PARTS: usize = 4_096;
 
@@ -343,6 +345,42 @@
         }
     }
 
+    /// Records how many rejections a second a server says that it stands; returns whether that is new.
+    pub fn record_brittle(&mut self, server_id: &str, max_rejections_per_s: Option<u32>) -> bool {
+        let Some(server) = self.servers.get_mut(server_id) else {
+            return false;
+        };
+        std::mem::replace(&mut server.max_rejections_per_s, max_rejections_per_s)
+            != max_rejections_per_s
+    }
+
+    /// Records whether this VM is one of the few that use a server while it is brittle.
+    pub fn record_brittle_use(&mut self, server_id: &str, is_used: bool, now: Uptime) {
+        if let Some(server) = self.servers.get_mut(server_id) {
+            server.is_used_while_brittle = is_used;
+            server.brittle_use_found_at = now;
+        }
+    }
+
+    /// Returns whether it should be found out again whether this VM uses a brittle server.
+    pub fn is_brittle_use_due(&self, server_id: &str, now: Uptime) -> bool {
+        self.servers
+            .get(server_id)
+            .is_some_and(|server| now >= server.brittle_use_found_at + BRITTLE_USE_INTERVAL)
+    }
+
+    /// Records that a server turned a request away; returns for how long this VM sends it none, if it
+    /// says that it fails after a few rejections. `random` is from 0 to 1.
+    pub fn record_rejection(
+        &mut self,
+        server_id: &str,
+        by: RejectedBy,
+        random: f64,
+        now: Uptime,
+    ) -> Option<Duration> {
+        self.servers.get_mut(server_id)?.record_rejection(by, random, now)
+    }
+
     /// Records what a response says about the limit of its server; returns the limit if it has
     /// changed. `sent_at` is when the request of that response was sent.
     pub fn record_limit(
@@ -394,8 +432,7 @@
         let Some(server) = self.servers.get_mut(server_id) else {
             return;
         };
-        let pending = server.pending_prefill_tokens;
-        server.pending_prefill_tokens = pending.saturating_sub(prefill_tokens);
+        server.end_pending(prefill_tokens);
         if prefill_tokens >= MIN_PREFILL_SAMPLE_TOKENS && !waited.is_zero() {
             let sample = prefill_tokens as f64 / (waited.as_secs_f64() * 1_000.0);
             self.prefill_tokens_per_ms +=
@@ -406,8 +443,7 @@
     /// Records that an attempt ended before a response started.
     pub fn record_no_response(&mut self, server_id: &str, prefill_tokens: Tokens) {
         if let Some(server) = self.servers.get_mut(server_id) {
-            let pending = server.pending_prefill_tokens;
-            server.pending_prefill_tokens = pending.saturating_sub(prefill_tokens);
+            server.end_pending(prefill_tokens);
         }
     }
 
@@ -436,6 +472,7 @@
             let is_recent = |s: &&ServerState| s.is_ending_recently(self.ending_use_time, now);
             usable = self.servers.values().filter(in_pool).filter(is_recent).collect();
         }
+        usable.retain(|s| s.max_rejections_per_s.is_none() || s.is_used_while_brittle);
         if usable.iter().any(|server| server.is_responsive(now)) {
             usable.retain(|server| server.is_responsive(now));
         }
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -21,6 +21,19 @@
 /// The time within which a failure rate decays to 1/e.
 const FAILURE_DECAY_S: f64 = 6.0;
 
+/// The part of the slots of a brittle server up to which requests are sent to it.
+const BRITTLE_LOAD: f64 = 0.85;
+/// How long a load report of a brittle server counts in full.
+const BRITTLE_REPORT_TIME: Duration = Duration::from_secs(1);
+/// The part of the rejections that a brittle server stands which all VMs together may cause.
+const BRITTLE_MARGIN: f64 = 0.4;
+/// The mean pause after a brittle server turned a request of another VM away.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(60);
+/// The longest mean pause after a brittle server turned a request of this VM away.
+const MAX_BRITTLE_PAUSE: Duration = Duration::from_secs(5);
+/// How long after a rejection a brittle server gets one request at a time from a VM.
+const BRITTLE_CAUTION_TIME: Duration = Duration::from_secs(5);
+
 /// The load that a server reported in a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -32,6 +45,18 @@
     pub slot_count: u32,
 }
 
+/// Whose request a server turned away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RejectedBy {
+    /// A request of this VM, one of so many.
+    ThisVm {
+        /// The number of VMs of the fleet.
+        vm_count: usize,
+    },
+    /// A request of another VM.
+    AnotherVm,
+}
+
 /// The state that the server directory maintains for one backend server.
 #[derive(Debug, Clone)]
 pub struct ServerState {
@@ -49,6 +74,16 @@
     pause_ends_at: Uptime,
     /// The limit that the server names in its responses.
     pub limit: ServerLimit,
+    /// How many requests the server can turn away in a second, from all VMs together, without
+    /// failing; `None` if it does not say so.
+    pub max_rejections_per_s: Option<u32>,
+    /// Whether this VM is one of the few that use the server while it is brittle.
+    pub(super) is_used_while_brittle: bool,
+    /// When that was found out last.
+    pub(super) brittle_use_found_at: Uptime,
+    rejected_at: Option<Uptime>,
+    /// Attempts whose response has not started.
+    pending_count: u32,
     next_permit_at: Uptime,
     pub(super) breaker: CircuitBreaker,
     pub(super) in_flight_count: u32,
@@ -71,6 +106,11 @@
             leaving_since: None,
             pause_ends_at: Uptime::ZERO,
             limit: ServerLimit::default(),
+            max_rejections_per_s: None,
+            is_used_while_brittle: true,
+            brittle_use_found_at: now,
+            rejected_at: None,
+            pending_count: 0,
             next_permit_at: Uptime::ZERO,
             breaker: CircuitBreaker::default(),
             in_flight_count: 0,
@@ -117,6 +157,20 @@
                 .as_ref()
                 .is_none_or(|version| *version == self.listing.software_version)
             && self.pause_left(now).is_zero()
+            && !(self.max_rejections_per_s.is_some() && self.may_reject(now))
+    }
+
+    /// Returns whether a server that fails after a few rejections may turn a request away.
+    fn may_reject(&self, now: Uptime) -> bool {
+        let is_rejecting = self.rejected_at.is_some_and(|at| now < at + BRITTLE_CAUTION_TIME);
+        let others = if now < self.reported_at + BRITTLE_REPORT_TIME {
+            self.other_vms_request_count
+        } else {
+            0.0
+        };
+        let load = f64::from(self.in_flight_count) + others;
+        let slots = f64::from(self.listing.slot_count.max(1));
+        (is_rejecting && self.pending_count > 0) || load + 1.0 > (slots * BRITTLE_LOAD).max(1.0)
     }
 
     /// Returns how long the server still wants no requests; zero if it takes them.
@@ -169,6 +223,7 @@
             self.last_activity_at = now;
         }
         self.in_flight_count += 1;
+        self.pending_count += 1;
         self.pending_prefill_tokens += prefill_tokens;
         self.breaker.begin_attempt();
     }
@@ -189,6 +244,36 @@
         self.last_activity_at = now;
     }
 
+    /// Records that the response of an attempt started, or that there is none.
+    pub(super) fn end_pending(&mut self, prefill_tokens: u64) {
+        self.pending_count = self.pending_count.saturating_sub(1);
+        self.pending_prefill_tokens = self.pending_prefill_tokens.saturating_sub(prefill_tokens);
+    }
+
+    /// Records that the server turned a request away; returns for how long this VM sends it none, if
+    /// the server says that it fails after a few rejections. `random` is from 0 to 1.
+    ///
+    /// A VM stays within its share of the rejections by its own; those of others say that the server
+    /// has no room now.
+    pub(super) fn record_rejection(
+        &mut self,
+        by: RejectedBy,
+        random: f64,
+        now: Uptime,
+    ) -> Option<Duration> {
+        let max_per_s = f64::from(self.max_rejections_per_s?.max(1)) * BRITTLE_MARGIN;
+        let pause = match by {
+            RejectedBy::ThisVm { vm_count } => {
+                Duration::from_secs_f64(vm_count.max(1) as f64 / max_per_s).min(MAX_BRITTLE_PAUSE)
+            }
+            RejectedBy::AnotherVm => NO_ROOM_PAUSE,
+        };
+        let pause = pause.mul_f64(0.5 + random);
+        self.rejected_at = Some(now);
+        self.record_pause(pause, now);
+        Some(pause)
+    }
+
     pub(super) fn record_pause(&mut self, pause: Duration, now: Uptime) {
         self.pause_ends_at = self.pause_ends_at.max(now.saturating_add(pause));
     }
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod allocator_vms;
 mod append_pacing;
+mod brittle_servers_over_vms;
 mod crash_book;
 mod crash_fleet;
 mod crash_outbox;
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 //! - [`report_server_end`] finds out whether a lost connection was the end of the server,
 //!   [`share_crashes`] tells all VMs under which request, and [`isolate_suspects`] keeps requests
 //!   that crash servers from them.
+//! - [`share_rejections`] tells all VMs of requests that a brittle server turned away.
 //! - [`share_stream_origin`] sends where a stream began to the VMs that keep it, and
 //!   [`find_stream_origin`] finds it when a caller resumes the stream.
 //! - [`serve_readiness`] serves the readiness check of the load balancer, [`serve_metrics`] the
@@ -75,6 +76,7 @@
 pub mod serve_request;
 pub mod share_crashes;
 pub mod share_limit;
+pub mod share_rejections;
 pub mod share_stream_origin;
 pub mod stream_origin_messages;
 pub mod token_book;
--- a/crates/sassafrashoist/src/gateway/peer_datagram.rs
+++ b/crates/sassafrashoist/src/gateway/peer_datagram.rs
@@ -3,6 +3,7 @@
 use sassafrashoist_core::gateway::crash_report::CrashReport;
 use serde::{Deserialize, Serialize};
 
+use super::share_rejections::ServerRejects;
 use super::stream_origin_messages::StreamBegun;
 
 /// The longest datagram; it fits into one packet.
@@ -17,4 +18,6 @@
     CrashReport(CrashReport),
     /// The digest of all crashes that the sender knows.
     CrashDigest(u64),
+    /// A server that fails after a few rejections has just turned a request away.
+    ServerRejects(ServerRejects),
 }
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, Response, Uri};
+use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use sassafrashoist_adapter::request_headers::{AttemptHeaders, encode_attempt};
@@ -22,6 +22,7 @@
 use super::report_server_end::report_lost_connection;
 use super::request_context::RequestContext;
 use super::share_limit::start_reporting;
+use super::share_rejections::{record_brittle, record_rejection};
 
 /// How long a connection of this VM may be silent when its path counts as lost. Old connections may
 /// live on while new ones do not open.
@@ -259,7 +260,12 @@
             slot.set_verdict(AttemptVerdict::Failed);
             AttemptStart::Failed(StartedResponse { response, framing, connection, slot })
         }
-        ResponseKind::NotRun => AttemptStart::NotRun("server refused"),
+        ResponseKind::NotRun => {
+            if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+                record_rejection(context, &slot);
+            }
+            AttemptStart::NotRun("server refused")
+        }
         ResponseKind::Misdirected => {
             context.lock_servers().mark_unlisted(slot.server_id(), now);
             AttemptStart::NotRun("another server has the address")
@@ -287,6 +293,7 @@
         log::info!(server = server_id; "server says that it leaves");
     }
     record_limit(context, slot, head, now);
+    record_brittle(context, slot.listing(), head.max_rejections_per_s);
     if let Some(pause) = head.pause {
         context.lock_servers().record_pause(server_id, pause, now);
         log::info!(
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -5,7 +5,7 @@
 
 use http::Method;
 use sassafrashoist_platform_stand_in::backend_server::{
-    Arrival, BackendServer, CrashTrigger, ServerFault, event_text,
+    Arrival, BackendServer, Brittle, CrashTrigger, ServerFault, event_text,
 };
 use sassafrashoist_platform_stand_in::caller::{BodyEnd, CallerRequest, CallerResponse, send};
 use sassafrashoist_platform_stand_in::endless_server::EndlessServer;
@@ -1237,3 +1237,28 @@
     let log = std::fs::read_to_string(&fleet.gateways[0].log_path).unwrap();
     assert!(!log.contains("request suspected of crashing a server"));
 }
+
+// A server that says it is brittle was sent requests until it had turned too many away, and ended.
+#[tokio::test]
+async fn brittle_servers_do_not_fall_under_more_requests_than_they_can_run() {
+    let fleet = start("brittle", FleetPlan { gateway_count: 3, ..plan() }).await;
+    let brittle = Brittle { max_rejections_per_s: 6, slot_count: 6 };
+    fleet.plain_servers.iter().for_each(|server| server.set_brittle(Some(brittle)));
+    let bid = bid();
+
+    // Two servers run 200 requests a second.
+    let sent = (0..1_200_u64).map(|number| {
+        let (fleet, bid) = (&fleet, &bid);
+        async move {
+            tokio::time::sleep(Duration::from_millis(number * 3)).await;
+            fleet.send(number as usize % 3, &format!("b{number}"), bid).await
+        }
+    });
+    let responses = futures::future::join_all(sent).await;
+
+    let falls: Vec<_> = fleet.plain_servers.iter().map(BackendServer::fall_count).collect();
+    let served = responses.iter().flatten().filter(|response| response.status == 200).count();
+    assert!(falls.iter().sum::<usize>() <= 2, "{falls:?}, {served} served");
+    assert!(fleet.plain_servers.iter().all(|server| !server.has_ended()), "{falls:?}");
+    assert!(served >= 200, "{served}");
+}
