--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -1262,3 +1262,55 @@
     assert!(fleet.plain_servers.iter().all(|server| !server.has_ended()), "{falls:?}");
     assert!(served >= 200, "{served}");
 }
+
+// Nothing that outlives the gateways names the version of a stream: a joined text would not show it.
+#[tokio::test]
+async fn no_stream_is_joined_from_two_versions_after_all_gateways_were_killed() {
+    let event_interval = Duration::from_millis(200);
+    let plan = FleetPlan { gateway_count: 3, engine_count: 4, event_interval, ..plan() };
+    for old_version_left in [false, true] {
+        let mut fleet = start(&format!("rejoined_{old_version_left}"), plan.clone()).await;
+        fleet.set_engine_version(1, "v2");
+        fleet.set_engine_version(3, "v2");
+        tokio::time::sleep(PROPAGATION_TIME * 2).await;
+        let ids: Vec<String> = (0..12).map(|number| format!("begun-{number}")).collect();
+        let addresses: Vec<_> = fleet.gateways.iter().map(|g| g.caller_address).collect();
+        let begun: Vec<_> = ids
+            .iter()
+            .enumerate()
+            .map(|(number, id)| {
+                let (id, address) = (id.clone(), addresses[number % 3]);
+                tokio::spawn(async move { send(address, &id, &draft()).await })
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+
+        fleet.gateways.iter_mut().for_each(|gateway| gateway.kill().unwrap());
+        if old_version_left {
+            [0, 2].iter().for_each(|engine| fleet.unlist_engine(*engine));
+        }
+        for gateway in &mut fleet.gateways {
+            gateway.kill_and_restart().await.unwrap();
+        }
+        let mut resumed_count = 0;
+        for (number, (id, begun)) in ids.iter().zip(begun).enumerate() {
+            let Ok(Ok(begun)) = begun.await else { continue };
+            let events = String::from_utf8_lossy(&begun.body).matches("\n\n").count();
+            if events == 0 || begun.is_complete() {
+                continue;
+            }
+            let mut request = draft();
+            request.headers.push(("resumes", id.clone()));
+            request.headers.push(("last-event-id", events.to_string()));
+            let resumed_id = format!("resumed-{number}");
+            let response = fleet.send(number % 3, &resumed_id, &request).await.unwrap();
+            resumed_count += 1;
+
+            let mut versions = fleet.versions_of(id);
+            versions.extend(fleet.versions_of(&resumed_id));
+            assert!(versions.len() <= 1, "{id} is joined from {versions:?}");
+            assert!([200, 503].contains(&response.status), "{response:?}");
+        }
+        assert!(resumed_count >= 6, "{resumed_count}");
+    }
+}
--- a/crates/sassafrashoist/tests/testsuite/lost_paths.rs
+++ b/crates/sassafrashoist/tests/testsuite/lost_paths.rs
@@ -4,7 +4,12 @@
 use std::time::Duration;
 
 use http::Method;
-use sassafrashoist_platform_stand_in::caller::{CallerRequest, CallerResponse};
+use sassafrashoist::gateway::relay_messages::{
+    RELAY_PATH, RelayOutcome, RelayPurpose, RelayRequest,
+};
+use sassafrashoist::gateway::send_message::send_message;
+use sassafrashoist_platform_stand_in::backend_server::ServerFault;
+use sassafrashoist_platform_stand_in::caller::{BodyEnd, CallerRequest, CallerResponse, send};
 use sassafrashoist_platform_stand_in::http_listener::PathFault;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
     BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_INTERVAL, FleetPlan, STATUS_PATH, StandInFleet,
@@ -167,3 +172,68 @@
         assert!(is_served(&stream), "{stream:?}");
     }
 }
+
+// A response without framing that is cut off between two VMs must not look complete.
+#[tokio::test]
+async fn responses_without_framing_through_a_helper_end_properly_only_if_they_are_whole() {
+    let mut fleet = start("framing").await;
+    let chat = requests()[1].clone();
+    fleet.set_path_fault(0, PathFault::RefusesNew);
+    send_for_contact_time(&fleet, 0, "framing").await;
+
+    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::CloseDelimited));
+    let whole = fleet.send(0, "whole", &chat).await.unwrap();
+    let stalls = ServerFault::CloseDelimitedStallsAfter(2);
+    fleet.engines.iter().for_each(|engine| engine.set_fault(stalls));
+    let address = fleet.gateways[0].caller_address;
+    let cut = tokio::spawn(async move { send(address, "cut", &chat).await });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.gateways[1].kill().unwrap();
+    fleet.gateways[2].kill().unwrap();
+    let cut = cut.await.unwrap().unwrap();
+
+    assert_eq!((whole.status, whole.end), (200, BodyEnd::Closed), "{whole:?}");
+    assert_eq!((cut.status, cut.end), (200, BodyEnd::Aborted), "{cut:?}");
+}
+
+// Only VMs of the fleet may use the connections of others to servers.
+#[tokio::test]
+async fn connection_for_a_sender_that_is_not_in_the_ledger_is_refused() {
+    let fleet = start("sender").await;
+    let served = count_served(&fleet, 0, "sender", 2).await;
+    let request = RelayRequest {
+        holder_id: "vm-0/0123456789abcdef".to_owned(),
+        server_id: fleet.engines[0].id.clone(),
+        started_at_unix_ms: 1,
+        purpose: RelayPurpose::Probe,
+    };
+
+    let response = send_message(fleet.gateways[1].peer_address, RELAY_PATH, &request).await;
+
+    let outcome: RelayOutcome = postcard::from_bytes(&response.unwrap()).unwrap();
+    assert_eq!((served, outcome), (8, RelayOutcome::UnknownSender));
+}
+
+// A sound server may send nothing for a second and go on.
+#[tokio::test]
+async fn requests_at_a_server_that_is_silent_for_a_second_run_once_and_are_served() {
+    let fleet = start_with("silence", Duration::from_millis(150)).await;
+    let [draft, chat, ..] = &requests();
+    let sent = (0..18).map(|number| {
+        let (fleet, request) = (&fleet, if number % 2 == 0 { draft } else { chat });
+        async move { fleet.send(number % 3, &format!("silent-{number}"), request).await.unwrap() }
+    });
+    let silence = async {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        (0..3).for_each(|path| fleet.engines[0].set_path_fault(path, PathFault::Hangs));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        (0..3).for_each(|path| fleet.engines[0].set_path_fault(path, PathFault::None));
+    };
+
+    let (responses, ()) = tokio::join!(futures::future::join_all(sent), silence);
+
+    assert!(responses.iter().all(is_served), "{responses:?}");
+    assert!(!fleet.engines[0].executed_requests().is_empty());
+    let runs: usize = fleet.engines.iter().map(|engine| engine.executed_requests().len()).sum();
+    assert_eq!(runs, responses.len());
+}
