--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -293,9 +293,13 @@
         lock(&self.tokens)
     }
 
-    /// Returns whether this VM can serve requests.
+    /// Returns whether this VM can serve requests: it has read the configuration, the server list and
+    /// the ledger.
     pub fn is_ready(&self) -> bool {
-        !self.draining.is_cancelled() && self.routes().is_some() && *lock(&self.servers_listed)
+        !self.draining.is_cancelled()
+            && self.routes().is_some()
+            && *lock(&self.servers_listed)
+            && self.lock_tokens().read_at.is_some()
     }
 
     /// Counts a caller's request, for the retry limit.
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -1172,8 +1172,12 @@
 
 /// Sends a draft, kills all engines in the middle of its stream, and starts them again.
 async fn lose_engines_under(fleet: &mut StandInFleet, id: &str, request: &CallerRequest) {
+    let runs_before = run_count(fleet);
     let kill = async {
-        tokio::time::sleep(Duration::from_millis(25)).await;
+        while run_count(fleet) == runs_before {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        tokio::time::sleep(EVENT_INTERVAL).await;
         fleet.engines.iter().for_each(BackendServer::kill);
     };
     let (response, ()) = tokio::join!(fleet.send(0, id, request), kill);
