Use a brittle server of other VMs if a request has no other

Cause, by reading: a stream that goes on needs a server of its version; if all of those are brittle and assigned to other VMs, it was refused although they had room. Change: the assignment binds only while the VM has a server of its own that fits the request.

--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -472,7 +472,11 @@
             let is_recent = |s: &&ServerState| s.is_ending_recently(self.ending_use_time, now);
             usable = self.servers.values().filter(in_pool).filter(is_recent).collect();
         }
-        usable.retain(|s| s.max_rejections_per_s.is_none() || s.is_used_while_brittle);
+        let uses_any =
+            |s: &ServerState| s.fits(requirements) && s.accepts_requests() && s.is_used();
+        if self.servers.values().any(uses_any) {
+            usable.retain(|server| server.is_used());
+        }
         if usable.iter().any(|server| server.is_responsive(now)) {
             usable.retain(|server| server.is_responsive(now));
         }
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -149,15 +149,25 @@
     /// Returns whether a request may be sent to the server as far as the requirements and a pause
     /// of the server are concerned.
     pub(super) fn may_take(&self, requirements: &ServerRequirements, now: Uptime) -> bool {
-        self.listing.pool_id == requirements.pool_id
+        self.fits(requirements)
             && !requirements.excluded.contains(&self.listing.id)
             && !(requirements.excludes_limited && self.limit.per_s().is_some())
+            && self.pause_left(now).is_zero()
+            && !(self.max_rejections_per_s.is_some() && self.may_reject(now))
+    }
+
+    /// Returns whether the server is of the pool and the software version that a request requires.
+    pub(super) fn fits(&self, requirements: &ServerRequirements) -> bool {
+        self.listing.pool_id == requirements.pool_id
             && requirements
                 .software_version
                 .as_ref()
                 .is_none_or(|version| *version == self.listing.software_version)
-            && self.pause_left(now).is_zero()
-            && !(self.max_rejections_per_s.is_some() && self.may_reject(now))
+    }
+
+    /// Returns whether this VM uses the server, which few VMs do while it is brittle.
+    pub(super) fn is_used(&self) -> bool {
+        self.max_rejections_per_s.is_none() || self.is_used_while_brittle
     }
 
     /// Returns whether a server that fails after a few rejections may turn a request away.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
@@ -228,3 +228,28 @@
     assert!(during.is_none());
     assert_eq!(after.unwrap().listing.id, "server-0");
 }
+
+// The only servers of a stream's version are brittle, and other VMs use them.
+#[test]
+fn brittle_server_that_other_vms_use_is_chosen_if_a_request_has_no_other() {
+    let mut directory = directory(3);
+    for index in 0..2 {
+        let id = listing(index).id;
+        directory.add_or_update(
+            ServerListing { software_version: "v2".to_owned(), ..listing(index) },
+            START,
+        );
+        directory.record_brittle(&id, Some(5));
+        directory.record_brittle_use(&id, false, START);
+    }
+    let of_version = |version: &str| ServerRequirements {
+        software_version: Some(version.to_owned()),
+        ..requirements_without_prefix()
+    };
+
+    let any = directory.choose(&requirements_without_prefix(), 1, START).unwrap();
+    let of_second = directory.choose(&of_version("v2"), 1, START).unwrap();
+
+    assert_eq!(any.listing.id, listing(2).id);
+    assert_eq!(of_second.listing.software_version, "v2");
+}
