End the sparing of a brittle server when it ends, at all VMs

Cause, found reading the diff: a VM that does not use a brittle server gets no response of it, and so never learned that it is no longer brittle: it would have left the server to the others for good. Change: a VM whose response no longer has the header tells all others; the statement counts for a minute otherwise. Pauses end with it.

--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -346,12 +346,14 @@
     }
 
     /// Records how many rejections a second a server says that it stands; returns whether that is new.
-    pub fn record_brittle(&mut self, server_id: &str, max_rejections_per_s: Option<u32>) -> bool {
-        let Some(server) = self.servers.get_mut(server_id) else {
-            return false;
-        };
-        std::mem::replace(&mut server.max_rejections_per_s, max_rejections_per_s)
-            != max_rejections_per_s
+    pub fn record_brittle(
+        &mut self,
+        server_id: &str,
+        max_rejections_per_s: Option<u32>,
+        now: Uptime,
+    ) -> bool {
+        let server = self.servers.get_mut(server_id);
+        server.is_some_and(|server| server.record_brittle(max_rejections_per_s, now))
     }
 
     /// Records whether this VM is one of the few that use a server while it is brittle.
@@ -473,9 +475,9 @@
             usable = self.servers.values().filter(in_pool).filter(is_recent).collect();
         }
         let uses_any =
-            |s: &ServerState| s.fits(requirements) && s.accepts_requests() && s.is_used();
+            |s: &ServerState| s.fits(requirements) && s.accepts_requests() && s.is_used(now);
         if self.servers.values().any(uses_any) {
-            usable.retain(|server| server.is_used());
+            usable.retain(|server| server.is_used(now));
         }
         if usable.iter().any(|server| server.is_responsive(now)) {
             usable.retain(|server| server.is_responsive(now));
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -31,6 +31,8 @@
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(60);
 /// The longest mean pause after a brittle server turned a request of this VM away.
 const MAX_BRITTLE_PAUSE: Duration = Duration::from_secs(5);
+/// How long a server counts as brittle after it said so: VMs that do not use it hear no more of it.
+const BRITTLE_TIME: Duration = Duration::from_secs(60);
 /// How long after a rejection a brittle server gets one request at a time from a VM.
 const BRITTLE_CAUTION_TIME: Duration = Duration::from_secs(5);
 
@@ -77,6 +79,7 @@
     /// How many requests the server can turn away in a second, from all VMs together, without
     /// failing; `None` if it does not say so.
     pub max_rejections_per_s: Option<u32>,
+    brittle_said_at: Uptime,
     /// Whether this VM is one of the few that use the server while it is brittle.
     pub(super) is_used_while_brittle: bool,
     /// When that was found out last.
@@ -107,6 +110,7 @@
             pause_ends_at: Uptime::ZERO,
             limit: ServerLimit::default(),
             max_rejections_per_s: None,
+            brittle_said_at: now,
             is_used_while_brittle: true,
             brittle_use_found_at: now,
             rejected_at: None,
@@ -153,7 +157,7 @@
             && !requirements.excluded.contains(&self.listing.id)
             && !(requirements.excludes_limited && self.limit.per_s().is_some())
             && self.pause_left(now).is_zero()
-            && !(self.max_rejections_per_s.is_some() && self.may_reject(now))
+            && !(self.is_brittle(now) && self.may_reject(now))
     }
 
     /// Returns whether the server is of the pool and the software version that a request requires.
@@ -165,9 +169,31 @@
                 .is_none_or(|version| *version == self.listing.software_version)
     }
 
+    /// Returns whether the server fails after a few rejections, as far as it is known.
+    fn is_brittle(&self, now: Uptime) -> bool {
+        self.max_rejections_per_s.is_some() && now < self.brittle_said_at + BRITTLE_TIME
+    }
+
     /// Returns whether this VM uses the server, which few VMs do while it is brittle.
-    pub(super) fn is_used(&self) -> bool {
-        self.max_rejections_per_s.is_none() || self.is_used_while_brittle
+    pub(super) fn is_used(&self, now: Uptime) -> bool {
+        !self.is_brittle(now) || self.is_used_while_brittle
+    }
+
+    /// Records how many rejections a second the server says that it stands; returns whether that is
+    /// new.
+    pub(super) fn record_brittle(
+        &mut self,
+        max_rejections_per_s: Option<u32>,
+        now: Uptime,
+    ) -> bool {
+        let is_new = self.max_rejections_per_s != max_rejections_per_s;
+        self.max_rejections_per_s = max_rejections_per_s;
+        self.brittle_said_at = now;
+        if max_rejections_per_s.is_none() && is_new {
+            self.rejected_at = None;
+            self.pause_ends_at = now;
+        }
+        is_new
     }
 
     /// Returns whether a server that fails after a few rejections may turn a request away.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/brittle_servers_over_vms.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/brittle_servers_over_vms.rs
@@ -121,7 +121,7 @@
                     let max_running = if now < CONTACT_TIME { 2 * SLOTS } else { SLOTS };
                     let is_served = servers[server].running < max_running;
                     if knows_brittle {
-                        vms[vm].record_brittle(&id, Some(MAX_REJECTIONS_PER_S));
+                        vms[vm].record_brittle(&id, Some(MAX_REJECTIONS_PER_S), now);
                     }
                     let running_count = servers[server].running.min(SLOTS);
                     let waiting_count = servers[server].running.saturating_sub(SLOTS);
@@ -163,7 +163,7 @@
                 vms[vm].record_load(&id, load, now);
             }
             Event::Notice { vm, server } => {
-                vms[vm].record_brittle(&server_id(server), Some(MAX_REJECTIONS_PER_S));
+                vms[vm].record_brittle(&server_id(server), Some(MAX_REJECTIONS_PER_S), now);
                 vms[vm].record_rejection(
                     &server_id(server),
                     RejectedBy::AnotherVm,
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/server_directory.rs
@@ -239,7 +239,7 @@
             ServerListing { software_version: "v2".to_owned(), ..listing(index) },
             START,
         );
-        directory.record_brittle(&id, Some(5));
+        directory.record_brittle(&id, Some(5), START);
         directory.record_brittle_use(&id, false, START);
     }
     let of_version = |version: &str| ServerRequirements {
@@ -253,3 +253,24 @@
     assert_eq!(any.listing.id, listing(2).id);
     assert_eq!(of_second.listing.software_version, "v2");
 }
+
+// A VM that does not use a brittle server gets no response of it that says that it no longer is.
+#[test]
+fn server_that_was_brittle_is_used_again_when_its_end_is_known_or_after_a_minute() {
+    let choose_of = |directory: &mut ServerDirectory, at| {
+        directory.choose(&requirements_without_prefix(), 1, at).unwrap().listing.id
+    };
+    let brittle = || {
+        let mut directory = directory(2);
+        directory.record_brittle("server-0", Some(5), START);
+        directory.record_brittle_use("server-0", false, START);
+        (0..40).for_each(|_| assert_eq!(choose_of(&mut directory, START), "server-1"));
+        directory
+    };
+    let (mut ended, mut forgotten) = (brittle(), brittle());
+
+    ended.record_brittle("server-0", None, START);
+
+    assert_eq!(choose_of(&mut ended, START), "server-0");
+    assert_eq!(choose_of(&mut forgotten, START + Duration::from_secs(61)), "server-0");
+}
--- a/crates/sassafrashoist/src/gateway/peer_datagram.rs
+++ b/crates/sassafrashoist/src/gateway/peer_datagram.rs
@@ -3,7 +3,7 @@
 use sassafrashoist_core::gateway::crash_report::CrashReport;
 use serde::{Deserialize, Serialize};
 
-use super::share_rejections::ServerRejects;
+use super::share_rejections::{BrittleEnd, ServerRejects};
 use super::stream_origin_messages::StreamBegun;
 
 /// The longest datagram; it fits into one packet.
@@ -20,4 +20,6 @@
     CrashDigest(u64),
     /// A server that fails after a few rejections has just turned a request away.
     ServerRejects(ServerRejects),
+    /// A server no longer says that it fails after a few rejections.
+    BrittleEnd(BrittleEnd),
 }
--- a/crates/sassafrashoist/src/gateway/receive_datagrams.rs
+++ b/crates/sassafrashoist/src/gateway/receive_datagrams.rs
@@ -7,7 +7,7 @@
 use super::gateway_context::GatewayContext;
 use super::peer_datagram::{MAX_DATAGRAM_BYTES, PeerDatagram};
 use super::share_crashes::{compare_digest, receive_report};
-use super::share_rejections::receive_rejection;
+use super::share_rejections::{receive_end, receive_rejection};
 
 /// Receives the datagrams of other VMs until cancelled.
 pub async fn receive_datagrams(context: Arc<GatewayContext>, socket: Arc<UdpSocket>) {
@@ -31,6 +31,7 @@
             }
             Ok(PeerDatagram::CrashReport(report)) => receive_report(&context, &report),
             Ok(PeerDatagram::ServerRejects(rejects)) => receive_rejection(&context, &rejects),
+            Ok(PeerDatagram::BrittleEnd(end)) => receive_end(&context, &end),
             Ok(PeerDatagram::CrashDigest(digest)) => compare_digest(&context, digest, sender),
             Err(error) => {
                 log::warn!(sender:% = sender, error:% = error; "malformed datagram");
--- a/crates/sassafrashoist/src/gateway/share_rejections.rs
+++ b/crates/sassafrashoist/src/gateway/share_rejections.rs
@@ -23,6 +23,15 @@
     pub max_rejections_per_s: u32,
 }
 
+/// Tells another VM that a server no longer says that it is brittle.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BrittleEnd {
+    /// The server.
+    pub server_id: BackendServerId,
+    /// When it started, in milliseconds since the Unix epoch.
+    pub started_at_unix_ms: u64,
+}
+
 /// Records that a server turned a request away. The VMs that use it pause if it says that it fails
 /// after a few rejections.
 pub fn record_rejection(context: &GatewayContext, slot: &ServerSlot) {
@@ -40,7 +49,8 @@
         started_at_unix_ms: slot.listing().started_at_unix_ms,
         max_rejections_per_s,
     };
-    send_to_users(context, &others, &users, rejects);
+    let to = others.iter().filter(|vm| users.selected.contains(&vm.vm_id));
+    send_to(context, to, &PeerDatagram::ServerRejects(rejects));
 }
 
 /// Records how many rejections a second a server says that it stands, and finds out whether this VM
@@ -50,14 +60,21 @@
     listing: &ServerListing,
     max_rejections_per_s: Option<u32>,
 ) {
-    let is_new = context.lock_servers().record_brittle(&listing.id, max_rejections_per_s);
+    let now = context.now();
+    let is_new = context.lock_servers().record_brittle(&listing.id, max_rejections_per_s, now);
     if is_new {
         log::info!(
             server = listing.id, max_rejections_per_s:? = max_rejections_per_s;
             "server says whether it fails after a few rejections"
         );
     }
-    let now = context.now();
+    if is_new && max_rejections_per_s.is_none() {
+        let end = BrittleEnd {
+            server_id: listing.id.clone(),
+            started_at_unix_ms: listing.started_at_unix_ms,
+        };
+        send_to(context, context.other_vms().iter(), &PeerDatagram::BrittleEnd(end));
+    }
     if max_rejections_per_s.is_some()
         && (is_new || context.lock_servers().is_brittle_use_due(&listing.id, now))
     {
@@ -81,15 +98,33 @@
 
 /// Records that a server turned a request of another VM away.
 pub fn receive_rejection(context: &GatewayContext, rejects: &ServerRejects) {
+    let max_rejections_per_s = Some(rejects.max_rejections_per_s);
+    if record_report(context, &rejects.server_id, rejects.started_at_unix_ms, max_rejections_per_s)
+    {
+        pause_server(context, &rejects.server_id, RejectedBy::AnotherVm);
+    }
+}
+
+/// Records that a server no longer says to another VM that it is brittle.
+pub fn receive_end(context: &GatewayContext, end: &BrittleEnd) {
+    record_report(context, &end.server_id, end.started_at_unix_ms, None);
+}
+
+/// Records what a server said to another VM; returns whether it is about the server that this VM
+/// knows under this id.
+fn record_report(
+    context: &GatewayContext,
+    server_id: &str,
+    started_at_unix_ms: u64,
+    max_rejections_per_s: Option<u32>,
+) -> bool {
     let mut servers = context.lock_servers();
-    let started_at =
-        servers.server(&rejects.server_id).map(|server| server.listing.started_at_unix_ms);
-    if started_at != Some(rejects.started_at_unix_ms) {
-        return;
+    let started_at = servers.server(server_id).map(|server| server.listing.started_at_unix_ms);
+    let is_known = started_at == Some(started_at_unix_ms);
+    if is_known {
+        servers.record_brittle(server_id, max_rejections_per_s, context.now());
     }
-    servers.record_brittle(&rejects.server_id, Some(rejects.max_rejections_per_s));
-    drop(servers);
-    pause_server(context, &rejects.server_id, RejectedBy::AnotherVm);
+    is_known
 }
 
 fn pause_server(context: &GatewayContext, server_id: &str, by: RejectedBy) {
@@ -106,27 +141,25 @@
     );
 }
 
-fn send_to_users(
+fn send_to<'a>(
     context: &GatewayContext,
-    others: &[FleetVm],
-    users: &BrittleUsers,
-    rejects: ServerRejects,
+    vms: impl Iterator<Item = &'a FleetVm>,
+    message: &PeerDatagram,
 ) {
-    let server_id = rejects.server_id.clone();
-    let datagram = match postcard::to_stdvec(&PeerDatagram::ServerRejects(rejects)) {
+    let datagram = match postcard::to_stdvec(message) {
         Ok(datagram) => datagram,
         Err(error) => {
-            log::error!(server = server_id, error:% = error; "failed to encode a rejection");
+            log::error!(error:% = error; "failed to encode a message about a brittle server");
             return;
         }
     };
-    for vm in others.iter().filter(|vm| users.selected.contains(&vm.vm_id)) {
+    for vm in vms {
         if let Some(socket) = context.datagram_socket()
             && let Err(error) = socket.try_send_to(&datagram, vm.peer_address)
         {
             log::info!(
-                server = server_id, vm = vm.vm_id, error:% = error;
-                "rejection not sent to another VM"
+                vm = vm.vm_id, error:% = error;
+                "message about a brittle server not sent to another VM"
             );
         }
     }
