--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -345,7 +345,7 @@
         }
     }
 
-    /// Records how many rejections a second a server says that it stands; returns whether that is new.
+    /// Records how many rejections a second a server says that it tolerates; returns whether that is new.
     pub fn record_brittle(
         &mut self,
         server_id: &str,
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -25,13 +25,14 @@
 const BRITTLE_LOAD: f64 = 0.85;
 /// How long a load report of a brittle server counts in full.
 const BRITTLE_REPORT_TIME: Duration = Duration::from_secs(1);
-/// The part of the rejections that a brittle server stands which all VMs together may cause.
+/// The part of the rejections that a brittle server tolerates which all VMs together may cause.
 const BRITTLE_MARGIN: f64 = 0.4;
 /// The mean pause after a brittle server turned a request of another VM away.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(60);
 /// The longest mean pause after a brittle server turned a request of this VM away.
 const MAX_BRITTLE_PAUSE: Duration = Duration::from_secs(5);
-/// How long a server counts as brittle after it said so: VMs that do not use it hear no more of it.
+/// How long a server counts as brittle after it said so; VMs that do not use it get no response that
+/// ends it.
 const BRITTLE_TIME: Duration = Duration::from_secs(60);
 /// How long after a rejection a brittle server gets one request at a time from a VM.
 const BRITTLE_CAUTION_TIME: Duration = Duration::from_secs(5);
@@ -179,7 +180,7 @@
         !self.is_brittle(now) || self.is_used_while_brittle
     }
 
-    /// Records how many rejections a second the server says that it stands; returns whether that is
+    /// Records how many rejections a second the server says that it tolerates; returns whether that is
     /// new.
     pub(super) fn record_brittle(
         &mut self,
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -60,6 +60,7 @@
 pub mod read_clocks;
 pub mod receive_datagrams;
 pub mod relay_messages;
+pub mod relay_use;
 pub mod report_server_end;
 pub mod request_context;
 pub mod request_tokens;
--- a/crates/sassafrashoist/src/gateway/reach_server.rs
+++ b/crates/sassafrashoist/src/gateway/reach_server.rs
@@ -14,6 +14,7 @@
 use super::http_connection::{Connection, NotConnected};
 use super::open_relay::{open_relay, relay_request};
 use super::relay_messages::{RelayOutcome, RelayPurpose};
+use super::relay_use::RelayUse;
 
 /// How long a connection to a backend server may take to open: many times the network latency, but
 /// less than the second after which TCP retransmits a lost first packet.
@@ -25,31 +26,6 @@
 /// How much longer than the request another VM keeps its connection.
 const RELAY_MARGIN: Duration = Duration::from_millis(500);
 
-/// A connection through another VM; dropping it frees that VM's share of the load.
-#[derive(Debug)]
-pub struct RelayUse {
-    context: Arc<GatewayContext>,
-    vm_id: VmId,
-}
-
-impl RelayUse {
-    fn begin(context: &Arc<GatewayContext>, vm_id: &VmId) -> Self {
-        context.lock_relays().begin(vm_id);
-        Self { context: Arc::clone(context), vm_id: vm_id.clone() }
-    }
-
-    /// Returns the VM.
-    pub fn vm_id(&self) -> &str {
-        &self.vm_id
-    }
-}
-
-impl Drop for RelayUse {
-    fn drop(&mut self) {
-        self.context.lock_relays().end(&self.vm_id);
-    }
-}
-
 /// The error when a server is reached neither by this VM nor through another.
 #[derive(Debug, thiserror::Error)]
 pub enum NotReached {
@@ -107,7 +83,7 @@
     }
     match relay(context, listing, time_left).await {
         Ok((connection, relay_use)) => {
-            context.record_path_lost(listing, &relay_use.vm_id, &direct);
+            context.record_path_lost(listing, relay_use.vm_id(), &direct);
             Ok((connection, Some(relay_use)))
         }
         Err(others) => Err(NotReached::Direct { direct, others }),
--- a/crates/sassafrashoist/src/gateway/share_rejections.rs
+++ b/crates/sassafrashoist/src/gateway/share_rejections.rs
@@ -53,7 +53,7 @@
     send_to(context, to, &PeerDatagram::ServerRejects(rejects));
 }
 
-/// Records how many rejections a second a server says that it stands, and finds out whether this VM
+/// Records how many rejections a second a server says that it tolerates, and finds out whether this VM
 /// uses it meanwhile.
 pub fn record_brittle(
     context: &GatewayContext,
