Log and publish how old the configuration of a refusal may be

The line of a 404 or 401 named the version that decided, but neither host nor path, nor when this VM last knew that no newer version existed, so that a route that is not there looked like a configuration that is old. ConfigAge in core records when a read reached the end of the topic, and the newest version that another VM has (no VM announces that yet). The line names all of that, and sassafrashoist_config_age_seconds shows the age before a caller meets it. Statuses are as before.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of a VM that stores no state of its own and gets all agreed state from a log service.
 //!
 //! - [`fleet_config`] and [`route_table`]: which requests are allowed and where they are routed.
+//! - [`config_age`]: whether the configuration that decides this may be old.
 //! - [`server_directory`]: the backend servers, their load and health, and the choice among them by
 //!   cost, rendezvous hashing and circuit breakers.
 //! - [`server_paths`] and [`relay_vms`]: which of these servers this VM reaches, and through which
@@ -31,6 +32,7 @@
 pub mod append_pacing;
 pub mod brittle_users;
 pub mod clock_reading;
+pub mod config_age;
 pub mod crash_book;
 pub mod crash_outbox;
 pub mod crash_report;
--- /dev/null
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/config_age.rs
@@ -0,0 +1,85 @@
+use std::time::Duration;
+
+use sassafrashoist_core::gateway::config_age::ConfigAge;
+
+const NOW: Duration = Duration::from_secs(100);
+const READ_WAIT: Duration = Duration::from_secs(1);
+
+fn age_of(version: u64) -> ConfigAge {
+    let mut age = ConfigAge::default();
+    age.record_active(version);
+    age.record_confirmed(NOW);
+    age
+}
+
+#[test]
+fn configuration_that_was_never_confirmed_is_doubtful() {
+    let mut age = ConfigAge::default();
+    age.record_active(11);
+
+    assert!(age.is_doubtful(NOW));
+    assert_eq!(age.unconfirmed_time(NOW), None);
+}
+
+// Reads that find nothing new confirm the configuration once a second.
+#[test]
+fn configuration_is_not_doubtful_between_two_reads_that_find_nothing_new() {
+    let age = age_of(11);
+
+    assert!(!age.is_doubtful(NOW + READ_WAIT + Duration::from_millis(400)));
+}
+
+#[test]
+fn configuration_is_doubtful_while_reads_fail_and_until_the_next_confirmation() {
+    let mut age = age_of(11);
+    let later = NOW + 2 * READ_WAIT;
+    assert!(age.is_doubtful(later));
+
+    age.record_confirmed(later);
+
+    assert!(!age.is_doubtful(later));
+}
+
+#[test]
+fn configuration_is_doubtful_while_another_vm_has_a_newer_one() {
+    let mut age = age_of(11);
+    age.record_heard(15, NOW);
+    age.record_heard(13, NOW);
+    assert_eq!((age.is_doubtful(NOW), age.newer_version()), (true, Some(15)));
+
+    age.record_active(15);
+
+    assert_eq!((age.is_doubtful(NOW), age.newer_version()), (false, None));
+}
+
+#[test]
+fn version_of_a_vm_that_is_behind_raises_no_doubt() {
+    let mut age = age_of(11);
+
+    age.record_heard(9, NOW);
+    age.record_heard(11, NOW);
+
+    assert!(!age.is_doubtful(NOW));
+}
+
+// A version that does not exist would have kept the VM in doubt for good.
+#[test]
+fn version_that_a_later_read_does_not_find_raises_no_doubt() {
+    let mut age = age_of(11);
+    age.record_heard(99, NOW + READ_WAIT);
+
+    age.record_confirmed(NOW + READ_WAIT / 2);
+    assert!(age.is_doubtful(NOW + READ_WAIT));
+    age.record_confirmed(NOW + 2 * READ_WAIT);
+
+    assert!(!age.is_doubtful(NOW + 2 * READ_WAIT));
+}
+
+#[test]
+fn late_confirmation_of_an_earlier_time_does_not_replace_a_newer_one() {
+    let mut age = age_of(11);
+
+    age.record_confirmed(NOW - READ_WAIT);
+
+    assert_eq!(age.unconfirmed_time(NOW), Some(Duration::ZERO));
+}
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod allocator_vms;
 mod append_pacing;
 mod brittle_servers_over_vms;
+mod config_age;
 mod crash_book;
 mod crash_fleet;
 mod crash_outbox;
--- a/crates/sassafrashoist/src/gateway/follow_config.rs
+++ b/crates/sassafrashoist/src/gateway/follow_config.rs
@@ -18,12 +18,22 @@
 
 /// Reads and applies fleet configurations until cancelled.
 pub async fn follow_config(context: Arc<GatewayContext>) {
-    follow_topic(context, CONFIG_TOPIC, MIN_READ_INTERVAL, |context, update| {
+    let mut read_after = context.now();
+    follow_topic(context, CONFIG_TOPIC, MIN_READ_INTERVAL, move |context, update| {
+        // A snapshot shows the topic as it was when the read began, and may take long to arrive.
+        let last_update_at = std::mem::replace(&mut read_after, context.now());
+        let confirmed_at = match &update {
+            TopicUpdate::Snapshot { .. } => Some(last_update_at),
+            TopicUpdate::Appended { is_at_end, .. } => is_at_end.then(|| context.now()),
+        };
         let (TopicUpdate::Snapshot { records, .. } | TopicUpdate::Appended { records, .. }) =
             update;
         if let Some(record) = records.iter().rfind(|record| record.key == CONFIG_KEY) {
             apply_config(context, record);
         }
+        if let Some(at) = confirmed_at {
+            context.lock_config_age().record_confirmed(at);
+        }
     })
     .await;
 }
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
+use sassafrashoist_core::gateway::config_age::ConfigAge;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
@@ -49,6 +50,7 @@
 pub struct GatewayContext {
     settings: Mutex<Arc<VmSettings>>,
     routes: Mutex<Option<Arc<RouteTable>>>,
+    config_age: Mutex<ConfigAge>,
     servers: Mutex<ServerDirectory>,
     servers_listed: Mutex<bool>,
     paths: Mutex<ServerPaths>,
@@ -100,6 +102,7 @@
         Arc::new(Self {
             settings: Mutex::new(Arc::new(settings)),
             routes: Mutex::default(),
+            config_age: Mutex::default(),
             servers: Mutex::new(directory),
             servers_listed: Mutex::default(),
             paths: Mutex::default(),
@@ -154,9 +157,18 @@
         if is_newer {
             *current = Some(Arc::clone(routes));
         }
+        drop(current);
+        if is_newer {
+            self.lock_config_age().record_active(routes.config().version);
+        }
         is_newer
     }
 
+    /// Locks what this VM knows of the age of its configuration.
+    pub fn lock_config_age(&self) -> MutexGuard<'_, ConfigAge> {
+        lock(&self.config_age)
+    }
+
     /// Locks the directory of backend servers.
     pub fn lock_servers(&self) -> MutexGuard<'_, ServerDirectory> {
         lock(&self.servers)
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //!   ([`obtain_tokens`]), send the request to backend servers until one responds ([`run_attempts`],
 //!   [`send_attempt`]), forward the response ([`forward_events`]), settle the used tokens
 //!   ([`token_reservation`]).
+//! - [`refuse_by_config`] describes the configuration that decided a refusal, and how old it may be.
 //! - [`topic_reader`] reads a topic of the log service and [`follow_topic`] keeps reading it;
 //!   [`follow_config`] and [`follow_servers`] apply the updates.
 //! - [`maintain_holding`] draws tokens from the ledger of prepaid tokens and returns them, by
@@ -59,6 +60,7 @@
 pub mod reach_server;
 pub mod read_clocks;
 pub mod receive_datagrams;
+pub mod refuse_by_config;
 pub mod relay_messages;
 pub mod relay_use;
 pub mod report_server_end;
--- a/crates/sassafrashoist/src/gateway/serve_metrics.rs
+++ b/crates/sassafrashoist/src/gateway/serve_metrics.rs
@@ -15,8 +15,17 @@
 
 /// Serves the metrics until cancelled.
 pub async fn serve_metrics(context: Arc<GatewayContext>, listener: TcpListener) {
-    serve_listener(listener, context.cancel.clone(), |_| {
+    let cancel = context.cancel.clone();
+    serve_listener(listener, cancel, move |_| {
+        publish_config_age(&context);
         std::future::ready(full_response(StatusCode::OK, HeaderMap::new(), render_metrics().into()))
     })
     .await;
 }
+
+/// Publishes how long ago this VM's configuration was the newest; infinite if that was never known.
+fn publish_config_age(context: &GatewayContext) {
+    let time = context.lock_config_age().unconfirmed_time(context.now());
+    let age_s = time.map_or(f64::INFINITY, |time| time.as_secs_f64());
+    metrics::gauge!("sassafrashoist_config_age_seconds").set(age_s);
+}
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -22,6 +22,7 @@
 use super::gateway_context::GatewayContext;
 use super::isolate_suspects::check_quarantine;
 use super::obtain_tokens::{NoTokens, WorstCase, obtain_tokens};
+use super::refuse_by_config::{RequestTarget, describe_target};
 use super::request_context::{RequestContext, ResumedStream};
 use super::response_body::{ResponseBody, full_response};
 use super::run_attempts::run_attempts;
@@ -124,10 +125,11 @@
         return refusal.into_response(&id, &"");
     };
     let version = routes.config().version;
+    let target = RequestTarget::of(&parts);
     let mut request = match resolve_request(&routes, parts, caller, arrived_at) {
         Ok(request) => request,
         Err(refusal) => {
-            return refusal.into_response(&id, &format_args!("configuration {version}"));
+            return refusal.into_response(&id, &describe_target(context, version, &target));
         }
     };
     match read_body(&request, context, routes.config().limits.max_body_bytes, body).await {
