Refuse for now what a configuration that may be old does not allow

A VM that was cut off from the log service, or that waited for its turn to read a large configuration, answered 404 and 401 for routes and keys that were in force; callers do not retry these. While ConfigAge is in doubt, or a newer version became active under the request, the VM answers 503 with Retry-After instead; nothing changes otherwise, and what the old configuration allows is served as before.

The process test got 404 before and gets 503, then 200, and 404 again for a path that no configuration had.

--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -8,7 +8,8 @@
 //!   ([`obtain_tokens`]), send the request to backend servers until one responds ([`run_attempts`],
 //!   [`send_attempt`]), forward the response ([`forward_events`]), settle the used tokens
 //!   ([`token_reservation`]).
-//! - [`refuse_by_config`] describes the configuration that decided a refusal, and how old it may be.
+//! - [`refuse_by_config`] refuses what the configuration does not allow; for now only, while it may be
+//!   old.
 //! - [`topic_reader`] reads a topic of the log service and [`follow_topic`] keeps reading it;
 //!   [`follow_config`] and [`follow_servers`] apply the updates.
 //! - [`maintain_holding`] draws tokens from the ledger of prepaid tokens and returns them, by
--- a/crates/sassafrashoist/src/gateway/refuse_by_config.rs
+++ b/crates/sassafrashoist/src/gateway/refuse_by_config.rs
@@ -1,13 +1,26 @@
-//! Describes the configuration that decided a refusal.
+//! Refuses requests that the active configuration does not allow.
+//!
+//! A VM whose configuration may be old does not know what the newest one allows. It refuses such a
+//! request for now, so that the caller retries it, at another VM. A request that the active
+//! configuration allows is served all the same: its key may have been revoked, or its route removed or
+//! moved, but refusing everything in doubt would turn an outage of the log service into one of the
+//! fleet.
 
-use std::fmt::Write;
+use std::fmt::{self, Display, Write};
+use std::time::Duration;
 
 use http::header::HOST;
 use http::request::Parts;
-use http::{HeaderValue, Uri};
+use http::{HeaderValue, Response, Uri};
 use sassafrashoist_core::gateway::ConfigVersion;
 
 use super::gateway_context::GatewayContext;
+use super::response_body::ResponseBody;
+use super::serve_request::Refusal;
+
+/// The retry delay while the configuration may be old. A retry reaches another VM, which may have
+/// the newest one; a bid has 600 ms for all of its attempts.
+const DOUBT_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// The longest host or path in a log line.
 const MAX_TEXT_CHARS: usize = 80;
@@ -38,8 +51,14 @@
     }
 }
 
+impl Display for RequestTarget {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "host {}, path {}", self.host_text(), self.path_text())
+    }
+}
+
 /// Describes the configuration that decided a refusal and how old it may be.
-pub fn describe_config(context: &GatewayContext, version: ConfigVersion) -> String {
+fn describe_config(context: &GatewayContext, version: ConfigVersion) -> String {
     let now = context.now();
     let age = context.lock_config_age();
     let mut text = match age.unconfirmed_time(now) {
@@ -53,12 +72,23 @@
     text
 }
 
-/// Describes the configuration that decided a refusal and the target of the request.
-pub fn describe_target(
+/// Responds to a request that is refused. If the configuration decided that and may be old, the
+/// request is refused for now.
+pub fn refuse_by_config(
     context: &GatewayContext,
     version: ConfigVersion,
-    target: &RequestTarget,
-) -> String {
-    let config = describe_config(context, version);
-    format!("{config}, host {}, path {}", target.host_text(), target.path_text())
+    refusal: Refusal,
+    id: &str,
+    subject: &dyn Display,
+) -> Response<ResponseBody> {
+    let detail = format!("{}, {subject}", describe_config(context, version));
+    // A newer version may have become active while the request was read.
+    let is_replaced = context.routes().is_some_and(|routes| routes.config().version != version);
+    let is_doubtful = is_replaced || context.lock_config_age().is_doubtful(context.now());
+    if !(refusal.is_by_config && is_doubtful) {
+        return refusal.into_response(id, &detail);
+    }
+    let reason = refusal.reason;
+    Refusal::retry_later(DOUBT_RETRY_AFTER, "configuration may be old")
+        .into_response(id, &format_args!("{reason}: {detail}"))
 }
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -22,7 +22,7 @@
 use super::gateway_context::GatewayContext;
 use super::isolate_suspects::check_quarantine;
 use super::obtain_tokens::{NoTokens, WorstCase, obtain_tokens};
-use super::refuse_by_config::{RequestTarget, describe_target};
+use super::refuse_by_config::{RequestTarget, refuse_by_config};
 use super::request_context::{RequestContext, ResumedStream};
 use super::response_body::{ResponseBody, full_response};
 use super::run_attempts::run_attempts;
@@ -45,12 +45,19 @@
     pub retry_after: Option<Duration>,
     /// The cause, which is also the response body and a metric label.
     pub reason: &'static str,
+    /// Whether the configuration decided, so that a newer one may allow the request.
+    pub is_by_config: bool,
 }
 
 impl Refusal {
     /// Creates a refusal of a request that the caller should not retry.
     pub fn new(status: StatusCode, reason: &'static str) -> Self {
-        Self { status, retry_after: None, reason }
+        Self { status, retry_after: None, reason, is_by_config: false }
+    }
+
+    /// Creates a refusal of a request that the configuration does not allow.
+    pub fn by_config(status: StatusCode, reason: &'static str) -> Self {
+        Self { is_by_config: true, ..Self::new(status, reason) }
     }
 
     /// Creates a refusal of a request that has not run; the caller may retry after `delay` plus
@@ -61,6 +68,7 @@
             status: StatusCode::SERVICE_UNAVAILABLE,
             retry_after: Some(delay.mul_f64(jitter)),
             reason,
+            is_by_config: false,
         }
     }
 
@@ -86,8 +94,8 @@
 impl From<NotAllowed> for Refusal {
     fn from(not_allowed: NotAllowed) -> Self {
         match not_allowed {
-            NotAllowed::NoRoute => Self::new(StatusCode::NOT_FOUND, "no route matches"),
-            NotAllowed::UnknownKey => Self::new(StatusCode::UNAUTHORIZED, "key is not known"),
+            NotAllowed::NoRoute => Self::by_config(StatusCode::NOT_FOUND, "no route matches"),
+            NotAllowed::UnknownKey => Self::by_config(StatusCode::UNAUTHORIZED, "key is not known"),
         }
     }
 }
@@ -129,7 +137,7 @@
     let mut request = match resolve_request(&routes, parts, caller, arrived_at) {
         Ok(request) => request,
         Err(refusal) => {
-            return refusal.into_response(&id, &describe_target(context, version, &target));
+            return refuse_by_config(context, version, refusal, &id, &target);
         }
     };
     match read_body(&request, context, routes.config().limits.max_body_bytes, body).await {
@@ -194,7 +202,7 @@
     let route = routes.find_route(host, parts.uri.path())?;
     let account = routes.authorise(route, caller.api_key.as_deref())?;
     let Some(pool_id) = route.choose_pool(rand::random()) else {
-        return Err(Refusal::new(StatusCode::NOT_FOUND, "route has no destination"));
+        return Err(Refusal::by_config(StatusCode::NOT_FOUND, "route has no destination"));
     };
     let timeout = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
     Ok(RequestContext {
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod bundles;
 mod gateway;
 mod lost_paths;
+mod old_config;
 mod outcomes;
 mod processes;
 mod recovery;
--- /dev/null
+++ b/crates/sassafrashoist/tests/testsuite/old_config.rs
@@ -0,0 +1,103 @@
+//! Tests of a gateway whose configuration may be old, because it cannot read the newest one.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use http::Method;
+use sassafrashoist_platform_stand_in::caller::{CallerRequest, CallerResponse};
+use sassafrashoist_platform_stand_in::log_service::LogFault;
+use sassafrashoist_platform_stand_in::stand_in_fleet::{
+    API_KEY, EVENT_INTERVAL, FleetPlan, STATUS_PATH, StandInFleet,
+};
+
+/// The time after which the reads that began before a fault have ended.
+const LAST_READ_TIME: Duration = Duration::from_millis(1_300);
+/// The time after the last read from which the configuration may be old, with a margin.
+const DOUBT_TIME: Duration = Duration::from_secs(2);
+/// How long a gateway may take to read the configuration when the log service is back, with a
+/// margin for a slow machine.
+const RECOVERY_TIME: Duration = Duration::from_secs(10);
+
+async fn start(name: &str, paid_tokens: u64) -> StandInFleet {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("old_config").join(name);
+    std::fs::remove_dir_all(&folder).ok();
+    let program = Path::new(env!("CARGO_BIN_EXE_sassafrashoist"));
+    let plan = FleetPlan {
+        gateway_count: 1,
+        engine_count: 2,
+        plain_count: 2,
+        paid_tokens,
+        has_own_paths: false,
+        event_interval: EVENT_INTERVAL,
+    };
+    StandInFleet::start(program, &folder, plan).await.unwrap()
+}
+
+fn get(path: &str, key: &str) -> CallerRequest {
+    CallerRequest { key: Some(key.to_owned()), ..CallerRequest::plain(Method::GET, path) }
+}
+
+async fn statuses(fleet: &StandInFleet, name: &str, requests: &[CallerRequest]) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for (number, request) in requests.iter().enumerate() {
+        let response = fleet.send(0, &format!("{name}-{number}"), request).await.unwrap();
+        statuses.push(response.status);
+    }
+    statuses
+}
+
+/// Repeats a request until it gets this status, for at most [`RECOVERY_TIME`].
+async fn send_until(fleet: &StandInFleet, request: &CallerRequest, status: u16) -> bool {
+    let sending = async {
+        for number in 0.. {
+            let response = fleet.send(0, &format!("until-{number}"), request).await.unwrap();
+            if response.status == status {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(RECOVERY_TIME, sending).await.is_ok()
+}
+
+fn assert_refused_for_now(response: &CallerResponse) {
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(response.body, b"configuration may be old".as_slice());
+    assert!(response.headers.contains_key("retry-after"), "{response:?}");
+}
+
+// A gateway that was cut off from the log service answered 404 and 401, which callers do not retry,
+// for a route and a key that had been added meanwhile.
+#[tokio::test]
+async fn what_a_newer_configuration_may_allow_is_refused_for_now() {
+    let mut fleet = start("route_and_key", 1_000_000).await;
+    let in_touch = [get("/none/1", API_KEY), get(STATUS_PATH, "no-key")];
+    for (number, fault) in [LogFault::Unresponsive, LogFault::Down].into_iter().enumerate() {
+        let (route, key) = (format!("added{number}"), format!("key-{number}"));
+        let added_route = get(&format!("/{route}/1?lot=7"), API_KEY);
+        let added_key = get(STATUS_PATH, &key);
+        assert_eq!(statuses(&fleet, "before", &in_touch).await, [404, 401]);
+
+        fleet.log.set_fault(fault);
+        tokio::time::sleep(LAST_READ_TIME).await;
+        fleet.add_route(&route, &[API_KEY, &key]);
+        tokio::time::sleep(DOUBT_TIME).await;
+        let by_route = fleet.send(0, "by-route", &added_route).await.unwrap();
+        let by_key = fleet.send(0, "by-key", &added_key).await.unwrap();
+        let allowed = statuses(&fleet, "allowed", &[get(STATUS_PATH, API_KEY)]).await;
+        fleet.log.set_fault(LogFault::None);
+
+        assert_refused_for_now(&by_route);
+        assert_refused_for_now(&by_key);
+        assert_eq!(allowed, [200]);
+        assert!(send_until(&fleet, &added_route, 200).await, "{fault:?}");
+        assert!(send_until(&fleet, &added_key, 200).await, "{fault:?}");
+        assert!(send_until(&fleet, &in_touch[0], 404).await, "{fault:?}");
+        assert!(send_until(&fleet, &in_touch[1], 401).await, "{fault:?}");
+    }
+    let log = fleet.gateways[0].read_log().unwrap();
+    let line = log.lines().find(|line| line.contains("by-route")).unwrap();
+    assert!(line.contains("no route matches: configuration "), "{line}");
+    assert!(line.contains("host desk.example, path /added0/1"), "{line}");
+    assert!(!line.contains("lot=7"), "{line}");
+}
