Refuse for now what exceeds limits of a configuration that may be old

A top-up and the longest body are part of the configuration: a VM that had not read the newest one answered 402 although its copy of the ledger was fresh, and 413, both final. While the configuration is in doubt they become 503 with Retry-After. The process test, in which only the topic of the configuration is out of reach, got 402 before and passes now. The limit on the header section is not covered: the HTTP library answers 431 itself.

--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -142,7 +142,7 @@
     };
     match read_body(&request, context, routes.config().limits.max_body_bytes, body).await {
         Ok(body) => request.set_body(body),
-        Err(refusal) => return refusal.into_response(&id, &""),
+        Err(refusal) => return refuse_by_config(context, version, refusal, &id, &target),
     }
     if request.is_resumption()
         && let Err(refusal) = resolve_stream(context, &routes, &mut request).await
@@ -166,7 +166,11 @@
         Ok(reservation) => reservation,
         Err(refusal) => {
             let account_id = request.account_id.as_deref().unwrap_or("-");
-            return refusal.into_response(&id, &format_args!("account {account_id}"));
+            let subject = format_args!("account {account_id}");
+            if !refusal.is_by_config {
+                return refusal.into_response(&id, &subject);
+            }
+            return refuse_by_config(context, version, refusal, &id, &subject);
         }
     };
     context.record_request(&request.pool_id);
@@ -270,7 +274,7 @@
     match tokio::time::timeout_at(context.instant(request.deadline), read).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long"))
+            Err(Refusal::by_config(StatusCode::PAYLOAD_TOO_LARGE, "body is too long"))
         }
         Ok(Err(error)) => {
             log::debug!(id = request.id(), error:% = error; "request body not read");
@@ -298,9 +302,10 @@
     let worst_case = WorstCase { prompt_tokens, output_tokens };
     match obtain_tokens(context, account_id, paid_tokens, worst_case).await {
         Ok(reservation) => Ok(Some(reservation)),
-        Err(NoTokens::Exhausted) => {
-            Err(Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget does not cover the request"))
-        }
+        Err(NoTokens::Exhausted) => Err(Refusal::by_config(
+            StatusCode::PAYMENT_REQUIRED,
+            "budget does not cover the request",
+        )),
         Err(NoTokens::OutOfReach(delay)) => {
             Err(Refusal::retry_later(delay, "tokens are out of reach"))
         }
--- a/crates/sassafrashoist/tests/testsuite/old_config.rs
+++ b/crates/sassafrashoist/tests/testsuite/old_config.rs
@@ -7,7 +7,7 @@
 use sassafrashoist_platform_stand_in::caller::{CallerRequest, CallerResponse};
 use sassafrashoist_platform_stand_in::log_service::LogFault;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    API_KEY, EVENT_INTERVAL, FleetPlan, STATUS_PATH, StandInFleet,
+    API_KEY, CHAT_PATH, CONFIG_TOPIC, EVENT_INTERVAL, FleetPlan, STATUS_PATH, StandInFleet,
 };
 
 /// The time after which the reads that began before a fault have ended.
@@ -101,3 +101,26 @@
     assert!(line.contains("host desk.example, path /added0/1"), "{line}");
     assert!(!line.contains("lot=7"), "{line}");
 }
+
+// The top-up and the limits are in the configuration too.
+#[tokio::test]
+async fn what_exceeds_a_limit_that_a_newer_configuration_may_raise_is_refused_for_now() {
+    let mut fleet = start("limits", 5_000).await;
+    let chat = CallerRequest::to_model(CHAT_PATH, 900, 100);
+    let too_long = CallerRequest { body: vec![b'x'; 70_000].into(), ..get(STATUS_PATH, API_KEY) };
+    assert!(send_until(&fleet, &chat, 402).await);
+    assert_eq!(statuses(&fleet, "before", std::slice::from_ref(&too_long)).await, [413]);
+
+    fleet.log.set_fault(LogFault::TopicDown(CONFIG_TOPIC));
+    tokio::time::sleep(LAST_READ_TIME).await;
+    fleet.top_up(50_000);
+    tokio::time::sleep(DOUBT_TIME).await;
+    let by_budget = fleet.send(0, "by-budget", &chat).await.unwrap();
+    let by_length = fleet.send(0, "by-length", &too_long).await.unwrap();
+    fleet.log.set_fault(LogFault::None);
+
+    assert_refused_for_now(&by_budget);
+    assert_refused_for_now(&by_length);
+    assert!(send_until(&fleet, &chat, 200).await);
+    assert!(send_until(&fleet, &too_long, 413).await);
+}
