Test that the gauge shows how old the configuration is

The age was published without a test that reads it as an operator would: a wrong name or a value that stands still would not have been noticed.

--- a/crates/sassafrashoist/tests/testsuite/old_config.rs
+++ b/crates/sassafrashoist/tests/testsuite/old_config.rs
@@ -124,3 +124,18 @@
     assert!(send_until(&fleet, &chat, 200).await);
     assert!(send_until(&fleet, &too_long, 413).await);
 }
+
+// The age shows a VM that is behind before a caller meets it.
+#[tokio::test]
+async fn gauge_shows_how_old_the_configuration_may_be() {
+    const GAUGE: &str = "sassafrashoist_config_age_seconds";
+    let fleet = start("gauge", 1_000_000).await;
+
+    let in_touch_s = fleet.gateways[0].read_gauge(GAUGE).await.unwrap();
+    fleet.log.set_fault(LogFault::Down);
+    tokio::time::sleep(LAST_READ_TIME + DOUBT_TIME).await;
+    let cut_off_s = fleet.gateways[0].read_gauge(GAUGE).await.unwrap();
+
+    assert!(in_touch_s < 1.5, "{in_touch_s}");
+    assert!(cut_off_s >= DOUBT_TIME.as_secs_f64(), "{cut_off_s}");
+}
