--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod allocator_vms;
 mod append_pacing;
 mod brittle_servers_over_vms;
+mod config_age;
 mod crash_book;
 mod crash_fleet;
 mod crash_outbox;
@@ -13,6 +14,7 @@
 mod limited_server_fleet;
 mod live_vms;
 mod lost_paths_over_vms;
+mod old_config_over_vms;
 mod path_fleet;
 mod permit_bucket;
 mod pool_versions;
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -22,6 +22,7 @@
 use super::gateway_context::GatewayContext;
 use super::isolate_suspects::check_quarantine;
 use super::obtain_tokens::{NoTokens, WorstCase, obtain_tokens};
+use super::refuse_by_config::{RequestTarget, refuse_by_config};
 use super::request_context::{RequestContext, ResumedStream};
 use super::response_body::{ResponseBody, full_response};
 use super::run_attempts::run_attempts;
@@ -44,12 +45,19 @@
     pub retry_after: Option<Duration>,
     /// The cause, which is also the response body and a metric label.
     pub reason: &'static str,
+    /// Whether the configuration decided, so that a newer one may allow the request.
+    pub is_by_config: bool,
 }
 
 impl Refusal {
     /// Creates a refusal of a request that the caller should not retry.
     pub fn new(status: StatusCode, reason: &'static str) -> Self {
-        Self { status, retry_after: None, reason }
+        Self { status, retry_after: None, reason, is_by_config: false }
+    }
+
+    /// Creates a refusal of a request that the configuration does not allow.
+    pub fn by_config(status: StatusCode, reason: &'static str) -> Self {
+        Self { is_by_config: true, ..Self::new(status, reason) }
     }
 
     /// Creates a refusal of a request that has not run; the caller may retry after `delay` plus
@@ -60,6 +68,7 @@
             status: StatusCode::SERVICE_UNAVAILABLE,
             retry_after: Some(delay.mul_f64(jitter)),
             reason,
+            is_by_config: false,
         }
     }
 
@@ -85,8 +94,8 @@
 impl From<NotAllowed> for Refusal {
     fn from(not_allowed: NotAllowed) -> Self {
         match not_allowed {
-            NotAllowed::NoRoute => Self::new(StatusCode::NOT_FOUND, "no route matches"),
-            NotAllowed::UnknownKey => Self::new(StatusCode::UNAUTHORIZED, "key is not known"),
+            NotAllowed::NoRoute => Self::by_config(StatusCode::NOT_FOUND, "no route matches"),
+            NotAllowed::UnknownKey => Self::by_config(StatusCode::UNAUTHORIZED, "key is not known"),
         }
     }
 }
@@ -124,15 +133,16 @@
         return refusal.into_response(&id, &"");
     };
     let version = routes.config().version;
+    let target = RequestTarget::of(&parts);
     let mut request = match resolve_request(&routes, parts, caller, arrived_at) {
         Ok(request) => request,
         Err(refusal) => {
-            return refusal.into_response(&id, &format_args!("configuration {version}"));
+            return refuse_by_config(context, version, refusal, &id, &target);
         }
     };
     match read_body(&request, context, routes.config().limits.max_body_bytes, body).await {
         Ok(body) => request.set_body(body),
-        Err(refusal) => return refusal.into_response(&id, &""),
+        Err(refusal) => return refuse_by_config(context, version, refusal, &id, &target),
     }
     if request.is_resumption()
         && let Err(refusal) = resolve_stream(context, &routes, &mut request).await
@@ -156,7 +166,11 @@
         Ok(reservation) => reservation,
         Err(refusal) => {
             let account_id = request.account_id.as_deref().unwrap_or("-");
-            return refusal.into_response(&id, &format_args!("account {account_id}"));
+            let subject = format_args!("account {account_id}");
+            if !refusal.is_by_config {
+                return refusal.into_response(&id, &subject);
+            }
+            return refuse_by_config(context, version, refusal, &id, &subject);
         }
     };
     context.record_request(&request.pool_id);
@@ -192,7 +206,7 @@
     let route = routes.find_route(host, parts.uri.path())?;
     let account = routes.authorise(route, caller.api_key.as_deref())?;
     let Some(pool_id) = route.choose_pool(rand::random()) else {
-        return Err(Refusal::new(StatusCode::NOT_FOUND, "route has no destination"));
+        return Err(Refusal::by_config(StatusCode::NOT_FOUND, "route has no destination"));
     };
     let timeout = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
     Ok(RequestContext {
@@ -260,7 +274,7 @@
     match tokio::time::timeout_at(context.instant(request.deadline), read).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long"))
+            Err(Refusal::by_config(StatusCode::PAYLOAD_TOO_LARGE, "body is too long"))
         }
         Ok(Err(error)) => {
             log::debug!(id = request.id(), error:% = error; "request body not read");
@@ -288,9 +302,10 @@
     let worst_case = WorstCase { prompt_tokens, output_tokens };
     match obtain_tokens(context, account_id, paid_tokens, worst_case).await {
         Ok(reservation) => Ok(Some(reservation)),
-        Err(NoTokens::Exhausted) => {
-            Err(Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget does not cover the request"))
-        }
+        Err(NoTokens::Exhausted) => Err(Refusal::by_config(
+            StatusCode::PAYMENT_REQUIRED,
+            "budget does not cover the request",
+        )),
         Err(NoTokens::OutOfReach(delay)) => {
             Err(Refusal::retry_later(delay, "tokens are out of reach"))
         }
