Decide how long and in which order a VM reads topics after an outage

A read of the log service was given up after 0.7 s, whatever the load, and repeated after 150 ms; the three topics of a VM competed. After a cut of all VMs, reads that were given up kept the service busy for good. ReadPatience doubles the timeout with each failure in a row, up to a limit that grows with the fleet; ReadPrecedence lets the configuration be read before servers and ledger, by at most 2 s. The delay after a failure is that of requests::backoff.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -12,7 +12,8 @@
 //!   requested ahead of demand.
 //! - [`ledger_writer`]: the append in progress, whose outcome may be unknown.
 //! - [`reclaim`]: the tokens that a previous incarnation whose process died cannot have used.
-//! - [`topic_cursor`]: the offset from which to read a topic of the log.
+//! - [`topic_cursor`]: the offset from which to read a topic of the log; [`read_patience`] and
+//!   [`read_precedence`]: how long a read waits, and which topic is read first after an outage.
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
 //! - [`stream_origins`] and [`pool_versions`]: the software version at which a stream may go on.
@@ -46,6 +47,8 @@
 pub mod permit_issuers;
 pub mod planned_record;
 pub mod pool_versions;
+pub mod read_patience;
+pub mod read_precedence;
 pub mod recent_answers;
 pub mod reclaim;
 pub mod relay_vms;
