Read topics of the log service in order, with patience and backoff

The readers of a VM gave up after 0.7 s without a byte, asked for all newest records again after a fixed 150 ms, and competed with one another. They now use ReadPatience, ReadPrecedence and the backoff of requests, and keep pages that were read completely. Appends wait 0.7 s as before. A read of the ledger ends when the VM stops, so that tokens are still returned in time.

`log service regained` names the failures in a row and the time; a metric counts reads that were given up.

--- a/crates/sassafrashoist/src/gateway/follow_topic.rs
+++ b/crates/sassafrashoist/src/gateway/follow_topic.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sassafrashoist_core::requests::backoff::retry_delay;
+
 use super::gateway_context::GatewayContext;
 use super::topic_connectivity::TopicConnectivity;
 use super::topic_reader::{TopicReader, TopicUpdate};
 
 /// How long a read waits for a record; bounds how late an unresponsive connection is detected.
 const READ_WAIT: Duration = Duration::from_millis(1_000);
-/// Delay after a failed read.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Reads a topic until cancelled and passes each update to `apply`; `min_interval` is the delay
 /// after a read that returned records.
@@ -25,7 +25,7 @@
     loop {
         match reader.read_update(READ_WAIT).await {
             Ok(update) => {
-                connectivity.record_success();
+                connectivity.record_success(context.now());
                 let is_empty =
                     matches!(&update, TopicUpdate::Appended { records, .. } if records.is_empty());
                 apply(&context, update);
@@ -34,8 +34,8 @@
                 }
             }
             Err(error) => {
-                connectivity.record_failure(&error);
-                tokio::time::sleep(RETRY_DELAY).await;
+                let failure_count = connectivity.record_failure(&error, context.now());
+                tokio::time::sleep(retry_delay(rand::random(), topic, failure_count)).await;
             }
         }
     }
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -10,6 +10,7 @@
 use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
+use sassafrashoist_core::gateway::read_precedence::{ReadPrecedence, TopicRank};
 use sassafrashoist_core::gateway::relay_vms::RelayVms;
 use sassafrashoist_core::gateway::retry_limiter::{RetryLimit, RetryLimiter};
 use sassafrashoist_core::gateway::route_table::RouteTable;
@@ -59,6 +60,8 @@
     permits: Mutex<PermitBook>,
     streams: Mutex<StreamOrigins>,
     crashes: Mutex<CrashBook>,
+    read_precedence: Mutex<ReadPrecedence>,
+    topic_read: Notify,
     datagram_socket: OnceLock<Arc<UdpSocket>>,
     started_instant: Instant,
     /// The VM's clocks when the process started.
@@ -110,6 +113,8 @@
             permits: Mutex::default(),
             streams: Mutex::default(),
             crashes: Mutex::default(),
+            read_precedence: Mutex::default(),
+            topic_read: Notify::new(),
             datagram_socket: OnceLock::new(),
             started_instant: Instant::now(),
             started_at: read_clocks(),
@@ -242,6 +247,33 @@
         );
     }
 
+    /// Locks the order in which the topics of the log service are read.
+    pub fn lock_read_precedence(&self) -> MutexGuard<'_, ReadPrecedence> {
+        lock(&self.read_precedence)
+    }
+
+    /// Waits until the newest records of a topic may be read.
+    pub async fn wait_for_earlier_topics(&self, rank: TopicRank) {
+        loop {
+            let topic_read = self.topic_read.notified();
+            let delayed_until = self.lock_read_precedence().record_ready(rank, self.now());
+            let Some(delayed_until) = delayed_until else {
+                return;
+            };
+            tokio::select! {
+                () = topic_read => {}
+                () = tokio::time::sleep_until(self.instant(delayed_until)) => {}
+            }
+        }
+    }
+
+    /// Records that a topic was read; the reads of other topics may have waited for that.
+    pub fn record_topic_read(&self, rank: TopicRank) {
+        if self.lock_read_precedence().record_current(rank) {
+            self.topic_read.notify_waiters();
+        }
+    }
+
     /// Locks the permits that this VM issues.
     pub fn lock_permits(&self) -> MutexGuard<'_, PermitBook> {
         lock(&self.permits)
@@ -353,6 +385,12 @@
         self.tokens_changed.notify_waiters();
     }
 
+    /// Returns the number of VMs in the ledger; `None` before it was read.
+    pub fn known_vm_count(&self) -> Option<usize> {
+        let tokens = self.lock_tokens();
+        tokens.read_at.map(|_| tokens.ledger.live_holders().count())
+    }
+
     /// Returns whether the ledger was read to its end recently.
     pub fn is_ledger_fresh(&self) -> bool {
         let read_at = self.lock_tokens().read_at;
--- a/crates/sassafrashoist/src/gateway/log_client.rs
+++ b/crates/sassafrashoist/src/gateway/log_client.rs
@@ -2,17 +2,18 @@
 
 use std::fmt::Display;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use futures::FutureExt;
 use http::header::HOST;
-use http::{HeaderMap, Request};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use sassafrashoist_adapter::log_calls::LogCall;
 use sassafrashoist_adapter::log_responses::{
     ERA_HEADER, LogError, NewestPage, RecordBatch, decode_append, decode_newest, decode_read,
 };
+use sassafrashoist_core::gateway::read_patience::ReadPatience;
 use sassafrashoist_core::ids::LogOffset;
 use sassafrashoist_platform::response_framing::ResponseFraming;
 
@@ -21,10 +22,9 @@
 
 /// How long a connection may take to open; the log service is one network hop away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long the service may send nothing, in addition to the time that a call lets it wait: 50
-/// times the usual response time. It does not limit the time of a whole response, because a long
-/// one takes longer on a link with little bandwidth.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long the service may send nothing in response to an append. It does not grow after failures,
+/// as that of a read does: what the holder of tokens may do depends on the outcome of the append.
+const APPEND_IDLE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The longest response; several times the longest that the service is asked for.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -41,20 +41,39 @@
     /// No response came; the call may have been executed, or may still be.
     #[error("no response from the log service: {0}")]
     NoResponse(String),
+    /// The service sent nothing for this time; the call may have been executed, or may still be.
+    #[error("no response from the log service: nothing received within {0:?}")]
+    TimedOut(Duration),
 }
 
 impl LogCallError {
     /// Returns whether the call may have been executed, or may still be.
     pub fn is_in_doubt(&self) -> bool {
-        matches!(self, Self::NoResponse(_) | Self::Response(LogError::Malformed(_)))
+        matches!(
+            self,
+            Self::NoResponse(_) | Self::TimedOut(_) | Self::Response(LogError::Malformed(_))
+        )
     }
 }
 
+/// A complete response.
+#[derive(Debug)]
+struct LogResponse {
+    status: u16,
+    body: Bytes,
+    /// The time from the call to the first part of the response.
+    response_time: Duration,
+}
+
 /// A client of the log service, with one connection.
+///
+/// A timeout does not limit the time of a whole response, because a long one takes longer on a link
+/// with little bandwidth.
 #[derive(Debug)]
 pub struct LogClient {
     context: Arc<GatewayContext>,
     connection: Option<Connection>,
+    patience: ReadPatience,
     era: Option<u64>,
     has_lost_records: bool,
 }
@@ -62,7 +81,13 @@
 impl LogClient {
     /// Creates a client that connects on the first call.
     pub fn new(context: Arc<GatewayContext>) -> Self {
-        Self { context, connection: None, era: None, has_lost_records: false }
+        Self {
+            context,
+            connection: None,
+            patience: ReadPatience::default(),
+            era: None,
+            has_lost_records: false,
+        }
     }
 
     /// Returns whether the log service has lost acknowledged records since the last call of this
@@ -71,20 +96,40 @@
         std::mem::take(&mut self.has_lost_records)
     }
 
-    /// Reads the newest record of each key of a topic; further reads start at `end` of the result.
+    /// Opens a connection unless there is one.
     ///
     /// # Errors
     ///
-    /// Fails if a page cannot be read.
-    pub async fn read_newest(&mut self, topic: &str) -> Result<NewestPage, LogCallError> {
-        let mut all = self.read_newest_page(topic, None).await?;
-        while all.has_more {
-            let last_key = all.records.last().map(|record| record.key.clone());
-            let page = self.read_newest_page(topic, last_key.as_deref()).await?;
-            all.has_more = page.has_more && !page.records.is_empty();
-            all.records.extend(page.records);
+    /// Fails if no connection can be opened.
+    pub async fn connect(&mut self) -> Result<(), LogCallError> {
+        if self.connection.is_none() {
+            let address = self.context.settings().log_service_address;
+            let connection = Connection::open(address, CONNECT_TIMEOUT)
+                .await
+                .map_err(|error| LogCallError::NotSent(error.to_string()))?;
+            self.connection = Some(connection);
         }
-        Ok(all)
+        Ok(())
+    }
+
+    /// Records that a read failed before its call.
+    pub fn record_failed_read(&mut self) {
+        self.patience.record_failure();
+    }
+
+    /// Reads a page of the newest record of each key of a topic, after the key `after` or from the
+    /// first key on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the page cannot be read.
+    pub async fn read_newest_page(
+        &mut self,
+        topic: &str,
+        after: Option<&str>,
+    ) -> Result<NewestPage, LogCallError> {
+        let response = self.call_read(LogCall::newest(topic, after), Duration::ZERO).await?;
+        Ok(decode_newest(response.status, &response.body)?)
     }
 
     /// Reads records from an offset on; the service waits up to `wait` if there are none yet.
@@ -98,8 +143,8 @@
         from: LogOffset,
         wait: Duration,
     ) -> Result<RecordBatch, LogCallError> {
-        let (status, body) = self.call(LogCall::read(topic, from, wait), wait).await?;
-        Ok(decode_read(status, body, from)?)
+        let response = self.call_read(LogCall::read(topic, from, wait), wait).await?;
+        Ok(decode_read(response.status, response.body, from)?)
     }
 
     /// Appends a record under a key if the topic ends at `at`; returns the new end.
@@ -116,17 +161,31 @@
         value: &[u8],
     ) -> Result<LogOffset, LogCallError> {
         let call = LogCall::append_at(topic, at, key, value);
-        let (status, body) = self.call(call, Duration::ZERO).await?;
-        Ok(decode_append(status, &body)?)
+        let response = self.call(call, Duration::ZERO, APPEND_IDLE_TIMEOUT).await?;
+        Ok(decode_append(response.status, &response.body)?)
     }
 
-    async fn read_newest_page(
+    /// Makes a call that reads; its timeout depends on the outcomes of earlier reads.
+    async fn call_read(
         &mut self,
-        topic: &str,
-        after: Option<&str>,
-    ) -> Result<NewestPage, LogCallError> {
-        let (status, body) = self.call(LogCall::newest(topic, after), Duration::ZERO).await?;
-        Ok(decode_newest(status, &body)?)
+        call: LogCall,
+        wait: Duration,
+    ) -> Result<LogResponse, LogCallError> {
+        let idle_timeout = self.patience.idle_timeout(self.context.known_vm_count());
+        let result = self.call(call, wait, idle_timeout).await;
+        match &result {
+            Ok(response) if is_unavailable(response.status) => self.patience.record_failure(),
+            Ok(response) => {
+                self.patience.record_response(response.response_time.saturating_sub(wait));
+            }
+            Err(error) => {
+                self.patience.record_failure();
+                if matches!(error, LogCallError::TimedOut(_)) {
+                    metrics::counter!("sassafrashoist_log_reads_given_up_total").increment(1);
+                }
+            }
+        }
+        result
     }
 
     fn record_era(&mut self, headers: &HeaderMap) {
@@ -140,15 +199,18 @@
         }
     }
 
-    async fn call(&mut self, call: LogCall, wait: Duration) -> Result<(u16, Bytes), LogCallError> {
+    async fn call(
+        &mut self,
+        call: LogCall,
+        wait: Duration,
+        idle_timeout: Duration,
+    ) -> Result<LogResponse, LogCallError> {
         metrics::counter!("sassafrashoist_log_calls_total").increment(1);
-        let address = self.context.settings().log_service_address;
-        let mut connection = match self.connection.take() {
-            Some(connection) => connection,
-            None => Connection::open(address, CONNECT_TIMEOUT)
-                .await
-                .map_err(|error| LogCallError::NotSent(error.to_string()))?,
+        self.connect().await?;
+        let Some(mut connection) = self.connection.take() else {
+            return Err(LogCallError::NotSent("no connection to the log service".to_owned()));
         };
+        let address = self.context.settings().log_service_address;
         let request = Request::builder()
             .method(call.method)
             .uri(call.path_and_query)
@@ -156,14 +218,16 @@
             .body(Full::new(call.body))
             .map_err(|error| LogCallError::NotSent(error.to_string()))?;
         // After a missing or partial response, the connection is not used for another call.
-        let response = with_timeout(wait + IDLE_TIMEOUT, connection.send(request)).await?;
+        let sent_at = Instant::now();
+        let response = with_timeout(wait + idle_timeout, connection.send(request)).await?;
+        let response_time = sent_at.elapsed();
         let status = response.status().as_u16();
         let framing = ResponseFraming::of(&response);
         self.record_era(response.headers());
         let mut body = response.into_body();
         let mut received = BytesMut::new();
         while let Some(frame) =
-            with_timeout(IDLE_TIMEOUT, body.frame().map(Option::transpose)).await?
+            with_timeout(idle_timeout, body.frame().map(Option::transpose)).await?
         {
             if let Some(data) = frame.data_ref() {
                 received.extend_from_slice(data);
@@ -178,7 +242,7 @@
         if framing.marks_end() {
             self.connection = Some(connection);
         }
-        Ok((status, received.freeze()))
+        Ok(LogResponse { status, body: received.freeze(), response_time })
     }
 }
 
@@ -189,6 +253,12 @@
 ) -> Result<T, LogCallError> {
     match tokio::time::timeout(timeout, part).await {
         Ok(result) => result.map_err(|error| LogCallError::NoResponse(error.to_string())),
-        Err(_) => Err(LogCallError::NoResponse(format!("nothing received within {timeout:?}"))),
+        Err(_) => Err(LogCallError::TimedOut(timeout)),
     }
 }
+
+/// Returns whether the service refused a call because it is busy or down.
+fn is_unavailable(status: u16) -> bool {
+    status == StatusCode::TOO_MANY_REQUESTS.as_u16()
+        || status == StatusCode::SERVICE_UNAVAILABLE.as_u16()
+}
--- a/crates/sassafrashoist/src/gateway/maintain_holding.rs
+++ b/crates/sassafrashoist/src/gateway/maintain_holding.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::WrapErr;
+use eyre::{WrapErr, bail};
 use sassafrashoist_adapter::log_calls::LEDGER_TOPIC;
 use sassafrashoist_adapter::log_responses::{KeyedRecord, LogError};
 use sassafrashoist_core::gateway::allocator_vms::AllocatorVms;
@@ -22,6 +22,7 @@
 use sassafrashoist_core::gateway::reclaim::close_previous_incarnation;
 use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::ids::LogOffset;
+use sassafrashoist_core::requests::backoff::retry_delay;
 use tokio_util::sync::CancellationToken;
 
 use super::gateway_context::GatewayContext;
@@ -54,7 +55,7 @@
 /// Syncs with the ledger until `finished`, when no request is in progress any more; then returns
 /// the remaining tokens.
 pub async fn maintain_holding(context: Arc<GatewayContext>, finished: CancellationToken) {
-    let mut maintainer = HoldingMaintainer::new(Arc::clone(&context));
+    let mut maintainer = HoldingMaintainer::new(Arc::clone(&context), finished.clone());
     while !finished.is_cancelled() {
         maintainer.sync().await;
         let role = maintainer.update_role();
@@ -64,7 +65,9 @@
         let interval = sync_interval(role);
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
-            () = context.ledger_wakeup.notified() => tokio::time::sleep(MIN_SYNC_INTERVAL).await,
+            () = context.ledger_wakeup.notified() => {
+                tokio::time::sleep(maintainer.min_interval()).await;
+            }
             () = finished.cancelled() => {}
         }
     }
@@ -83,6 +86,7 @@
 struct HoldingMaintainer {
     context: Arc<GatewayContext>,
     reader: TopicReader,
+    finished: CancellationToken,
     has_reclaimed: bool,
     writer: LedgerWriter,
     /// When the next record is due that nothing else needs sooner.
@@ -92,11 +96,12 @@
 }
 
 impl HoldingMaintainer {
-    fn new(context: Arc<GatewayContext>) -> Self {
+    fn new(context: Arc<GatewayContext>, finished: CancellationToken) -> Self {
         let reader = TopicReader::new(Arc::clone(&context), LEDGER_TOPIC);
         Self {
             context,
             reader,
+            finished,
             has_reclaimed: false,
             writer: LedgerWriter::default(),
             due_at: Uptime::ZERO,
@@ -118,18 +123,36 @@
     /// tokens.
     async fn sync(&mut self) {
         match self.read_and_append().await {
-            Ok(()) => self.connectivity.record_success(),
-            Err(error) => self.connectivity.record_failure(&format_args!("{error:#}")),
+            Ok(()) => self.connectivity.record_success(self.context.now()),
+            Err(_) if self.finished.is_cancelled() => {}
+            Err(error) => {
+                let now = self.context.now();
+                self.connectivity.record_failure(&format_args!("{error:#}"), now);
+            }
         }
         self.context.serve_waiting_requests();
     }
 
+    /// Returns the minimum time until the next sync, however many requests wait; after failures it
+    /// grows and has jitter.
+    fn min_interval(&self) -> Duration {
+        match self.connectivity.failure_count() {
+            0 => MIN_SYNC_INTERVAL,
+            count => retry_delay(rand::random(), LEDGER_TOPIC, count).max(MIN_SYNC_INTERVAL),
+        }
+    }
+
     async fn read_and_append(&mut self) -> eyre::Result<()> {
         for conflict_count in 0..MAX_APPEND_TRIES {
             if conflict_count > 0 {
                 self.wait_after_conflict(conflict_count).await;
             }
-            self.read_ledger().await?;
+            // The tokens have to be returned soon; a read that is given up changes nothing.
+            let finished = self.finished.clone();
+            tokio::select! {
+                result = self.read_ledger() => result?,
+                () = finished.cancelled() => bail!("this VM stops"),
+            }
             if !self.has_reclaimed && !self.reclaim().await? {
                 continue;
             }
@@ -159,6 +182,7 @@
 
     /// Appends the closing record of this incarnation, which returns its remaining tokens.
     async fn close(&mut self) {
+        self.reader.stop_waiting_for_other_topics();
         for _ in 0..MAX_APPEND_TRIES {
             if let Err(error) = self.read_ledger().await {
                 log::warn!(error:% = error; "failed to read the ledger while stopping");
--- a/crates/sassafrashoist/src/gateway/topic_reader.rs
+++ b/crates/sassafrashoist/src/gateway/topic_reader.rs
@@ -3,13 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sassafrashoist_adapter::log_responses::{KeyedRecord, LogError};
+use sassafrashoist_adapter::fleet_config_document::CONFIG_TOPIC;
+use sassafrashoist_adapter::log_responses::{KeyedRecord, LogError, NewestPage};
+use sassafrashoist_adapter::server_entry::SERVERS_TOPIC;
+use sassafrashoist_core::gateway::Uptime;
+use sassafrashoist_core::gateway::read_precedence::TopicRank;
 use sassafrashoist_core::gateway::topic_cursor::{NextRead, TopicCursor};
 use sassafrashoist_core::ids::LogOffset;
 
 use super::gateway_context::GatewayContext;
 use super::log_client::{LogCallError, LogClient};
 
+/// How long pages are kept that were read before a read of the newest records failed.
+const MAX_PAGE_AGE: Duration = Duration::from_secs(5);
+
 /// The result of one read of a topic.
 #[derive(Debug)]
 pub enum TopicUpdate {
@@ -38,14 +45,37 @@
     pub log_client: LogClient,
     context: Arc<GatewayContext>,
     topic: &'static str,
+    rank: TopicRank,
     cursor: TopicCursor,
+    /// The pages of a read of the newest records that is not complete, and when it began.
+    first_pages: Option<(Uptime, NewestPage)>,
+    waits_for_other_topics: bool,
 }
 
 impl TopicReader {
     /// Creates a reader of a topic that has not been read yet.
     pub fn new(context: Arc<GatewayContext>, topic: &'static str) -> Self {
         let log_client = LogClient::new(Arc::clone(&context));
-        Self { log_client, context, topic, cursor: TopicCursor::default() }
+        let rank = match topic {
+            CONFIG_TOPIC => TopicRank::Config,
+            SERVERS_TOPIC => TopicRank::Servers,
+            _ => TopicRank::Ledger,
+        };
+        Self {
+            log_client,
+            context,
+            topic,
+            rank,
+            cursor: TopicCursor::default(),
+            first_pages: None,
+            waits_for_other_topics: true,
+        }
+    }
+
+    /// Lets the next reads start without waiting until other topics are read: this VM is about to
+    /// stop.
+    pub fn stop_waiting_for_other_topics(&mut self) {
+        self.waits_for_other_topics = false;
     }
 
     /// Records that this VM itself appended the records before `end`, which need not be read.
@@ -59,18 +89,30 @@
     ///
     /// Fails if a call fails; the next read continues from the same position.
     pub async fn read_update(&mut self, wait: Duration) -> Result<TopicUpdate, LogCallError> {
-        let update = self.read_at_cursor(wait).await;
-        if !self.log_client.take_loss_of_records() {
-            return update;
+        let mut update = self.read_at_cursor(wait).await;
+        if self.log_client.take_loss_of_records() {
+            // The offsets of the cursor may name other records now.
+            self.cursor.record_trimmed();
+            self.first_pages = None;
+            update = self.read_at_cursor(Duration::ZERO).await;
+        }
+        if update.is_ok() {
+            self.context.record_topic_read(self.rank);
         }
-        // The offsets of the cursor may name other records now.
-        self.cursor.record_trimmed();
-        self.read_at_cursor(Duration::ZERO).await
+        update
     }
 
     async fn read_at_cursor(&mut self, wait: Duration) -> Result<TopicUpdate, LogCallError> {
+        if let Err(error) = self.log_client.connect().await {
+            self.log_client.record_failed_read();
+            self.context.lock_read_precedence().record_disconnected(self.rank);
+            return Err(error);
+        }
         let NextRead::From(from) = self.cursor.next_read(self.context.now()) else {
-            let page = self.log_client.read_newest(self.topic).await?;
+            if self.waits_for_other_topics {
+                self.context.wait_for_earlier_topics(self.rank).await;
+            }
+            let page = self.read_newest().await?;
             self.cursor.record_newest(page.end, self.context.now());
             return Ok(TopicUpdate::Snapshot { records: page.records, end: page.end });
         };
@@ -88,4 +130,29 @@
             }
         }
     }
+
+    /// Reads the newest record of each key; further reads start at `end` of the result. After a
+    /// failure, the next call continues after the last page that was read.
+    async fn read_newest(&mut self) -> Result<NewestPage, LogCallError> {
+        let now = self.context.now();
+        self.first_pages.take_if(|(begun_at, _)| now >= *begun_at + MAX_PAGE_AGE);
+        loop {
+            let last_record = self.first_pages.as_ref().and_then(|(_, all)| all.records.last());
+            let last_key = last_record.map(|record| record.key.clone());
+            let page = self.log_client.read_newest_page(self.topic, last_key.as_deref()).await?;
+            let has_more = page.has_more && !page.records.is_empty();
+            let (begun_at, mut all) = match self.first_pages.take() {
+                Some((begun_at, mut all)) => {
+                    all.records.extend(page.records);
+                    (begun_at, all)
+                }
+                None => (self.context.now(), page),
+            };
+            all.has_more = has_more;
+            if !has_more {
+                return Ok(all);
+            }
+            self.first_pages = Some((begun_at, all));
+        }
+    }
 }
--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -20,6 +20,8 @@
 /// How long a change in the log service may take to become active, with a margin for a slow
 /// machine.
 const PROPAGATION_TIME: Duration = Duration::from_millis(800);
+/// Responses that come later than a read waits for them without earlier failures.
+const LATE_RESPONSES: LogFault = LogFault::LateFirstByte { delay: Duration::from_millis(1_500) };
 
 fn plan() -> FleetPlan {
     FleetPlan {
@@ -265,6 +267,59 @@
     assert_eq!(response.status, 200);
 }
 
+// A service that many VMs read at once responds late; a read that is always given up before that
+// never ends.
+#[tokio::test]
+async fn the_newest_configuration_is_active_although_the_log_service_responds_late_after_an_outage()
+{
+    let mut fleet = start("late", plan()).await;
+    fleet.log.set_fault(LogFault::Down);
+    fleet.change_keys(&["another-key"]);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    fleet.log.set_fault(LATE_RESPONSES);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let new_key = CallerRequest { key: Some("another-key".to_owned()), ..bid() };
+    let response = fleet.send(0, "b1", &new_key).await.unwrap();
+
+    assert_eq!(response.status, 200);
+}
+
+#[tokio::test]
+async fn a_configuration_that_changes_while_the_log_service_responds_late_is_active() {
+    let mut fleet = start("late_all_along", plan()).await;
+    fleet.log.set_fault(LATE_RESPONSES);
+    tokio::time::sleep(Duration::from_secs(8)).await;
+
+    fleet.change_keys(&["another-key"]);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let new_key = CallerRequest { key: Some("another-key".to_owned()), ..bid() };
+    let response = fleet.send(0, "b1", &new_key).await.unwrap();
+
+    let log = fleet.gateways[0].read_log().unwrap();
+    assert_eq!(response.status, 200, "{log}");
+}
+
+#[tokio::test]
+async fn a_topic_that_is_readable_again_is_reported_with_the_failures_and_the_time() {
+    let fleet = start("regained", plan()).await;
+    fleet.log.set_fault(LogFault::Down);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    fleet.log.set_fault(LogFault::None);
+    tokio::time::sleep(PROPAGATION_TIME * 2).await;
+
+    let log = fleet.gateways[0].read_log().unwrap();
+    let lines = |message: &str| {
+        let is_of_config = |line: &&str| line.contains(message) && line.contains("keyed.op");
+        log.lines().filter(is_of_config).collect::<Vec<_>>()
+    };
+    let regained = lines("log service regained");
+    assert_eq!((lines("log service lost").len(), regained.len()), (1, 1), "{log}");
+    assert!(regained[0].contains("failures"), "{}", regained[0]);
+    assert!(regained[0].contains("lost_ms"), "{}", regained[0]);
+}
+
 #[tokio::test]
 async fn tokens_of_a_vm_that_stops_while_disconnected_are_spent_by_another() {
     let plan = FleetPlan { gateway_count: 2, paid_tokens: 60_000, ..plan() };
