Let client VMs hand over their excess tokens instead of returning them by a record

A VM that drew before the fleet grew past 16 VMs returned its excess by a record that moves tokens. Such a record cannot be moved to the new end of the ledger as the records of other VMs are, so it lost each race, and while it was planned its tokens could neither be used nor sent. A record of a client VM now moves no tokens unless more is drawn than was paid for. What the VM does not need soon goes to the allocators of its data centre, the accounts spread over them, where all client VMs chose the same one.

--- a/crates/sassafrashoist-core/src/gateway/account_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/account_holding.rs
@@ -47,8 +47,16 @@
 const MAX_LIMIT_S: f64 = 1.7;
 /// The fraction of the expected use allowed at once by which a spending limit grows each second.
 const LIMIT_GROWTH_PER_S: f64 = 0.4;
-/// The number of typical requests whose tokens a VM that does not draw aims to hold.
+/// The number of typical requests whose use a VM that does not draw expects.
 const CLIENT_HELD_REQUESTS: f64 = 1.0;
+/// The time for whose use a VM that does not draw keeps tokens; longer than it prefetches them for.
+const CLIENT_KEPT_S: f64 = 2.0;
+/// The number of typical requests whose tokens a VM that does not draw keeps.
+const CLIENT_KEPT_REQUESTS: f64 = 2.0;
+/// The multiple of the kept tokens above which a VM that does not draw sends the rest to others.
+const CLIENT_HIGH_FACTOR: f64 = 2.0;
+/// Time after which tokens received for requests weigh 1/e in their recent rate, in seconds.
+const RECEIPT_DECAY_S: f64 = 1.0;
 /// The weight of one request in the moving average of request sizes.
 const SIZE_SAMPLE_WEIGHT: f64 = 0.1;
 /// The number of typical requests that a spending limit allows in addition if it allows the use of
@@ -84,6 +92,7 @@
     time_to_exhaustion_s: f64,
     typical_request_tokens: f64,
     use_rate: FlowRate,
+    receipt_rate: FlowRate,
 }
 
 impl AccountHolding {
@@ -160,6 +169,23 @@
         self.use_rate.per_second(USE_DECAY_S, now)
     }
 
+    /// Counts tokens as received now for requests that wait or are expected.
+    pub(super) fn record_receipt(&mut self, tokens: Tokens, now: Uptime) {
+        self.received_tokens += tokens;
+        self.receipt_rate.add(tokens, RECEIPT_DECAY_S, now);
+        self.last_active_at = now;
+    }
+
+    /// Returns the spendable tokens that a VM that does not draw will not need soon.
+    pub(super) fn excess_tokens(&self, ages: LimitAges, now: Uptime) -> Tokens {
+        let spendable = self.spendable_tokens(ages).max(0) as Tokens;
+        let need_per_s =
+            self.use_per_s(now).max(self.receipt_rate.per_second(RECEIPT_DECAY_S, now));
+        let kept =
+            (CLIENT_KEPT_S * need_per_s).max(CLIENT_KEPT_REQUESTS * self.typical_request_tokens);
+        if spendable as f64 > CLIENT_HIGH_FACTOR * kept { spendable - kept as Tokens } else { 0 }
+    }
+
     /// Returns the moving average of the tokens that a request needs.
     pub(super) fn typical_request_tokens(&self) -> f64 {
         self.typical_request_tokens
@@ -209,9 +235,12 @@
         if undrawn < 0 {
             return undrawn.max(-available.max(0));
         }
+        if !fleet.draws_tokens {
+            // A record that moves tokens has to be planned anew after each append of another VM.
+            return 0;
+        }
         let demand = self.demand_tokens as i64;
-        if fleet.draws_tokens && (available < demand || (available as f64) < LOW_FRACTION * target)
-        {
+        if available < demand || (available as f64) < LOW_FRACTION * target {
             let missing = (target as i64 - available).max(demand - available);
             let max_draw = (undrawn as f64 * MAX_DRAW_FRACTION) as i64;
             let drawn = missing.min(max_draw.max(demand)).clamp(0, undrawn);
--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 pub mod crash_trials;
 pub mod fleet_config;
 pub mod flow_rate;
+pub mod hand_over;
 pub mod holder_record;
 pub mod holder_role;
 pub mod ledger_writer;
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -261,15 +261,20 @@
         parts
     }
 
-    /// Deducts the tokens of accounts without recent reservations and returns them to send to
-    /// another VM. Used by VMs that do not draw: other VMs search for tokens at the allocators, and
-    /// tokens that are held here are lost if this process dies.
+    /// Deducts the tokens of accounts without recent reservations, and of other accounts those that
+    /// will not be needed soon, and returns them to send to another VM. Used by VMs that do not draw:
+    /// other VMs search for tokens at the allocators, and tokens that are held here are lost if this
+    /// process dies.
     pub fn send_idle_tokens(&mut self, now: Uptime) -> Vec<AccountTokens> {
         let ages = self.limit_periods.ages(now);
         let mut sent = Vec::new();
         for (account_id, holding) in &mut self.accounts {
-            let idle = holding.spendable_tokens(ages).max(0) as Tokens;
-            if idle > 0 && now >= holding.last_active_at + IDLE_AFTER {
+            let idle = if now >= holding.last_active_at + IDLE_AFTER {
+                holding.spendable_tokens(ages).max(0) as Tokens
+            } else {
+                holding.excess_tokens(ages, now)
+            };
+            if idle > 0 {
                 holding.sent_tokens += idle;
                 sent.push((account_id.clone(), idle));
             }
@@ -279,10 +284,8 @@
 
     /// Adds tokens that another VM sent for a request.
     pub fn receive_tokens_for_request(&mut self, account_id: &str, tokens: Tokens, now: Uptime) {
-        self.receive_tokens(account_id, tokens);
-        if let Some(holding) = self.accounts.get_mut(account_id) {
-            holding.last_active_at = now;
-        }
+        let holding = self.accounts.entry(account_id.to_owned()).or_default();
+        holding.record_receipt(tokens, now);
     }
 
     /// Adds tokens that another VM sent.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/allocator_vms.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/allocator_vms.rs
@@ -8,7 +8,7 @@
 
 const DATA_CENTRES: [&str; 4] = ["plateau", "almadies", "rufisque", "pikine"];
 
-fn ledger_of(vm_count: usize) -> TokenLedger {
+pub fn ledger_of(vm_count: usize) -> TokenLedger {
     let mut ledger = TokenLedger::default();
     for index in 0..vm_count {
         let record = HolderRecord {
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod crash_trials;
 mod crashes_over_vms;
 mod flow_rate;
+mod hand_over;
 mod ledger_writer;
 mod limited_server_fleet;
 mod live_vms;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/simulated_fleet.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/simulated_fleet.rs
@@ -315,6 +315,13 @@
         }
     }
 
+    /// Returns the newest record of a VM in the log.
+    pub fn newest_record(&self, vm: usize) -> HolderRecord {
+        let holder_id = self.vms[vm].holding.holder_id();
+        let newest = self.log.iter().rev().find(|(key, _)| key == holder_id);
+        newest.map(|(_, record)| record.clone()).unwrap()
+    }
+
     /// Returns the tokens that all holders drew, according to the log.
     pub fn drawn_tokens(&self) -> i64 {
         let newest: BTreeMap<_, _> = self.log.iter().map(|(key, record)| (key, record)).collect();
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/token_holding.rs
@@ -1,7 +1,13 @@
 use std::time::Duration;
 
+use sassafrashoist_core::gateway::clock_reading::ClockReading;
+use sassafrashoist_core::gateway::holder_role::HolderRole;
+use sassafrashoist_core::gateway::token_holding::TokenHolding;
+use sassafrashoist_core::gateway::token_prefetch::TokenPrefetch;
+
+use super::allocator_vms::ledger_of;
 use super::simulated_fleet::{
-    ACCOUNT, AppendScenario, ProcessEnd, RECORD_INTERVAL, SimulatedFleet,
+    ACCOUNT, AppendScenario, ProcessEnd, RECORD_INTERVAL, SimulatedFleet, config_with, holding_of,
 };
 
 const PAID_TOKENS: u64 = 2_000_000;
@@ -151,3 +157,103 @@
     assert_eq!(sent_later, [(ACCOUNT.to_owned(), 8_000)]);
     assert_eq!(holding.spendable_tokens(ACCOUNT, fleet.now + Duration::from_secs(3)), 0);
 }
+
+/// Returns the holding of a VM that does not draw, in a fleet of 86 VMs, with unused tokens.
+fn client_holding(tokens: u64) -> TokenHolding {
+    let mut holding = holding_of("vm-new", 1, ([10, 0, 0, 99], 7_000).into());
+    holding.set_role(HolderRole::RequestsTokens, RECORD_INTERVAL);
+    holding.receive_tokens(ACCOUNT, tokens);
+    holding
+}
+
+/// Lets a VM serve ten requests a second of an account for five seconds; returns when it ends.
+fn use_steadily(holding: &mut TokenHolding) -> Duration {
+    let mut now = Duration::from_secs(100);
+    for _ in 0..50 {
+        now += Duration::from_millis(100);
+        assert!(holding.try_reserve(ACCOUNT, REQUEST_TOKENS, now));
+        holding.settle(ACCOUNT, REQUEST_TOKENS, REQUEST_TOKENS, now);
+    }
+    now
+}
+
+// The record that returned the tokens of a VM that drew before the fleet grew lost each race for the
+// end of the ledger, and kept the tokens from being sent to others.
+#[test]
+fn record_of_a_client_vm_moves_no_tokens() {
+    let mut holding = client_holding(700_000);
+    let now = Duration::from_secs(100);
+
+    let planned = holding.plan_record(
+        &ledger_of(86),
+        &config_with(PAID_TOKENS),
+        now,
+        ClockReading::default(),
+    );
+    let sent = holding.send_idle_tokens(now);
+
+    assert!(!planned.moves_tokens(), "{:?}", planned.changes());
+    assert_eq!(sent, [(ACCOUNT.to_owned(), 700_000)]);
+}
+
+#[test]
+fn client_vm_returns_what_was_drawn_beyond_what_was_paid_for() {
+    let mut fleet = SimulatedFleet::new(1, PAID_TOKENS);
+    fleet.sync_with_log(0, AppendScenario::Acknowledged);
+    let (mut ledger, newest) = (ledger_of(86), fleet.newest_record(0));
+    let drawn = newest.account(ACCOUNT).unwrap().net_drawn_tokens;
+    ledger.apply(86, "vm-gone/1".to_owned(), newest);
+    let mut holding = client_holding(700_000);
+
+    let planned = holding.plan_record(
+        &ledger,
+        &config_with(drawn as u64 - 5_000),
+        fleet.now,
+        ClockReading::default(),
+    );
+
+    assert_eq!(planned.changes(), [(ACCOUNT.to_owned(), -5_000)]);
+}
+
+// A VM that went on to serve an account kept all that it had drawn of it before the fleet grew.
+#[test]
+fn tokens_that_a_client_vm_will_not_need_soon_are_sent_while_its_account_is_in_use() {
+    let mut holding = client_holding(700_000);
+    let now = use_steadily(&mut holding);
+
+    let sent = holding.send_idle_tokens(now);
+
+    let kept = holding.spendable_tokens(ACCOUNT, now);
+    assert_eq!(sent, [(ACCOUNT.to_owned(), 600_000 - kept as u64)]);
+    assert!((38_000..50_000).contains(&kept), "{kept} kept at 20,000 tokens a second");
+    assert_eq!(holding.send_idle_tokens(now), []);
+}
+
+#[test]
+fn prefetched_tokens_are_not_sent_back() {
+    let mut holding = client_holding(100_000);
+    let now = use_steadily(&mut holding);
+    let mut prefetch = TokenPrefetch::default();
+    (0..50).for_each(|_| prefetch.record_response_time(Duration::from_secs(1)));
+    let (rate, typical) =
+        (holding.use_tokens_per_s(ACCOUNT, now), holding.typical_request_tokens(ACCOUNT));
+
+    let prefetched = prefetch.prefetch_tokens(rate, typical);
+    holding.receive_tokens_for_request(ACCOUNT, prefetched, now);
+    holding.receive_tokens_for_request(ACCOUNT, prefetched / 2, now);
+
+    assert!(prefetched > 0);
+    assert_eq!(holding.send_idle_tokens(now), []);
+}
+
+#[test]
+fn tokens_that_arrive_in_parts_for_a_waiting_request_are_not_sent_back() {
+    let mut holding = client_holding(0);
+    let now = Duration::from_secs(100);
+
+    holding.receive_tokens_for_request(ACCOUNT, 5_000, now);
+    holding.receive_tokens_for_request(ACCOUNT, 3_000, now + Duration::from_millis(120));
+    let sent = holding.send_idle_tokens(now + Duration::from_millis(240));
+
+    assert_eq!(sent, []);
+}
--- a/crates/sassafrashoist/src/gateway/token_book.rs
+++ b/crates/sassafrashoist/src/gateway/token_book.rs
@@ -226,9 +226,18 @@
 
     /// Returns the other allocator VMs, those of this VM's data centre first.
     pub fn peers_by_distance(&self) -> Vec<PeerHolder> {
-        let mut peers = self.peers(&AllocatorVms::select(&self.ledger), |_, _| 0);
-        peers.sort_by_key(|(is_remote, _)| *is_remote);
-        peers.into_iter().map(|(_, peer)| peer).collect()
+        let (nearby, remote) = self.peers_near_and_remote();
+        nearby.into_iter().chain(remote).collect()
+    }
+
+    /// Returns the other allocator VMs: those of this VM's data centre, and those of others.
+    pub fn peers_near_and_remote(&self) -> (Vec<PeerHolder>, Vec<PeerHolder>) {
+        let peers = self.peers(&AllocatorVms::select(&self.ledger), |_, _| 0);
+        let (remote, nearby): (Vec<_>, Vec<_>) =
+            peers.into_iter().partition(|(is_remote, _)| *is_remote);
+        let without_distance =
+            |peers: Vec<(bool, PeerHolder)>| peers.into_iter().map(|(_, peer)| peer).collect();
+        (without_distance(nearby), without_distance(remote))
     }
 
     /// Returns the addresses at which all other VMs receive messages.
--- a/crates/sassafrashoist/src/gateway/transfer_tokens.rs
+++ b/crates/sassafrashoist/src/gateway/transfer_tokens.rs
@@ -2,12 +2,13 @@
 //!
 //! Tokens that an incarnation of the process holds when it ends can be returned to the ledger only
 //! through the log. When the log is unreachable, other VMs usually are reachable, and they can use
-//! the tokens at once. A VM that does not draw also transfers the tokens that it holds of accounts
-//! without recent requests.
+//! the tokens at once. A VM that does not draw also transfers the tokens that it will not need soon:
+//! those of accounts without recent requests, and what it drew before the fleet grew.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use sassafrashoist_core::gateway::hand_over::plan_hand_overs;
 use sassafrashoist_core::gateway::token_holding::{AccountTokens, TransferId};
 
 use super::gateway_context::GatewayContext;
@@ -24,18 +25,18 @@
 /// message that may have been received are given up.
 const MAX_SENDS: u32 = 10;
 
-/// Transfers the tokens of accounts without recent requests to an allocator VM.
+/// Transfers the tokens that this VM will not need soon to allocator VMs.
 pub fn transfer_idle_tokens(context: &Arc<GatewayContext>) {
     let now = context.now();
     let mut tokens = context.lock_tokens();
-    let receivers = tokens.peers_by_distance();
-    if receivers.is_empty() {
+    let (nearby, remote) = tokens.peers_near_and_remote();
+    if nearby.is_empty() && remote.is_empty() {
         return;
     }
     let idle_tokens = tokens.holding.send_idle_tokens(now);
     drop(tokens);
-    if !idle_tokens.is_empty() {
-        tokio::spawn(transfer_part(Arc::clone(context), receivers, idle_tokens));
+    for part in plan_hand_overs(&nearby, &remote, idle_tokens, rand::random()) {
+        tokio::spawn(transfer_part(Arc::clone(context), part.receivers, part.tokens));
     }
 }
 
