Freeze tokens where they lie when the paid amount is reduced

A VM froze its part of an excess in proportion to what it had drawn itself. Tokens that it had sent to another VM were frozen by neither of the two, so that more than was paid for could be used after a paid amount was reduced. The part is now in proportion to what was drawn or received, less what was sent.

--- a/crates/sassafrashoist-core/src/gateway/account_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/account_holding.rs
@@ -96,10 +96,14 @@
 }
 
 impl AccountHolding {
+    /// Returns the tokens drawn or received, minus those returned or sent.
+    pub(super) fn obtained_tokens(&self) -> i64 {
+        self.net_drawn_tokens + self.received_tokens as i64 - self.sent_tokens as i64
+    }
+
     /// Returns the tokens that are held and neither used, reserved nor about to be returned.
     pub(super) fn available_tokens(&self) -> i64 {
-        self.net_drawn_tokens + self.received_tokens as i64
-            - self.sent_tokens as i64
+        self.obtained_tokens()
             - self.settled_tokens as i64
             - self.reserved_tokens as i64
             - self.returning_tokens as i64
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -306,14 +306,15 @@
     }
 
     /// Freezes this holder's part of the tokens that all holders drew in excess of the paid amount,
-    /// after that amount was reduced. Each holder freezes a part in proportion to what it drew.
+    /// after that amount was reduced. Each holder freezes a part in proportion to what it drew and
+    /// received, less what it sent, whichever VM drew the tokens.
     pub fn freeze_excess_tokens(&mut self, ledger: &TokenLedger, config: &FleetConfig) {
         for (account_id, holding) in &mut self.accounts {
             let net_drawn = ledger.net_drawn_tokens(account_id);
             let paid = config.paid_tokens(account_id).unwrap_or_default() as i64;
             holding.frozen_tokens = if net_drawn > paid && net_drawn > 0 {
                 let excess_fraction = (net_drawn - paid) as f64 / net_drawn as f64;
-                (holding.net_drawn_tokens.max(0) as f64 * excess_fraction).ceil() as i64
+                (holding.obtained_tokens().max(0) as f64 * excess_fraction).ceil() as i64
             } else {
                 0
             };
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/token_holding.rs
@@ -132,6 +132,25 @@
     assert!(fleet.used_tokens <= reduced, "{} used of {reduced}", fleet.used_tokens);
 }
 
+// Tokens that other VMs had drawn were not frozen where they lay.
+#[test]
+fn vm_that_received_tokens_respects_a_reduced_amount() {
+    let mut fleet = SimulatedFleet::new(2, PAID_TOKENS);
+    fleet.sync_with_log(0, AppendScenario::Acknowledged);
+    let later = fleet.now + Duration::from_secs(60);
+    fleet.now = later;
+    let drawn = fleet.drawn_tokens() as u64;
+    fleet.transfer(0, 1, drawn, 0);
+
+    fleet.config.accounts.as_mut().unwrap()[0].paid_tokens = Some(drawn / 2);
+    fleet.sync_with_log(0, AppendScenario::Rejected);
+    fleet.sync_with_log(1, AppendScenario::Rejected);
+
+    let spendable = fleet.vms[1].holding.spendable_tokens(ACCOUNT, later);
+    assert!(spendable <= drawn as i64 / 2, "{spendable} of {drawn}");
+    assert!(spendable >= drawn as i64 / 2 - 2, "{spendable} of {drawn}");
+}
+
 #[test]
 fn a_repeated_transfer_request_gets_the_first_response() {
     let mut fleet = SimulatedFleet::new(2, PAID_TOKENS);
