Limit nothing in the record of a VM that no longer draws

The role of a VM was updated after its sync. A record that it planned as a client VM, in the sync in which the ledger first showed a large fleet, still stated the spending limits of a drawing VM, which kept it from handing its tokens over until they lapsed. The role now follows the ledger when a record is planned. The new test failed before.

--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -333,6 +333,10 @@
         let allocators = AllocatorVms::select(ledger);
         let has_record = ledger.newest_record(&self.holder_id).is_some();
         let draws_tokens = allocators.contains(&self.vm_id);
+        if !draws_tokens {
+            // Spending limits would keep the VM from sending what it drew until they have lapsed.
+            self.set_role(HolderRole::RequestsTokens, Duration::ZERO);
+        }
         let drawing_vm_count = allocators.count() + usize::from(draws_tokens && !has_record);
         let fleet = FleetShare {
             drawing_vm_count: drawing_vm_count.max(1) as f64,
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/token_holding.rs
@@ -215,6 +215,25 @@
     assert_eq!(sent, [(ACCOUNT.to_owned(), 700_000)]);
 }
 
+// The spending limits of a record that a VM planned just after it had stopped drawing kept it from
+// sending its tokens until they lapsed.
+#[test]
+fn record_of_a_vm_that_no_longer_draws_limits_nothing() {
+    let mut holding = client_holding(700_000);
+    holding.set_role(HolderRole::DrawsForItself, RECORD_INTERVAL);
+    let now = Duration::from_secs(100);
+
+    let planned = holding.plan_record(
+        &ledger_of(86),
+        &config_with(PAID_TOKENS),
+        now,
+        ClockReading::default(),
+    );
+    holding.commit(&planned);
+
+    assert_eq!(holding.spendable_tokens(ACCOUNT, now), 700_000);
+}
+
 #[test]
 fn client_vm_returns_what_was_drawn_beyond_what_was_paid_for() {
     let mut fleet = SimulatedFleet::new(1, PAID_TOKENS);
