Go on with a broken stream only with what follows its last event

A stream that had broken off went on with whatever a second server answered with a signed 2xx: the text of an error, another type of content, a 204 or 206, the events of another run from the first one, events with a gap, or a response head written inside a body. An empty answer with a length or chunks ended the stream as if it were complete. A caller that resumed its stream at another VM got all events once more if the server there began again.

The continuation must now have the status and type of content that the stream began with, and its first event must follow the last one that was forwarded; a continuation without any event does not end the stream. The response is aborted otherwise, or a further server is asked if the route allows it. Ids that were not consecutive before may still have gaps.

A stand-in server that writes planned bytes shows it: of 18 answers after two ways to break off, 24 of 36 cases were joined or looked complete on the code before (error text, error event, JSON, other type, 204, 206, begins again, skips, empty with length and chunks, head inside); none now. The tests for a stream through another VM and for a caller's resumption failed before, too. A 500, 503 and 404 were never joined.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
 //! - [`stream_origins`] and [`pool_versions`]: the software version at which a stream may go on.
+//! - [`event_sequence`]: which events of a server go on with a stream of another.
 //! - [`crash_book`]: the requests that may crash backend servers; [`crash_trials`] and
 //!   [`recent_answers`]: which copy of one runs, and which requests are known not to. The rule itself
 //!   is [`quarantine`](crate::requests::quarantine), as on the router's own path.
@@ -35,6 +36,7 @@
 pub mod crash_outbox;
 pub mod crash_report;
 pub mod crash_trials;
+pub mod event_sequence;
 pub mod fleet_config;
 pub mod flow_rate;
 pub mod holder_record;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod crash_outbox;
 mod crash_trials;
 mod crashes_over_vms;
+mod event_sequence;
 mod flow_rate;
 mod ledger_writer;
 mod limited_server_fleet;
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -1,19 +1,21 @@
 //! Forwards the events of a stream to the caller as they arrive.
 //!
 //! Only complete events are forwarded. When a server fails during a stream that may be resumed,
-//! another server continues after the last forwarded event, within the same response. A stream that
-//! ends inside an event has failed, whatever its framing.
+//! another server continues after the last forwarded event, within the same response, if its head
+//! and its events go on with the stream. A stream that ends inside an event has failed, whatever its
+//! framing.
 
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Response;
 use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use sassafrashoist_adapter::response_headers::encode_response;
+use sassafrashoist_adapter::response_headers::{encode_response, goes_on_with};
 use sassafrashoist_core::event_splitter::{EventSplitter, StreamEvent};
+use sassafrashoist_core::gateway::event_sequence::{EventCheck, EventSequence};
 use sassafrashoist_core::ids::BackendServerId;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 use sassafrashoist_platform::response_framing::ResponseFraming;
@@ -158,6 +160,8 @@
         delimit_by_close(&mut response);
     }
     let origin = record_origin(&context, &request, started.slot.listing());
+    let resumed_after = request.is_resumption().then(|| request.caller.last_event_id.clone());
+    let first_head = (started.response.status(), started.response.headers().clone());
     let forwarder = EventForwarder {
         in_progress: context.requests.token(),
         context,
@@ -167,7 +171,8 @@
         splitter,
         sender,
         caller_framing: started.framing,
-        last_event_id: None,
+        sequence: EventSequence::new(resumed_after.flatten()),
+        first_head,
         origin,
         forwarded_bytes: 0,
     };
@@ -198,7 +203,9 @@
     splitter: EventSplitter,
     sender: BodySender,
     caller_framing: ResponseFraming,
-    last_event_id: Option<String>,
+    sequence: EventSequence,
+    /// The status and headers of the server that began the stream.
+    first_head: (StatusCode, HeaderMap),
     /// Where the stream began; `None` if its software version is not certain.
     origin: Option<ResumedStream>,
     forwarded_bytes: usize,
@@ -216,7 +223,7 @@
             log::info!(
                 id = self.request.id(), server = started.slot.server_id(), reason = reason,
                 framing = started.framing.as_str(),
-                last_event = self.last_event_id.as_deref().unwrap_or("-");
+                last_event = self.sequence.last_id().unwrap_or("-");
                 "stream broken off"
             );
             if matches!(end, SegmentEnd::ConnectionLost(_)) {
@@ -231,6 +238,7 @@
             };
             started = next;
             self.splitter = EventSplitter::default();
+            self.sequence.begin_segment();
             end = self.forward_segment(&mut started).await;
         }
         match end {
@@ -309,8 +317,8 @@
                     }
                 }
                 Some(Err(_)) => return SegmentEnd::ConnectionLost("connection lost"),
-                None if !started.framing.marks_end()
-                    && self.forwarded_bytes == earlier_bytes
+                // A continuation without any event does not show that the stream is complete.
+                None if self.forwarded_bytes == earlier_bytes
                     && !self.splitter.is_inside_event() =>
                 {
                     return SegmentEnd::ConnectionLost(CLOSED_BEFORE_EVENT);
@@ -343,18 +351,19 @@
         self.forward_event(event).await.unwrap_or(SegmentEnd::Ended)
     }
 
-    /// Forwards an event unless it is a duplicate; returns how the segment ended if that ends it.
+    /// Forwards an event unless it is a duplicate or does not belong to the stream; returns how the
+    /// segment ended if that ends it.
     async fn forward_event(&mut self, event: StreamEvent) -> Option<SegmentEnd> {
-        if self.is_duplicate(&event) {
-            return None;
+        match self.sequence.check(&event) {
+            EventCheck::Forward => {}
+            EventCheck::Duplicate => return None,
+            EventCheck::Foreign(reason) => return Some(SegmentEnd::Failed(reason)),
         }
-        if event.id.is_some() {
-            if let (Some(reservation), Some(tokens)) =
+        if event.id.is_some()
+            && let (Some(reservation), Some(tokens)) =
                 (&mut self.reservation, self.request.tokens_per_event)
-            {
-                reservation.add_output_tokens(tokens);
-            }
-            self.last_event_id.clone_from(&event.id);
+        {
+            reservation.add_output_tokens(tokens);
         }
         self.forwarded_bytes += event.raw.len();
         let deadline = self.context.instant(self.request.deadline);
@@ -365,13 +374,11 @@
         }
     }
 
-    /// Returns whether an event was already forwarded; the ids of a stream increase.
-    fn is_duplicate(&self, event: &StreamEvent) -> bool {
-        let number = |id: &Option<String>| id.as_deref().and_then(|id| id.parse::<u64>().ok());
-        match (number(&event.id), number(&self.last_event_id)) {
-            (Some(id), Some(last)) => id <= last,
-            _ => false,
-        }
+    /// Returns whether the head of a response goes on with that of the stream.
+    fn is_continued_by(&self, started: &StartedResponse) -> bool {
+        let (status, headers) = &self.first_head;
+        let response = &started.response;
+        goes_on_with((*status, headers), (response.status(), response.headers()))
     }
 
     /// Sends the request to another server, which continues after the last forwarded event.
@@ -410,15 +417,15 @@
             log::info!(
                 id = self.request.id(), server = chosen.listing.id,
                 version = chosen.listing.software_version,
-                last_event = self.last_event_id.as_deref().unwrap_or("-");
+                last_event = self.sequence.last_id().unwrap_or("-");
                 "stream resumed"
             );
             let unresponsive_timeout = self
                 .counts
                 .allows_another_run(&self.request)
                 .then(|| initial_unresponsive_timeout(&self.request, &chosen));
-            let event_id =
-                self.last_event_id.clone().or_else(|| self.request.caller.last_event_id.clone());
+            let last_id = self.sequence.last_id().map(str::to_owned);
+            let event_id = last_id.or_else(|| self.request.caller.last_event_id.clone());
             let start = tokio::select! {
                 start = send_attempt(
                     &self.context, &self.request, chosen, trial, event_id, unresponsive_timeout,
@@ -426,11 +433,20 @@
                 () = self.sender.closed() => return None,
             };
             match start {
-                AttemptStart::Served(started) if started.response.status().is_success() => {
+                AttemptStart::Served(started) if self.is_continued_by(&started) => {
                     self.counts.may_have_run += 1;
                     return Some(started);
                 }
-                AttemptStart::Served(_) | AttemptStart::Failed(_) | AttemptStart::Lost(_) => {
+                AttemptStart::Served(other) | AttemptStart::Failed(other) => {
+                    log::info!(
+                        id = self.request.id(), server = server_id,
+                        status = other.response.status().as_u16();
+                        "response does not go on with the stream"
+                    );
+                    last_server_id = server_id;
+                    self.counts.may_have_run += 1;
+                }
+                AttemptStart::Lost(_) => {
                     last_server_id = server_id;
                     self.counts.may_have_run += 1;
                 }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod lost_paths;
 mod outcomes;
 mod processes;
+mod raw_responses;
 mod recovery;
 mod relay;
 mod relay_stream;
