Test that an earlier refusal written once more belongs to no request

A faulty server may write a refusal of an earlier request once more, and callers of systems like this one were told that a request had not run. It cannot happen here: each attempt has a connection of its own, which is not used again, and a response with the Request-Id of another request counts as lost, never as not run.

--- a/crates/sassafrashoist/tests/testsuite/raw_responses.rs
+++ b/crates/sassafrashoist/tests/testsuite/raw_responses.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use futures::{StreamExt, stream};
+use http::Method;
 use sassafrashoist_platform_stand_in::backend_server::{ServerFault, event_text};
 use sassafrashoist_platform_stand_in::caller::{BodyEnd, CallerRequest, CallerResponse};
 use sassafrashoist_platform_stand_in::http_listener::PathFault;
 use sassafrashoist_platform_stand_in::raw_server::{RawRequest, RawResponse, RawServer};
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    DRAFT_PATH, EVENT_COUNT, EVENT_INTERVAL, FleetPlan, StandInFleet,
+    BID_PATH, DRAFT_PATH, EVENT_COUNT, EVENT_INTERVAL, FleetPlan, STATUS_PATH, StandInFleet,
 };
 
 /// How long a change in the log service may take to become active, with a margin for a slow
@@ -234,3 +235,69 @@
     assert_eq!(String::from_utf8_lossy(&resumed.body), "", "{resumed:?}");
     assert_ne!((resumed.status, resumed.end), (200, BodyEnd::Complete), "{resumed:?}");
 }
+
+/// Answers in which a refusal of another request comes first.
+fn refusals_of_other_requests() -> Vec<(&'static str, String)> {
+    let refusal = |status: &str| {
+        format!(
+            "HTTP/1.1 {status}\r\nrequest-id: another\r\nnot-executed: 1\r\nretry-after: 1\r\n\
+             content-length: 0\r\n\r\n"
+        )
+    };
+    vec![
+        ("503", refusal("503 Service Unavailable")),
+        ("429", refusal("429 Too Many Requests")),
+        ("421", refusal("421 Misdirected Request")),
+        ("408", refusal("408 Request Timeout")),
+    ]
+}
+
+// A server that writes an earlier refusal once more does not say that this request has not run.
+#[tokio::test]
+async fn refusal_of_another_request_does_not_count_as_not_run() {
+    for (name, refusal) in refusals_of_other_requests() {
+        let fleet = start(&format!("refusal_{name}"), 1, 0).await;
+        let own = response("200 OK", "content-length: 4\r\n", "done");
+        let text = format!("{refusal}{own}");
+        let servers = [
+            RawServer::start({
+                let text = text.clone();
+                move |_| RawResponse::at_once(&text)
+            })
+            .await
+            .unwrap(),
+            RawServer::start(move |_| RawResponse::at_once(&text)).await.unwrap(),
+        ];
+        fleet.list_server("desk", "raw-0", servers[0].address);
+        fleet.list_server("desk", "raw-1", servers[1].address);
+        tokio::time::sleep(PROPAGATION_TIME).await;
+
+        let bid = CallerRequest::plain(Method::POST, BID_PATH);
+        let answered = fleet.send(0, "b1", &bid).await.unwrap();
+
+        let run_count: usize = servers.iter().map(|server| server.requests().len()).sum();
+        assert_eq!((answered.status, run_count), (502, 1), "{name}: {answered:?}");
+    }
+}
+
+// Bytes after a response, such as a second refusal, must not reach the next request.
+#[tokio::test]
+async fn connections_to_servers_are_not_used_again() {
+    let fleet = start("not_used_again", 1, 0).await;
+    let own = response("200 OK", "content-length: 4\r\n", "done");
+    let text = format!("{own}{NOT_RUN}");
+    let server = RawServer::start(move |_| RawResponse::at_once(&text)).await.unwrap();
+    list(&fleet, "desk", &server).await;
+
+    for number in 0..10 {
+        let request = match number % 2 {
+            0 => CallerRequest::plain(Method::POST, BID_PATH),
+            _ => CallerRequest::plain(Method::GET, STATUS_PATH),
+        };
+        let answered = fleet.send(0, &format!("r{number}"), &request).await.unwrap();
+
+        assert_eq!((answered.status, answered.body.as_ref()), (200, b"done".as_slice()));
+    }
+
+    assert_eq!((server.connection_count(), server.requests().len()), (10, 10));
+}
