Use no server whose entry cannot be decoded, and log each such entry

Another writer may leave an entry in the list of servers that names no server to use. An entry with port 0, an unspecified or multicast address or an id that is no header value was used: requests went to addresses without a server, and an id that cannot be sent in Expect-Instance would let another server run them. An entry that had been sound stayed in use after it had become odd, at VMs that had read it before only, although it names no server any more. The line about such entries was for debugging, so that nobody saw it.

Such a server now counts as no longer listed, as after a removal, until its next sound entry.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -12,7 +12,8 @@
 //!   requested ahead of demand.
 //! - [`ledger_writer`]: the append in progress, whose outcome may be unknown.
 //! - [`reclaim`]: the tokens that a previous incarnation whose process died cannot have used.
-//! - [`topic_cursor`]: the offset from which to read a topic of the log.
+//! - [`topic_cursor`]: the offset from which to read a topic of the log; [`odd_entries`]: which of
+//!   its entries that cannot be decoded are logged.
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
 //! - [`stream_origins`] and [`pool_versions`]: the software version at which a stream may go on.
@@ -44,6 +45,7 @@
 pub mod ledger_writer;
 mod limit_periods;
 pub mod live_vms;
+pub mod odd_entries;
 pub mod permit_bucket;
 pub mod permit_issuers;
 pub mod planned_record;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod limited_server_fleet;
 mod live_vms;
 mod lost_paths_over_vms;
+mod odd_entries;
 mod path_fleet;
 mod permit_bucket;
 mod pool_versions;
--- a/crates/sassafrashoist/src/gateway/follow_servers.rs
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -5,6 +5,7 @@
 
 use sassafrashoist_adapter::log_responses::KeyedRecord;
 use sassafrashoist_adapter::server_entry::{SERVERS_TOPIC, decode_server_entry};
+use sassafrashoist_core::gateway::odd_entries::OddEntries;
 
 use super::follow_topic::follow_topic;
 use super::gateway_context::GatewayContext;
@@ -16,14 +17,12 @@
 
 /// Reads and applies the server list until cancelled.
 pub async fn follow_servers(context: Arc<GatewayContext>) {
+    let mut odd_entries = OddEntries::default();
     follow_topic(context, SERVERS_TOPIC, MIN_READ_INTERVAL, |context, update| match update {
         TopicUpdate::Snapshot { records, .. } => {
-            for record in &records {
-                apply_entry(context, record);
-            }
             let listed: Vec<_> = records
                 .iter()
-                .filter(|record| record.value.is_some())
+                .filter(|record| apply_entry(context, record, &mut odd_entries))
                 .map(|record| record.key.clone())
                 .collect();
             let mut servers = context.lock_servers();
@@ -35,21 +34,25 @@
             log::info!(listed = listed.len(); "server list read");
         }
         TopicUpdate::Appended { records, .. } => {
-            records.iter().for_each(|record| apply_entry(context, record));
+            for record in &records {
+                apply_entry(context, record, &mut odd_entries);
+            }
             context.lock_servers().pool_versions.record_read(context.now());
         }
     })
     .await;
 }
 
-fn apply_entry(context: &GatewayContext, record: &KeyedRecord) {
+/// Applies an entry; returns whether it names a server to use.
+fn apply_entry(
+    context: &GatewayContext,
+    record: &KeyedRecord,
+    odd_entries: &mut OddEntries,
+) -> bool {
     let server_id = record.key.as_str();
     let Some(value) = &record.value else {
-        if context.lock_servers().mark_unlisted(server_id, context.now()) {
-            log::info!(server = server_id, offset = record.offset; "server left the list");
-            context.lock_paths().retain(|id| id != server_id);
-        }
-        return;
+        remove_server(context, record);
+        return false;
     };
     match decode_server_entry(server_id, value) {
         Ok(listing) => {
@@ -62,9 +65,26 @@
                     "server listed"
                 );
             }
+            true
         }
         Err(error) => {
-            log::debug!(server = server_id, error:% = error; "server entry cannot be decoded");
+            if let Some(unlogged) = odd_entries.record(server_id, record.offset, context.now()) {
+                log::warn!(
+                    server = server_id, offset = record.offset, unlogged = unlogged,
+                    error:% = error;
+                    "server entry cannot be decoded; it names no server to use"
+                );
+            }
+            remove_server(context, record);
+            false
         }
     }
 }
+
+fn remove_server(context: &GatewayContext, record: &KeyedRecord) {
+    let server_id = record.key.as_str();
+    if context.lock_servers().mark_unlisted(server_id, context.now()) {
+        log::info!(server = server_id, offset = record.offset; "server left the list");
+        context.lock_paths().retain(|id| id != server_id);
+    }
+}
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod bundles;
 mod gateway;
 mod lost_paths;
+mod odd_entries;
 mod outcomes;
 mod processes;
 mod raw_responses;
