--- a/crates/sassafrashoist/tests/testsuite/odd_entries.rs
+++ b/crates/sassafrashoist/tests/testsuite/odd_entries.rs
@@ -7,7 +7,7 @@
 use sassafrashoist_platform_stand_in::caller::CallerRequest;
 use sassafrashoist_platform_stand_in::raw_server::{RawResponse, RawServer};
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    BID_PATH, EVENT_INTERVAL, FleetPlan, StandInFleet,
+    API_KEY, BID_PATH, EVENT_INTERVAL, FleetPlan, STATUS_PATH, StandInFleet,
 };
 
 /// How long a change in the log service may take to become active, with a margin for a slow
@@ -16,6 +16,7 @@
 /// The depth at which a decoder that calls itself overflows its stack.
 const NESTING_DEPTH: usize = 10_000;
 const SERVERS_TOPIC: &str = "keyed.servers";
+const CONFIG_TOPIC: &str = "keyed.op";
 /// The line about an entry of the server list that names no server.
 const ODD_ENTRY_LINE: &str = "server entry cannot be decoded";
 
@@ -162,3 +163,74 @@
         assert_eq!(response.status, 200, "{response:?}");
     }
 }
+
+/// Returns configurations that cannot be decoded, and some other values.
+fn odd_configs() -> Vec<Vec<u8>> {
+    let texts = vec![
+        nested("[", "]"),
+        nested("{\"routes\":", "}"),
+        "{\"version\":1e999}".to_owned(),
+        "{\"version\":1180591620717411303424}".to_owned(),
+        "{\"version\":-1}".to_owned(),
+        "null".to_owned(),
+        "x".repeat(1_000_000),
+    ];
+    texts.into_iter().map(String::into_bytes).chain([b"\x00\xff".to_vec()]).collect()
+}
+
+// A configuration that cannot be decoded must not end the task that applies the next one.
+#[tokio::test]
+async fn odd_configurations_leave_the_active_one_and_the_next_sound_one_is_applied() {
+    let mut fleet = start("odd_configs", 1).await;
+
+    for odd in odd_configs() {
+        fleet.log.write(CONFIG_TOPIC, "config", &odd);
+        fleet.log.write(CONFIG_TOPIC, "other", &odd);
+        tokio::time::sleep(PROPAGATION_TIME / 8).await;
+    }
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let kept = fleet.send(0, "b1", &bid()).await.unwrap();
+    fleet.change_keys(&["another-key"]);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let changed = fleet.send(0, "b2", &bid()).await.unwrap();
+    fleet.change_keys(&[API_KEY]);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let changed_back = fleet.send(0, "b3", &bid()).await.unwrap();
+
+    assert_eq!((kept.status, changed.status, changed_back.status), (200, 401, 200));
+    let log = fleet.gateways[0].read_log().unwrap();
+    assert!(!log.contains("panicked"), "{log}");
+}
+
+// Values that can be decoded, but not added to a time or a count, ended the requests that used them.
+#[tokio::test]
+async fn requests_are_served_under_the_largest_values_of_a_configuration() {
+    let fleet = start("largest_values", 1).await;
+    let config = LARGEST_CONFIG;
+    fleet.log.write(CONFIG_TOPIC, "config", config.as_bytes());
+    tokio::time::sleep(PROPAGATION_TIME).await;
+
+    let bid = fleet.send(0, "b1", &bid()).await.unwrap();
+    let status = CallerRequest::plain(Method::GET, STATUS_PATH);
+    let status = fleet.send(0, "s1", &status).await.unwrap();
+    let chat = fleet.send(0, "c1", &CallerRequest::to_model("/chat/1", 900, 100)).await.unwrap();
+
+    let log = fleet.gateways[0].read_log().unwrap();
+    assert!(log.contains("\"version\":1000000"), "{log}");
+    assert!(!log.contains("panicked"), "{log}");
+    assert_eq!((bid.status, status.status, chat.status), (200, 200, 200), "{log}");
+    assert!(chat.is_complete(), "{chat:?}");
+}
+
+const LARGEST_CONFIG: &str = r#"{"version":1000000,"routes":[
+ {"name":"bid","hostname":"desk.example","pathPrefix":"/bid/","routeType":"non_idempotent",
+  "timeoutMs":1.8e19,"targetLatencyMs":1.8e19,"priorityClass":255,"maxAttempts":4294967295,
+  "weightedBackends":[{"backend":"desk","weight":4294967295},{"backend":"desk","weight":4294967295}]},
+ {"name":"status","hostname":"desk.example","pathPrefix":"/status/","routeType":"idempotent",
+  "timeoutMs":1e300,"targetLatencyMs":1e300,"backend":"desk","maxAttempts":4294967295},
+ {"name":"chat","hostname":"desk.example","pathPrefix":"/chat/","routeType":"streaming",
+  "timeoutMs":1.8e19,"targetLatencyMs":0,"backend":"llm"}],
+ "backends":[{"name":"llm","runtime":{"interval":18446744073709551615}},{"name":"desk"}],
+ "limits":{"maxHeaderBytes":18446744073709551615,"maxBodyBytes":18446744073709551615,
+  "headerTimeoutMs":1.8e19,"idleTimeoutMs":1.8e19},
+ "tenants":[{"name":"workshop","apiKeys":["key-of-the-workshop"],"reserved":18446744073709551615}]}"#;
