Read a page of the newest records despite an odd entry among them

One entry whose data is no base64, or whose fields are missing or of another type, made decode_newest fail for the whole page: a VM that started or had been cut off would read neither its servers nor its configuration nor the ledger as long as the entry was there.

Entries without a key that is text are skipped and logged with their number, as reads from an offset skip them.

--- a/crates/sassafrashoist/src/gateway/log_client.rs
+++ b/crates/sassafrashoist/src/gateway/log_client.rs
@@ -126,7 +126,14 @@
         after: Option<&str>,
     ) -> Result<NewestPage, LogCallError> {
         let (status, body) = self.call(LogCall::newest(topic, after), Duration::ZERO).await?;
-        Ok(decode_newest(status, &body)?)
+        let page = decode_newest(status, &body)?;
+        if page.skipped_count > 0 {
+            log::warn!(
+                topic = topic, entries = page.skipped_count;
+                "entries of a topic skipped: their keys are no text"
+            );
+        }
+        Ok(page)
     }
 
     fn record_era(&mut self, headers: &HeaderMap) {
