Open another connection to the log service when the last one has ended

The connection to the log service is used for many calls. If the service writes a response twice, the HTTP library closes the connection, because bytes that arrive while no call is in progress belong to none; the next call then failed as in doubt although it was never sent, and an append had to be resolved first. The client now checks the connection before a call and opens another one.

A second response that arrives after the next call was sent cannot be told apart: responses of the service have no ids.

--- a/crates/sassafrashoist/src/gateway/http_connection.rs
+++ b/crates/sassafrashoist/src/gateway/http_connection.rs
@@ -1,7 +1,8 @@
-//! One HTTP/1.1 request on a connection of its own.
+//! An HTTP/1.1 connection.
 //!
-//! A connection is not used again: bytes that a server sends after its response belong to no
-//! request, and a connection that was closed while it was idle never leaves a request in doubt.
+//! A connection to a backend server or another VM is not used again: bytes that a server sends after
+//! its response belong to no request, and a connection that was closed while it was idle never leaves
+//! a request in doubt.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -87,6 +88,12 @@
         Ok(Self { address, sender, driver })
     }
 
+    /// Returns whether another request can be sent. Bytes that arrive while none is in progress
+    /// belong to no request, and end the connection.
+    pub async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Sends a request and returns once the response head has arrived.
     ///
     /// # Errors
--- a/crates/sassafrashoist/src/gateway/log_client.rs
+++ b/crates/sassafrashoist/src/gateway/log_client.rs
@@ -147,10 +147,22 @@
         }
     }
 
+    /// Returns the connection of the last call, unless it has ended since then: a call on it would be
+    /// in doubt although it was never sent.
+    async fn take_open_connection(&mut self) -> Option<Connection> {
+        let mut connection = self.connection.take()?;
+        let is_ready = tokio::time::timeout(CONNECT_TIMEOUT, connection.is_ready()).await;
+        if is_ready == Ok(true) {
+            return Some(connection);
+        }
+        log::debug!("connection to the log service has ended; opening another");
+        None
+    }
+
     async fn call(&mut self, call: LogCall, wait: Duration) -> Result<(u16, Bytes), LogCallError> {
         metrics::counter!("sassafrashoist_log_calls_total").increment(1);
         let address = self.context.settings().log_service_address;
-        let mut connection = match self.connection.take() {
+        let mut connection = match self.take_open_connection().await {
             Some(connection) => connection,
             None => Connection::open(address, CONNECT_TIMEOUT)
                 .await
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod bad_requests;
 mod bundles;
 mod gateway;
+mod log_client;
 mod lost_paths;
 mod odd_entries;
 mod outcomes;
