Take sums of the ledger and reported limits from odd numbers without overflow

A record of the ledger with counts near the largest number made the sums over all holders wrap in a release build, or end the task in a debug build: wrapped to a negative number, they show tokens as not drawn that another holder has. The sums now stay at the largest number. A report of another VM with a limit that is no number, infinite or negative replaced the known limit; NaN would count as changed with every report and be sent on each time. Such a report is malformed now and changes nothing.

Both tests failed before: "attempt to add with overflow", and a limit of NaN in place of 2; they pass now.

--- a/crates/sassafrashoist-core/src/gateway/spending_limit.rs
+++ b/crates/sassafrashoist-core/src/gateway/spending_limit.rs
@@ -24,7 +24,7 @@
     /// Returns the limit at the time `elapsed` after its record was first sent.
     pub fn tokens_after(&self, elapsed: Duration) -> Tokens {
         let growth = self.growth_tokens_per_s as f64 * elapsed.as_secs_f64();
-        self.tokens + growth as Tokens
+        self.tokens.saturating_add(growth as Tokens)
     }
 
     /// Returns the time after which the limit reaches a number of tokens; `None` if it never does.
--- a/crates/sassafrashoist-core/src/gateway/token_ledger.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_ledger.rs
@@ -120,12 +120,12 @@
         let mut totals: BTreeMap<ClientAccountId, AccountTotals> = BTreeMap::new();
         for held in self.holders.values().flat_map(|(_, record)| &record.accounts) {
             let sums = totals.entry(held.account_id.clone()).or_default();
-            sums.net_drawn_tokens += held.net_drawn_tokens;
-            sums.spent_tokens += held.spent_tokens;
+            sums.net_drawn_tokens = sums.net_drawn_tokens.saturating_add(held.net_drawn_tokens);
+            sums.spent_tokens = sums.spent_tokens.saturating_add(held.spent_tokens);
         }
         for held in self.live_holders().flat_map(|(_, record)| &record.accounts) {
             let sums = totals.entry(held.account_id.clone()).or_default();
-            sums.use_tokens_per_s += held.use_tokens_per_s;
+            sums.use_tokens_per_s = sums.use_tokens_per_s.saturating_add(held.use_tokens_per_s);
         }
         totals
     }
--- a/crates/sassafrashoist-core/src/routing/server_limit.rs
+++ b/crates/sassafrashoist-core/src/routing/server_limit.rs
@@ -111,7 +111,11 @@
         max_transit: Duration,
         now: Timestamp,
     ) -> bool {
-        let statement = report.per_s.map_or(LimitStatement::NotNamed, LimitStatement::Named);
+        let statement = match report.per_s {
+            None => LimitStatement::NotNamed,
+            Some(per_s) if per_s.is_finite() && per_s >= 0.0 => LimitStatement::Named(per_s),
+            Some(_) => LimitStatement::Malformed,
+        };
         let sent_at = now.saturating_sub(report.sent_ago.saturating_add(max_transit));
         self.record(statement, sent_at, now.saturating_sub(report.received_ago))
     }
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/token_ledger.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/token_ledger.rs
@@ -137,3 +137,24 @@
         [(0, 0, 0), (100, 10, 5), (300, 10, 7), (300, 10, 7), (100, 20, 2)]
     );
 }
+
+// Sums that wrap would show tokens as not drawn that another holder has.
+#[test]
+fn sums_of_the_largest_counts_do_not_wrap() {
+    let mut ledger = TokenLedger::default();
+    for (offset, vm_id) in ["vm-1", "vm-2"].into_iter().enumerate() {
+        let mut record = HolderRecord { vm_id: vm_id.to_owned(), ..record(1) };
+        record.accounts = vec![HeldTokens {
+            account_id: "workshop".to_owned(),
+            net_drawn_tokens: i64::MAX,
+            spent_tokens: u64::MAX,
+            use_tokens_per_s: u64::MAX,
+            ..HeldTokens::default()
+        }];
+        ledger.apply(offset as u64, format!("{vm_id}/1"), record);
+    }
+
+    assert_eq!(ledger.net_drawn_tokens("workshop"), i64::MAX);
+    assert_eq!(ledger.spent_tokens("workshop"), u64::MAX);
+    assert_eq!(ledger.use_tokens_per_s("workshop"), u64::MAX);
+}
--- a/crates/sassafrashoist-core/tests/testsuite/server_limit.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/server_limit.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use sassafrashoist_core::routing::server_limit::{LimitStatement, ServerLimit};
+use sassafrashoist_core::routing::server_limit::{LimitReport, LimitStatement, ServerLimit};
 
 const fn at(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -57,3 +57,20 @@
     assert!(!is_changed);
     assert_eq!(limit.per_s(), Some(2.0));
 }
+
+// A limit that equals nothing, not even itself, would count as changed and be sent on without end.
+#[test]
+fn report_of_a_limit_that_is_no_number_changes_nothing() {
+    for per_s in [f64::NAN, f64::INFINITY, -1.0] {
+        let mut limit = limit_of_two();
+        let report = LimitReport {
+            per_s: Some(per_s),
+            sent_ago: Duration::ZERO,
+            received_ago: Duration::ZERO,
+        };
+
+        let is_changed = limit.record_report(&report, Duration::ZERO, at(1_000));
+
+        assert_eq!((is_changed, limit.per_s()), (false, Some(2.0)), "{per_s}");
+    }
+}
