Test that messages between VMs with lying lengths and odd bytes are errors

A datagram or message of another VM, or a record of the ledger, may name a length far beyond its end. It cannot end the process here: postcard checks lengths against the bytes that are left, and serde allocates little ahead.

--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod lost_paths;
 mod odd_entries;
 mod outcomes;
+mod peer_messages;
 mod processes;
 mod raw_responses;
 mod recovery;
