--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -12,10 +12,12 @@
 //!   requested ahead of demand.
 //! - [`ledger_writer`]: the append in progress, whose outcome may be unknown.
 //! - [`reclaim`]: the tokens that a previous incarnation whose process died cannot have used.
-//! - [`topic_cursor`]: the offset from which to read a topic of the log.
+//! - [`topic_cursor`]: the offset from which to read a topic of the log; [`odd_entries`]: which of
+//!   its entries that cannot be decoded are logged.
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
 //! - [`stream_origins`] and [`pool_versions`]: the software version at which a stream may go on.
+//! - [`event_sequence`]: which events of a server go on with a stream of another.
 //! - [`crash_book`]: the requests that may crash backend servers; [`crash_trials`] and
 //!   [`recent_answers`]: which copy of one runs, and which requests are known not to. The rule itself
 //!   is [`quarantine`](crate::requests::quarantine), as on the router's own path.
@@ -35,6 +37,7 @@
 pub mod crash_outbox;
 pub mod crash_report;
 pub mod crash_trials;
+pub mod event_sequence;
 pub mod fleet_config;
 pub mod flow_rate;
 pub mod hand_over;
@@ -43,6 +46,7 @@
 pub mod ledger_writer;
 mod limit_periods;
 pub mod live_vms;
+pub mod odd_entries;
 pub mod permit_bucket;
 pub mod permit_issuers;
 pub mod planned_record;
