--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -261,15 +261,20 @@
         parts
     }
 
-    /// Deducts the tokens of accounts without recent reservations and returns them to send to
-    /// another VM. Used by VMs that do not draw: other VMs search for tokens at the allocators, and
-    /// tokens that are held here are lost if this process dies.
+    /// Deducts the tokens of accounts without recent reservations, and of other accounts those that
+    /// will not be needed soon, and returns them to send to another VM. Used by VMs that do not draw:
+    /// other VMs search for tokens at the allocators, and tokens that are held here are lost if this
+    /// process dies.
     pub fn send_idle_tokens(&mut self, now: Uptime) -> Vec<AccountTokens> {
         let ages = self.limit_periods.ages(now);
         let mut sent = Vec::new();
         for (account_id, holding) in &mut self.accounts {
-            let idle = holding.spendable_tokens(ages).max(0) as Tokens;
-            if idle > 0 && now >= holding.last_active_at + IDLE_AFTER {
+            let idle = if now >= holding.last_active_at + IDLE_AFTER {
+                holding.spendable_tokens(ages).max(0) as Tokens
+            } else {
+                holding.excess_tokens(ages, now)
+            };
+            if idle > 0 {
                 holding.sent_tokens += idle;
                 sent.push((account_id.clone(), idle));
             }
@@ -279,10 +284,8 @@
 
     /// Adds tokens that another VM sent for a request.
     pub fn receive_tokens_for_request(&mut self, account_id: &str, tokens: Tokens, now: Uptime) {
-        self.receive_tokens(account_id, tokens);
-        if let Some(holding) = self.accounts.get_mut(account_id) {
-            holding.last_active_at = now;
-        }
+        let holding = self.accounts.entry(account_id.to_owned()).or_default();
+        holding.record_receipt(tokens, now);
     }
 
     /// Adds tokens that another VM sent.
@@ -303,14 +306,15 @@
     }
 
     /// Freezes this holder's part of the tokens that all holders drew in excess of the paid amount,
-    /// after that amount was reduced. Each holder freezes a part in proportion to what it drew.
+    /// after that amount was reduced. Each holder freezes a part in proportion to what it drew and
+    /// received, less what it sent, whichever VM drew the tokens.
     pub fn freeze_excess_tokens(&mut self, ledger: &TokenLedger, config: &FleetConfig) {
         for (account_id, holding) in &mut self.accounts {
             let net_drawn = ledger.net_drawn_tokens(account_id);
             let paid = config.paid_tokens(account_id).unwrap_or_default() as i64;
             holding.frozen_tokens = if net_drawn > paid && net_drawn > 0 {
                 let excess_fraction = (net_drawn - paid) as f64 / net_drawn as f64;
-                (holding.net_drawn_tokens.max(0) as f64 * excess_fraction).ceil() as i64
+                (holding.obtained_tokens().max(0) as f64 * excess_fraction).ceil() as i64
             } else {
                 0
             };
@@ -329,6 +333,10 @@
         let allocators = AllocatorVms::select(ledger);
         let has_record = ledger.newest_record(&self.holder_id).is_some();
         let draws_tokens = allocators.contains(&self.vm_id);
+        if !draws_tokens {
+            // Spending limits would keep the VM from sending what it drew until they have lapsed.
+            self.set_role(HolderRole::RequestsTokens, Duration::ZERO);
+        }
         let drawing_vm_count = allocators.count() + usize::from(draws_tokens && !has_record);
         let fleet = FleetShare {
             drawing_vm_count: drawing_vm_count.max(1) as f64,
--- a/crates/sassafrashoist/src/gateway/log_client.rs
+++ b/crates/sassafrashoist/src/gateway/log_client.rs
@@ -96,12 +96,21 @@
         std::mem::take(&mut self.has_lost_records)
     }
 
-    /// Opens a connection unless there is one.
+    /// Opens a connection unless there is one that has not ended: a call on one that has would be in
+    /// doubt although it was never sent.
     ///
     /// # Errors
     ///
     /// Fails if no connection can be opened.
     pub async fn connect(&mut self) -> Result<(), LogCallError> {
+        if let Some(mut connection) = self.connection.take() {
+            let is_ready = tokio::time::timeout(CONNECT_TIMEOUT, connection.is_ready()).await;
+            if is_ready == Ok(true) {
+                self.connection = Some(connection);
+            } else {
+                log::debug!("connection to the log service has ended; opening another");
+            }
+        }
         if self.connection.is_none() {
             let address = self.context.settings().log_service_address;
             let connection = Connection::open(address, CONNECT_TIMEOUT)
@@ -129,7 +138,14 @@
         after: Option<&str>,
     ) -> Result<NewestPage, LogCallError> {
         let response = self.call_read(LogCall::newest(topic, after), Duration::ZERO).await?;
-        Ok(decode_newest(response.status, &response.body)?)
+        let page = decode_newest(response.status, &response.body)?;
+        if page.skipped_count > 0 {
+            log::warn!(
+                topic = topic, entries = page.skipped_count;
+                "entries of a topic skipped: their keys are no text"
+            );
+        }
+        Ok(page)
     }
 
     /// Reads records from an offset on; the service waits up to `wait` if there are none yet.
