Share the configuration between the VMs of a data centre

Now three VMs of each data centre of a fleet of more than 16 read it and announce it; the others fetch the difference of chunks from them and read the log service only when announcements stop or fetches fail.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -13,6 +13,8 @@
 //! - [`ledger_writer`]: the append in progress, whose outcome may be unknown.
 //! - [`reclaim`]: the tokens that a previous incarnation whose process died cannot have used.
 //! - [`topic_cursor`]: the offset from which to read a topic of the log.
+//! - [`config_readers`] and [`config_sharing`]: which VMs read the configuration from the log, and
+//!   from whom the others get it, as a [`document_delta`].
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
 //! - [`stream_origins`] and [`pool_versions`]: the software version at which a stream may go on.
@@ -31,10 +33,14 @@
 pub mod append_pacing;
 pub mod brittle_users;
 pub mod clock_reading;
+pub mod config_announcement;
+pub mod config_readers;
+pub mod config_sharing;
 pub mod crash_book;
 pub mod crash_outbox;
 pub mod crash_report;
 pub mod crash_trials;
+pub mod document_delta;
 pub mod fleet_config;
 pub mod flow_rate;
 pub mod holder_record;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -3,11 +3,16 @@
 mod allocator_vms;
 mod append_pacing;
 mod brittle_servers_over_vms;
+mod config_readers;
+mod config_sharing;
+mod config_sharing_fleet;
+mod config_sharing_over_vms;
 mod crash_book;
 mod crash_fleet;
 mod crash_outbox;
 mod crash_trials;
 mod crashes_over_vms;
+mod document_delta;
 mod flow_rate;
 mod ledger_writer;
 mod limited_server_fleet;
--- a/crates/sassafrashoist/src/gateway/follow_config.rs
+++ b/crates/sassafrashoist/src/gateway/follow_config.rs
@@ -3,56 +3,154 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use sassafrashoist_adapter::fleet_config_document::{
     CONFIG_KEY, CONFIG_TOPIC, decode_fleet_config,
 };
 use sassafrashoist_adapter::log_responses::KeyedRecord;
+use sassafrashoist_core::gateway::config_sharing::{ConfigDocument, NextLogRead, TopicEnd};
+use sassafrashoist_core::gateway::document_delta::ChunkedDocument;
 use sassafrashoist_core::gateway::route_table::RouteTable;
+use sassafrashoist_core::ids::{LogOffset, VmId};
 
-use super::follow_topic::follow_topic;
+use super::follow_topic::{READ_WAIT, follow_topic};
 use super::gateway_context::GatewayContext;
+use super::share_config::{announce_config, update_role};
 use super::topic_reader::TopicUpdate;
 
 /// Minimum time between two reads that return records; a burst of changes is then read in batches.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(50);
+/// The longest time between two decisions whether to read the log service.
+const MAX_WAIT: Duration = Duration::from_millis(100);
 
-/// Reads and applies fleet configurations until cancelled.
+/// Where a configuration came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigSource<'a> {
+    /// A record in the log service.
+    LogService(LogOffset),
+    /// Another VM of the data centre.
+    Vm(&'a VmId),
+}
+
+/// What became of a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// It has come into force.
+    InForce,
+    /// It is not newer than the one in force.
+    NotNewer,
+    /// It cannot be decoded.
+    Undecodable,
+}
+
+/// Reads and applies fleet configurations until cancelled, unless other VMs read them for this one.
 pub async fn follow_config(context: Arc<GatewayContext>) {
-    follow_topic(context, CONFIG_TOPIC, MIN_READ_INTERVAL, |context, update| {
-        let (TopicUpdate::Snapshot { records, .. } | TopicUpdate::Appended { records, .. }) =
-            update;
-        if let Some(record) = records.iter().rfind(|record| record.key == CONFIG_KEY) {
-            apply_config(context, record);
-        }
-    })
+    let reading = Arc::clone(&context);
+    let mut is_newest_decoded = true;
+    follow_topic(
+        context,
+        CONFIG_TOPIC,
+        MIN_READ_INTERVAL,
+        move || wait_until_due(Arc::clone(&reading)),
+        move |context, update| {
+            let end = end_of(&update);
+            let (TopicUpdate::Snapshot { records, .. } | TopicUpdate::Appended { records, .. }) =
+                update;
+            let newest = records.iter().rfind(|record| record.key == CONFIG_KEY);
+            let applied = newest.and_then(|record| apply_record(context, record));
+            if let Some(applied) = applied {
+                is_newest_decoded = applied != Applied::Undecodable;
+            }
+            let end = if is_newest_decoded { end } else { TopicEnd::NotReached };
+            let known_at = context.lock_config_sharing().record_log_read(end, context.now());
+            if let Some(known_at) = known_at {
+                context.record_config_confirmed(known_at);
+            }
+            if known_at.is_some() || applied == Some(Applied::InForce) {
+                announce_config(context);
+            }
+        },
+    )
     .await;
 }
 
-fn apply_config(context: &GatewayContext, record: &KeyedRecord) {
+/// Waits until this VM is to read the log service.
+async fn wait_until_due(context: Arc<GatewayContext>) {
+    loop {
+        update_role(&context);
+        let now = context.now();
+        let next = context.lock_config_sharing().next_log_read(rand::random(), now);
+        let NextLogRead::NotBefore(at) = next else {
+            context.lock_config_sharing().begin_log_read(now);
+            return;
+        };
+        tokio::time::sleep_until(context.instant(at.min(now + MAX_WAIT))).await;
+    }
+}
+
+fn end_of(update: &TopicUpdate) -> TopicEnd {
+    match update {
+        TopicUpdate::Snapshot { .. } => TopicEnd::Reached,
+        TopicUpdate::Appended { is_at_end: false, .. } => TopicEnd::NotReached,
+        TopicUpdate::Appended { records, .. } if records.is_empty() => {
+            TopicEnd::ReachedAfter(READ_WAIT)
+        }
+        TopicUpdate::Appended { .. } => TopicEnd::Reached,
+    }
+}
+
+fn apply_record(context: &GatewayContext, record: &KeyedRecord) -> Option<Applied> {
     let Some(value) = &record.value else {
         log::warn!(offset = record.offset; "configuration deleted; keeping the active one");
-        return;
+        return None;
     };
-    let config = match decode_fleet_config(value) {
+    // A copy, because the record is a part of a whole response.
+    let content = ChunkedDocument::new(Bytes::copy_from_slice(value));
+    Some(apply_config(context, content, ConfigSource::LogService(record.offset)))
+}
+
+/// Puts a configuration into force if it is newer than the active one.
+pub fn apply_config(
+    context: &GatewayContext,
+    content: ChunkedDocument,
+    source: ConfigSource<'_>,
+) -> Applied {
+    let (from, offset) = match source {
+        ConfigSource::LogService(offset) => ("log service", Some(offset)),
+        ConfigSource::Vm(vm_id) => (vm_id.as_str(), None),
+    };
+    let config = match decode_fleet_config(content.bytes()) {
         Ok(config) => config,
         Err(error) => {
             log::error!(
-                offset = record.offset, error:% = error;
+                from = from, offset:? = offset, error:% = error;
                 "configuration cannot be decoded; keeping the active one"
             );
-            return;
+            return Applied::Undecodable;
         }
     };
     let (version, route_count) = (config.version, config.routes.len());
     let table = Arc::new(RouteTable::new(config));
     if !context.replace_routes(&table) {
-        log::info!(version = version; "configuration is not newer than the active one");
-        return;
+        log::info!(version = version, from = from; "configuration is not newer than the active one");
+        return Applied::NotNewer;
+    }
+    let document = Arc::new(ConfigDocument { version, content });
+    context.lock_config_sharing().record_in_force(document);
+    match offset {
+        Some(offset) => log::info!(
+            version = version, routes = route_count, from = from, offset = offset;
+            "configuration in force"
+        ),
+        None => log::info!(
+            version = version, routes = route_count, from = from;
+            "configuration in force"
+        ),
     }
-    log::info!(version = version, routes = route_count, offset = record.offset; "configuration in force");
     let mut tokens = context.lock_tokens();
     let book = &mut *tokens;
     book.holding.freeze_excess_tokens(&book.ledger, table.config());
     drop(tokens);
     context.ledger_wakeup.notify_one();
+    Applied::InForce
 }
--- a/crates/sassafrashoist/src/gateway/follow_servers.rs
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -16,29 +16,36 @@
 
 /// Reads and applies the server list until cancelled.
 pub async fn follow_servers(context: Arc<GatewayContext>) {
-    follow_topic(context, SERVERS_TOPIC, MIN_READ_INTERVAL, |context, update| match update {
-        TopicUpdate::Snapshot { records, .. } => {
-            for record in &records {
-                apply_entry(context, record);
+    let at_once = || std::future::ready(());
+    follow_topic(
+        context,
+        SERVERS_TOPIC,
+        MIN_READ_INTERVAL,
+        at_once,
+        |context, update| match update {
+            TopicUpdate::Snapshot { records, .. } => {
+                for record in &records {
+                    apply_entry(context, record);
+                }
+                let listed: Vec<_> = records
+                    .iter()
+                    .filter(|record| record.value.is_some())
+                    .map(|record| record.key.clone())
+                    .collect();
+                let mut servers = context.lock_servers();
+                servers.mark_unlisted_except(&listed, context.now());
+                servers.pool_versions.record_read(context.now());
+                drop(servers);
+                context.lock_paths().retain(|id| listed.iter().any(|listed_id| listed_id == id));
+                context.mark_servers_listed();
+                log::info!(listed = listed.len(); "server list read");
             }
-            let listed: Vec<_> = records
-                .iter()
-                .filter(|record| record.value.is_some())
-                .map(|record| record.key.clone())
-                .collect();
-            let mut servers = context.lock_servers();
-            servers.mark_unlisted_except(&listed, context.now());
-            servers.pool_versions.record_read(context.now());
-            drop(servers);
-            context.lock_paths().retain(|id| listed.iter().any(|listed_id| listed_id == id));
-            context.mark_servers_listed();
-            log::info!(listed = listed.len(); "server list read");
-        }
-        TopicUpdate::Appended { records, .. } => {
-            records.iter().for_each(|record| apply_entry(context, record));
-            context.lock_servers().pool_versions.record_read(context.now());
-        }
-    })
+            TopicUpdate::Appended { records, .. } => {
+                records.iter().for_each(|record| apply_entry(context, record));
+                context.lock_servers().pool_versions.record_read(context.now());
+            }
+        },
+    )
     .await;
 }
 
--- a/crates/sassafrashoist/src/gateway/follow_topic.rs
+++ b/crates/sassafrashoist/src/gateway/follow_topic.rs
@@ -8,21 +8,23 @@
 use super::topic_reader::{TopicReader, TopicUpdate};
 
 /// How long a read waits for a record; bounds how late an unresponsive connection is detected.
-const READ_WAIT: Duration = Duration::from_millis(1_000);
+pub const READ_WAIT: Duration = Duration::from_millis(1_000);
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Reads a topic until cancelled and passes each update to `apply`; `min_interval` is the delay
-/// after a read that returned records.
-pub async fn follow_topic(
+/// after a read that returned records. Each read begins after the result of `before_read`.
+pub async fn follow_topic<W: Future<Output = ()>>(
     context: Arc<GatewayContext>,
     topic: &'static str,
     min_interval: Duration,
+    mut before_read: impl FnMut() -> W,
     mut apply: impl FnMut(&GatewayContext, TopicUpdate),
 ) {
     let mut reader = TopicReader::new(Arc::clone(&context), topic);
     let mut connectivity = TopicConnectivity::new(topic);
     loop {
+        before_read().await;
         match reader.read_update(READ_WAIT).await {
             Ok(update) => {
                 connectivity.record_success();
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
+use sassafrashoist_core::gateway::config_sharing::ConfigSharing;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
@@ -19,16 +20,17 @@
 use sassafrashoist_core::gateway::stream_origins::StreamOrigins;
 use sassafrashoist_core::gateway::token_holding::TokenHolding;
 use sassafrashoist_core::gateway::vm_settings::VmSettings;
-use sassafrashoist_core::gateway::{HolderId, Uptime};
+use sassafrashoist_core::gateway::{ConfigVersion, HolderId, Uptime};
 use sassafrashoist_core::ids::BackendServerId;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::permit_book::PermitBook;
 use super::read_clocks::read_clocks;
 use super::report_server_end::Inquiry;
+use super::share_config::MAX_SERVED_FETCHES;
 use super::token_book::TokenBook;
 
 /// The retry slack of the fleet is divided by at least this number of VMs.
@@ -49,6 +51,7 @@
 pub struct GatewayContext {
     settings: Mutex<Arc<VmSettings>>,
     routes: Mutex<Option<Arc<RouteTable>>>,
+    config_sharing: Mutex<ConfigSharing>,
     servers: Mutex<ServerDirectory>,
     servers_listed: Mutex<bool>,
     paths: Mutex<ServerPaths>,
@@ -67,6 +70,10 @@
     pub ledger_wakeup: Notify,
     /// Wakes the tasks that fetch tokens for waiting requests.
     pub tokens_changed: Notify,
+    /// Wakes the task that fetches the configuration from another VM.
+    pub config_heard: Notify,
+    /// The requests of other VMs for the configuration that may be served now.
+    pub served_fetches: Semaphore,
     /// Requests in progress.
     pub requests: TaskTracker,
     /// Cancelled when the process receives the signal to stop.
@@ -100,6 +107,7 @@
         Arc::new(Self {
             settings: Mutex::new(Arc::new(settings)),
             routes: Mutex::default(),
+            config_sharing: Mutex::default(),
             servers: Mutex::new(directory),
             servers_listed: Mutex::default(),
             paths: Mutex::default(),
@@ -115,6 +123,8 @@
             started_at: read_clocks(),
             ledger_wakeup: Notify::new(),
             tokens_changed: Notify::new(),
+            config_heard: Notify::new(),
+            served_fetches: Semaphore::new(MAX_SERVED_FETCHES),
             requests: TaskTracker::new(),
             draining: cancel.child_token(),
             cancel,
@@ -157,6 +167,21 @@
         is_newer
     }
 
+    /// Records that no version newer than the one in force existed at a time.
+    pub fn record_config_confirmed(&self, at: Uptime) {
+        log::trace!(at:? = at; "configuration confirmed");
+    }
+
+    /// Records that another VM has a version.
+    pub fn record_config_heard(&self, version: ConfigVersion) {
+        log::debug!(version = version; "newer configuration announced by another VM");
+    }
+
+    /// Locks when this VM reads the configuration, and from where.
+    pub fn lock_config_sharing(&self) -> MutexGuard<'_, ConfigSharing> {
+        lock(&self.config_sharing)
+    }
+
     /// Locks the directory of backend servers.
     pub fn lock_servers(&self) -> MutexGuard<'_, ServerDirectory> {
         lock(&self.servers)
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -9,7 +9,9 @@
 //!   [`send_attempt`]), forward the response ([`forward_events`]), settle the used tokens
 //!   ([`token_reservation`]).
 //! - [`topic_reader`] reads a topic of the log service and [`follow_topic`] keeps reading it;
-//!   [`follow_config`] and [`follow_servers`] apply the updates.
+//!   [`follow_config`] and [`follow_servers`] apply the updates. In a large fleet only a few VMs of
+//!   each data centre read the configuration and announce it ([`share_config`]); the others get it
+//!   from these ([`fetch_config`]).
 //! - [`maintain_holding`] draws tokens from the ledger of prepaid tokens and returns them, by
 //!   conditional appends to the log; [`request_tokens`], [`transfer_tokens`] and [`serve_peers`]
 //!   move tokens between VMs.
@@ -33,8 +35,10 @@
 
 pub mod caller_stream;
 pub mod choose_server;
+pub mod config_messages;
 pub mod crash_messages;
 pub mod disconnect_guard;
+pub mod fetch_config;
 pub mod fetch_tokens;
 pub mod find_stream_origin;
 pub mod follow_config;
@@ -75,6 +79,7 @@
 pub mod serve_readiness;
 pub mod serve_relay;
 pub mod serve_request;
+pub mod share_config;
 pub mod share_crashes;
 pub mod share_limit;
 pub mod share_rejections;
--- a/crates/sassafrashoist/src/gateway/peer_datagram.rs
+++ b/crates/sassafrashoist/src/gateway/peer_datagram.rs
@@ -1,5 +1,6 @@
 //! The datagrams that VMs send to each other.
 
+use sassafrashoist_core::gateway::config_announcement::ConfigAnnouncement;
 use sassafrashoist_core::gateway::crash_report::CrashReport;
 use serde::{Deserialize, Serialize};
 
@@ -22,4 +23,6 @@
     ServerRejects(ServerRejects),
     /// A server no longer says that it fails after a few rejections.
     BrittleEnd(BrittleEnd),
+    /// The configuration that is in force at a VM that reads it from the log service.
+    ConfigAnnounced(ConfigAnnouncement),
 }
--- a/crates/sassafrashoist/src/gateway/receive_datagrams.rs
+++ b/crates/sassafrashoist/src/gateway/receive_datagrams.rs
@@ -6,6 +6,7 @@
 
 use super::gateway_context::GatewayContext;
 use super::peer_datagram::{MAX_DATAGRAM_BYTES, PeerDatagram};
+use super::share_config::receive_announcement;
 use super::share_crashes::{compare_digest, receive_report};
 use super::share_rejections::{receive_end, receive_rejection};
 
@@ -32,6 +33,9 @@
             Ok(PeerDatagram::CrashReport(report)) => receive_report(&context, &report),
             Ok(PeerDatagram::ServerRejects(rejects)) => receive_rejection(&context, &rejects),
             Ok(PeerDatagram::BrittleEnd(end)) => receive_end(&context, &end),
+            Ok(PeerDatagram::ConfigAnnounced(announced)) => {
+                receive_announcement(&context, &announced, sender);
+            }
             Ok(PeerDatagram::CrashDigest(digest)) => compare_digest(&context, digest, sender),
             Err(error) => {
                 log::warn!(sender:% = sender, error:% = error; "malformed datagram");
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -12,6 +12,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
+use super::fetch_config::fetch_configs;
 use super::follow_config::follow_config;
 use super::follow_servers::follow_servers;
 use super::gateway_context::GatewayContext;
@@ -79,6 +80,7 @@
 
     let (closing, finished) = (CancellationToken::new(), CancellationToken::new());
     tokio::spawn(follow_config(Arc::clone(&context)));
+    tokio::spawn(fetch_configs(Arc::clone(&context)));
     tokio::spawn(follow_servers(Arc::clone(&context)));
     context.set_datagram_socket(Arc::clone(&datagram_socket));
     tokio::spawn(receive_datagrams(Arc::clone(&context), datagram_socket));
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -1,6 +1,6 @@
 //! Serves the messages of other VMs: transfers of tokens, permits and limits of
-//! backend servers, the origins of streams, crashes of backend servers, and connections to backend
-//! servers for VMs that have lost their own paths.
+//! backend servers, the origins of streams, crashes of backend servers, the configuration, and
+//! connections to backend servers for VMs that have lost their own paths.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 
+use super::config_messages::{CONFIG_PATH, ConfigResponse};
 use super::crash_messages::{CRASHES_PATH, TRIAL_END_PATH, TRIAL_PATH};
 use super::find_stream_origin::find_kept_origin;
 use super::gateway_context::GatewayContext;
@@ -27,6 +28,7 @@
 use super::response_body::{ResponseBody, full_response};
 use super::send_message::MAX_MESSAGE_BYTES;
 use super::serve_relay::serve_relay;
+use super::share_config::{answer_fetch, count_served};
 use super::share_crashes::answer_exchange;
 use super::share_limit::receive_notice;
 use super::stream_origin_messages::STREAM_ORIGIN_PATH;
@@ -51,18 +53,13 @@
     mut request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let path = request.uri().path().to_owned();
+    if path == CONFIG_PATH {
+        return serve_fetch(context, request).await;
+    }
     let upgrade = hyper::upgrade::on(&mut request);
-    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
-    let body = match tokio::time::timeout(MESSAGE_TIMEOUT, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
-            log::warn!(path = path, error:% = error; "failed to read a message from another VM");
-            return empty_response(StatusCode::BAD_REQUEST);
-        }
-        Err(_) => {
-            log::warn!(path = path; "message from another VM not complete in time");
-            return empty_response(StatusCode::REQUEST_TIMEOUT);
-        }
+    let body = match receive_message(&path, request).await {
+        Ok(body) => body,
+        Err(status) => return empty_response(status),
     };
     match path.as_str() {
         TRANSFER_PATH => match postcard::from_bytes(&body) {
@@ -111,6 +108,43 @@
     }
 }
 
+/// Receives a message of another VM; fails with the status of the response if it is not complete.
+async fn receive_message(path: &str, request: Request<Incoming>) -> Result<Bytes, StatusCode> {
+    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
+    match tokio::time::timeout(MESSAGE_TIMEOUT, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) => {
+            log::warn!(path = path, error:% = error; "failed to read a message from another VM");
+            Err(StatusCode::BAD_REQUEST)
+        }
+        Err(_) => {
+            log::warn!(path = path; "message from another VM not complete in time");
+            Err(StatusCode::REQUEST_TIMEOUT)
+        }
+    }
+}
+
+/// Responds to a request for the configuration, unless too many others are in progress. The message
+/// is received in both cases, because the sender may miss a response that comes before its end.
+async fn serve_fetch(
+    context: &Arc<GatewayContext>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let permit = context.served_fetches.try_acquire();
+    let body = match receive_message(CONFIG_PATH, request).await {
+        Ok(body) => body,
+        Err(status) => return empty_response(status),
+    };
+    if permit.is_err() {
+        count_served("busy");
+        return encode_response(&ConfigResponse::Busy);
+    }
+    match postcard::from_bytes(&body) {
+        Ok(request) => encode_response(&answer_fetch(context, &request)),
+        Err(error) => reject_malformed(CONFIG_PATH, &error),
+    }
+}
+
 fn empty_response(status: StatusCode) -> Response<ResponseBody> {
     full_response(status, HeaderMap::new(), Bytes::new())
 }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -5,6 +5,8 @@
 mod account_limits;
 mod bad_requests;
 mod bundles;
+mod config_messages;
+mod config_sharing;
 mod gateway;
 mod lost_paths;
 mod outcomes;
