Test that readers of a build without the message lead to the log service

A VM of an earlier build answers an unknown path with 404, and announcements keep the others from reading meanwhile.

--- a/crates/sassafrashoist/tests/testsuite/config_sharing.rs
+++ b/crates/sassafrashoist/tests/testsuite/config_sharing.rs
@@ -1,5 +1,6 @@
 //! Tests of gateways that share the configuration, in a fleet of more than 16.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -13,7 +14,8 @@
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
     API_KEY, BID_PATH, EVENT_INTERVAL, FleetPlan, StandInFleet,
 };
-use tokio::net::UdpSocket;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, UdpSocket};
 
 const GATEWAY_COUNT: usize = MAX_SMALL_FLEET_VMS + 1;
 /// How long a change may take to come into force.
@@ -106,7 +108,64 @@
     assert_eq!((receivers.len(), with_second), (GATEWAY_COUNT - 3, GATEWAY_COUNT - 3));
 }
 
-// A VM of an earlier build, or a stranger, must not keep others from reading the log service.
+/// Answers all messages to an address with 404, as a VM of a build that does not know their path.
+async fn answer_as_old_build(address: SocketAddr) {
+    let listener = TcpListener::bind(address).await.unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = vec![0; 65_536];
+                stream.read(&mut request).await.ok();
+                let response = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+                stream.write_all(response).await.ok();
+                stream.read(&mut request).await.ok();
+            });
+        }
+    });
+}
+
+// Announcements keep a VM from the log service, so it must read it when it cannot fetch.
+#[tokio::test]
+async fn gateways_whose_readers_do_not_know_the_message_read_the_log_service() {
+    let mut fleet = start("unknown_path").await;
+    fleet.change_keys(&[API_KEY, "first"]);
+    let with_first = count_accepting(&fleet, "first").await;
+    let receivers = receivers(&fleet);
+    let mut sockets = Vec::new();
+    for gateway in (0..GATEWAY_COUNT).filter(|gateway| !receivers.contains(gateway)) {
+        fleet.gateways[gateway].kill().unwrap();
+        let address = fleet.gateways[gateway].peer_address;
+        answer_as_old_build(address).await;
+        sockets.push(UdpSocket::bind(address).await.unwrap());
+    }
+    let newest = ConfigAnnouncement { version: 9, document_hash: 1, known_ago: Duration::ZERO };
+    let datagram = postcard::to_stdvec(&PeerDatagram::ConfigAnnounced(newest)).unwrap();
+    let addresses: Vec<_> =
+        receivers.iter().map(|gateway| fleet.gateways[*gateway].peer_address).collect();
+    let announcing = async {
+        loop {
+            for (socket, address) in
+                sockets.iter().flat_map(|s| addresses.iter().map(move |a| (s, a)))
+            {
+                socket.send_to(&datagram, address).await.unwrap();
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    };
+
+    fleet.change_keys(&[API_KEY, "second"]);
+    let with_second = tokio::select! {
+        with_second = count_accepting(&fleet, "second") => with_second,
+        () = announcing => unreachable!("announcements are sent without end"),
+    };
+
+    let log = fleet.gateways[receivers[0]].read_log().unwrap();
+    assert_eq!(with_first, GATEWAY_COUNT);
+    assert_eq!((receivers.len(), with_second), (GATEWAY_COUNT - 3, GATEWAY_COUNT - 3));
+    assert!(log.contains("responded with status 404"), "{log}");
+}
+
+// A stranger must not keep a VM from reading the log service.
 #[tokio::test]
 async fn request_for_a_version_that_the_gateway_does_not_have_is_answered_so() {
     let fleet = start("no_version").await;
