--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -16,6 +16,8 @@
 //! - [`topic_cursor`]: the offset from which to read a topic of the log; [`read_patience`] and
 //!   [`read_precedence`]: how long a read waits, and which topic is read first after an outage;
 //!   [`odd_entries`]: which of its entries that cannot be decoded are logged.
+//! - [`config_readers`] and [`config_sharing`]: which VMs read the configuration from the log, and
+//!   from whom the others get it, as a [`document_delta`].
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
 //! - [`stream_origins`] and [`pool_versions`]: the software version at which a stream may go on.
@@ -36,10 +38,14 @@
 pub mod brittle_users;
 pub mod clock_reading;
 pub mod config_age;
+pub mod config_announcement;
+pub mod config_readers;
+pub mod config_sharing;
 pub mod crash_book;
 pub mod crash_outbox;
 pub mod crash_report;
 pub mod crash_trials;
+pub mod document_delta;
 pub mod event_sequence;
 pub mod fleet_config;
 pub mod flow_rate;
--- a/crates/sassafrashoist/src/gateway/follow_servers.rs
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -18,28 +18,35 @@
 /// Reads and applies the server list until cancelled.
 pub async fn follow_servers(context: Arc<GatewayContext>) {
     let mut odd_entries = OddEntries::default();
-    follow_topic(context, SERVERS_TOPIC, MIN_READ_INTERVAL, |context, update| match update {
-        TopicUpdate::Snapshot { records, .. } => {
-            let listed: Vec<_> = records
-                .iter()
-                .filter(|record| apply_entry(context, record, &mut odd_entries))
-                .map(|record| record.key.clone())
-                .collect();
-            let mut servers = context.lock_servers();
-            servers.mark_unlisted_except(&listed, context.now());
-            servers.pool_versions.record_read(context.now());
-            drop(servers);
-            context.lock_paths().retain(|id| listed.iter().any(|listed_id| listed_id == id));
-            context.mark_servers_listed();
-            log::info!(listed = listed.len(); "server list read");
-        }
-        TopicUpdate::Appended { records, .. } => {
-            for record in &records {
-                apply_entry(context, record, &mut odd_entries);
+    let at_once = || std::future::ready(());
+    follow_topic(
+        context,
+        SERVERS_TOPIC,
+        MIN_READ_INTERVAL,
+        at_once,
+        |context, update| match update {
+            TopicUpdate::Snapshot { records, .. } => {
+                let listed: Vec<_> = records
+                    .iter()
+                    .filter(|record| apply_entry(context, record, &mut odd_entries))
+                    .map(|record| record.key.clone())
+                    .collect();
+                let mut servers = context.lock_servers();
+                servers.mark_unlisted_except(&listed, context.now());
+                servers.pool_versions.record_read(context.now());
+                drop(servers);
+                context.lock_paths().retain(|id| listed.iter().any(|listed_id| listed_id == id));
+                context.mark_servers_listed();
+                log::info!(listed = listed.len(); "server list read");
             }
-            context.lock_servers().pool_versions.record_read(context.now());
-        }
-    })
+            TopicUpdate::Appended { records, .. } => {
+                for record in &records {
+                    apply_entry(context, record, &mut odd_entries);
+                }
+                context.lock_servers().pool_versions.record_read(context.now());
+            }
+        },
+    )
     .await;
 }
 
