Move a rejected record that only returns tokens to the new end of the ledger

A record that returns tokens lowers what is drawn, so that it is valid whatever other VMs appended before it, yet it was planned anew after each conflict and lost the races to records that move none. Only records that draw are planned anew now. The new test failed before.

--- a/crates/sassafrashoist-core/src/gateway/ledger_writer.rs
+++ b/crates/sassafrashoist-core/src/gateway/ledger_writer.rs
@@ -69,13 +69,13 @@
     }
 
     /// Moves a rejected append to the offset at which the log ends now; returns whether that is
-    /// possible. A record that moves no tokens is valid whatever other holders appended before it.
+    /// possible. A record that draws no tokens is valid whatever other holders appended before it.
     pub fn retarget(&mut self, end_offset: LogOffset) -> bool {
         let Some(pending) = &mut self.pending else {
             return false;
         };
         let is_possible = !pending.is_in_doubt
-            && !pending.planned.moves_tokens()
+            && !pending.planned.draws_tokens()
             && end_offset > pending.expected_end_offset;
         if is_possible {
             pending.expected_end_offset = end_offset;
--- a/crates/sassafrashoist-core/src/gateway/planned_record.rs
+++ b/crates/sassafrashoist-core/src/gateway/planned_record.rs
@@ -25,6 +25,11 @@
         !self.changes.is_empty()
     }
 
+    /// Returns whether the record draws tokens.
+    pub fn draws_tokens(&self) -> bool {
+        self.changes.iter().any(|(_, change)| *change > 0)
+    }
+
     /// Returns whether a request was waiting for the record when it was planned.
     pub fn has_waiting_request(&self) -> bool {
         self.has_waiting_request
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/ledger_writer.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/ledger_writer.rs
@@ -147,6 +147,21 @@
     assert_eq!(writer.pending().unwrap().expected_end_offset, 7);
 }
 
+// The returns of VMs that held too much lost each race to records that move no tokens.
+#[test]
+fn rejected_append_that_returns_tokens_goes_to_the_new_end() {
+    let mut holding = holding();
+    holding.receive_tokens(ACCOUNT, PAID_TOKENS);
+    let mut writer = begin_first(&mut holding, &TokenLedger::default(), PAID_TOKENS);
+    writer.record_outcome(AppendOutcome::EndMoved, &mut holding);
+
+    let is_moved = writer.retarget(7);
+
+    assert!(writer.pending().unwrap().planned.changes().iter().all(|(_, change)| *change < 0));
+    assert!(writer.pending().unwrap().planned.moves_tokens());
+    assert!(is_moved);
+}
+
 #[test]
 fn append_in_doubt_is_not_moved() {
     let outcomes = [AppendOutcome::Unknown, AppendOutcome::EndMoved];
