--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! - [`server_paths`] and [`relay_vms`]: which of these servers this VM reaches, and through which
 //!   other VM it reaches the rest.
 //! - [`token_ledger`], [`token_holding`] and [`allocator_vms`]: which VM may use which tokens of a
-//!   client account.
+//!   client account; [`hand_over`]: which VMs take in tokens that another one does not need.
 //! - [`spending_limit`]: the write-ahead bound on the tokens that a holder spends.
 //! - [`token_queue`] and [`token_prefetch`]: the requests that wait for tokens, and tokens
 //!   requested ahead of demand.
