Let clippy accept the stand-in for a VM of an old build

The stand-in reads whatever part of a request comes first and ignores how much it was, which clippy reported as an error. The result is now dropped explicitly; clippy of the package passes, and the test was not run again after this edit.

--- a/crates/sassafrashoist/tests/testsuite/config_sharing.rs
+++ b/crates/sassafrashoist/tests/testsuite/config_sharing.rs
@@ -115,10 +115,10 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             tokio::spawn(async move {
                 let mut request = vec![0; 65_536];
-                stream.read(&mut request).await.ok();
+                let _ = stream.read(&mut request).await;
                 let response = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
                 stream.write_all(response).await.ok();
-                stream.read(&mut request).await.ok();
+                let _ = stream.read(&mut request).await;
             });
         }
     });
