--- a/crates/sassafrashoist-core/tests/testsuite/gateway/log_reads_over_vms.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/log_reads_over_vms.rs
@@ -135,3 +135,18 @@
         }
     }
 }
+
+// The bound is the time in which a change has to be active, not the timeout of the implementation.
+#[test]
+fn all_vms_have_the_configuration_in_time_after_calls_that_were_never_answered() {
+    for vm_count in VM_COUNTS {
+        for config_bytes in [SMALL_CONFIG_BYTES, LARGE_CONFIG_BYTES] {
+            let plan = plan(vm_count, config_bytes, NEW_POLICY);
+
+            let outcome = play(LogReadPlan { cut: Cut::NoResponse, ..plan });
+
+            let last = outcome.config_delay(1.0);
+            assert!(is_in_time(&outcome), "{vm_count} VMs, {config_bytes} bytes: {last:?}");
+        }
+    }
+}
--- a/crates/sassafrashoist/tests/testsuite/old_config.rs
+++ b/crates/sassafrashoist/tests/testsuite/old_config.rs
@@ -139,3 +139,46 @@
     assert!(in_touch_s < 1.5, "{in_touch_s}");
     assert!(cut_off_s >= DOUBT_TIME.as_secs_f64(), "{cut_off_s}");
 }
+
+// A response that comes late shows the topic as it was when the service wrote it, not as it is.
+#[tokio::test]
+async fn response_that_comes_late_does_not_confirm_the_configuration_as_of_its_arrival() {
+    const CONFIG_APPLY_TIME: Duration = Duration::from_secs(2);
+    let mut fleet = start("late_confirmation", 1_000_000).await;
+    fleet.log.set_fault(LogFault::LateFirstByte { delay: Duration::from_millis(1_500) });
+    tokio::time::sleep(Duration::from_secs(8)).await;
+
+    let mut final_refusals = Vec::new();
+    for round in 0..6 {
+        tokio::time::sleep(Duration::from_millis(300 * round + 1_000)).await;
+        let route = format!("late{round}");
+        fleet.add_route(&route, &[API_KEY]);
+        let added_at = std::time::Instant::now();
+        tokio::time::sleep(CONFIG_APPLY_TIME).await;
+        while added_at.elapsed() < CONFIG_APPLY_TIME * 2 {
+            let request = get(&format!("/{route}/1"), API_KEY);
+            let response = fleet.send(0, &format!("late-{round}"), &request).await.unwrap();
+            if response.status == 404 {
+                final_refusals.push((round, added_at.elapsed()));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    assert_eq!(final_refusals, []);
+}
+
+#[tokio::test]
+async fn newest_configuration_that_cannot_be_decoded_leaves_the_active_one_in_doubt() {
+    let fleet = start("undecodable", 1_000_000).await;
+    let newest = fleet.log.newest(CONFIG_TOPIC);
+    let key = newest.keys().next().unwrap().clone();
+
+    fleet.log.write(CONFIG_TOPIC, &key, b"{\"version\": 99, \"routes\": 7}");
+    tokio::time::sleep(DOUBT_TIME).await;
+    let response = fleet.send(0, "odd", &get("/unknown/1", API_KEY)).await.unwrap();
+
+    let log = fleet.gateways[0].read_log().unwrap();
+    assert!(log.contains("configuration cannot be decoded"), "{log}");
+    assert_refused_for_now(&response);
+}
