--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 //!   [`recent_answers`]: which copy of one runs, and which requests are known not to. The rule itself
 //!   is [`quarantine`](crate::requests::quarantine), as on the router's own path.
 //! - [`live_vms`]: the VMs that all others select in the same way for a task.
+//! - [`line_limit`]: which of many alike events are logged.
 //! - [`retry_limiter`]: how many requests may be sent a second time, in a sliding window.
 //!
 //! Times are given as [`Uptime`], except for a [`clock_reading::ClockReading`], which the next
@@ -54,6 +55,7 @@
 pub mod holder_role;
 pub mod ledger_writer;
 mod limit_periods;
+pub mod line_limit;
 pub mod live_vms;
 pub mod odd_entries;
 pub mod permit_bucket;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod hand_over;
 mod ledger_writer;
 mod limited_server_fleet;
+mod line_limit;
 mod live_vms;
 mod log_read_fleet;
 mod log_reads_over_vms;
--- a/crates/sassafrashoist/src/gateway/receive_datagrams.rs
+++ b/crates/sassafrashoist/src/gateway/receive_datagrams.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use sassafrashoist_core::gateway::line_limit::LineLimit;
 use tokio::net::UdpSocket;
 
 use super::gateway_context::GatewayContext;
@@ -10,9 +11,14 @@
 use super::share_crashes::{compare_digest, receive_report};
 use super::share_rejections::{receive_end, receive_rejection};
 
+/// The most lines a second about datagrams that cannot be decoded; VMs of another build may send
+/// them all the time.
+const MAX_MALFORMED_LINES_PER_S: u32 = 1;
+
 /// Receives the datagrams of other VMs until cancelled.
 pub async fn receive_datagrams(context: Arc<GatewayContext>, socket: Arc<UdpSocket>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    let mut malformed_limit = LineLimit::new(MAX_MALFORMED_LINES_PER_S);
     loop {
         let received = tokio::select! {
             received = socket.recv_from(&mut buffer) => received,
@@ -38,7 +44,12 @@
             }
             Ok(PeerDatagram::CrashDigest(digest)) => compare_digest(&context, digest, sender),
             Err(error) => {
-                log::warn!(sender:% = sender, error:% = error; "malformed datagram");
+                if let Some(unlogged) = malformed_limit.record(context.now()) {
+                    log::warn!(
+                        sender:% = sender, error:% = error, unlogged = unlogged;
+                        "malformed datagram"
+                    );
+                }
             }
         }
     }
