Repeat a read that was given up from the same position

Cause: a read may wait longer for a busy log service than the two seconds after which a VM reads the newest record of each key instead. So one read that was given up became one of the whole topic, which keeps the service busy. Change: the time of the first read that was given up does not count as an outage.

--- a/crates/sassafrashoist-core/src/gateway/topic_cursor.rs
+++ b/crates/sassafrashoist-core/src/gateway/topic_cursor.rs
@@ -27,13 +27,17 @@
 pub struct TopicCursor {
     next: Option<LogOffset>,
     last_read_at: Uptime,
+    /// How long the first read since then took that was given up. A busy service may take longer to
+    /// respond than [`LONG_OUTAGE`].
+    given_up_time: Option<Duration>,
 }
 
 impl TopicCursor {
     /// Returns the read to make next.
     pub fn next_read(&self, now: Uptime) -> NextRead {
+        let outage_from = self.last_read_at + self.given_up_time.unwrap_or_default();
         match self.next {
-            Some(next) if now < self.last_read_at + LONG_OUTAGE => NextRead::From(next),
+            Some(next) if now < outage_from + LONG_OUTAGE => NextRead::From(next),
             Some(_) | None => NextRead::Newest,
         }
     }
@@ -42,6 +46,7 @@
     pub fn record_newest(&mut self, end: LogOffset, now: Uptime) {
         self.next = Some(end);
         self.last_read_at = now;
+        self.given_up_time = None;
     }
 
     /// Records that the records before `next` were read, while the topic ended at `end`.
@@ -51,6 +56,12 @@
     pub fn record_read(&mut self, next: LogOffset, end: LogOffset, now: Uptime) {
         self.next = (next >= end).then_some(next);
         self.last_read_at = now;
+        self.given_up_time = None;
+    }
+
+    /// Records that a read was given up after a time without a response.
+    pub fn record_given_up(&mut self, took: Duration) {
+        self.given_up_time.get_or_insert(took);
     }
 
     /// Records that this VM itself appended the records before `end`, which need not be read.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/log_read_fleet.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/log_read_fleet.rs
@@ -314,6 +314,8 @@
                 if self.is_late() && !is_cut(now) {
                     self.outcome.given_up_count += 1;
                 }
+                let state = &mut self.vms[vm].topics[topic];
+                state.cursor.record_given_up(now.saturating_sub(state.call.sent_at));
                 self.fail(vm, topic, now);
             }
             Step::Complete => self.complete(vm, topic, now),
--- a/crates/sassafrashoist/src/gateway/topic_reader.rs
+++ b/crates/sassafrashoist/src/gateway/topic_reader.rs
@@ -108,7 +108,8 @@
             self.context.lock_read_precedence().record_disconnected(self.rank);
             return Err(error);
         }
-        let NextRead::From(from) = self.cursor.next_read(self.context.now()) else {
+        let begun_at = self.context.now();
+        let NextRead::From(from) = self.cursor.next_read(begun_at) else {
             if self.waits_for_other_topics {
                 self.context.wait_for_earlier_topics(self.rank).await;
             }
@@ -123,8 +124,13 @@
                 Ok(TopicUpdate::Appended { records: batch.records, next: batch.next, is_at_end })
             }
             Err(error) => {
-                if matches!(error, LogCallError::Response(LogError::Trimmed(_))) {
-                    self.cursor.record_trimmed();
+                match &error {
+                    LogCallError::Response(LogError::Trimmed(_)) => self.cursor.record_trimmed(),
+                    LogCallError::TimedOut(_) => {
+                        let took = self.context.now().saturating_sub(begun_at);
+                        self.cursor.record_given_up(took);
+                    }
+                    _ => {}
                 }
                 Err(error)
             }
