Split large hand-overs of one account over the allocators of the data centre

Cause: accounts were spread over the allocators, but each account went whole to one of them; 14.4 million tokens of a VM could be lost with one receiver. Change: more than 100,000 tokens of an account are divided. Measured: the test failed before; the others of hand_over pass.

--- a/crates/sassafrashoist-core/src/gateway/hand_over.rs
+++ b/crates/sassafrashoist-core/src/gateway/hand_over.rs
@@ -1,6 +1,10 @@
 //! Which VMs take in the tokens that a VM hands over without a request.
 
 use super::token_holding::AccountTokens;
+use crate::ids::Tokens;
+
+/// The most tokens of one account that go to a single VM.
+const MAX_UNDIVIDED_TOKENS: Tokens = 100_000;
 
 /// Tokens that one message hands over.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,8 +39,15 @@
             HandOver { receivers, tokens: Vec::new() }
         })
         .collect();
-    for (index, account_tokens) in tokens.into_iter().enumerate() {
-        hand_overs[index % count].tokens.push(account_tokens);
+    for (index, (account_id, tokens)) in tokens.into_iter().enumerate() {
+        let part_count = if tokens > MAX_UNDIVIDED_TOKENS { count } else { 1 };
+        let part = tokens / part_count as Tokens;
+        for part_index in 0..part_count {
+            let sent =
+                if part_index == 0 { tokens - part * (part_count as Tokens - 1) } else { part };
+            let hand_over = &mut hand_overs[(index + part_index) % count];
+            hand_over.tokens.push((account_id.clone(), sent));
+        }
     }
     hand_overs.retain(|hand_over| !hand_over.tokens.is_empty());
     hand_overs
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/hand_over.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/hand_over.rs
@@ -43,3 +43,12 @@
 
     assert_eq!(hand_overs, []);
 }
+
+#[test]
+fn failure_of_one_receiver_strands_a_part_of_a_single_account() {
+    let tokens = vec![("account-1".to_owned(), 14_400_000)];
+
+    let hand_overs = plan_hand_overs(&["a", "b", "c"], &["d"], tokens, 0.5);
+
+    assert!(hand_overs.len() > 1, "{hand_overs:?}");
+}
