Remember transfers of tokens by time, not by number

Cause: a VM remembered the last 512 transfers, also those that gave nothing. An allocator got 1,300 requests a second, so that it forgot a transfer after 0.4 s, while its message is repeated for up to 10 s: callers' tokens were deducted twice or added twice. Change: transfers are remembered for 10 s, those that gave nothing are not; a full memory rejects the next transfer. Measured: both tests failed before (8,000 left instead of 9,000; 2,000 instead of 1,000).

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -65,6 +65,7 @@
 pub mod read_patience;
 pub mod read_precedence;
 pub mod recent_answers;
+mod recent_transfers;
 pub mod reclaim;
 pub mod relay_vms;
 pub mod request_limit;
--- a/crates/sassafrashoist-core/src/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/src/gateway/token_holding.rs
@@ -11,7 +11,7 @@
 //! Tokens also move directly between VMs. The sender deducts them before it responds, and a
 //! repeated transfer request gets the first response again.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,6 +23,7 @@
 use super::holder_role::HolderRole;
 use super::limit_periods::{LimitAges, LimitPeriods};
 use super::planned_record::PlannedRecord;
+use super::recent_transfers::RecentTransfers;
 use super::token_ledger::TokenLedger;
 use super::{HolderId, Uptime};
 use crate::ids::{ClientAccountId, DataCentreId, Tokens, VmId};
@@ -40,8 +41,6 @@
 /// Time without a reservation after which tokens count as idle; several times as long as requests
 /// wait for tokens.
 const IDLE_AFTER: Duration = Duration::from_secs(1);
-/// The most transfers in each direction that are remembered to detect repeated messages.
-const MAX_REMEMBERED_TRANSFERS: usize = 512;
 
 /// Identifies a transfer: the holder that started it and a number from that holder's counter.
 pub type TransferId = (HolderId, u64);
@@ -60,8 +59,8 @@
     role: HolderRole,
     limit_periods: LimitPeriods,
     accounts: BTreeMap<ClientAccountId, AccountHolding>,
-    sent_transfers: VecDeque<(TransferId, Tokens)>,
-    received_transfers: VecDeque<TransferId>,
+    sent_transfers: RecentTransfers<Tokens>,
+    received_transfers: RecentTransfers<()>,
 }
 
 impl TokenHolding {
@@ -82,8 +81,8 @@
             role: HolderRole::DrawsForItself,
             limit_periods: LimitPeriods::default(),
             accounts: BTreeMap::new(),
-            sent_transfers: VecDeque::new(),
-            received_transfers: VecDeque::new(),
+            sent_transfers: RecentTransfers::default(),
+            received_transfers: RecentTransfers::default(),
         }
     }
 
@@ -226,9 +225,12 @@
         now: Uptime,
     ) -> Tokens {
         let ages = self.limit_periods.ages(now);
-        if let Some((_, sent)) = self.sent_transfers.iter().find(|(id, _)| *id == transfer_id) {
+        if let Some(sent) = self.sent_transfers.result(&transfer_id) {
             return *sent;
         }
+        if !self.sent_transfers.has_room(now) {
+            return 0;
+        }
         let holding = self.accounts.entry(account_id.to_owned()).or_default();
         let available = holding.spendable_tokens(ages).max(0);
         let surplus = (available / SURPLUS_DIVISOR).min(desired_tokens as i64);
@@ -238,7 +240,9 @@
             holding.record_use(sent, now);
         }
         holding.record_request_size(needed_tokens);
-        record_transfer(&mut self.sent_transfers, (transfer_id, sent));
+        if sent > 0 {
+            self.sent_transfers.record(transfer_id, sent, now);
+        }
         sent
     }
 
@@ -294,15 +298,26 @@
     }
 
     /// Adds tokens that another VM handed over without a request; a repeated message changes
-    /// nothing.
-    pub fn receive_transfer(&mut self, transfer_id: &TransferId, sent: &[AccountTokens]) {
-        if self.received_transfers.contains(transfer_id) {
-            return;
+    /// nothing. Returns false if the tokens cannot be taken in, because repeated messages could not be
+    /// detected.
+    #[must_use]
+    pub fn receive_transfer(
+        &mut self,
+        transfer_id: &TransferId,
+        sent: &[AccountTokens],
+        now: Uptime,
+    ) -> bool {
+        if self.received_transfers.result(transfer_id).is_some() {
+            return true;
+        }
+        if !self.received_transfers.has_room(now) {
+            return false;
         }
         for (account_id, tokens) in sent {
             self.receive_tokens(account_id, *tokens);
         }
-        record_transfer(&mut self.received_transfers, transfer_id.clone());
+        self.received_transfers.record(transfer_id.clone(), (), now);
+        true
     }
 
     /// Freezes this holder's part of the tokens that all holders drew in excess of the paid amount,
@@ -488,11 +503,3 @@
         PlannedRecord { record, changes, has_waiting_request, planned_at: now }
     }
 }
-
-/// Remembers a transfer, and forgets the oldest one if there are too many.
-fn record_transfer<T>(transfers: &mut VecDeque<T>, transfer: T) {
-    if transfers.len() >= MAX_REMEMBERED_TRANSFERS {
-        transfers.pop_front();
-    }
-    transfers.push_back(transfer);
-}
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/token_holding.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/token_holding.rs
@@ -295,3 +295,57 @@
 
     assert_eq!(sent, []);
 }
+
+/// More transfers than reach an allocator while another VM repeats a message to it.
+const OTHER_TRANSFERS: u64 = 600;
+
+// Requests that get nothing took the place of one that got tokens, whose response was lost.
+#[test]
+fn repeated_request_gets_the_first_response_after_many_that_got_nothing() {
+    let mut holding = holding_of("vm-1", 1, ([10, 0, 0, 1], 7_000).into());
+    holding.receive_tokens(ACCOUNT, 10_000);
+    let now = Duration::from_secs(100);
+    let repeated = ("vm-2/1".to_owned(), 1);
+    let given = holding.send_tokens(repeated.clone(), ACCOUNT, 1_000, 1_000, now);
+    for count in 0..OTHER_TRANSFERS {
+        holding.send_tokens(("vm-3/1".to_owned(), count), "without-tokens", 1_000, 1_000, now);
+    }
+
+    let left = holding.spendable_tokens(ACCOUNT, now);
+    let given_again = holding.send_tokens(repeated, ACCOUNT, 1_000, 1_000, now);
+
+    assert_eq!((given_again, holding.spendable_tokens(ACCOUNT, now)), (given, left));
+}
+
+// A hand-over whose response was lost was taken in twice.
+#[test]
+fn repeated_hand_over_is_taken_in_once_after_many_others() {
+    let mut holding = holding_of("vm-1", 1, ([10, 0, 0, 1], 7_000).into());
+    let repeated = ("vm-2/1".to_owned(), 1);
+    let now = Duration::from_secs(100);
+    let mut is_taken_in = holding.receive_transfer(&repeated, &[(ACCOUNT.to_owned(), 1_000)], now);
+    for count in 0..OTHER_TRANSFERS {
+        is_taken_in &= holding.receive_transfer(&("vm-3/1".to_owned(), count), &[], now);
+    }
+
+    is_taken_in &= holding.receive_transfer(&repeated, &[(ACCOUNT.to_owned(), 1_000)], now);
+
+    assert!(is_taken_in);
+    assert_eq!(holding.spendable_tokens(ACCOUNT, now), 1_000);
+}
+
+#[test]
+fn transfers_beyond_the_memory_are_rejected_until_it_has_room() {
+    let mut holding = holding_of("vm-1", 1, ([10, 0, 0, 1], 7_000).into());
+    let now = Duration::from_secs(100);
+    let tokens = [(ACCOUNT.to_owned(), 1)];
+
+    let taken_in = (0..20_000)
+        .filter(|count| holding.receive_transfer(&("vm-3/1".to_owned(), *count), &tokens, now))
+        .count();
+    let later = now + Duration::from_secs(10);
+    let is_taken_in_later = holding.receive_transfer(&("vm-4/1".to_owned(), 0), &tokens, later);
+
+    assert_eq!((taken_in, is_taken_in_later), (16_384, true));
+    assert_eq!(holding.spendable_tokens(ACCOUNT, later), 16_385);
+}
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -167,8 +167,13 @@
         );
         return empty_response(StatusCode::CONFLICT);
     }
-    tokens.holding.receive_transfer(&message.transfer_id, &message.sent);
+    let now = context.now();
+    let is_taken_in = tokens.holding.receive_transfer(&message.transfer_id, &message.sent, now);
     drop(tokens);
+    if !is_taken_in {
+        log::warn!(from = message.transfer_id.0; "too many transfers of tokens; one rejected");
+        return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    }
     log::info!(
         from = message.transfer_id.0, given:? = message.sent;
         "tokens of a VM that stops taken in"
