--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod gateway;
 pub mod harness;
 pub mod http;
+pub mod link;
 pub mod log_service;
 pub mod server;
