--- a/review/stand-ins/src/caller.rs
+++ b/review/stand-ins/src/caller.rs
@@ -37,6 +37,23 @@
     }
 }
 
+impl Request {
+    /// Returns the bytes that are sent.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut head = format!("{} {} HTTP/1.1\r\n", self.method, self.target);
+        for (name, value) in &self.headers {
+            head += &format!("{name}: {value}\r\n");
+        }
+        if self.method != "GET" {
+            head += &format!("Content-Length: {}\r\n", self.body.len());
+        }
+        head += "\r\n";
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
 /// What a caller received.
 #[derive(Debug, Clone, Default)]
 pub struct Answer {
@@ -72,16 +89,7 @@
     let mut answer = Answer::default();
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(request.patience));
-    let mut head = format!("{} {} HTTP/1.1\r\n", request.method, request.target);
-    for (name, value) in &request.headers {
-        head += &format!("{name}: {value}\r\n");
-    }
-    if request.method != "GET" {
-        head += &format!("Content-Length: {}\r\n", request.body.len());
-    }
-    head += "\r\n";
-    let mut bytes = head.into_bytes();
-    bytes.extend_from_slice(&request.body);
+    let bytes = request.to_bytes();
     if stream.write_all(&bytes).is_err() {
         return answer;
     }
--- a/review/stand-ins/src/fleet.rs
+++ b/review/stand-ins/src/fleet.rs
@@ -128,7 +128,7 @@
     format!(
         "{{\"version\":7,\"routes\":[{}],\"backends\":[{{\"name\":\"llm\",\
          \"runtime\":{{\"batchSlots\":64,\"kvCapacity\":475241,\"interval\":5}}}},\
-         {{\"name\":\"desk\"}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\
+         {{\"name\":\"desk\"}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\
          \"headerTimeoutMs\":5000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"{TENANT}\",\
          \"apiKeys\":[\"{KEY}\"],\"reserved\":{reserved_tokens}}}]}}",
         routes.join(",")
--- a/review/stand-ins/src/gateway.rs
+++ b/review/stand-ins/src/gateway.rs
@@ -144,6 +144,15 @@
         has_ended
     }
 
+    /// Returns the memory of the process that is not backed by files.
+    pub fn anonymous_memory_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kib.unwrap_or(0) * 1_024
+    }
+
     /// Returns the process id.
     pub fn process_id(&self) -> u32 {
         self.child.id()
--- a/review/stand-ins/src/http.rs
+++ b/review/stand-ins/src/http.rs
@@ -76,6 +76,14 @@
     Ok(())
 }
 
+/// Reads the body of a response that states its length or comes in chunks.
+pub fn read_response_body(
+    reader: &mut BufReader<TcpStream>,
+    message: &mut Message,
+) -> io::Result<()> {
+    read_request_body(reader, message)
+}
+
 /// Reads one chunk of a chunked body; `None` at its end.
 pub fn read_chunk(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Vec<u8>>> {
     let mut line = String::new();
