Review case 5: streams can't be taken up after all gateways were killed

All gateways are killed while 16 resumable streams are in progress; callers take them up when the machines are in touch again. All servers are of one software version, and none of the 16 goes on, while 16 of 16 new ones begin (LOST).

At fault: the origins of streams are in memory only, and find_by_sole_version wants the server list to have been read for twice the timeout of the route and 10 s.

The drill that brings a leaving server back (DRAIN) gives way to it as the lesser case, and the two cases of LOST change places. The stand-ins lose what only the DRAIN case used.

--- a/review/stand-ins/src/bin/budget_after_freeze.rs
+++ b/review/stand-ins/src/bin/budget_after_freeze.rs
@@ -41,6 +41,7 @@
         timeout_ms: 12_000,
         target_ms: 500,
         max_attempts: 1,
+        may_resume: false,
     };
     let fleet = Fleet::start(case, 2, servers, &[route], RESERVED_TOKENS)?;
     let delivered_events = Mutex::new(0);
--- a/review/stand-ins/src/bin/lost_after_sigterm.rs
+++ b/review/stand-ins/src/bin/lost_after_sigterm.rs
@@ -44,6 +44,7 @@
         timeout_ms: 15_000,
         target_ms: 500,
         max_attempts: 1,
+        may_resume: false,
     };
     let mut fleet = Fleet::start(case, 1, vec![server], &[route], 1_000_000)?;
     let link = start_link(fleet.gateways[0].caller_address, LINK_BYTES_PER_S)?;
--- a/review/stand-ins/src/bin/memory_over_limit.rs
+++ b/review/stand-ins/src/bin/memory_over_limit.rs
@@ -49,6 +49,7 @@
         timeout_ms: 12_000,
         target_ms: 500,
         max_attempts: 1,
+        may_resume: false,
     };
     let mut fleet =
         Fleet::start(case, 1, vec![server], &[route("bid"), route("photo")], 1_000_000)?;
--- a/review/stand-ins/src/caller.rs
+++ b/review/stand-ins/src/caller.rs
@@ -22,6 +22,8 @@
     pub body: Vec<u8>,
     /// How long the caller waits for the next bytes of the answer.
     pub patience: Duration,
+    /// When the connection of the caller breaks off.
+    pub leaves_after: Option<Duration>,
 }
 
 impl Request {
@@ -33,6 +35,7 @@
             headers: Vec::new(),
             body: Vec::new(),
             patience: Duration::from_secs(5),
+            leaves_after: None,
         }
     }
 }
@@ -105,13 +108,18 @@
     };
     answer.status = message.status();
     answer.headers = message.headers;
-    read_body(&mut reader, &mut answer);
+    let leaves_at = request.leaves_after.map(|time| sent_at + time);
+    read_body(&mut reader, &mut answer, leaves_at);
     answer
 }
 
-fn read_body(reader: &mut BufReader<TcpStream>, answer: &mut Answer) {
+fn read_body(reader: &mut BufReader<TcpStream>, answer: &mut Answer, leaves_at: Option<Instant>) {
     if answer.header("transfer-encoding").is_some() {
         loop {
+            if leaves_at.is_some_and(|at| Instant::now() >= at) {
+                answer.has_left = true;
+                return;
+            }
             match read_chunk(reader) {
                 Ok(Some(chunk)) => answer.body.extend_from_slice(&chunk),
                 Ok(None) => {
--- a/review/stand-ins/src/engine.rs
+++ b/review/stand-ins/src/engine.rs
@@ -32,7 +32,7 @@
 }
 
 /// Returns the handler of a model server: each request runs with its first event, `first` after it
-/// arrived, and sends `event_count` events.
+/// arrived, and sends `event_count` events, or those after the one in `Last-Event-Id`.
 pub fn engine(
     id: &str,
     runs: &Runs,
@@ -43,6 +43,7 @@
     let (id, runs) = (id.to_owned(), runs.clone());
     Arc::new(move |stream, request, _| {
         let request_id = request.header("request-id").unwrap_or("-").to_owned();
+        let last_event = request.header("last-event-id").and_then(|event| event.parse().ok());
         let prompt = request.header("token-usage").and_then(|usage| usage.split_once(','));
         let prompt_tokens = prompt.and_then(|(tokens, _)| tokens.parse().ok()).unwrap_or(0);
         thread::sleep(first);
@@ -54,7 +55,7 @@
             None,
         );
         stream.write_all(head.as_bytes())?;
-        for event in 1..=event_count {
+        for event in last_event.unwrap_or(0_u64) + 1..=event_count {
             write_chunk(stream, format!("id: {event}\ndata: part {event}\n\n").as_bytes())?;
             runs.lock().insert(request_id.clone(), prompt_tokens);
             thread::sleep(interval);
--- a/review/stand-ins/src/fleet.rs
+++ b/review/stand-ins/src/fleet.rs
@@ -33,6 +33,8 @@
     pub target_ms: u64,
     /// The most servers that run one request.
     pub max_attempts: u32,
+    /// Whether a stream may be resumed.
+    pub may_resume: bool,
 }
 
 /// A log service, servers and gateways that are connected.
@@ -64,7 +66,7 @@
         let mut fleet = Self { log, servers, gateways: Vec::new(), config };
         for index in 0..gateway_count {
             let seen = fleet.servers.iter().map(|server| server.replacement(index)).collect();
-            let address = fleet.log.listen(index, seen)?;
+            let address = fleet.log.listen(seen)?;
             fleet.gateways.push(Gateway::start(&case.folder, index as u8, ZONE, address)?);
         }
         // Traffic starts 10 s after the machines on the sheets; a few seconds are enough here.
@@ -104,7 +106,14 @@
         headers.push(("Prefix-Hash", format!("aa:{},{id}:{}", prompt / 2, prompt - prompt / 2)));
     }
     let body = if method == "GET" { Vec::new() } else { b"lot 7".to_vec() };
-    Request { method, target: format!("/{route}/1"), headers, body, patience: deadline }
+    Request {
+        method,
+        target: format!("/{route}/1"),
+        headers,
+        body,
+        patience: deadline,
+        leaves_after: None,
+    }
 }
 
 fn config_text(routes: &[Route], reserved_tokens: u64) -> String {
@@ -115,13 +124,14 @@
                 "{{\"name\":\"{0}\",\"hostname\":\"{HOST}\",\"pathPrefix\":\"/{0}/\",\
                  \"routeType\":\"{1}\",\"timeoutMs\":{2},\"targetLatencyMs\":{3},\
                  \"priorityClass\":1,\"backend\":\"{4}\",\"maxAttempts\":{5},\"public\":false,\
-                 \"sessionAffinity\":false,\"streamResume\":false}}",
+                 \"sessionAffinity\":false,\"streamResume\":{6}}}",
                 route.name,
                 route.kind,
                 route.timeout_ms,
                 route.target_ms,
                 route.pool,
-                route.max_attempts
+                route.max_attempts,
+                route.may_resume
             )
         })
         .collect();
--- a/review/stand-ins/src/gateway.rs
+++ b/review/stand-ins/src/gateway.rs
@@ -153,11 +153,6 @@
         kib.unwrap_or(0) * 1_024
     }
 
-    /// Returns the process id.
-    pub fn process_id(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Returns the lines of the log that contain `text`.
     pub fn log_lines(&self, text: &str) -> Vec<String> {
         let log = std::fs::read_to_string(&self.log_path).unwrap_or_default();
--- a/review/stand-ins/src/log_service.rs
+++ b/review/stand-ins/src/log_service.rs
@@ -26,8 +26,6 @@
     topics: Topics,
     era: u64,
     is_down: bool,
-    /// The end of each topic as last read by each view, and when that was first reached.
-    reads: HashMap<(usize, String), Vec<(u64, Instant)>>,
 }
 
 /// A copy of all records.
@@ -43,18 +41,14 @@
 impl LogService {
     /// Listens for one machine, which sees the first texts of `replacements` in the servers' entries
     /// as the second ones; returns the address.
-    pub fn listen(
-        &self,
-        view: usize,
-        replacements: Vec<(String, String)>,
-    ) -> Result<SocketAddr, String> {
+    pub fn listen(&self, replacements: Vec<(String, String)>) -> Result<SocketAddr, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
         let address = listener.local_addr().map_err(|error| error.to_string())?;
         let (service, replacements) = (self.clone(), Arc::new(replacements));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (service, replacements) = (service.clone(), Arc::clone(&replacements));
-                thread::spawn(move || service.serve(stream, view, &replacements));
+                thread::spawn(move || service.serve(stream, &replacements));
             }
         });
         Ok(address)
@@ -97,24 +91,11 @@
         self.shared.1.notify_all();
     }
 
-    /// Brings the service back as it was.
-    pub fn bring_back_unchanged(&self) {
-        self.lock().is_down = false;
-        self.shared.1.notify_all();
-    }
-
-    /// Returns when a machine first read a topic beyond an offset.
-    pub fn read_beyond_at(&self, view: usize, topic: &str, offset: u64) -> Option<Instant> {
-        let state = self.lock();
-        let reads = state.reads.get(&(view, topic.to_owned()))?;
-        reads.iter().find(|(end, _)| *end > offset).map(|(_, at)| *at)
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn serve(&self, stream: TcpStream, view: usize, replacements: &[(String, String)]) {
+    fn serve(&self, stream: TcpStream, replacements: &[(String, String)]) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
             return;
@@ -124,7 +105,7 @@
             if read_request_body(&mut reader, &mut request).is_err() {
                 return;
             }
-            let (status, body) = self.respond(&request, view, replacements);
+            let (status, body) = self.respond(&request, replacements);
             let era = self.lock().era;
             let head = format!(
                 "HTTP/1.1 {status} -\r\nContent-Length: {}\r\nStore-Era: {era}\r\n\r\n",
@@ -138,12 +119,7 @@
         }
     }
 
-    fn respond(
-        &self,
-        request: &Message,
-        view: usize,
-        replacements: &[(String, String)],
-    ) -> (u16, Vec<u8>) {
+    fn respond(&self, request: &Message, replacements: &[(String, String)]) -> (u16, Vec<u8>) {
         let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
         let query: HashMap<&str, String> = query
             .split('&')
@@ -165,11 +141,11 @@
                 let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
                 let max_bytes = number("maxSize").unwrap_or(1_024) as usize * 1_024;
                 let from = number("from").unwrap_or(0);
-                self.read(&topic, from, max_bytes, wait, view, replacements)
+                self.read(&topic, from, max_bytes, wait, replacements)
             }
             "/api/log-newest" => {
                 let after = query.get("after").cloned().unwrap_or_default();
-                self.newest(&topic, &after, view, replacements)
+                self.newest(&topic, &after, replacements)
             }
             _ => (404, Vec::new()),
         }
@@ -203,7 +179,6 @@
         from: u64,
         max_bytes: usize,
         wait: Duration,
-        view: usize,
         replacements: &[(String, String)],
     ) -> (u16, Vec<u8>) {
         let deadline = Instant::now() + wait;
@@ -233,7 +208,6 @@
                     body.extend_from_slice(&record);
                     next += 1;
                 }
-                state.record_read(view, topic, next);
                 return (200, body);
             }
             let (guard, _) = self
@@ -249,7 +223,6 @@
         &self,
         topic: &str,
         after: &str,
-        view: usize,
         replacements: &[(String, String)],
     ) -> (u16, Vec<u8>) {
         let mut state = self.lock();
@@ -275,9 +248,6 @@
             })
             .collect();
         let has_more = rest.len() > MAX_PAGE_ENTRIES;
-        if !has_more {
-            state.record_read(view, topic, end);
-        }
         let body = format!(
             "{{\"entries\":[{}],\"hasMore\":{has_more},\"endOffset\":{end}}}",
             entries.join(",")
@@ -286,15 +256,6 @@
     }
 }
 
-impl State {
-    fn record_read(&mut self, view: usize, topic: &str, next: u64) {
-        let reads = self.reads.entry((view, topic.to_owned())).or_default();
-        if reads.last().is_none_or(|(end, _)| *end != next) {
-            reads.push((next, Instant::now()));
-        }
-    }
-}
-
 /// Returns a record as one machine sees it.
 fn replace(topic: &str, bytes: &[u8], replacements: &[(String, String)]) -> Vec<u8> {
     if topic != SERVERS_TOPIC {
--- a/review/stand-ins/src/server.rs
+++ b/review/stand-ins/src/server.rs
@@ -1,8 +1,7 @@
 //! A backend server, which each machine reaches at a port of its own.
 
 use std::io::{self, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -10,9 +9,6 @@
 use crate::http::{Message, read_head, read_request_body};
 use crate::log_service::{LogService, SERVERS_TOPIC};
 
-/// How often a listener looks for connections and for the end of its path.
-const POLL_INTERVAL: Duration = Duration::from_millis(1);
-
 /// A request that arrived at a server.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -27,11 +23,6 @@
 /// Answers a request that arrived from a machine.
 pub type Handler = Arc<dyn Fn(&mut TcpStream, &Message, usize) -> io::Result<()> + Send + Sync>;
 
-#[derive(Debug, Default)]
-struct Path {
-    is_lost: AtomicBool,
-}
-
 /// A backend server.
 #[derive(Clone)]
 pub struct Server {
@@ -42,10 +33,7 @@
     /// The address in the entry of the server, which no machine uses.
     pub listed_address: SocketAddr,
     path_addresses: Vec<SocketAddr>,
-    paths: Vec<Arc<Path>>,
-    has_ended: Arc<AtomicBool>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
-    connections: Arc<Mutex<Vec<TcpStream>>>,
     handler: Handler,
 }
 
@@ -65,18 +53,14 @@
             pool: pool.to_owned(),
             listed_address,
             path_addresses: Vec::new(),
-            paths: Vec::new(),
-            has_ended: Arc::default(),
             arrivals: Arc::default(),
-            connections: Arc::default(),
             handler,
         };
         for _ in 0..machine_count {
             let listener = reserve()?;
             let address = listener.local_addr().map_err(|error| error.to_string())?;
             server.path_addresses.push(address);
-            server.paths.push(Arc::default());
-            server.accept_on(server.paths.len() - 1, listener);
+            server.accept_on(server.path_addresses.len() - 1, listener);
         }
         // Keeps the port in use, so that nothing else answers at it.
         thread::spawn(move || {
@@ -104,19 +88,6 @@
         log.write(SERVERS_TOPIC, &self.id, &entry)
     }
 
-    /// Cuts the path of a machine, or restores it: new connections are refused, open ones reset.
-    pub fn set_path_lost(&self, machine: usize, is_lost: bool) {
-        self.paths[machine].is_lost.store(is_lost, Ordering::SeqCst);
-    }
-
-    /// Ends the process of the server: its ports and connections close.
-    pub fn end(&self) {
-        self.has_ended.store(true, Ordering::SeqCst);
-        for stream in lock(&self.connections).drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-
     /// Returns the requests that arrived, whether they ran or not.
     pub fn arrivals(&self) -> Vec<Arrival> {
         lock(&self.arrivals).clone()
@@ -124,41 +95,19 @@
 
     fn accept_on(&self, machine: usize, listener: TcpListener) {
         let server = self.clone();
-        let address = server.path_addresses[machine];
         thread::spawn(move || {
-            let mut listener = Some(listener);
-            loop {
-                if server.has_ended.load(Ordering::SeqCst) {
-                    return;
-                }
-                if server.paths[machine].is_lost.load(Ordering::SeqCst) {
-                    listener = None;
-                } else if listener.is_none() {
-                    listener = TcpListener::bind(address).ok();
-                }
-                let Some(open) = &listener else {
-                    thread::sleep(POLL_INTERVAL);
-                    continue;
-                };
-                let _ = open.set_nonblocking(true);
-                match open.accept() {
-                    Ok((stream, _)) => {
-                        let _ = stream.set_nonblocking(false);
-                        let server = server.clone();
-                        thread::spawn(move || server.serve(stream, machine));
-                    }
-                    Err(_) => thread::sleep(POLL_INTERVAL),
-                }
+            for stream in listener.incoming().flatten() {
+                let server = server.clone();
+                thread::spawn(move || server.serve(stream, machine));
             }
         });
     }
 
     fn serve(&self, stream: TcpStream, machine: usize) {
         let _ = stream.set_nodelay(true);
-        let (Ok(mut writer), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else {
+        let Ok(mut writer) = stream.try_clone() else {
             return;
         };
-        lock(&self.connections).push(kept);
         let mut reader = BufReader::new(stream);
         while let Ok(Some(mut request)) = read_head(&mut reader) {
             if read_request_body(&mut reader, &mut request).is_err() {
