--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod bundles;
 mod config_messages;
 mod config_sharing;
+mod drain;
 mod gateway;
 mod log_client;
 mod lost_paths;
