Count connections by what is owed to their callers

The log of a gateway that stopped could not tell a request that the drain did not count from an answer that was not written or a connection that something else closed: nothing counted connections, and a request that was cut by the exit of the process was logged as a caller that had left.

Each connection now has a phase (opened, idle, reading a head, in a request, writing a response, closing). The counts are logged when the listener closes and when the process exits, and a request that is cut by the exit says so. No decision uses them yet.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 pub mod config_announcement;
 pub mod config_readers;
 pub mod config_sharing;
+pub mod connection_phase;
 pub mod crash_book;
 pub mod crash_outbox;
 pub mod crash_report;
--- a/crates/sassafrashoist/src/gateway/caller_stream.rs
+++ b/crates/sassafrashoist/src/gateway/caller_stream.rs
@@ -15,6 +15,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::open_connection::OpenConnection;
+
 /// Makes the connection end with a reset unless its response is written to its end.
 #[derive(Debug, Clone, Default)]
 pub struct ResetSwitch(Arc<AtomicBool>);
@@ -34,14 +36,15 @@
 #[derive(Debug)]
 pub struct CallerStream {
     tcp: TcpStream,
+    connection: Arc<OpenConnection>,
     reset_switch: ResetSwitch,
     resets_when_dropped: bool,
 }
 
 impl CallerStream {
     /// Wraps an accepted connection.
-    pub fn new(tcp: TcpStream, reset_switch: ResetSwitch) -> Self {
-        Self { tcp, reset_switch, resets_when_dropped: false }
+    pub fn new(tcp: TcpStream, connection: Arc<OpenConnection>, reset_switch: ResetSwitch) -> Self {
+        Self { tcp, connection, reset_switch, resets_when_dropped: false }
     }
 
     fn set_reset_when_dropped(&mut self, resets: bool) {
@@ -66,7 +69,12 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_read(cx, buffer)
+        let earlier_bytes = buffer.filled().len();
+        let result = Pin::new(&mut self.tcp).poll_read(cx, buffer);
+        if buffer.filled().len() > earlier_bytes {
+            self.connection.record_read();
+        }
+        result
     }
 }
 
@@ -94,6 +102,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP library flushes once it has written all that it has buffered.
+        self.connection.record_written();
         Pin::new(&mut self.tcp).poll_flush(cx)
     }
 
--- a/crates/sassafrashoist/src/gateway/disconnect_guard.rs
+++ b/crates/sassafrashoist/src/gateway/disconnect_guard.rs
@@ -1,21 +1,23 @@
-//! Reports a caller that disconnects before its response has started.
+//! Reports a request that ends before its response has started.
 
 use sassafrashoist_core::ids::RequestId;
+use tokio_util::sync::CancellationToken;
 
-/// Counts and logs a caller that disconnects before its response has started.
+/// Counts and logs a request that ends before its response has started, because its caller
+/// disconnects or because this process exits.
 ///
-/// When the caller disconnects, the HTTP server drops the future that handles the request, and this
-/// guard with it.
+/// In both cases the future that handles the request is dropped, and this guard with it.
 #[derive(Debug)]
 pub struct DisconnectGuard {
     id: RequestId,
+    exiting: CancellationToken,
     has_response: bool,
 }
 
 impl DisconnectGuard {
-    /// Creates a guard for the caller of a request.
-    pub fn new(id: RequestId) -> Self {
-        Self { id, has_response: false }
+    /// Creates a guard for the caller of a request; `exiting` is cancelled when this process exits.
+    pub fn new(id: RequestId, exiting: CancellationToken) -> Self {
+        Self { id, exiting, has_response: false }
     }
 
     /// Drops the guard without a report, because there is a response.
@@ -26,7 +28,13 @@
 
 impl Drop for DisconnectGuard {
     fn drop(&mut self) {
-        if !self.has_response {
+        if self.has_response {
+            return;
+        }
+        if self.exiting.is_cancelled() {
+            metrics::counter!("sassafrashoist_requests_cut_off_total").increment(1);
+            log::warn!(id = self.id; "request cut off without a response: this process exits");
+        } else {
             metrics::counter!("sassafrashoist_callers_left_total").increment(1);
             log::info!(id = self.id; "caller left before its answer");
         }
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -29,6 +29,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::open_connections::OpenConnections;
 use super::permit_book::PermitBook;
 use super::read_clocks::read_clocks;
 use super::report_server_end::Inquiry;
@@ -79,10 +80,16 @@
     pub config_heard: Notify,
     /// The requests of other VMs for the configuration that may be served now.
     pub served_fetches: Semaphore,
+    /// The connections of callers.
+    pub caller_connections: Arc<OpenConnections>,
+    /// The connections of other VMs and of operators.
+    pub internal_connections: Arc<OpenConnections>,
     /// Requests in progress.
     pub requests: TaskTracker,
     /// Cancelled when the process receives the signal to stop.
     pub draining: CancellationToken,
+    /// Cancelled when this process exits, whatever is still in progress.
+    pub exiting: CancellationToken,
     /// Cancelled to end all tasks.
     pub cancel: CancellationToken,
 }
@@ -133,8 +140,11 @@
             tokens_changed: Notify::new(),
             config_heard: Notify::new(),
             served_fetches: Semaphore::new(MAX_SERVED_FETCHES),
+            caller_connections: Arc::default(),
+            internal_connections: Arc::default(),
             requests: TaskTracker::new(),
             draining: cancel.child_token(),
+            exiting: CancellationToken::new(),
             cancel,
         })
     }
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -14,7 +15,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::caller_stream::{CallerStream, ResetSwitch};
+use super::open_connections::OpenConnections;
 use super::response_body::ResponseBody;
+use super::tracked_body::TrackedBody;
 
 /// Delay after a failed accept, which usually means that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -31,6 +34,8 @@
     pub head_timeout: Duration,
     /// The maximum length of a request head.
     pub max_head_bytes: usize,
+    /// Where the connections are counted.
+    pub connections: Arc<OpenConnections>,
     /// Cancelled to close each connection after the request in progress.
     pub closing: CancellationToken,
 }
@@ -67,11 +72,13 @@
         log::debug!(error:% = error; "connection was closed before it was served");
         return;
     }
+    let open = policy.connections.add();
     let reset_switch = ResetSwitch::default();
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
         let response = handle(request);
-        let reset_switch = &reset_switch;
+        let (open, reset_switch) = (&open, &reset_switch);
+        open.record_request();
         async move {
             let response = response.await;
             // Such a response, or the bytes after it, may end with its connection.
@@ -81,15 +88,16 @@
             {
                 reset_switch.turn_on();
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(TrackedBody::wrap(response, open))
         }
     });
+    let caller_stream = CallerStream::new(stream, Arc::clone(&open), reset_switch.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(policy.head_timeout)
         .max_buf_size(policy.max_head_bytes)
         .preserve_header_case(true)
-        .serve_connection(TokioIo::new(CallerStream::new(stream, reset_switch.clone())), service)
+        .serve_connection(TokioIo::new(caller_stream), service)
         .with_upgrades();
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
@@ -105,14 +113,19 @@
 }
 
 /// Serves requests that do not come from callers until cancelled.
-pub async fn serve_listener<F, R>(listener: TcpListener, closing: CancellationToken, handle: F)
-where
+pub async fn serve_listener<F, R>(
+    listener: TcpListener,
+    connections: Arc<OpenConnections>,
+    closing: CancellationToken,
+    handle: F,
+) where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let policy = ConnectionPolicy {
         head_timeout: INTERNAL_IDLE_TIMEOUT,
         max_head_bytes: MAX_INTERNAL_HEAD_BYTES,
+        connections,
         closing,
     };
     loop {
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -8,6 +8,8 @@
 //!   ([`obtain_tokens`]), send the request to backend servers until one responds ([`run_attempts`],
 //!   [`send_attempt`]), forward the response ([`forward_events`]), settle the used tokens
 //!   ([`token_reservation`]).
+//! - [`open_connections`] knows what is owed to the callers of all connections, which a VM that stops
+//!   waits for.
 //! - [`refuse_by_config`] refuses what the configuration does not allow; for now only, while it may be
 //!   old.
 //! - [`topic_reader`] reads a topic of the log service and [`follow_topic`] keeps reading it;
@@ -55,6 +57,8 @@
 pub mod log_client;
 pub mod maintain_holding;
 pub mod obtain_tokens;
+pub mod open_connection;
+pub mod open_connections;
 pub mod open_relay;
 pub mod peer_datagram;
 pub mod peer_messages;
@@ -92,4 +96,5 @@
 pub mod token_reservation;
 pub mod topic_connectivity;
 pub mod topic_reader;
+pub mod tracked_body;
 pub mod transfer_tokens;
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -108,7 +108,13 @@
     if tokio::time::timeout(RETURN_TIMEOUT, holding_task).await.is_err() {
         log::warn!("tokens not handed back: the log service did not answer in time");
     }
-    log::info!("gateway stopped");
+    context.exiting.cancel();
+    let unanswered = context.caller_connections.counts().unanswered();
+    log::info!(
+        connections:% = context.caller_connections, unanswered = unanswered,
+        requests = context.requests.len(), internal_connections:% = context.internal_connections;
+        "gateway stopped"
+    );
     log::logger().flush();
     Ok(())
 }
@@ -122,6 +128,10 @@
     log::info!(requests = context.requests.len(), grace_ms = grace.as_millis() as u64; "stopping");
     tokio::time::sleep(BALANCER_NOTICE_TIME.min(grace / 2)).await;
     closing.cancel();
+    log::info!(
+        connections:% = context.caller_connections, requests = context.requests.len();
+        "no connection accepted any more"
+    );
     context.requests.close();
     if tokio::time::timeout_at(stop_at, context.requests.wait()).await.is_err() {
         log::warn!(
--- a/crates/sassafrashoist/src/gateway/serve_clients.rs
+++ b/crates/sassafrashoist/src/gateway/serve_clients.rs
@@ -55,6 +55,7 @@
         head_timeout: limits
             .map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.header_timeout)),
         max_head_bytes: head_bytes.max(MIN_HEAD_BYTES),
+        connections: Arc::clone(&context.caller_connections),
         closing: closing.clone(),
     }
 }
--- a/crates/sassafrashoist/src/gateway/serve_metrics.rs
+++ b/crates/sassafrashoist/src/gateway/serve_metrics.rs
@@ -16,7 +16,8 @@
 /// Serves the metrics until cancelled.
 pub async fn serve_metrics(context: Arc<GatewayContext>, listener: TcpListener) {
     let cancel = context.cancel.clone();
-    serve_listener(listener, cancel, move |_| {
+    let connections = Arc::clone(&context.internal_connections);
+    serve_listener(listener, connections, cancel, move |_| {
         publish_config_age(&context);
         std::future::ready(full_response(StatusCode::OK, HeaderMap::new(), render_metrics().into()))
     })
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -41,7 +41,8 @@
 /// Serves the requests of other VMs until cancelled.
 pub async fn serve_peers(context: Arc<GatewayContext>, listener: TcpListener) {
     let closing = context.cancel.clone();
-    serve_listener(listener, closing, move |request| {
+    let connections = Arc::clone(&context.internal_connections);
+    serve_listener(listener, connections, closing, move |request| {
         let context = Arc::clone(&context);
         async move { handle_request(&context, request).await }
     })
--- a/crates/sassafrashoist/src/gateway/serve_readiness.rs
+++ b/crates/sassafrashoist/src/gateway/serve_readiness.rs
@@ -14,7 +14,8 @@
 /// Serves readiness checks until cancelled.
 pub async fn serve_readiness(context: Arc<GatewayContext>, listener: TcpListener) {
     let closing = context.cancel.clone();
-    serve_listener(listener, closing, move |request| {
+    let connections = Arc::clone(&context.internal_connections);
+    serve_listener(listener, connections, closing, move |request| {
         let status = if request.uri().path() != READINESS_PATH {
             StatusCode::NOT_FOUND
         } else if context.is_ready() {
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -109,7 +109,7 @@
     let (parts, body) = request.into_parts();
     let caller = CallerHeaders::decode(&parts.headers);
     let id = caller.request_id.clone().unwrap_or_else(|| "-".to_owned());
-    let disconnect_guard = DisconnectGuard::new(id.clone());
+    let disconnect_guard = DisconnectGuard::new(id.clone(), context.exiting.clone());
     let response = handle_request(context, id, caller, parts, body).await;
     disconnect_guard.disarm();
     response
