Wait for connections, not only requests, before a gateway exits

Cause: the drain waited once until no request was in progress. A request counted only from the end of its head until its response was handed to the HTTP library, so a connection in the backlog, one whose head was not whole or not read yet, and one with an unwritten response were in nobody's count when the tokens were returned and the process exited.

Each connection is now open from when it was accepted until its socket is closed, and the drain waits for all of them, then for the requests that go on without their callers. The listener's backlog is accepted when it is closed. The times are in core's DrainPlan; returning the tokens may take until the end of the grace period.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -20,6 +20,8 @@
 //!   from whom the others get it, as a [`document_delta`].
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
+//! - [`drain_plan`] and [`connection_phase`]: the times of a graceful shutdown, and what is owed to
+//!   callers meanwhile.
 //! - [`stream_origins`] and [`pool_versions`]: the software version at which a stream may go on.
 //! - [`event_sequence`]: which events of a server go on with a stream of another.
 //! - [`crash_book`]: the requests that may crash backend servers; [`crash_trials`] and
@@ -48,6 +50,7 @@
 pub mod crash_report;
 pub mod crash_trials;
 pub mod document_delta;
+pub mod drain_plan;
 pub mod event_sequence;
 pub mod fleet_config;
 pub mod flow_rate;
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -1,8 +1,10 @@
 //! Accepts HTTP/1.1 connections.
 
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -11,10 +13,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use super::caller_stream::{CallerStream, ResetSwitch};
+use super::closing_signals::ClosingSignals;
+use super::open_connection::OpenConnection;
 use super::open_connections::OpenConnections;
 use super::response_body::ResponseBody;
 use super::tracked_body::TrackedBody;
@@ -34,10 +39,8 @@
     pub head_timeout: Duration,
     /// The maximum length of a request head.
     pub max_head_bytes: usize,
-    /// Where the connections are counted.
-    pub connections: Arc<OpenConnections>,
-    /// Cancelled to close each connection after the request in progress.
-    pub closing: CancellationToken,
+    /// When connections are closed.
+    pub closing: ClosingSignals,
 }
 
 /// Listens on an address.
@@ -62,9 +65,35 @@
     }
 }
 
+/// Closes a listener; returns the connections in its backlog, whose callers count them as open.
+pub fn close_listener(listener: TcpListener) -> Vec<TcpStream> {
+    let mut backlog = Vec::new();
+    let accept_backlog = || -> io::Result<()> {
+        let listener = listener.into_std()?;
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    backlog.push(TcpStream::from_std(stream)?);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+    };
+    if let Err(error) = accept_backlog() {
+        log::warn!(error:% = error; "connections in the backlog of the listener not accepted");
+    }
+    backlog
+}
+
 /// Serves the requests of one connection.
-pub async fn serve_connection<F, R>(stream: TcpStream, policy: ConnectionPolicy, handle: F)
-where
+pub async fn serve_connection<F, R>(
+    stream: TcpStream,
+    open: Arc<OpenConnection>,
+    policy: ConnectionPolicy,
+    handle: F,
+) where
     F: Fn(Request<Incoming>) -> R,
     R: Future<Output = Response<ResponseBody>>,
 {
@@ -72,7 +101,6 @@
         log::debug!(error:% = error; "connection was closed before it was served");
         return;
     }
-    let open = policy.connections.add();
     let reset_switch = ResetSwitch::default();
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
@@ -101,8 +129,12 @@
         .with_upgrades();
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => result,
-        () = policy.closing.cancelled() => {
+        () = wait_until_closing(&policy.closing, &open) => {
+            if matches!(open.phase(), ConnectionPhase::Opened | ConnectionPhase::Idle) {
+                open.record_closing();
+            }
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -112,6 +144,28 @@
     }
 }
 
+/// Waits until a connection is to be closed after the request in progress.
+///
+/// The HTTP library closes a connection that is not in a request at once, also if it has read a part
+/// of the next head, or if the first request is about to arrive. The phase changes only while the
+/// connection is polled, which wakes this future too, as both are polled by one task.
+async fn wait_until_closing(signals: &ClosingSignals, open: &OpenConnection) {
+    signals.closing.cancelled().await;
+    tokio::select! {
+        () = signals.closing_opened.cancelled() => {}
+        () = wait_while_in(open, ConnectionPhase::Opened) => {}
+    }
+    wait_while_in(open, ConnectionPhase::ReadingHead).await;
+}
+
+async fn wait_while_in(open: &OpenConnection, phase: ConnectionPhase) {
+    let poll = |_: &mut Context<'_>| match open.phase() == phase {
+        true => Poll::Pending,
+        false => Poll::Ready(()),
+    };
+    std::future::poll_fn(poll).await;
+}
+
 /// Serves requests that do not come from callers until cancelled.
 pub async fn serve_listener<F, R>(
     listener: TcpListener,
@@ -125,11 +179,10 @@
     let policy = ConnectionPolicy {
         head_timeout: INTERNAL_IDLE_TIMEOUT,
         max_head_bytes: MAX_INTERNAL_HEAD_BYTES,
-        connections,
-        closing,
+        closing: ClosingSignals { closing: closing.clone(), closing_opened: closing },
     };
     loop {
         let stream = accept(&listener).await;
-        tokio::spawn(serve_connection(stream, policy.clone(), handle.clone()));
+        tokio::spawn(serve_connection(stream, connections.add(), policy.clone(), handle.clone()));
     }
 }
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 
 pub mod caller_stream;
 pub mod choose_server;
+pub mod closing_signals;
 pub mod config_messages;
 pub mod crash_messages;
 pub mod disconnect_guard;
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -7,11 +7,14 @@
 
 use eyre::WrapErr;
 use sassafrashoist_adapter::vm_settings_file::parse_vm_settings;
+use sassafrashoist_core::gateway::drain_plan::DrainPlan;
 use sassafrashoist_core::gateway::vm_settings::VmSettings;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use super::closing_signals::ClosingSignals;
 use super::fetch_config::fetch_configs;
 use super::follow_config::follow_config;
 use super::follow_servers::follow_servers;
@@ -28,15 +31,6 @@
 use super::transfer_tokens::transfer_all_tokens;
 use crate::util::metrics_page::{init_metrics, run_metrics_upkeep};
 
-/// How long this VM still accepts connections after SIGTERM: the load balancer stops sending after
-/// two failed readiness checks, one second apart.
-const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_600);
-/// The end of the shutdown grace period that is reserved for returning tokens and exiting.
-const EXIT_MARGIN: Duration = Duration::from_millis(1_300);
-/// How long transferring tokens to other VMs may take, as part of [`EXIT_MARGIN`].
-const TRANSFER_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long returning tokens to the ledger may take, as part of [`EXIT_MARGIN`].
-const RETURN_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time between two checks of the settings file, which may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -78,7 +72,7 @@
         "gateway started"
     );
 
-    let (closing, finished) = (CancellationToken::new(), CancellationToken::new());
+    let (closing, finished) = (ClosingSignals::default(), CancellationToken::new());
     tokio::spawn(follow_config(Arc::clone(&context)));
     tokio::spawn(fetch_configs(Arc::clone(&context)));
     tokio::spawn(follow_servers(Arc::clone(&context)));
@@ -91,21 +85,25 @@
     tokio::spawn(serve_readiness(Arc::clone(&context), readiness_listener));
     tokio::spawn(serve_metrics(Arc::clone(&context), metrics_listener));
     tokio::spawn(follow_settings(Arc::clone(&context), path, hang_up));
-    tokio::spawn(serve_clients(Arc::clone(&context), caller_listener, closing.clone()));
+    let accepting =
+        tokio::spawn(serve_clients(Arc::clone(&context), caller_listener, closing.clone()));
     let holding_task = tokio::spawn(maintain_holding(Arc::clone(&context), finished.clone()));
 
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    drain(&context, &closing).await;
+    let plan = DrainPlan::new(context.now(), context.settings().bounds.shutdown_grace);
+    drain(&context, &plan, &closing, accepting).await;
     if !context.is_ledger_fresh()
-        && tokio::time::timeout(TRANSFER_TIMEOUT, transfer_all_tokens(&context)).await.is_err()
+        && tokio::time::timeout(plan.transfer_time(context.now()), transfer_all_tokens(&context))
+            .await
+            .is_err()
     {
         log::warn!("tokens not handed over: other VMs did not answer in time");
     }
     finished.cancel();
-    if tokio::time::timeout(RETURN_TIMEOUT, holding_task).await.is_err() {
+    if tokio::time::timeout(plan.return_time(context.now()), holding_task).await.is_err() {
         log::warn!("tokens not handed back: the log service did not answer in time");
     }
     context.exiting.cancel();
@@ -119,23 +117,45 @@
     Ok(())
 }
 
-/// Keeps serving while the load balancer still sends connections, then waits for the requests in
-/// progress.
-async fn drain(context: &GatewayContext, closing: &CancellationToken) {
-    let grace = context.settings().bounds.shutdown_grace;
-    let stop_at = tokio::time::Instant::now() + grace.saturating_sub(EXIT_MARGIN);
+/// Keeps serving while the load balancer still sends connections, then waits until nothing is owed to
+/// callers: until their connections are closed, and the requests that go on without their callers
+/// have ended.
+async fn drain(
+    context: &GatewayContext,
+    plan: &DrainPlan,
+    signals: &ClosingSignals,
+    accepting: JoinHandle<()>,
+) {
     context.draining.cancel();
-    log::info!(requests = context.requests.len(), grace_ms = grace.as_millis() as u64; "stopping");
-    tokio::time::sleep(BALANCER_NOTICE_TIME.min(grace / 2)).await;
-    closing.cancel();
+    log::info!(
+        connections:% = context.caller_connections, requests = context.requests.len(),
+        grace_ms = context.settings().bounds.shutdown_grace.as_millis() as u64;
+        "stopping"
+    );
+    tokio::time::sleep_until(context.instant(plan.closes_at)).await;
+    signals.closing.cancel();
+    if let Err(error) = accepting.await {
+        log::error!(error:% = error; "task that accepts connections failed");
+    }
     log::info!(
         connections:% = context.caller_connections, requests = context.requests.len();
         "no connection accepted any more"
     );
-    context.requests.close();
-    if tokio::time::timeout_at(stop_at, context.requests.wait()).await.is_err() {
+    let closing_opened = signals.closing_opened.clone();
+    let opened_end = tokio::time::sleep_until(context.instant(plan.opened_end_at));
+    tokio::spawn(async move {
+        opened_end.await;
+        closing_opened.cancel();
+    });
+    let all_answered = async {
+        context.caller_connections.wait_until_closed().await;
+        context.requests.close();
+        context.requests.wait().await;
+    };
+    let serving_end = context.instant(plan.serves_until);
+    if tokio::time::timeout_at(serving_end, all_answered).await.is_err() {
         log::warn!(
-            requests = context.requests.len();
+            connections:% = context.caller_connections, requests = context.requests.len();
             "requests cut off at the end of the shutdown grace period"
         );
     }
--- a/crates/sassafrashoist/src/gateway/serve_clients.rs
+++ b/crates/sassafrashoist/src/gateway/serve_clients.rs
@@ -5,11 +5,11 @@
 
 use http::header::CONNECTION;
 use http::{HeaderValue, Response};
-use tokio::net::TcpListener;
-use tokio_util::sync::CancellationToken;
+use tokio::net::{TcpListener, TcpStream};
 
+use super::closing_signals::ClosingSignals;
 use super::gateway_context::GatewayContext;
-use super::listen::{ConnectionPolicy, accept, serve_connection};
+use super::listen::{ConnectionPolicy, accept, close_listener, serve_connection};
 use super::response_body::ResponseBody;
 use super::serve_request::serve_request;
 
@@ -20,42 +20,48 @@
 /// The smallest buffer size that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8_192;
 
-/// Serves callers until `closing` is cancelled, which also closes each connection after the request
-/// in progress.
+/// Serves callers until the signal to close, also those whose connections are in the backlog of the
+/// listener then.
 pub async fn serve_clients(
     context: Arc<GatewayContext>,
     listener: TcpListener,
-    closing: CancellationToken,
+    closing: ClosingSignals,
 ) {
     loop {
-        let stream = tokio::select! {
-            stream = accept(&listener) => stream,
-            () = closing.cancelled() => return,
-        };
-        let policy = connection_policy(&context, &closing);
-        let context = Arc::clone(&context);
-        tokio::spawn(async move {
-            let handle = |request| {
-                let context = Arc::clone(&context);
-                async move {
-                    let mut response = serve_request(&context, request).await;
-                    close_when_draining(&context, &mut response);
-                    response
-                }
-            };
-            serve_connection(stream, policy, handle).await;
-        });
+        tokio::select! {
+            stream = accept(&listener) => serve_caller(&context, stream, &closing),
+            () = closing.closing.cancelled() => break,
+        }
+    }
+    for stream in close_listener(listener) {
+        serve_caller(&context, stream, &closing);
     }
 }
 
-fn connection_policy(context: &GatewayContext, closing: &CancellationToken) -> ConnectionPolicy {
+fn serve_caller(context: &Arc<GatewayContext>, stream: TcpStream, closing: &ClosingSignals) {
+    let policy = connection_policy(context, closing);
+    let open = context.caller_connections.add();
+    let context = Arc::clone(context);
+    tokio::spawn(async move {
+        let handle = |request| {
+            let context = Arc::clone(&context);
+            async move {
+                let mut response = serve_request(&context, request).await;
+                close_when_draining(&context, &mut response);
+                response
+            }
+        };
+        serve_connection(stream, open, policy, handle).await;
+    });
+}
+
+fn connection_policy(context: &GatewayContext, closing: &ClosingSignals) -> ConnectionPolicy {
     let limits = context.routes().map(|routes| routes.config().limits);
     let head_bytes = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.max_header_bytes);
     ConnectionPolicy {
         head_timeout: limits
             .map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.header_timeout)),
         max_head_bytes: head_bytes.max(MIN_HEAD_BYTES),
-        connections: Arc::clone(&context.caller_connections),
         closing: closing.clone(),
     }
 }
--- a/crates/sassafrashoist/tests/testsuite/drain.rs
+++ b/crates/sassafrashoist/tests/testsuite/drain.rs
@@ -1,5 +1,4 @@
-//! Tests of what callers get from a gateway that drains: requests that it has not read to their end
-//! when it stops accepting connections, and answers that it has not written yet.
+//! Tests of what callers get from a gateway that drains.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -29,8 +28,9 @@
 /// The longest that a caller waits.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Starts a gateway with one server of the plain service, which runs each request for [`RUN_TIME`].
-async fn start(name: &str) -> (StandInFleet, RawServer) {
+/// Starts a gateway with one server of the plain service, which runs each request for a time and
+/// answers it with a body.
+async fn start(name: &str, run_time: Duration, body: String) -> (StandInFleet, RawServer) {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("drain").join(name);
     std::fs::remove_dir_all(&folder).ok();
     let program = Path::new(env!("CARGO_BIN_EXE_sassafrashoist"));
@@ -43,10 +43,13 @@
         event_interval: EVENT_INTERVAL,
     };
     let fleet = StandInFleet::start(program, &folder, plan).await.unwrap();
-    let answer = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nupstream-signature: raw\r\n\
-                  content-length: 4\r\n\r\ndone";
-    let server = RawServer::start(|_| RawResponse {
-        writes: vec![(RUN_TIME, answer.to_owned())],
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {{id}}\r\nupstream-signature: raw\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let server = RawServer::start(move |_| RawResponse {
+        writes: vec![(run_time, answer.clone())],
         closes: false,
     })
     .await
@@ -57,11 +60,11 @@
 }
 
 /// Returns the bytes of a request that may run at most once.
-fn bid_bytes(id: &str) -> String {
+fn bid_bytes(id: &str, deadline: Duration) -> String {
     format!(
         "POST {BID_PATH} HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {id}\r\ndeadline-ms: {}\r\n\
          authorization: Token {API_KEY}\r\ncontent-length: 5\r\n\r\na bid",
-        DEADLINE.as_millis()
+        deadline.as_millis()
     )
 }
 
@@ -91,9 +94,9 @@
 // while a server ran the request.
 #[tokio::test]
 async fn request_whose_head_ends_after_the_listener_closed_is_answered() {
-    let (mut fleet, server) = start("late_head").await;
+    let (mut fleet, server) = start("late_head", RUN_TIME, "done".to_owned()).await;
     let address = fleet.gateways[0].caller_address;
-    let request = bid_bytes("late-head");
+    let request = bid_bytes("late-head", DEADLINE);
     let (first_part, rest) = request.split_at(10);
     let mut connection = TcpStream::connect(address).await.unwrap();
     connection.write_all(first_part.as_bytes()).await.unwrap();
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod odd_entries;
 mod old_config;
 mod older_peers;
+mod open_connections;
 mod outcomes;
 mod peer_messages;
 mod processes;
