Test requests at every moment of the shutdown grace period

Callers of a machine that was stopped as planned saw connections closed with no answer after their requests had run, among them requests that may not be repeated. The two tests send requests each 50 ms from 300 ms before SIGTERM to the end of a grace period of 4 s, on new connections, kept ones, ones that were opened and not used, and ones that hold a part of a head or a head without its body; run times reach from 10 ms to the whole grace. A request that ran must be answered; a 503 promises that it did not run; none that waited over 200 ms may end without an answer.

--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod config_messages;
 mod config_sharing;
 mod gateway;
+mod late_in_grace;
 mod log_client;
 mod lost_paths;
 mod mixed_builds;
