Test what a gateway owes its callers while it stops or changes

Besides the requests that came late, other paths end connections without an answer around planned work. The tests name one failure each: answers that are read slowly, whole requests in the backlog of the listener, requests that the grace does not cover, requests without a response at its end, graces of 1, 3, 4, 5 and 30 s, refusals of bodies that are still being sent, requests carried by another gateway, further signals, a stop without a configuration or without the log service, and changes of settings and configuration with no stop.

--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod router_process;
 mod routing;
 mod settings;
+mod shutdown;
 mod soak;
 mod token_book;
 mod waiting;
