--- a/crates/sassafrashoist/tests/testsuite/late_in_grace.rs
+++ b/crates/sassafrashoist/tests/testsuite/late_in_grace.rs
@@ -3,43 +3,41 @@
 //! A gateway that stops must pass on only what it can still answer: a request that may run at most
 //! once and is cut off can't be repeated.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use http::Method;
-use sassafrashoist_platform_stand_in::backend_server::RUN_TIME_HEADER;
+use sassafrashoist_platform_stand_in::backend_server::{BackendServer, RUN_TIME_HEADER};
 use sassafrashoist_platform_stand_in::caller::CallerRequest;
 use sassafrashoist_platform_stand_in::log_service::LogFault;
 use sassafrashoist_platform_stand_in::raw_answer::RawAnswer;
 use sassafrashoist_platform_stand_in::raw_caller::RawCaller;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    BID_PATH, EVENT_INTERVAL, FleetPlan, STATUS_PATH, StandInFleet,
+    API_KEY, BID_PATH, EVENT_INTERVAL, FleetPlan, IDLE_TIMEOUT, STATUS_PATH, StandInFleet,
 };
 
-/// The shutdown grace period of the stand-in's gateways.
-const GRACE: Duration = Duration::from_secs(4);
 /// Gateways, which all stop at once.
 const GATEWAY_COUNT: usize = 2;
-/// A server that is at work later than this after SIGTERM may be cut off.
-const LAST_SIXTH: Duration = Duration::from_millis(3_333);
 /// A request that is sent later than this after SIGTERM may not be cut off at all.
 const LAST_EXCUSED_SENDING: Duration = Duration::from_secs(3);
 /// How long a request may wait on a connection that ends without an answer to it.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
-/// Time between the moments at which requests are sent.
-const STEP: Duration = Duration::from_millis(50);
+/// The longest time between two moments at which requests are sent.
+const MAX_STEP: Duration = Duration::from_millis(50);
+/// The fewest moments of a grace period at which requests are sent.
+const MIN_MOMENT_COUNT: u32 = 80;
 /// The first moment at which requests are sent, before SIGTERM.
 const LEAD_TIME: Duration = Duration::from_millis(300);
 /// How long the log service takes for an append, as that of the platform may.
 const APPEND_TIME: Duration = Duration::from_millis(80);
 /// How long a caller waits for its answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 /// A request that may be repeated goes to another server after this time.
 const LONGEST_FIRST_RUN: Duration = Duration::from_millis(400);
-/// A time that the grace period does not cover once the listener is closed.
-const LONG_DEADLINE: Duration = Duration::from_secs(5);
+/// A time that no grace period covers.
+const LONG_DEADLINE: Duration = Duration::from_secs(15);
 /// Statuses that promise that the request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -90,6 +88,19 @@
             ..CallerRequest::plain(method, self.path)
         }
     }
+
+    /// Returns the bytes that are sent before SIGTERM and those that are sent at the moment.
+    fn encode(&self) -> (Vec<u8>, Vec<u8>) {
+        let request = self.request();
+        let mut first_bytes = request.encode(&self.id);
+        let head_bytes = first_bytes.len() - request.body.len();
+        let last_bytes = first_bytes.split_off(match self.connection {
+            Connection::Begun => head_bytes / 2,
+            Connection::WithoutBody => head_bytes,
+            Connection::New | Connection::Opened | Connection::Kept => 0,
+        });
+        (first_bytes, last_bytes)
+    }
 }
 
 /// What became of a request.
@@ -103,7 +114,9 @@
 
 /// A stop of all gateways of a fleet, as its callers saw it.
 struct Stop {
-    fleet: StandInFleet,
+    /// When the runs of each request started, by its id.
+    runs: HashMap<String, Vec<Instant>>,
+    grace: Duration,
     terminated_at: Instant,
     /// When the last listener was found to be closed.
     closed_at: Instant,
@@ -122,12 +135,29 @@
         has_own_paths: false,
         event_interval: EVENT_INTERVAL,
     };
-    StandInFleet::start(program, &folder, plan).await.unwrap()
+    let mut fleet = StandInFleet::start(program, &folder, plan).await.unwrap();
+    fleet.change_timeouts(LONG_DEADLINE, IDLE_TIMEOUT);
+    fleet.add_route("probe", &[API_KEY]);
+    for gateway in 0..GATEWAY_COUNT {
+        wait_for_route(&fleet, gateway, "/probe/1").await;
+    }
+    fleet
+}
+
+/// Waits until a gateway serves a route, and so has the newest configuration.
+async fn wait_for_route(fleet: &StandInFleet, gateway: usize, path: &str) {
+    let request = CallerRequest::plain(Method::GET, path);
+    let started_at = Instant::now();
+    while fleet.send(gateway, "probe", &request).await.unwrap().status != 200 {
+        assert!(started_at.elapsed() < ANSWER_TIMEOUT, "gateway {gateway} has no route to {path}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
 }
 
-/// Returns requests of every kind for each moment of the grace period; their run times take turns.
-fn cases(connections: &[Connection], run_times_ms: &[u64]) -> Vec<Case> {
-    let moment_count = ((LEAD_TIME + GRACE).as_millis() / STEP.as_millis()) as usize;
+/// Returns requests of every kind for each moment of a grace period; their run times take turns.
+fn cases(grace: Duration, connections: &[Connection], run_times_ms: &[u64]) -> Vec<Case> {
+    let step = (grace / MIN_MOMENT_COUNT).min(MAX_STEP);
+    let moment_count = (LEAD_TIME + grace).div_duration_f64(step) as usize;
     let mut cases = Vec::new();
     for moment in 0..moment_count {
         for (kind, &connection) in connections.iter().enumerate() {
@@ -139,7 +169,7 @@
                     connection,
                     path,
                     run_time: Duration::from_millis(run_time),
-                    sent_after: STEP * moment as u32,
+                    sent_after: step * moment as u32,
                 });
             }
         }
@@ -147,50 +177,58 @@
     cases
 }
 
-/// Sends the request of a case at its moment after `start`.
-async fn send_at_moment(fleet: &StandInFleet, case: Case, start: tokio::time::Instant) -> Outcome {
-    let sent_at = start + case.sent_after;
-    let mut outcome = Outcome { sent_at: sent_at.into_std(), answer: None, case };
+/// Opens the connection of a case, and sends on it what comes before the moment of the case.
+async fn prepare(fleet: &StandInFleet, case: &Case) -> Option<RawCaller> {
+    if case.connection == Connection::New {
+        return None;
+    }
+    let mut caller = RawCaller::connect(fleet.gateways[case.gateway].caller_address).await.unwrap();
+    if case.connection == Connection::Kept {
+        let first = CallerRequest::plain(Method::GET, STATUS_PATH);
+        caller.write(&first.encode(&format!("first-{}", case.id))).await.unwrap();
+        assert_eq!(caller.read_answer().await.status(), Some(200), "{case:?}");
+    }
+    caller.write(&case.encode().0).await.unwrap();
+    Some(caller)
+}
+
+/// Sends the rest of a request at its moment after `start`.
+async fn send_at_moment(
+    fleet: &StandInFleet,
+    case: Case,
+    caller: Option<RawCaller>,
+    start: tokio::time::Instant,
+) -> Outcome {
+    tokio::time::sleep_until(start + case.sent_after).await;
+    let address = fleet.gateways[case.gateway].caller_address;
     let sending = async {
-        let case = &outcome.case;
-        let address = fleet.gateways[case.gateway].caller_address;
-        let bytes = case.request().encode(&case.id);
-        let head_bytes = bytes.len() - case.request().body.len();
-        let first_bytes = match case.connection {
-            Connection::Begun => head_bytes / 2,
-            Connection::WithoutBody => head_bytes,
-            Connection::New | Connection::Opened | Connection::Kept => 0,
+        let mut caller = match caller {
+            Some(caller) => caller,
+            None => RawCaller::connect(address).await.ok()?,
         };
-        if case.connection == Connection::New {
-            tokio::time::sleep_until(sent_at).await;
-        }
-        let mut caller = RawCaller::connect(address).await.ok()?;
-        if case.connection == Connection::Kept {
-            let first = CallerRequest::plain(Method::GET, STATUS_PATH);
-            caller.write(&first.encode(&format!("first-{}", case.id))).await.ok()?;
-            assert_eq!(caller.read_answer().await.status(), Some(200), "{case:?}");
-        }
-        caller.write(&bytes[..first_bytes]).await.ok()?;
-        tokio::time::sleep_until(sent_at).await;
-        let written_at = Instant::now();
-        caller.write(&bytes[first_bytes..]).await.ok()?;
+        let sent_at = Instant::now();
+        caller.write(&case.encode().1).await.ok()?;
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, caller.read_answer()).await;
-        Some((written_at, answer.unwrap_or_else(|_| panic!("{case:?} was left without an end"))))
+        Some((sent_at, answer.unwrap_or_else(|_| panic!("{case:?} was left without an end"))))
     };
-    if let Some((written_at, answer)) = sending.await {
-        outcome.sent_at = written_at;
-        outcome.answer = Some(answer);
-    }
-    outcome
+    let (sent_at, answer) = match sending.await {
+        Some((sent_at, answer)) => (sent_at, Some(answer)),
+        None => (Instant::now(), None),
+    };
+    Outcome { case, sent_at, answer }
 }
 
 /// Stops all gateways of a fleet while callers send requests of every kind.
-async fn stop_under_requests(name: &str, cases: Vec<Case>) -> Stop {
+async fn stop_under_requests(name: &str, grace: Duration, cases: Vec<Case>) -> Stop {
     let mut fleet = start(name).await;
+    for gateway in &fleet.gateways {
+        gateway.set_shutdown_grace(grace).await.unwrap();
+    }
     fleet.log.set_fault(LogFault::LateFirstByte { delay: APPEND_TIME });
-    // The connections that are opened before SIGTERM need some time.
-    let start = tokio::time::Instant::now() + Duration::from_millis(700);
-    let sending = cases.into_iter().map(|case| send_at_moment(&fleet, case, start));
+    let callers = join_all(cases.iter().map(|case| prepare(&fleet, case))).await;
+    let start = tokio::time::Instant::now();
+    let prepared = cases.into_iter().zip(callers);
+    let sending = prepared.map(|(case, caller)| send_at_moment(&fleet, case, caller, start));
     let stopping = async {
         tokio::time::sleep_until(start + LEAD_TIME).await;
         let terminated_at = Instant::now();
@@ -203,13 +241,18 @@
     for gateway in &mut fleet.gateways {
         assert!(gateway.wait_for_exit().await.unwrap().success());
     }
-    Stop { fleet, terminated_at, closed_at, outcomes }
+    let mut runs = HashMap::<String, Vec<Instant>>::new();
+    for run in fleet.plain_servers.iter().flat_map(BackendServer::executed_requests) {
+        let id = run.headers["request-id"].to_str().unwrap();
+        runs.entry(id.to_owned()).or_default().push(run.started_at);
+    }
+    Stop { runs, grace, terminated_at, closed_at, outcomes }
 }
 
 impl Stop {
     /// Returns whether a request that ran may end without its server's answer.
     fn is_excused(&self, outcome: &Outcome, run_started_at: Instant) -> bool {
-        let last_sixth_at = self.terminated_at + LAST_SIXTH;
+        let last_sixth_at = self.terminated_at + self.grace * 5 / 6;
         let last_sending_at = self.closed_at.min(self.terminated_at + LAST_EXCUSED_SENDING);
         let is_at_work = run_started_at + outcome.case.run_time >= last_sixth_at;
         let is_cut_late = outcome.answer.as_ref().is_some_and(|a| a.ended_at >= last_sixth_at);
@@ -218,9 +261,9 @@
 
     /// Returns what a gateway did wrong with a request, if anything.
     fn judge(&self, outcome: &Outcome) -> Option<&'static str> {
-        let runs = self.fleet.runs_of(&outcome.case.id);
+        let runs = self.runs.get(&outcome.case.id).map_or(&[][..], Vec::as_slice);
         let status = outcome.answer.as_ref().and_then(RawAnswer::status);
-        let Some(last_run) = runs.iter().max_by_key(|run| run.started_at) else {
+        let Some(last_run_at) = runs.iter().max() else {
             let waited = outcome.answer.as_ref().map(|a| a.ended_at - outcome.sent_at);
             let is_read = waited.is_some_and(|waited| waited > LOSS_SLACK);
             return match status {
@@ -229,7 +272,7 @@
                 Some(_) => Some("did not run and got another answer than 503"),
             };
         };
-        let is_excused = self.is_excused(outcome, last_run.started_at);
+        let is_excused = self.is_excused(outcome, *last_run_at);
         match status {
             Some(200) => None,
             Some(status) if NOT_RUN.contains(&status) => Some("ran and was refused"),
@@ -282,25 +325,55 @@
     }
 }
 
+/// Stops gateways with this grace period under short requests, so that nothing else holds the drain.
+async fn assert_short_requests_are_answered(grace_s: u64) {
+    let grace = Duration::from_secs(grace_s);
+    let cases = cases(grace, &IDLE_CONNECTIONS, &[10, 60, 250]);
+
+    let stop = stop_under_requests(&format!("short_{grace_s}"), grace, cases).await;
+
+    stop.assert_no_request_is_lost();
+    stop.assert_early_requests_are_served();
+}
+
+/// Stops gateways with this grace period under requests of any length.
+async fn assert_requests_of_any_length_are_answered(grace_s: u64) {
+    let grace = Duration::from_secs(grace_s);
+    let cases = cases(grace, &ALL_CONNECTIONS, &[10, 250, 800, 1_700, 4_000, 40, 400]);
+
+    let stop = stop_under_requests(&format!("any_length_{grace_s}"), grace, cases).await;
+
+    stop.assert_no_request_is_lost();
+    stop.assert_early_requests_are_served();
+}
+
 // A request whose head was read after the listener had closed was passed on, and its connection
 // closed when the process exited, as nothing else held the drain.
 #[tokio::test]
 async fn short_requests_at_any_moment_of_the_grace_are_answered_if_they_run() {
-    let cases = cases(&IDLE_CONNECTIONS, &[10, 40, 90]);
-
-    let stop = stop_under_requests("short", cases).await;
+    assert_short_requests_are_answered(4).await;
+}
 
-    stop.assert_no_request_is_lost();
-    stop.assert_early_requests_are_served();
+// As above, with the time that the load balancer takes to notice, and then a long time to serve.
+#[tokio::test]
+async fn short_requests_at_any_moment_of_a_long_grace_are_answered_if_they_run() {
+    assert_short_requests_are_answered(8).await;
 }
 
 // Requests in progress held the drain open, so that others were passed on up to its end and cut.
 #[tokio::test]
 async fn requests_of_any_length_at_any_moment_of_the_grace_are_answered_if_they_run() {
-    let cases = cases(&ALL_CONNECTIONS, &[10, 250, 800, 1_700, 4_000, 40, 400]);
+    assert_requests_of_any_length_are_answered(4).await;
+}
 
-    let stop = stop_under_requests("long", cases).await;
+// As above, where hardly any time is left to serve once the listener is closed.
+#[tokio::test]
+async fn requests_of_any_length_at_any_moment_of_a_short_grace_are_answered_if_they_run() {
+    assert_requests_of_any_length_are_answered(1).await;
+}
 
-    stop.assert_no_request_is_lost();
-    stop.assert_early_requests_are_served();
+// As above, where some requests end well after the listener has closed.
+#[tokio::test]
+async fn requests_of_any_length_at_any_moment_of_a_long_grace_are_answered_if_they_run() {
+    assert_requests_of_any_length_are_answered(8).await;
 }
