Refuse what the rest of the grace period does not cover, and answer what is cut off

Requests that came late in the grace period of a gateway were passed on and cut with no answer at its end, among them requests that may run at most once. With a grace period of 3 s all requests were cut 1.7 s after SIGTERM, with 1 s as soon as the listener was closed: the reserve for returning tokens did not shrink with it.

A request that has not run is passed on after the closing of the listener only if its deadline lies within the time to serve, else it is refused with 503 at once; other VMs can run it in time. The check is made again before each attempt, since a body or tokens may have been waited for. What has no response at the end is answered: 503 if it was never sent to a server, else 502.

--- a/crates/sassafrashoist-core/src/gateway/drain_plan.rs
+++ b/crates/sassafrashoist-core/src/gateway/drain_plan.rs
@@ -15,15 +15,16 @@
 /// How long the first request on a connection may take to arrive after the listener was closed.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(250);
 
-/// The part of the reserve in which requests that are cut off are answered, and the part that is left
-/// at its end.
-const ANSWER_FRACTION: f64 = 0.1;
+/// The part of the time left in which requests that are cut off are answered.
+const ANSWER_FRACTION: f64 = 0.3;
+/// The part of the reserve that is left at its end.
+const EXIT_FRACTION: f64 = 0.1;
 /// The longest that transferring tokens to other VMs may take.
 const MAX_TRANSFER_TIME: Duration = Duration::from_millis(500);
 /// The part of the time left that transferring tokens may take.
 const TRANSFER_FRACTION: f64 = 0.45;
 /// The longest that returning tokens to the ledger may take.
-const MAX_RETURN_TIME: Duration = Duration::from_millis(600);
+const MAX_RETURN_TIME: Duration = Duration::from_millis(1_500);
 
 /// The times of the graceful shutdown of one VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,8 +35,6 @@
     pub opened_end_at: Uptime,
     /// When requests that are still in progress are cut off.
     pub serves_until: Uptime,
-    /// How long requests that are cut off may take to be answered.
-    pub answer_time: Duration,
     /// When the process exits at the latest.
     pub exits_at: Uptime,
 }
@@ -45,18 +44,21 @@
     /// period later.
     pub fn new(signalled_at: Uptime, grace: Duration) -> Self {
         let reserve = MAX_RESERVE.min(grace / RESERVE_DIVISOR);
-        let answer_time = reserve.mul_f64(ANSWER_FRACTION);
         let closes_at = signalled_at + BALANCER_NOTICE_TIME.min(grace / 2);
         let serves_until = signalled_at + grace.saturating_sub(reserve);
         Self {
             closes_at,
             opened_end_at: serves_until.min(closes_at + FIRST_REQUEST_TIME),
             serves_until,
-            answer_time,
-            exits_at: signalled_at + grace.saturating_sub(answer_time),
+            exits_at: signalled_at + grace.saturating_sub(reserve.mul_f64(EXIT_FRACTION)),
         }
     }
 
+    /// Returns how long requests that are cut off may take to be answered.
+    pub fn answer_time(&self, now: Uptime) -> Duration {
+        self.exits_at.saturating_sub(now).mul_f64(ANSWER_FRACTION)
+    }
+
     /// Returns how long transferring tokens to other VMs may take, once nothing is served any more.
     pub fn transfer_time(&self, now: Uptime) -> Duration {
         MAX_TRANSFER_TIME.min(self.exits_at.saturating_sub(now).mul_f64(TRANSFER_FRACTION))
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/drain_plan.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/drain_plan.rs
@@ -47,7 +47,7 @@
 
         let plan = DrainPlan::new(SIGNALLED_AT, grace);
 
-        let answered_at = plan.serves_until + plan.answer_time;
+        let answered_at = plan.serves_until + plan.answer_time(plan.serves_until);
         let transferred_at = answered_at + plan.transfer_time(answered_at);
         let returned_at = transferred_at + plan.return_time(transferred_at);
         prop_assert!(returned_at <= SIGNALLED_AT + grace);
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -450,6 +450,7 @@
                     last_server_id = server_id;
                     self.counts.may_have_run += 1;
                 }
+                AttemptStart::Stopping => return None,
                 AttemptStart::NotReached | AttemptStart::NotRun(_) => {}
             }
         }
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -10,6 +10,7 @@
 use sassafrashoist_core::gateway::config_age::ConfigAge;
 use sassafrashoist_core::gateway::config_sharing::ConfigSharing;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
+use sassafrashoist_core::gateway::drain_plan::DrainPlan;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::read_precedence::{ReadPrecedence, TopicRank};
@@ -69,6 +70,7 @@
     read_precedence: Mutex<ReadPrecedence>,
     topic_read: Notify,
     datagram_socket: OnceLock<Arc<UdpSocket>>,
+    drain_plan: OnceLock<DrainPlan>,
     started_instant: Instant,
     /// The VM's clocks when the process started.
     pub started_at: ClockReading,
@@ -88,6 +90,8 @@
     pub requests: TaskTracker,
     /// Cancelled when the process receives the signal to stop.
     pub draining: CancellationToken,
+    /// Cancelled when the shutdown grace period leaves no time to serve.
+    pub serving_ended: CancellationToken,
     /// Cancelled when this process exits, whatever is still in progress.
     pub exiting: CancellationToken,
     /// Cancelled to end all tasks.
@@ -134,6 +138,7 @@
             read_precedence: Mutex::default(),
             topic_read: Notify::new(),
             datagram_socket: OnceLock::new(),
+            drain_plan: OnceLock::new(),
             started_instant: Instant::now(),
             started_at: read_clocks(),
             ledger_wakeup: Notify::new(),
@@ -144,6 +149,7 @@
             internal_connections: Arc::default(),
             requests: TaskTracker::new(),
             draining: cancel.child_token(),
+            serving_ended: CancellationToken::new(),
             exiting: CancellationToken::new(),
             cancel,
         })
@@ -324,6 +330,18 @@
         }
     }
 
+    /// Begins the graceful shutdown; the plan of the first signal holds.
+    pub fn begin_drain(&self, plan: DrainPlan) {
+        self.drain_plan.get_or_init(|| plan);
+        self.draining.cancel();
+    }
+
+    /// Returns whether a request with a deadline may be passed on to a server, as far as the shutdown
+    /// grace period goes.
+    pub fn covers(&self, deadline: Uptime) -> bool {
+        self.drain_plan.get().is_none_or(|plan| plan.covers(self.now(), deadline))
+    }
+
     /// Locks the permits that this VM issues.
     pub fn lock_permits(&self) -> MutexGuard<'_, PermitBook> {
         lock(&self.permits)
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -75,6 +75,7 @@
 pub mod relay_use;
 pub mod report_server_end;
 pub mod request_context;
+pub mod request_progress;
 pub mod request_tokens;
 pub mod response_body;
 pub mod run_attempts;
--- a/crates/sassafrashoist/src/gateway/request_context.rs
+++ b/crates/sassafrashoist/src/gateway/request_context.rs
@@ -1,5 +1,6 @@
 //! The data of a caller's request while it is served.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,8 @@
 use sassafrashoist_core::requests::quarantine::RequestFingerprint;
 use sassafrashoist_core::requests::request_hash::{PromptPartKey, hash_prompt_part};
 
+use super::request_progress::RequestProgress;
+
 /// The most parts of a prompt that are considered as the cause of a crash.
 const MAX_SHARED_PARTS: usize = 32;
 
@@ -56,6 +59,8 @@
     pub arrived_at: Uptime,
     /// When the response must be complete.
     pub deadline: Uptime,
+    /// How far the request has come.
+    pub progress: Arc<RequestProgress>,
 }
 
 impl RequestContext {
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -33,6 +33,8 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 /// The retry delay when no server has run the request.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// The reason when this VM stops too soon for a request. Other VMs take it at once.
+pub const STOPPING: &str = "VM stops";
 /// The minimum time that a server must be unresponsive before a request that may run again is sent
 /// to another server.
 const MIN_UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -90,6 +92,11 @@
             failure = "deadline reached";
             break;
         }
+        // A request that has run is not refused any more.
+        if counts.may_have_run == 0 && !context.covers(request.deadline) {
+            failure = STOPPING;
+            break;
+        }
         let trial = match admit_attempt(&context, &request, last_server_id.as_deref()).await {
             Ok(trial) => trial,
             Err(refusal) => {
@@ -138,6 +145,10 @@
                     failure = "server not reached";
                     continue;
                 }
+                AttemptStart::Stopping => {
+                    failure = STOPPING;
+                    break;
+                }
                 AttemptStart::NotRun(reason) => {
                     failure = reason;
                     counts.delivered += 1;
@@ -188,8 +199,8 @@
 ) -> Response<ResponseBody> {
     let refusal = if counts.may_have_run == 0 {
         let pause_left = context.lock_servers().pause_left(&request.pool_id, context.now());
-        Refusal::retry_later(NO_SERVER_RETRY_AFTER, failure)
-            .not_before(pause_left.max(return_after))
+        let delay = if failure == STOPPING { Duration::ZERO } else { NO_SERVER_RETRY_AFTER };
+        Refusal::retry_later(delay, failure).not_before(pause_left.max(return_after))
     } else if request.time_left(context.now()) < MIN_TIME_LEFT {
         Refusal::new(StatusCode::GATEWAY_TIMEOUT, failure)
     } else {
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -126,7 +126,7 @@
     signals: &ClosingSignals,
     accepting: JoinHandle<()>,
 ) {
-    context.draining.cancel();
+    context.begin_drain(*plan);
     log::info!(
         connections:% = context.caller_connections, requests = context.requests.len(),
         grace_ms = context.settings().bounds.shutdown_grace.as_millis() as u64;
@@ -153,10 +153,19 @@
         context.requests.wait().await;
     };
     let serving_end = context.instant(plan.serves_until);
-    if tokio::time::timeout_at(serving_end, all_answered).await.is_err() {
+    if tokio::time::timeout_at(serving_end, all_answered).await.is_ok() {
+        return;
+    }
+    log::warn!(
+        connections:% = context.caller_connections, requests = context.requests.len();
+        "requests cut off at the end of the shutdown grace period"
+    );
+    context.serving_ended.cancel();
+    let answered = context.caller_connections.wait_until_closed();
+    if tokio::time::timeout(plan.answer_time(context.now()), answered).await.is_err() {
         log::warn!(
-            connections:% = context.caller_connections, requests = context.requests.len();
-            "requests cut off at the end of the shutdown grace period"
+            connections:% = context.caller_connections;
+            "connections closed at the end of the shutdown grace period"
         );
     }
 }
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -155,6 +155,8 @@
     Failed(StartedResponse),
     /// No connection to the server could be opened, so nothing was sent.
     NotReached,
+    /// Nothing was sent, because this VM stops.
+    Stopping,
     /// The server received the request, did not run it and never will.
     NotRun(&'static str),
     /// There is no valid response, and the request may have run.
@@ -199,6 +201,10 @@
             return AttemptStart::NotReached;
         }
     };
+    if context.serving_ended.is_cancelled() {
+        return AttemptStart::Stopping;
+    }
+    request.progress.record_sent();
     let attempt = AttemptHeaders {
         server_id: slot.server_id().to_owned(),
         account_id: request.account_id.clone(),
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -24,8 +24,9 @@
 use super::obtain_tokens::{NoTokens, WorstCase, obtain_tokens};
 use super::refuse_by_config::{RequestTarget, refuse_by_config};
 use super::request_context::{RequestContext, ResumedStream};
+use super::request_progress::RequestProgress;
 use super::response_body::{ResponseBody, full_response};
-use super::run_attempts::run_attempts;
+use super::run_attempts::{STOPPING, run_attempts};
 use super::token_reservation::TokenReservation;
 
 /// The retry delay while this VM has not read a configuration yet.
@@ -110,17 +111,34 @@
     let caller = CallerHeaders::decode(&parts.headers);
     let id = caller.request_id.clone().unwrap_or_else(|| "-".to_owned());
     let disconnect_guard = DisconnectGuard::new(id.clone(), context.exiting.clone());
-    let response = handle_request(context, id, caller, parts, body).await;
+    let progress = Arc::<RequestProgress>::default();
+    let handled = handle_request(context, id.clone(), caller, parts, body, Arc::clone(&progress));
+    let response = tokio::select! {
+        biased;
+        response = handled => response,
+        () = context.serving_ended.cancelled() => refuse_cut_off(&id, &progress),
+    };
     disconnect_guard.disarm();
     response
 }
 
+/// Responds to a request that has no response when this VM exits.
+fn refuse_cut_off(id: &str, progress: &RequestProgress) -> Response<ResponseBody> {
+    let refusal = if progress.was_sent() {
+        Refusal::new(StatusCode::BAD_GATEWAY, "VM stopped before the response")
+    } else {
+        Refusal::retry_later(Duration::ZERO, STOPPING)
+    };
+    refusal.into_response(id, &"")
+}
+
 async fn handle_request(
     context: &Arc<GatewayContext>,
     id: RequestId,
     caller: CallerHeaders,
     parts: Parts,
     body: Incoming,
+    progress: Arc<RequestProgress>,
 ) -> Response<ResponseBody> {
     let arrived_at = context.now();
     let limit = RequestLimit::of_memory(context.settings().memory_bytes);
@@ -134,12 +152,15 @@
     };
     let version = routes.config().version;
     let target = RequestTarget::of(&parts);
-    let mut request = match resolve_request(&routes, parts, caller, arrived_at) {
+    let mut request = match resolve_request(&routes, parts, caller, arrived_at, progress) {
         Ok(request) => request,
         Err(refusal) => {
             return refuse_by_config(context, version, refusal, &id, &target);
         }
     };
+    if !context.covers(request.deadline) {
+        return Refusal::retry_later(Duration::ZERO, STOPPING).into_response(&id, &"");
+    }
     match read_body(&request, context, routes.config().limits.max_body_bytes, body).await {
         Ok(body) => request.set_body(body),
         Err(refusal) => return refuse_by_config(context, version, refusal, &id, &target),
@@ -199,6 +220,7 @@
     parts: Parts,
     caller: CallerHeaders,
     arrived_at: Uptime,
+    progress: Arc<RequestProgress>,
 ) -> Result<RequestContext, Refusal> {
     let Some(host) = parts.uri.host().or_else(|| single_host(&parts.headers)) else {
         return Err(Refusal::new(StatusCode::BAD_REQUEST, "host is missing or ambiguous"));
@@ -224,6 +246,7 @@
         priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
         arrived_at,
         deadline: arrived_at + timeout,
+        progress,
     })
 }
 
