Read on after an early refusal, so that its connection is not reset

A request with a long body that is refused before its body is read got a broken pipe while it still sent, and on links where the answer travels behind, the reset could take the 413 or 404 with it: a socket that is closed with unread bytes is reset by the kernel.

After a response to a request whose body may not have been read, the connection is closed for writing and read for up to 1 s, until the caller closes it. All other connections are closed as before, so that the bytes of a request that crosses the close are not read. The reserve at the end of the grace period leaves up to 100 ms to exit.

--- a/crates/sassafrashoist-core/src/gateway/drain_plan.rs
+++ b/crates/sassafrashoist-core/src/gateway/drain_plan.rs
@@ -17,8 +17,10 @@
 
 /// The part of the time left in which requests that are cut off are answered.
 const ANSWER_FRACTION: f64 = 0.3;
-/// The part of the reserve that is left at its end.
-const EXIT_FRACTION: f64 = 0.1;
+/// The longest time in which the process exits once all else is done, and the part of the reserve that
+/// it has at most, as a divisor.
+const MAX_EXIT_TIME: Duration = Duration::from_millis(100);
+const EXIT_DIVISOR: u32 = 2;
 /// The longest that transferring tokens to other VMs may take.
 const MAX_TRANSFER_TIME: Duration = Duration::from_millis(500);
 /// The part of the time left that transferring tokens may take.
@@ -44,13 +46,14 @@
     /// period later.
     pub fn new(signalled_at: Uptime, grace: Duration) -> Self {
         let reserve = MAX_RESERVE.min(grace / RESERVE_DIVISOR);
+        let exit_time = MAX_EXIT_TIME.min(reserve / EXIT_DIVISOR);
         let closes_at = signalled_at + BALANCER_NOTICE_TIME.min(grace / 2);
         let serves_until = signalled_at + grace.saturating_sub(reserve);
         Self {
             closes_at,
             opened_end_at: serves_until.min(closes_at + FIRST_REQUEST_TIME),
             serves_until,
-            exits_at: signalled_at + grace.saturating_sub(reserve.mul_f64(EXIT_FRACTION)),
+            exits_at: signalled_at + grace.saturating_sub(exit_time),
         }
     }
 
--- a/crates/sassafrashoist/src/gateway/caller_stream.rs
+++ b/crates/sassafrashoist/src/gateway/caller_stream.rs
@@ -1,5 +1,9 @@
 //! The connection of a caller.
 //!
+//! A connection that is closed with unread bytes is reset, which can take the response with it. After a
+//! response to a request whose body was not read, the connection is therefore read until the caller
+//! closes it, at most for [`LINGER_TIME`].
+//!
 //! A response without length or chunks is complete for its caller when its connection is closed
 //! properly. While such a response is in progress, the connection is set to be reset when it is
 //! dropped, which the kernel does even if the process is killed.
@@ -8,15 +12,21 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use rustix::net::sockopt::set_socket_linger;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
 use super::open_connection::OpenConnection;
 
+/// How long a connection is read after a response to a request whose body was not read.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// The most bytes that are read at once then.
+const LINGER_CHUNK_BYTES: usize = 4_096;
+
 /// Makes the connection end with a reset unless its response is written to its end.
 #[derive(Debug, Clone, Default)]
 pub struct ResetSwitch(Arc<AtomicBool>);
@@ -39,12 +49,14 @@
     connection: Arc<OpenConnection>,
     reset_switch: ResetSwitch,
     resets_when_dropped: bool,
+    /// The end of [`LINGER_TIME`], once the connection is closed for writing.
+    linger_end: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
     /// Wraps an accepted connection.
     pub fn new(tcp: TcpStream, connection: Arc<OpenConnection>, reset_switch: ResetSwitch) -> Self {
-        Self { tcp, connection, reset_switch, resets_when_dropped: false }
+        Self { tcp, connection, reset_switch, resets_when_dropped: false, linger_end: None }
     }
 
     fn set_reset_when_dropped(&mut self, resets: bool) {
@@ -56,6 +68,22 @@
         self.resets_when_dropped = resets;
     }
 
+    /// Reads and discards what the caller still sends, until it closes the connection.
+    fn poll_linger(&mut self, end: &mut Pin<Box<Sleep>>, cx: &mut Context<'_>) -> Poll<()> {
+        let mut chunk = [0; LINGER_CHUNK_BYTES];
+        loop {
+            if end.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(());
+            }
+            let mut buffer = ReadBuf::new(&mut chunk);
+            match ready!(Pin::new(&mut self.tcp).poll_read(cx, &mut buffer)) {
+                Ok(()) if !buffer.filled().is_empty() => {}
+                // The caller has closed the connection, or it has failed.
+                Ok(()) | Err(_) => return Poll::Ready(()),
+            }
+        }
+    }
+
     fn apply_reset_switch(&mut self) {
         if self.reset_switch.is_on() && !self.resets_when_dropped {
             self.set_reset_when_dropped(true);
@@ -111,6 +139,18 @@
         if self.resets_when_dropped {
             self.set_reset_when_dropped(false);
         }
-        Pin::new(&mut self.tcp).poll_shutdown(cx)
+        let mut linger_end = match self.linger_end.take() {
+            Some(linger_end) => linger_end,
+            None => {
+                ready!(Pin::new(&mut self.tcp).poll_shutdown(cx))?;
+                if !self.connection.has_unread_body() {
+                    return Poll::Ready(Ok(()));
+                }
+                Box::pin(tokio::time::sleep(LINGER_TIME))
+            }
+        };
+        let lingered = self.poll_linger(&mut linger_end, cx);
+        self.linger_end = Some(linger_end);
+        lingered.map(Ok)
     }
 }
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -9,7 +9,7 @@
 
 use eyre::WrapErr;
 use http::{Request, Response, StatusCode, Version};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -104,6 +104,7 @@
     let reset_switch = ResetSwitch::default();
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
+        let has_body = !request.body().is_end_stream();
         let response = handle(request);
         let (open, reset_switch) = (&open, &reset_switch);
         open.record_request();
@@ -116,6 +117,8 @@
             {
                 reset_switch.turn_on();
             }
+            // Only a request that is refused is answered before its body was read.
+            open.record_unread_body(has_body && !response.status().is_success());
             Ok::<_, Infallible>(TrackedBody::wrap(response, open))
         }
     });
--- a/crates/sassafrashoist/src/gateway/open_connection.rs
+++ b/crates/sassafrashoist/src/gateway/open_connection.rs
@@ -1,5 +1,6 @@
 //! A connection that is open.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
@@ -14,12 +15,14 @@
 pub struct OpenConnection {
     connections: Arc<OpenConnections>,
     phase: Mutex<ConnectionPhase>,
+    has_unread_body: AtomicBool,
     _open: TaskTrackerToken,
 }
 
 impl OpenConnection {
     pub(super) fn new(connections: Arc<OpenConnections>, open: TaskTrackerToken) -> Self {
-        Self { connections, phase: Mutex::new(ConnectionPhase::Opened), _open: open }
+        let phase = Mutex::new(ConnectionPhase::Opened);
+        Self { connections, phase, has_unread_body: AtomicBool::new(false), _open: open }
     }
 
     /// Returns what is owed to the caller.
@@ -39,6 +42,16 @@
         self.set_phase(ConnectionPhase::InRequest);
     }
 
+    /// Records whether the body of the newest request may not have been read to its end.
+    pub fn record_unread_body(&self, has_unread_body: bool) {
+        self.has_unread_body.store(has_unread_body, Ordering::Release);
+    }
+
+    /// Returns whether the body of the newest request may not have been read to its end.
+    pub fn has_unread_body(&self) -> bool {
+        self.has_unread_body.load(Ordering::Acquire)
+    }
+
     /// Records that the HTTP library has taken the whole response.
     pub fn record_response(&self) {
         if self.phase() == ConnectionPhase::InRequest {
