Count a connection for another VM while it is being opened

A VM that stops waits for the connections that it carries for other VMs, but one that was being opened at that moment (up to 0.25 s) was in nobody's count, so that with a short grace period the process could exit under it. By reading; the window is closed by taking the token before the connection is opened.

--- a/crates/sassafrashoist/src/gateway/serve_relay.rs
+++ b/crates/sassafrashoist/src/gateway/serve_relay.rs
@@ -34,6 +34,8 @@
     request: &RelayRequest,
     upgrade: OnUpgrade,
 ) -> Response<ResponseBody> {
+    // Counted from now on, so that a drain waits for a connection that is being opened.
+    let in_progress = context.requests.token();
     let opened = open(context, request).await;
     let outcome = opened.as_ref().err().copied().unwrap_or(RelayOutcome::Reached);
     log::info!(
@@ -42,7 +44,6 @@
     );
     match (opened, request.purpose) {
         (Ok(server), RelayPurpose::Carry(max_time)) => {
-            let in_progress = context.requests.token();
             tokio::spawn(async move {
                 carry(upgrade, server, max_time).await;
                 drop(in_progress);
