Take in no tokens that this VM might not return any more

With many VMs stopping at once, a VM that could not reach the log service handed its tokens over to a VM that had returned its own, and exited with them: nobody could spend them until the next incarnation reclaimed a part. Calls of other VMs that were being answered were cut off by the exit as well.

Once nothing is served any more a VM rejects transfers, so that the sender tries the next VM, and before the exit it waits up to 50 ms for the calls in progress.

--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -31,6 +31,8 @@
 use super::transfer_tokens::transfer_all_tokens;
 use crate::util::metrics_page::{init_metrics, run_metrics_upkeep};
 
+/// How long calls of other VMs may take to be answered before this process exits.
+const PEER_ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time between two checks of the settings file, which may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -95,6 +97,8 @@
     }
     let plan = DrainPlan::new(context.now(), context.settings().bounds.shutdown_grace);
     drain(&context, &plan, &closing, accepting).await;
+    // From now on other VMs can't hand over tokens, which this VM might not return any more.
+    context.serving_ended.cancel();
     if !context.is_ledger_fresh()
         && tokio::time::timeout(plan.transfer_time(context.now()), transfer_all_tokens(&context))
             .await
@@ -106,6 +110,14 @@
     if tokio::time::timeout(plan.return_time(context.now()), holding_task).await.is_err() {
         log::warn!("tokens not handed back: the log service did not answer in time");
     }
+    context.cancel.cancel();
+    let calls_answered = context.internal_connections.wait_until_closed();
+    if tokio::time::timeout(PEER_ANSWER_TIMEOUT, calls_answered).await.is_err() {
+        log::info!(
+            connections:% = context.internal_connections;
+            "calls of other VMs or operators not answered before the exit"
+        );
+    }
     context.exiting.cancel();
     let unanswered = context.caller_connections.counts().unanswered();
     log::info!(
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -160,6 +160,13 @@
     context: &GatewayContext,
     message: &UnrequestedTransfer,
 ) -> Response<ResponseBody> {
+    if context.serving_ended.is_cancelled() {
+        log::warn!(
+            from = message.transfer_id.0;
+            "transfer of tokens rejected: this VM stops and returns its tokens"
+        );
+        return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let mut tokens = context.lock_tokens();
     if *tokens.holding.holder_id() != message.holder_id {
         log::warn!(
