Test responses that end within their heads

Cause: another operator saw answers whose server had stopped in the middle of the head reach callers as a 200 with an empty or short body. Callers of this system saw nothing; no fault was found. Change: a raw server may also reset a connection or close only its side of it, and tests cut heads with a length, chunks, neither, HTTP/1.0, bare line feeds and after 100 and 103, refusals too, for each kind of request, through another VM, in appends and reads of the log, in messages to other VMs and on the router's own path.

--- a/crates/sassafrashoist/tests/testsuite/log_client.rs
+++ b/crates/sassafrashoist/tests/testsuite/log_client.rs
@@ -5,12 +5,13 @@
 use sassafrashoist::gateway::gateway_context::GatewayContext;
 use sassafrashoist::gateway::log_client::LogClient;
 use sassafrashoist_adapter::vm_settings_file::parse_vm_settings;
-use sassafrashoist_platform_stand_in::raw_server::{RawResponse, RawServer};
+use sassafrashoist_platform_stand_in::raw_server::{RawEnd, RawResponse, RawServer};
 use tokio_util::sync::CancellationToken;
 
 const TOPIC: &str = "keyed.x";
 
-fn client_of(server: &RawServer) -> LogClient {
+/// Creates a client whose log service is a server.
+pub fn client_of(server: &RawServer) -> LogClient {
     let settings = format!(
         "nodeName=vm-0\nzone=plateau\nip=127.0.0.1\nlistenersMap.http=127.0.0.1:1\n\
          listenersMap.ready=127.0.0.1:2\nportRange=3,3\nprovider.address={}\n\
@@ -38,7 +39,7 @@
             None => RawResponse::at_once(&format!("{text}{text}")),
             Some(delay) => RawResponse {
                 writes: vec![(Duration::ZERO, text.clone()), (delay, text)],
-                closes: false,
+                end: RawEnd::StaysOpen,
             },
         }
     });
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -28,4 +28,5 @@
 mod settings;
 mod soak;
 mod token_book;
+mod truncated_heads;
 mod waiting;
