Take an unasked switch of protocols for a lost response

Callers got a server's 101 as the answer to their request. If it said that the request was not executed, the request was sent to further servers and answered 503, although a final response could follow the 101. An append that the log service answered so counted as not made, a message to another VM as not applied.

Cause: the HTTP library skips all other interim responses, but returns a 101 as if it were final, as the connection may carry another protocol from then on. No reader of heads but that of relays expects that. Change: Connection::send fails on a 101; requests for relays use send_upgrade, which returns it.

--- a/crates/sassafrashoist/src/gateway/http_connection.rs
+++ b/crates/sassafrashoist/src/gateway/http_connection.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -30,14 +30,23 @@
     pub reason: String,
 }
 
-/// The error when a request got no response; the request may have been sent.
+/// The error when a request got no response; the request may have been executed.
 #[derive(Debug, thiserror::Error)]
-#[error("connection to {address} failed: {source}")]
-pub struct BrokenConnection {
-    /// The server.
-    pub address: SocketAddr,
-    /// The cause.
-    pub source: hyper::Error,
+pub enum BrokenConnection {
+    /// The connection ended or failed before the response head was complete.
+    #[error("connection to {address} failed: {source}")]
+    Failed {
+        /// The server.
+        address: SocketAddr,
+        /// The cause.
+        source: hyper::Error,
+    },
+    /// The server switched the protocol although the request did not ask for that.
+    #[error("{address} switched the protocol unasked")]
+    Switched {
+        /// The server.
+        address: SocketAddr,
+    },
 }
 
 /// An open connection; dropping it closes the connection, even while a request is in progress.
@@ -98,13 +107,31 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection ends or fails; the request may have been executed.
+    /// Fails when the connection ends or fails, or switches to another protocol; the request may have
+    /// been executed.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, BrokenConnection> {
+        let response = self.send_upgrade(request).await?;
+        // The HTTP library skips all other interim responses, but returns this one as if it were final.
+        if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+            return Err(BrokenConnection::Switched { address: self.address });
+        }
+        Ok(response)
+    }
+
+    /// Sends a request that may switch the protocol, and returns once the response head has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection ends or fails; the request may have been executed.
+    pub async fn send_upgrade(
+        &mut self,
+        request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, BrokenConnection> {
         let address = self.address;
-        let broken = |source| BrokenConnection { address, source };
+        let broken = |source| BrokenConnection::Failed { address, source };
         self.sender.ready().await.map_err(broken)?;
         self.sender.send_request(request).await.map_err(broken)
     }
--- a/crates/sassafrashoist/src/gateway/open_relay.rs
+++ b/crates/sassafrashoist/src/gateway/open_relay.rs
@@ -70,7 +70,7 @@
         .header(UPGRADE, RELAY_PROTOCOL)
         .body(Full::new(Bytes::from(body)))?;
     let mut connection = Connection::open(vm_address, RESPONSE_TIMEOUT).await?;
-    let response = connection.send(request).await?;
+    let response = connection.send_upgrade(request).await?;
     if response.status() == StatusCode::SWITCHING_PROTOCOLS {
         let upgraded = hyper::upgrade::on(response).await.wrap_err("failed to switch protocols")?;
         return Ok(Ok(Connection::over(vm_address, upgraded).await?));
--- a/crates/sassafrashoist/tests/testsuite/truncated_heads.rs
+++ b/crates/sassafrashoist/tests/testsuite/truncated_heads.rs
@@ -585,6 +585,34 @@
     ]
 }
 
+// A switch of protocols, which nobody had asked for, reached callers as an answer; one that named the
+// request as not run sent it to further servers.
+#[tokio::test]
+async fn switch_of_protocols_is_no_answer_of_a_server() {
+    let requests = [
+        ("bid", "desk", bid()),
+        ("chat", "llm", stream_of(CHAT_PATH)),
+        ("draft", "llm", stream_of(DRAFT_PATH)),
+        ("status", "desk", status()),
+    ];
+    let switches = switches();
+    let runs = requests.iter().flat_map(|(kind, pool, request)| {
+        switches.iter().map(move |answer| async move {
+            let script = Script { planned: Mutex::default(), afterwards: answer.whole() };
+            let cases = Cases { ids: vec!["switched".to_owned()], script: Arc::new(script) };
+            let name = format!("switch_{kind}_{}", answer.name);
+            (*kind, play(&name, pool, request, &cases).await)
+        })
+    });
+
+    let played: Vec<_> = stream::iter(runs).buffer_unordered(CONCURRENT_FLEETS).collect().await;
+
+    for (kind, cases) in played {
+        let max_run_count = if ["draft", "status"].contains(&kind) { 2 } else { 1 };
+        assert_sound(&cases, |case| case.is_in_doubt(1..=max_run_count));
+    }
+}
+
 /// The response of the log service to an append after which the topic ends at an offset.
 fn appended(end: usize) -> Answer {
     successes(&format!("{{\"position\":0,\"endOffset\":{end}}}")).swap_remove(0)
@@ -668,6 +696,12 @@
     }
 }
 
+/// Starts a server that sends a response to each request.
+async fn start_server(answer: &Answer) -> RawServer {
+    let whole = answer.whole();
+    RawServer::start(move |_| whole.clone()).await.unwrap()
+}
+
 /// Starts a server that sends cuts of responses in turn, after each byte; returns their number.
 async fn start_cutting_server(answers: Vec<Answer>) -> (RawServer, usize) {
     let mut cuts = Vec::new();
@@ -745,6 +779,33 @@
     }
 }
 
+// An append counted as refused, and so as not made, when the log service switched the protocol.
+#[tokio::test]
+async fn append_is_in_doubt_after_a_switch_of_protocols() {
+    for answer in switches() {
+        let server = start_server(&answer).await;
+        let mut client = client_of(&server);
+
+        let appended = client.append_at(LOG_TOPIC, 0, "k", b"v").await;
+
+        let is_in_doubt = appended.as_ref().is_err_and(LogCallError::is_in_doubt);
+        assert!(is_in_doubt, "{}: {appended:?}", answer.name);
+    }
+}
+
+// A message that another VM may have applied counted as refused.
+#[tokio::test]
+async fn message_to_another_vm_is_in_doubt_after_a_switch_of_protocols() {
+    for answer in switches() {
+        let server = start_server(&answer).await;
+
+        let sent = send_message(server.address, RELAY_PATH, &relay_request()).await;
+
+        let is_in_doubt = sent.as_ref().is_err_and(MessageError::is_in_doubt);
+        assert!(is_in_doubt, "{}: {sent:?}", answer.name);
+    }
+}
+
 /// Responses of a plain service to the router.
 fn router_answers() -> [Answer; 5] {
     let answer = |name, status_line: &str, headers: &str| {
