Take a switch of protocols for a lost response on the router's own path

Callers of the router's own path got a server's 101 as the answer to a bid, which counted as done. The client of the platform returned a 101 as the response to a call.

Cause: as in the gateway, the HTTP library returns a 101 as if it were final. Change: call_backend and the platform's client take it for a lost response, as nothing on these paths asks for another protocol.

Measured: both tests failed before (the bid was answered 101 with the result code 1000, the client returned the status 101) and pass now: 504, unknown, run once.

--- a/crates/sassafrashoist-platform/src/http_client.rs
+++ b/crates/sassafrashoist-platform/src/http_client.rs
@@ -86,6 +86,10 @@
             }
         })?;
     let status = response.status();
+    // The HTTP library skips all other interim responses, but returns a switch of protocols.
+    if status.is_informational() {
+        return Err(HttpRequestError::ResponseLost(url, format!("status {status}")));
+    }
     let framing = ResponseFraming::of(&response);
     let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
         .collect()
--- a/crates/sassafrashoist/src/ops/call_backend.rs
+++ b/crates/sassafrashoist/src/ops/call_backend.rs
@@ -91,7 +91,8 @@
     if is_not_run_response(&response) {
         return Err(BackendError::Busy);
     }
-    if response.status().is_server_error() {
+    // The HTTP library skips all other interim responses, but returns a switch of protocols.
+    if response.status().is_server_error() || response.status().is_informational() {
         return Err(BackendError::ResponseLost(format!("status {}", response.status())));
     }
     Ok(response)
--- a/crates/sassafrashoist/tests/testsuite/truncated_heads.rs
+++ b/crates/sassafrashoist/tests/testsuite/truncated_heads.rs
@@ -806,6 +806,19 @@
     }
 }
 
+// The platform's client took a switch of protocols for the end of a call.
+#[tokio::test]
+async fn response_of_the_platform_is_lost_after_a_switch_of_protocols() {
+    for answer in switches() {
+        let server = start_server(&answer).await;
+
+        let response = send_http_request(&Client::default(), platform_request(&server)).await;
+
+        let is_lost = matches!(response, Err(HttpRequestError::ResponseLost(..)));
+        assert!(is_lost, "{}: {response:?}", answer.name);
+    }
+}
+
 /// Responses of a plain service to the router.
 fn router_answers() -> [Answer; 5] {
     let answer = |name, status_line: &str, headers: &str| {
@@ -895,3 +908,13 @@
         assert_eq!(outcome, unknown(), "{} cut after {length}", answer.name);
     }
 }
+
+// The router's own path forwarded a switch of protocols as the answer to a bid.
+#[tokio::test(flavor = "multi_thread")]
+async fn bid_of_the_router_is_unknown_after_a_switch_of_protocols() {
+    let [switch, ..] = router_answers();
+
+    let outcomes = send_bids(&[(switch, usize::MAX)]).await;
+
+    assert_eq!(outcomes, [unknown()]);
+}
