--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -32,4 +32,5 @@
 mod shutdown;
 mod soak;
 mod token_book;
+mod truncated_heads;
 mod waiting;
