Tell a stream's version by the list only after a read that began later

Callers of a gateway that was out of step as servers of a new version joined got one stream from two versions (ORDER). The streams had begun at the new servers through other gateways, broke off, and were resumed at this one.

No gateway that knew the origin responded, or the caller did not name its stream, so the version was told by the server list: the pool had had one version in all reads of the last 20 s. But the list counted as current for 3 s after a response, and the response as read when it arrived, which for a process that stood still is long after it was sent. A server that had joined since was not in it. Besides, an incomplete read counted as a complete one, and a read of the newest entries only, which misses servers that joined and left, did not start the 20 s anew.

The age of the list now counts from the call (after the wait, if the service had nothing to send). If only the list can tell the version, the gateway first reads the entries after its position, by a call that is sent after the caller's request; requests that wait share one call. A stream whose origin is known costs no call.

--- a/crates/sassafrashoist-core/src/gateway/pool_versions.rs
+++ b/crates/sassafrashoist-core/src/gateway/pool_versions.rs
@@ -3,13 +3,16 @@
 //! A stream whose origin is not known can go on only if every server that may have begun it has the
 //! same version. That is known if the server list was read without a gap for longer than a stream
 //! lasts, and no other version was in it.
+//!
+//! The response to a read may arrive long after it was sent, at a VM that stood still in between. The
+//! age of the list therefore counts from the call.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use super::server_listing::ServerListing;
 use super::{SoftwareVersion, Uptime};
-use crate::ids::PoolId;
+use crate::ids::{LogOffset, PoolId};
 
 /// The longest time between two reads of the server list that counts as no gap.
 const MAX_READ_GAP: Duration = Duration::from_secs(3);
@@ -18,17 +21,41 @@
 #[derive(Debug, Default)]
 pub struct PoolVersions {
     last_seen: HashMap<(PoolId, SoftwareVersion), Uptime>,
+    /// The time of which the last read shows the list.
     read_at: Option<Uptime>,
     read_since: Uptime,
+    position: Option<LogOffset>,
 }
 
 impl PoolVersions {
-    /// Records that the server list was read to its end.
-    pub fn record_read(&mut self, now: Uptime) {
-        if !self.is_current(now) {
-            self.read_since = now;
+    /// Records that the server list was read to its end, as it was at `known_at` or later.
+    pub fn record_read(&mut self, known_at: Uptime) {
+        if !self.is_current(known_at) {
+            self.read_since = known_at;
         }
-        self.read_at = Some(now);
+        self.read_at = Some(known_at);
+    }
+
+    /// Records that only the newest entry of each server was read. Servers that joined and left
+    /// since the read before are not known.
+    pub fn record_newest_read(&mut self, known_at: Uptime) {
+        self.read_since = known_at;
+        self.read_at = Some(known_at);
+    }
+
+    /// Records that all entries before `position` were applied; `None` if some were left out.
+    pub fn record_position(&mut self, position: Option<LogOffset>) {
+        self.position = position;
+    }
+
+    /// Returns the offset of the first entry that was not applied; `None` if that is not known.
+    pub fn position(&self) -> Option<LogOffset> {
+        self.position
+    }
+
+    /// Returns how old the list is; `None` if it was never read.
+    pub fn list_age(&self, now: Uptime) -> Option<Duration> {
+        self.read_at.map(|read_at| now.saturating_sub(read_at))
     }
 
     /// Records that a server is in the directory, or was until now.
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -228,16 +228,19 @@
     }
 
     /// Returns the version of all servers that a pool has had in the last `duration`; `None` if
-    /// there were several, or if that is not known.
+    /// there were several, or if that is not known. `unapplied` are the entries of the list that
+    /// the directory does not contain yet.
     pub fn sole_version(
         &self,
         pool_id: &str,
         duration: Duration,
+        unapplied: &[ServerListing],
         now: Uptime,
     ) -> Option<SoftwareVersion> {
         let version = self.pool_versions.sole_version(pool_id, duration, now)?;
-        let mut in_pool = self.servers.values().filter(|s| s.listing.pool_id == pool_id);
-        in_pool.all(|s| s.listing.software_version == *version).then(|| version.clone())
+        let listings = self.servers.values().map(|server| &server.listing).chain(unapplied);
+        let mut in_pool = listings.filter(|listing| listing.pool_id == pool_id);
+        in_pool.all(|listing| listing.software_version == *version).then(|| version.clone())
     }
 
     /// Chooses the server with the lowest cost for one attempt and counts the attempt as started.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/pool_versions.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/pool_versions.rs
@@ -104,3 +104,62 @@
 
     assert_eq!((without_list, with_list, refused), (true, true, false));
 }
+
+/// Returns a directory whose list was read up to a moment, with one server of the version "v1".
+fn directory_read_until(until: Duration) -> ServerDirectory {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    let mut now = START;
+    while now <= until {
+        directory.add_or_update(listing("v1", 1), now);
+        directory.pool_versions.record_read(now);
+        now += Duration::from_secs(1);
+    }
+    directory
+}
+
+// The list was read a second ago, and a server of another version has joined since.
+#[test]
+fn a_version_that_has_just_joined_is_not_overlooked() {
+    let until = START + Duration::from_secs(30);
+    let directory = directory_read_until(until);
+    let now = until + Duration::from_secs(1);
+    let same = ServerListing { id: "server-2".to_owned(), ..listing("v1", 2) };
+    let joined = ServerListing { id: "server-2".to_owned(), ..listing("v2", 2) };
+    let elsewhere = ServerListing { pool_id: "desk".to_owned(), ..joined.clone() };
+    let sole_version = |unapplied| directory.sole_version("engines", STREAM_TIME, unapplied, now);
+
+    let versions = [&[][..], &[same], &[elsewhere], &[joined]].map(sole_version);
+
+    let first = Some("v1".to_owned());
+    assert_eq!(versions, [first.clone(), first.clone(), first, None]);
+}
+
+// A VM that stood still receives a response that was sent before.
+#[test]
+fn a_late_response_does_not_make_the_list_younger_than_its_call() {
+    let mut versions = PoolVersions::default();
+    let known_at = read_for(&mut versions, START, 30, "v1");
+    let received_at = known_at + Duration::from_secs(4);
+    versions.record_seen(&listing("v1", 1), received_at);
+    versions.record_read(known_at);
+
+    let version = versions.sole_version("engines", STREAM_TIME, received_at);
+
+    assert_eq!((version, versions.list_age(received_at)), (None, Some(Duration::from_secs(4))));
+}
+
+// A server may join and leave between two reads of the newest entries.
+#[test]
+fn nothing_is_known_of_the_time_before_a_read_of_the_newest_entries() {
+    let mut versions = PoolVersions::default();
+    let before = read_for(&mut versions, START, 30, "v1");
+    versions.record_newest_read(before + Duration::from_secs(1));
+    let soon = read_for(&mut versions, before + Duration::from_secs(2), 10, "v1");
+    let version_soon = versions.sole_version("engines", STREAM_TIME, soon).cloned();
+    let late = read_for(&mut versions, soon, 10, "v1");
+
+    let version_late = versions.sole_version("engines", STREAM_TIME, late).cloned();
+
+    assert_eq!((version_soon, version_late), (None, Some("v1".to_owned())));
+}
--- a/crates/sassafrashoist/src/gateway/find_stream_origin.rs
+++ b/crates/sassafrashoist/src/gateway/find_stream_origin.rs
@@ -7,8 +7,10 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
+use sassafrashoist_core::gateway::server_listing::ServerListing;
 use sassafrashoist_core::gateway::stream_origins::{StreamKey, StreamOrigin, stream_key};
 
+use super::check_server_list::read_unapplied_entries;
 use super::gateway_context::GatewayContext;
 use super::request_context::{RequestContext, ResumedStream};
 use super::send_message::send_message;
@@ -27,6 +29,8 @@
     KeeperOutOfReach,
     /// No VM that should keep the origin does.
     NotKept,
+    /// The server list cannot be read, which might tell the version without the origin.
+    ListOutOfReach,
 }
 
 /// Finds where the stream began that a request resumes: on this VM, on the VMs that keep its origin,
@@ -50,7 +54,7 @@
             Err(error) => unknown = error,
         }
     }
-    find_by_sole_version(context, request).ok_or(unknown)
+    find_by_sole_version(context, request, unknown).await
 }
 
 fn check_origin(
@@ -114,18 +118,24 @@
     postcard::from_bytes(&body).wrap_err("failed to decode the response")
 }
 
-fn find_by_sole_version(
-    context: &GatewayContext,
+async fn find_by_sole_version(
+    context: &Arc<GatewayContext>,
     request: &RequestContext,
-) -> Option<ResumedStream> {
-    let now = context.now();
+    unknown: UnknownOrigin,
+) -> Result<ResumedStream, UnknownOrigin> {
     let max_age = request.route.timeout * MAX_STREAM_AGE_FACTOR + MAX_ENDING_TIME;
     // Any of the route's pools may have begun the stream.
     let [destination] = request.route.destinations.as_slice() else {
-        return None;
+        return Err(unknown);
     };
     let pool_id = &destination.pool_id;
-    let software_version = context.lock_servers().sole_version(pool_id, max_age, now)?;
+    let sole_version = |unapplied: &[ServerListing]| {
+        context.lock_servers().sole_version(pool_id, max_age, unapplied, context.now())
+    };
+    sole_version(&[]).ok_or(unknown)?;
+    // A server that has just joined may have begun the stream through another VM.
+    let unapplied = read_unapplied_entries(context).await.ok_or(UnknownOrigin::ListOutOfReach)?;
+    let software_version = sole_version(&unapplied).ok_or(unknown)?;
     let origin = StreamOrigin {
         pool_id: pool_id.clone(),
         server_id: String::new(),
@@ -133,7 +143,7 @@
         software_version,
         account_id: request.account_id.clone(),
     };
-    Some(ResumedStream { origin, began_at: now })
+    Ok(ResumedStream { origin, began_at: context.now() })
 }
 
 /// Returns the origin of a stream that this VM keeps, for another VM.
--- a/crates/sassafrashoist/src/gateway/follow_servers.rs
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -25,7 +25,7 @@
         MIN_READ_INTERVAL,
         at_once,
         |context, update| match update {
-            TopicUpdate::Snapshot { records, .. } => {
+            TopicUpdate::Snapshot { records, end, known_at } => {
                 let listed: Vec<_> = records
                     .iter()
                     .filter(|record| apply_entry(context, record, &mut odd_entries))
@@ -33,17 +33,22 @@
                     .collect();
                 let mut servers = context.lock_servers();
                 servers.mark_unlisted_except(&listed, context.now());
-                servers.pool_versions.record_read(context.now());
+                servers.pool_versions.record_newest_read(known_at);
+                servers.pool_versions.record_position(Some(end));
                 drop(servers);
                 context.lock_paths().retain(|id| listed.iter().any(|listed_id| listed_id == id));
                 context.mark_servers_listed();
                 log::info!(listed = listed.len(); "server list read");
             }
-            TopicUpdate::Appended { records, .. } => {
+            TopicUpdate::Appended { records, next, is_at_end, known_at } => {
                 for record in &records {
                     apply_entry(context, record, &mut odd_entries);
                 }
-                context.lock_servers().pool_versions.record_read(context.now());
+                let mut servers = context.lock_servers();
+                if is_at_end {
+                    servers.pool_versions.record_read(known_at);
+                }
+                servers.pool_versions.record_position(is_at_end.then_some(next));
             }
         },
     )
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -29,6 +29,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::check_server_list::ServerListCheck;
 use super::permit_book::PermitBook;
 use super::read_clocks::read_clocks;
 use super::report_server_end::Inquiry;
@@ -79,6 +80,8 @@
     pub config_heard: Notify,
     /// The requests of other VMs for the configuration that may be served now.
     pub served_fetches: Semaphore,
+    /// The last read of the server list for a request, held while another one is made.
+    pub server_list_check: tokio::sync::Mutex<Option<ServerListCheck>>,
     /// Requests in progress.
     pub requests: TaskTracker,
     /// Cancelled when the process receives the signal to stop.
@@ -133,6 +136,7 @@
             tokens_changed: Notify::new(),
             config_heard: Notify::new(),
             served_fetches: Semaphore::new(MAX_SERVED_FETCHES),
+            server_list_check: tokio::sync::Mutex::default(),
             requests: TaskTracker::new(),
             draining: cancel.child_token(),
             cancel,
--- a/crates/sassafrashoist/src/gateway/maintain_holding.rs
+++ b/crates/sassafrashoist/src/gateway/maintain_holding.rs
@@ -268,11 +268,11 @@
     async fn read_ledger(&mut self) -> Result<(), LogCallError> {
         loop {
             match self.reader.read_update(Duration::ZERO).await {
-                Ok(TopicUpdate::Snapshot { records, end }) => {
+                Ok(TopicUpdate::Snapshot { records, end, .. }) => {
                     self.apply_records(records);
                     self.set_ledger_end(end);
                 }
-                Ok(TopicUpdate::Appended { records, next, is_at_end }) => {
+                Ok(TopicUpdate::Appended { records, next, is_at_end, .. }) => {
                     self.apply_records(records);
                     self.context.lock_tokens().ledger.advance_end_offset(next);
                     if is_at_end {
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -28,7 +28,8 @@
 //!   that crash servers from them.
 //! - [`share_rejections`] tells all VMs of requests that a brittle server turned away.
 //! - [`share_stream_origin`] sends where a stream began to the VMs that keep it, and
-//!   [`find_stream_origin`] finds it when a caller resumes the stream.
+//!   [`find_stream_origin`] finds it when a caller resumes the stream; [`check_server_list`] reads what
+//!   is new in the server list when only that can tell.
 //! - [`serve_readiness`] serves the readiness check of the load balancer, [`serve_metrics`] the
 //!   metrics for operators.
 //!
@@ -36,6 +37,7 @@
 //! formats are in `sassafrashoist_adapter`.
 
 pub mod caller_stream;
+pub mod check_server_list;
 pub mod choose_server;
 pub mod config_messages;
 pub mod crash_messages;
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -243,6 +243,9 @@
         UnknownOrigin::KeeperOutOfReach => {
             Refusal::retry_later(KEEPER_RETRY_AFTER, "software version of the stream out of reach")
         }
+        UnknownOrigin::ListOutOfReach => {
+            Refusal::retry_later(KEEPER_RETRY_AFTER, "list of software versions out of reach")
+        }
         UnknownOrigin::NotKept => Refusal::new(
             StatusCode::SERVICE_UNAVAILABLE,
             "software version of the stream is not known",
--- a/crates/sassafrashoist/src/gateway/topic_reader.rs
+++ b/crates/sassafrashoist/src/gateway/topic_reader.rs
@@ -26,6 +26,8 @@
         records: Vec<KeyedRecord>,
         /// The end of the topic at the time of the read.
         end: LogOffset,
+        /// The records are as of this time or later, whenever the response arrived.
+        known_at: Uptime,
     },
     /// The records that were appended since the last read.
     Appended {
@@ -35,6 +37,8 @@
         next: LogOffset,
         /// Whether the read reached the end of the topic.
         is_at_end: bool,
+        /// The records are as of this time or later, whenever the response arrived.
+        known_at: Uptime,
     },
 }
 
@@ -113,15 +117,22 @@
             if self.waits_for_other_topics {
                 self.context.wait_for_earlier_topics(self.rank).await;
             }
-            let page = self.read_newest().await?;
+            let (known_at, page) = self.read_newest().await?;
             self.cursor.record_newest(page.end, self.context.now());
-            return Ok(TopicUpdate::Snapshot { records: page.records, end: page.end });
+            return Ok(TopicUpdate::Snapshot { records: page.records, end: page.end, known_at });
         };
         match self.log_client.read(self.topic, from, wait).await {
             Ok(batch) => {
-                self.cursor.record_read(batch.next, batch.end, self.context.now());
-                let is_at_end = batch.next >= batch.end;
-                Ok(TopicUpdate::Appended { records: batch.records, next: batch.next, is_at_end })
+                let now = self.context.now();
+                self.cursor.record_read(batch.next, batch.end, now);
+                // The service has waited if it has no record.
+                let waited = if batch.records.is_empty() { wait } else { Duration::ZERO };
+                Ok(TopicUpdate::Appended {
+                    records: batch.records,
+                    next: batch.next,
+                    is_at_end: batch.next >= batch.end,
+                    known_at: now.min(begun_at + waited),
+                })
             }
             Err(error) => {
                 match &error {
@@ -137,14 +148,16 @@
         }
     }
 
-    /// Reads the newest record of each key; further reads start at `end` of the result. After a
-    /// failure, the next call continues after the last page that was read.
-    async fn read_newest(&mut self) -> Result<NewestPage, LogCallError> {
+    /// Reads the newest record of each key, and returns them with the time when the first page was
+    /// requested; further reads start at `end` of the result. After a failure, the next call
+    /// continues after the last page that was read.
+    async fn read_newest(&mut self) -> Result<(Uptime, NewestPage), LogCallError> {
         let now = self.context.now();
         self.first_pages.take_if(|(begun_at, _)| now >= *begun_at + MAX_PAGE_AGE);
         loop {
             let last_record = self.first_pages.as_ref().and_then(|(_, all)| all.records.last());
             let last_key = last_record.map(|record| record.key.clone());
+            let sent_at = self.context.now();
             let page = self.log_client.read_newest_page(self.topic, last_key.as_deref()).await?;
             let has_more = page.has_more && !page.records.is_empty();
             let (begun_at, mut all) = match self.first_pages.take() {
@@ -152,11 +165,11 @@
                     all.records.extend(page.records);
                     (begun_at, all)
                 }
-                None => (self.context.now(), page),
+                None => (sent_at, page),
             };
             all.has_more = has_more;
             if !has_more {
-                return Ok(all);
+                return Ok((begun_at, all));
             }
             self.first_pages = Some((begun_at, all));
         }
