Let a stream go on only at a server that others list as the same start

A server may restart under its id with another version. Callers got one stream from two versions from a gateway that did not read that in the server list: `Expect-Instance` names the id only, and responses name no software version.

Before a stream goes on at a server of which the gateway has not read for 0.7 s, it asks up to three others, at first one in each data centre, whether they list the same start of the server. The message is the probe of relays, so that older builds understand it. Another start excludes the server; a gateway whose list is younger than 3 s takes the first answer and goes on without one. A gateway that resumes a stream of its own within one response asks about the server that began it too, as its origin may be wrong in the same way.

The origin itself may name the start before, if the gateway that began the stream read of the restart late. Only the gateway that resumed it looked for that, in its own list. Those that keep an origin now look too and do not tell it; one whose list is older than 3 s asks them even if it keeps the origin.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -20,7 +20,8 @@
 //!   from whom the others get it, as a [`document_delta`].
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
-//! - [`stream_origins`] and [`pool_versions`]: the software version at which a stream may go on.
+//! - [`stream_origins`], [`pool_versions`] and [`incarnation_check`]: the software version at which a
+//!   stream may go on, and whether a server still has it.
 //! - [`event_sequence`]: which events of a server go on with a stream of another.
 //! - [`crash_book`]: the requests that may crash backend servers; [`crash_trials`] and
 //!   [`recent_answers`]: which copy of one runs, and which requests are known not to. The rule itself
@@ -53,6 +54,7 @@
 pub mod hand_over;
 pub mod holder_record;
 pub mod holder_role;
+pub mod incarnation_check;
 pub mod ledger_writer;
 mod limit_periods;
 pub mod line_limit;
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -209,6 +209,24 @@
         })
     }
 
+    /// Returns the listing of the server at which a stream began, while this incarnation of it is
+    /// listed.
+    pub fn origin_listing(&self, origin: &StreamOrigin) -> Option<&ServerListing> {
+        let server = self.servers.get(&origin.server_id).filter(|s| s.unlisted_at.is_none())?;
+        let listing = &server.listing;
+        let is_same = listing.started_at_unix_ms == origin.started_at_unix_ms
+            && listing.software_version == origin.software_version;
+        is_same.then_some(listing)
+    }
+
+    /// Returns how old the knowledge is that a server is of the incarnation of `listing`: the age of
+    /// the list, or of the entry if that is newer; `None` if it is not known at all.
+    pub fn incarnation_age(&self, listing: &ServerListing, now: Uptime) -> Option<Duration> {
+        let server = self.servers.get(&listing.id).filter(|s| s.is_same_incarnation(listing))?;
+        let entry_age = now.saturating_sub(server.listed_at);
+        self.pool_versions.list_age(now).map(|list_age| list_age.min(entry_age))
+    }
+
     /// Returns whether a stream that began at `began_at` may have begun at a later incarnation of
     /// its server than its origin names, because entries are read late.
     pub fn is_origin_doubtful(&self, origin: &StreamOrigin, began_at: Uptime) -> bool {
@@ -218,6 +236,17 @@
         })
     }
 
+    /// Returns whether the list shows that the server of an origin may have started again before the
+    /// stream began. Unlike for [`Self::is_origin_doubtful`], an earlier incarnation in the list does
+    /// not count: then only the list is late.
+    pub fn is_origin_outdated(&self, origin: &StreamOrigin, began_at: Uptime) -> bool {
+        self.is_origin_doubtful(origin, began_at)
+            && self
+                .servers
+                .get(&origin.server_id)
+                .is_some_and(|server| server.listing.started_at_unix_ms > origin.started_at_unix_ms)
+    }
+
     /// Returns whether a server of a pool with this software version is listed.
     pub fn has_version(&self, pool_id: &str, version: &str) -> bool {
         self.servers.values().any(|server| {
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod flow_rate;
 mod growing_fleet;
 mod hand_over;
+mod incarnation_check;
 mod ledger_writer;
 mod limited_server_fleet;
 mod line_limit;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/pool_versions.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/pool_versions.rs
@@ -163,3 +163,70 @@
 
     assert_eq!((version_soon, version_late), (None, Some("v1".to_owned())));
 }
+
+// The entry of a server that has just joined arrives in a read that may have begun long before.
+#[test]
+fn an_entry_that_has_just_been_read_is_younger_than_the_list() {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    let read_at = START + Duration::from_secs(2);
+    directory.add_or_update(listing("v1", 1), read_at);
+    let unread = directory.incarnation_age(&listing("v1", 1), read_at);
+    directory.pool_versions.record_read(START);
+    let at_once = directory.incarnation_age(&listing("v1", 1), read_at);
+    let later = read_at + Duration::from_secs(10);
+    directory.pool_versions.record_read(later);
+
+    let after_next_read =
+        directory.incarnation_age(&listing("v1", 1), later + Duration::from_secs(1));
+    let of_another = directory.incarnation_age(&listing("v2", 2), later);
+
+    let one_second = Some(Duration::from_secs(1));
+    assert_eq!(
+        (unread, at_once, after_next_read, of_another),
+        (None, Some(Duration::ZERO), one_second, None)
+    );
+}
+
+// A VM that keeps an origin may read the entry of a restarted server later than the VM that sent it.
+#[test]
+fn an_origin_is_outdated_only_if_the_list_has_a_later_start_of_its_server() {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    let origin = |version: &str, started_at_unix_ms| StreamOrigin {
+        pool_id: "engines".to_owned(),
+        server_id: "server-1".to_owned(),
+        started_at_unix_ms,
+        software_version: version.to_owned(),
+        account_id: None,
+    };
+    directory.add_or_update(listing("v2", 2), START);
+
+    let earlier = directory.is_origin_outdated(&origin("v1", 1), START);
+    let same = directory.is_origin_outdated(&origin("v2", 2), START);
+    let later = directory.is_origin_outdated(&origin("v3", 3), START);
+    let long_after = directory.is_origin_outdated(&origin("v1", 1), START - 2 * STREAM_TIME);
+
+    assert_eq!((earlier, same, later, long_after), (true, false, false, false));
+}
+
+#[test]
+fn the_listing_of_an_origin_is_that_of_its_incarnation_while_it_is_listed() {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    directory.add_or_update(listing("v1", 1), START);
+    let origin = |version: &str, started_at_unix_ms| StreamOrigin {
+        pool_id: "engines".to_owned(),
+        server_id: "server-1".to_owned(),
+        started_at_unix_ms,
+        software_version: version.to_owned(),
+        account_id: None,
+    };
+
+    let same = directory.origin_listing(&origin("v1", 1)).cloned();
+    let earlier = directory.origin_listing(&origin("v1", 0)).cloned();
+    directory.mark_unlisted("server-1", START);
+    let unlisted = directory.origin_listing(&origin("v1", 1)).cloned();
+
+    assert_eq!((same, earlier, unlisted), (Some(listing("v1", 1)), None, None));
+}
--- a/crates/sassafrashoist/src/gateway/find_stream_origin.rs
+++ b/crates/sassafrashoist/src/gateway/find_stream_origin.rs
@@ -46,7 +46,9 @@
     let mut unknown = UnknownOrigin::NotKept;
     if let Some(stream_id) = &request.caller.resumed_request_id {
         let key = stream_key(stream_id);
-        if let Some(found) = find_here(context, request, key) {
+        if is_origin_here_reliable(context)
+            && let Some(found) = find_here(context, request, key)
+        {
             return check_origin(context, found);
         }
         match ask_keepers(context, request, stream_id).await {
@@ -57,6 +59,14 @@
     find_by_sole_version(context, request, unknown).await
 }
 
+/// Returns whether this VM reads the server list, so that it would know of an origin that names an
+/// earlier incarnation of its server. Without others, there is nobody to ask.
+fn is_origin_here_reliable(context: &GatewayContext) -> bool {
+    let now = context.now();
+    context.lock_servers().pool_versions.is_current(now)
+        || context.lock_tokens().issuers.live_vms.others(now).next().is_none()
+}
+
 fn check_origin(
     context: &GatewayContext,
     found: ResumedStream,
@@ -146,13 +156,18 @@
     Ok(ResumedStream { origin, began_at: context.now() })
 }
 
-/// Returns the origin of a stream that this VM keeps, for another VM.
+/// Returns the origin of a stream that this VM keeps, for another VM, unless the server list shows
+/// that it may name the wrong incarnation of its server: the other VM may have an older list.
 pub fn find_kept_origin(
     context: &GatewayContext,
     question: &StreamOriginRequest,
 ) -> Option<KeptOrigin> {
     let now = context.now();
     let streams = context.lock_streams();
-    let (began_at, origin) = streams.find(question.key, question.account_id.as_deref())?;
-    Some(KeptOrigin { origin: origin.clone(), began_ago: now.saturating_sub(*began_at) })
+    let (began_at, origin) = streams.find(question.key, question.account_id.as_deref())?.clone();
+    drop(streams);
+    if context.lock_servers().is_origin_outdated(&origin, began_at) {
+        return None;
+    }
+    Some(KeptOrigin { origin, began_ago: now.saturating_sub(began_at) })
 }
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -16,12 +16,14 @@
 use sassafrashoist_adapter::response_headers::{encode_response, goes_on_with};
 use sassafrashoist_core::event_splitter::{EventSplitter, StreamEvent};
 use sassafrashoist_core::gateway::event_sequence::{EventCheck, EventSequence};
+use sassafrashoist_core::gateway::stream_origins::StreamOrigin;
 use sassafrashoist_core::ids::BackendServerId;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 use sassafrashoist_platform::response_framing::ResponseFraming;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::choose_server::choose_server;
+use super::confirm_incarnation::confirm_incarnation;
 use super::gateway_context::GatewayContext;
 use super::isolate_suspects::admit_attempt;
 use super::report_server_end::report_lost_connection;
@@ -381,12 +383,29 @@
         goes_on_with((*status, headers), (response.status(), response.headers()))
     }
 
+    /// Returns whether the stream began at the incarnation of its server that this VM has listed. The
+    /// origin of a stream that a caller resumes comes from the VMs that keep it.
+    async fn is_origin_confirmed(&self, origin: &StreamOrigin) -> bool {
+        let listing = self.context.lock_servers().origin_listing(origin).cloned();
+        match listing {
+            Some(listing) => confirm_incarnation(&self.context, &listing).await,
+            None => true,
+        }
+    }
+
     /// Sends the request to another server, which continues after the last forwarded event.
     async fn resume(&mut self, failed_server_id: BackendServerId) -> Option<StartedResponse> {
         let ResumedStream { origin, began_at } = self.origin.clone()?;
         if self.context.lock_servers().is_origin_doubtful(&origin, began_at) {
             return None;
         }
+        if self.request.resumed.is_none() && !self.is_origin_confirmed(&origin).await {
+            log::info!(
+                id = self.request.id(), server = origin.server_id;
+                "stream not resumed: the server that began it may have started again before"
+            );
+            return None;
+        }
         let mut requirements = self.request.server_requirements();
         requirements.software_version = Some(origin.software_version);
         requirements.excluded.push(failed_server_id.clone());
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -15,6 +15,7 @@
 use sassafrashoist_core::routing::server_limit::LimitStatement;
 use sassafrashoist_platform::response_framing::ResponseFraming;
 
+use super::confirm_incarnation::confirm_incarnation;
 use super::gateway_context::GatewayContext;
 use super::http_connection::Connection;
 use super::isolate_suspects::Trial;
@@ -174,6 +175,14 @@
     unresponsive_timeout: Option<Duration>,
 ) -> AttemptStart {
     let mut slot = ServerSlot::new(Arc::clone(context), chosen, trial);
+    let goes_on = request.is_resumable() && last_event_id.is_some();
+    if goes_on && !confirm_incarnation(context, slot.listing()).await {
+        log::info!(
+            id = request.id(), server = slot.server_id();
+            "stream does not go on: the server may have started again"
+        );
+        return AttemptStart::NotReached;
+    }
     let time_left = request.time_left(context.now());
     metrics::counter!("sassafrashoist_server_connections_total").increment(1);
     if slot.has_limit() {
