Test gateways that are out of step while servers of another version join

Streams begin at other gateways, break off, and are resumed at a gateway that is cut off from the log service, from the others or from both, stands still, reads late or reaches servers only through others, after 1, 3 and 10 s; servers join under new ids or restart under theirs; callers name the stream or do not.

Standing still, streams that are named at a gateway cut off from the log service or from the others only, and restarted servers reached through others joined no versions before either; their tests show that it stays so. Two tests show that a gateway in step goes on with 6 of 6 streams, before and after.

--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod odd_entries;
 mod old_config;
 mod older_peers;
+mod out_of_step;
 mod outcomes;
 mod peer_messages;
 mod processes;
