Test servers that restart while a gateway stands still

A gateway that stood still resumes streams as soon as it goes on, with the server list of before, while servers have restarted under their ids.

--- a/crates/sassafrashoist/tests/testsuite/out_of_step.rs
+++ b/crates/sassafrashoist/tests/testsuite/out_of_step.rs
@@ -43,7 +43,7 @@
     Relayed,
     /// It does not reach other gateways.
     CutOffFromOthers,
-    /// Its process stands still until streams are resumed; it does not reach other gateways then.
+    /// Its process stands still until streams are resumed.
     StandsStill,
     /// Responses of the log service come late.
     ReadsLate,
@@ -74,6 +74,7 @@
         if self.reaches_others() { 3 } else { 6 }
     }
 
+    /// Returns whether it reaches other gateways when streams are resumed during a release.
     fn reaches_others(self) -> bool {
         matches!(self, Self::CutOffFromLog | Self::Relayed | Self::ReadsLate | Self::Not)
     }
@@ -225,15 +226,26 @@
     if !out_of_step.reaches_others() {
         pause_others(&fleet, true);
     }
-    let resuming = resume_streams(&fleet, &begun, names_stream);
+    let resumed = resume_streams_and_wake(&fleet, &begun, out_of_step, names_stream).await;
+    println!("{name}: {resumed:?}");
+    resumed
+}
+
+/// Resumes streams; a gateway that stands still goes on as soon as they are sent.
+async fn resume_streams_and_wake(
+    fleet: &StandInFleet,
+    begun: &[BrokenStream],
+    out_of_step: OutOfStep,
+    names_stream: bool,
+) -> Resumed {
+    let resuming = resume_streams(fleet, begun, names_stream);
     let waking = async {
         if out_of_step == OutOfStep::StandsStill {
             tokio::time::sleep(Duration::from_millis(50)).await;
-            out_of_step.set(&fleet, false);
+            out_of_step.set(fleet, false);
         }
     };
     let (resumed, ()) = tokio::join!(resuming, waking);
-    println!("{name}: {resumed:?}");
     resumed
 }
 
@@ -331,10 +343,11 @@
     out_of_step.set(&fleet, true);
     (1..4).for_each(|engine| fleet.set_engine_version(engine, "v2"));
     tokio::time::sleep(silence).await;
-    resume_streams(&fleet, &begun, true).await
+    resume_streams_and_wake(&fleet, &begun, out_of_step, true).await
 }
 
-// A gateway that does not read the list cannot see that a server has restarted under its id.
+// A gateway that does not read the list, or stood still, cannot see that a server has restarted under
+// its id.
 #[tokio::test]
 async fn gateway_with_an_old_list_joins_no_versions_at_servers_that_restarted_under_their_ids() {
     let cases = [
@@ -343,6 +356,9 @@
         (OutOfStep::CutOffFromLog, 10),
         (OutOfStep::Relayed, 1),
         (OutOfStep::Relayed, 3),
+        (OutOfStep::StandsStill, 1),
+        (OutOfStep::StandsStill, 3),
+        (OutOfStep::StandsStill, 10),
     ];
 
     let resumed = join_all(cases.map(|(out_of_step, silence_s)| {
