--- a/crates/sassafrashoist-core/tests/testsuite/gateway/pool_versions.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/pool_versions.rs
@@ -104,3 +104,129 @@
 
     assert_eq!((without_list, with_list, refused), (true, true, false));
 }
+
+/// Returns a directory whose list was read up to a moment, with one server of the version "v1".
+fn directory_read_until(until: Duration) -> ServerDirectory {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    let mut now = START;
+    while now <= until {
+        directory.add_or_update(listing("v1", 1), now);
+        directory.pool_versions.record_read(now);
+        now += Duration::from_secs(1);
+    }
+    directory
+}
+
+// The list was read a second ago, and a server of another version has joined since.
+#[test]
+fn a_version_that_has_just_joined_is_not_overlooked() {
+    let until = START + Duration::from_secs(30);
+    let directory = directory_read_until(until);
+    let now = until + Duration::from_secs(1);
+    let same = ServerListing { id: "server-2".to_owned(), ..listing("v1", 2) };
+    let joined = ServerListing { id: "server-2".to_owned(), ..listing("v2", 2) };
+    let elsewhere = ServerListing { pool_id: "desk".to_owned(), ..joined.clone() };
+    let sole_version = |unapplied| directory.sole_version("engines", STREAM_TIME, unapplied, now);
+
+    let versions = [&[][..], &[same], &[elsewhere], &[joined]].map(sole_version);
+
+    let first = Some("v1".to_owned());
+    assert_eq!(versions, [first.clone(), first.clone(), first, None]);
+}
+
+// A VM that stood still receives a response that was sent before.
+#[test]
+fn a_late_response_does_not_make_the_list_younger_than_its_call() {
+    let mut versions = PoolVersions::default();
+    let known_at = read_for(&mut versions, START, 30, "v1");
+    let received_at = known_at + Duration::from_secs(4);
+    versions.record_seen(&listing("v1", 1), received_at);
+    versions.record_read(known_at);
+
+    let version = versions.sole_version("engines", STREAM_TIME, received_at);
+
+    assert_eq!((version, versions.list_age(received_at)), (None, Some(Duration::from_secs(4))));
+}
+
+// A server may join and leave between two reads of the newest entries.
+#[test]
+fn nothing_is_known_of_the_time_before_a_read_of_the_newest_entries() {
+    let mut versions = PoolVersions::default();
+    let before = read_for(&mut versions, START, 30, "v1");
+    versions.record_newest_read(before + Duration::from_secs(1));
+    let soon = read_for(&mut versions, before + Duration::from_secs(2), 10, "v1");
+    let version_soon = versions.sole_version("engines", STREAM_TIME, soon).cloned();
+    let late = read_for(&mut versions, soon, 10, "v1");
+
+    let version_late = versions.sole_version("engines", STREAM_TIME, late).cloned();
+
+    assert_eq!((version_soon, version_late), (None, Some("v1".to_owned())));
+}
+
+// The entry of a server that has just joined arrives in a read that may have begun long before.
+#[test]
+fn an_entry_that_has_just_been_read_is_younger_than_the_list() {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    let read_at = START + Duration::from_secs(2);
+    directory.add_or_update(listing("v1", 1), read_at);
+    let unread = directory.incarnation_age(&listing("v1", 1), read_at);
+    directory.pool_versions.record_read(START);
+    let at_once = directory.incarnation_age(&listing("v1", 1), read_at);
+    let later = read_at + Duration::from_secs(10);
+    directory.pool_versions.record_read(later);
+
+    let after_next_read =
+        directory.incarnation_age(&listing("v1", 1), later + Duration::from_secs(1));
+    let of_another = directory.incarnation_age(&listing("v2", 2), later);
+
+    let one_second = Some(Duration::from_secs(1));
+    assert_eq!(
+        (unread, at_once, after_next_read, of_another),
+        (None, Some(Duration::ZERO), one_second, None)
+    );
+}
+
+// A VM that keeps an origin may read the entry of a restarted server later than the VM that sent it.
+#[test]
+fn an_origin_is_outdated_only_if_the_list_has_a_later_start_of_its_server() {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    let origin = |version: &str, started_at_unix_ms| StreamOrigin {
+        pool_id: "engines".to_owned(),
+        server_id: "server-1".to_owned(),
+        started_at_unix_ms,
+        software_version: version.to_owned(),
+        account_id: None,
+    };
+    directory.add_or_update(listing("v2", 2), START);
+
+    let earlier = directory.is_origin_outdated(&origin("v1", 1), START);
+    let same = directory.is_origin_outdated(&origin("v2", 2), START);
+    let later = directory.is_origin_outdated(&origin("v3", 3), START);
+    let long_after = directory.is_origin_outdated(&origin("v1", 1), START - 2 * STREAM_TIME);
+
+    assert_eq!((earlier, same, later, long_after), (true, false, false, false));
+}
+
+#[test]
+fn the_listing_of_an_origin_is_that_of_its_incarnation_while_it_is_listed() {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    directory.add_or_update(listing("v1", 1), START);
+    let origin = |version: &str, started_at_unix_ms| StreamOrigin {
+        pool_id: "engines".to_owned(),
+        server_id: "server-1".to_owned(),
+        started_at_unix_ms,
+        software_version: version.to_owned(),
+        account_id: None,
+    };
+
+    let same = directory.origin_listing(&origin("v1", 1)).cloned();
+    let earlier = directory.origin_listing(&origin("v1", 0)).cloned();
+    directory.mark_unlisted("server-1", START);
+    let unlisted = directory.origin_listing(&origin("v1", 1)).cloned();
+
+    assert_eq!((same, earlier, unlisted), (Some(listing("v1", 1)), None, None));
+}
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -30,6 +30,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::check_server_list::ServerListCheck;
 use super::open_connections::OpenConnections;
 use super::permit_book::PermitBook;
 use super::read_clocks::read_clocks;
@@ -86,6 +87,8 @@
     pub caller_connections: Arc<OpenConnections>,
     /// The connections of other VMs and of operators.
     pub internal_connections: Arc<OpenConnections>,
+    /// The last read of the server list for a request, held while another one is made.
+    pub server_list_check: tokio::sync::Mutex<Option<ServerListCheck>>,
     /// Requests in progress.
     pub requests: TaskTracker,
     /// Cancelled when the process receives the signal to stop.
@@ -147,6 +150,7 @@
             served_fetches: Semaphore::new(MAX_SERVED_FETCHES),
             caller_connections: Arc::default(),
             internal_connections: Arc::default(),
+            server_list_check: tokio::sync::Mutex::default(),
             requests: TaskTracker::new(),
             draining: cancel.child_token(),
             serving_ended: CancellationToken::new(),
