Close connections by what was read, not by the status of the response

A review of the drain found with tests that it was held, or a request thrown away, by connections that owed nothing:

- A kept connection whose newest answer was not 2xx was read for 1 s when it was closed, although its request had been read whole; a request that crossed the close was read and dropped, so that its caller could not repeat it.
The body of a request now tells whether it was read to its end, and only then the connection lingers.
- A line break between two requests counted as a head for good and held the exit to the end of the time to serve; a caller that stalled within a head did too.
Line breaks are no part of a head now, and a head has 1 s after the listener closed.
- By reading: a request that was connecting when the listener closed was sent without asking again whether the grace period covers it; the answer at the end of the time to serve rests on a flag that was set after the check; a transfer of tokens was checked before the lock was taken; one connection given up in the backlog lost the rest of it; a request that found no tokens at a VM that stops was told to come back after seconds, though other VMs may have some.

--- a/crates/sassafrashoist-core/src/gateway/drain_plan.rs
+++ b/crates/sassafrashoist-core/src/gateway/drain_plan.rs
@@ -14,6 +14,8 @@
 const RESERVE_DIVISOR: u32 = 6;
 /// How long the first request on a connection may take to arrive after the listener was closed.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(250);
+/// How long a head that is being read may take to arrive after the listener was closed.
+const HEAD_TIME: Duration = Duration::from_secs(1);
 
 /// The part of the time left in which requests that are cut off are answered.
 const ANSWER_FRACTION: f64 = 0.3;
@@ -35,6 +37,8 @@
     pub closes_at: Uptime,
     /// When connections that have not sent a byte are closed.
     pub opened_end_at: Uptime,
+    /// When connections on which a head is still being read are closed.
+    pub heads_end_at: Uptime,
     /// When requests that are still in progress are cut off.
     pub serves_until: Uptime,
     /// When the process exits at the latest.
@@ -52,6 +56,7 @@
         Self {
             closes_at,
             opened_end_at: serves_until.min(closes_at + FIRST_REQUEST_TIME),
+            heads_end_at: serves_until.min(closes_at + HEAD_TIME),
             serves_until,
             exits_at: signalled_at + grace.saturating_sub(exit_time),
         }
--- a/crates/sassafrashoist/src/gateway/caller_stream.rs
+++ b/crates/sassafrashoist/src/gateway/caller_stream.rs
@@ -1,8 +1,8 @@
 //! The connection of a caller.
 //!
-//! A connection that is closed with unread bytes is reset, which can take the response with it. After a
-//! response to a request whose body was not read, the connection is therefore read until the caller
-//! closes it, at most for [`LINGER_TIME`].
+//! A connection that is closed with unread bytes is reset, which can take the response with it. If a
+//! response ends the connection while the caller still sends the body of its request, the connection is
+//! therefore read until the caller closes it, at most for [`LINGER_TIME`].
 //!
 //! A response without length or chunks is complete for its caller when its connection is closed
 //! properly. While such a response is in progress, the connection is set to be reset when it is
@@ -22,7 +22,7 @@
 
 use super::open_connection::OpenConnection;
 
-/// How long a connection is read after a response to a request whose body was not read.
+/// How long a connection is read after its last response.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 /// The most bytes that are read at once then.
 const LINGER_CHUNK_BYTES: usize = 4_096;
@@ -99,9 +99,7 @@
     ) -> Poll<io::Result<()>> {
         let earlier_bytes = buffer.filled().len();
         let result = Pin::new(&mut self.tcp).poll_read(cx, buffer);
-        if buffer.filled().len() > earlier_bytes {
-            self.connection.record_read();
-        }
+        self.connection.record_read(&buffer.filled()[earlier_bytes..]);
         result
     }
 }
@@ -143,7 +141,7 @@
             Some(linger_end) => linger_end,
             None => {
                 ready!(Pin::new(&mut self.tcp).poll_shutdown(cx))?;
-                if !self.connection.has_unread_body() {
+                if !self.connection.is_body_unfinished() {
                     return Poll::Ready(Ok(()));
                 }
                 Box::pin(tokio::time::sleep(LINGER_TIME))
--- a/crates/sassafrashoist/src/gateway/closing_signals.rs
+++ b/crates/sassafrashoist/src/gateway/closing_signals.rs
@@ -10,4 +10,6 @@
     pub closing: CancellationToken,
     /// Cancelled to close also the connections on which nothing has been received.
     pub closing_opened: CancellationToken,
+    /// Cancelled to close also the connections on which a head is being read.
+    pub closing_heads: CancellationToken,
 }
--- a/crates/sassafrashoist/src/gateway/disconnect_guard.rs
+++ b/crates/sassafrashoist/src/gateway/disconnect_guard.rs
@@ -8,15 +8,15 @@
 ///
 /// In both cases the future that handles the request is dropped, and this guard with it.
 #[derive(Debug)]
-pub struct DisconnectGuard {
+pub struct DisconnectGuard<'a> {
     id: RequestId,
-    exiting: CancellationToken,
+    exiting: &'a CancellationToken,
     has_response: bool,
 }
 
-impl DisconnectGuard {
+impl<'a> DisconnectGuard<'a> {
     /// Creates a guard for the caller of a request; `exiting` is cancelled when this process exits.
-    pub fn new(id: RequestId, exiting: CancellationToken) -> Self {
+    pub fn new(id: RequestId, exiting: &'a CancellationToken) -> Self {
         Self { id, exiting, has_response: false }
     }
 
@@ -26,7 +26,7 @@
     }
 }
 
-impl Drop for DisconnectGuard {
+impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
         if self.has_response {
             return;
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -9,7 +9,7 @@
 
 use eyre::WrapErr;
 use http::{Request, Response, StatusCode, Version};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -21,6 +21,7 @@
 use super::closing_signals::ClosingSignals;
 use super::open_connection::OpenConnection;
 use super::open_connections::OpenConnections;
+use super::request_body::RequestBody;
 use super::response_body::ResponseBody;
 use super::tracked_body::TrackedBody;
 
@@ -77,6 +78,8 @@
                     backlog.push(TcpStream::from_std(stream)?);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                // The caller has given up a connection that was in the backlog.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(error) => return Err(error),
             }
         }
@@ -94,7 +97,7 @@
     policy: ConnectionPolicy,
     handle: F,
 ) where
-    F: Fn(Request<Incoming>) -> R,
+    F: Fn(Request<RequestBody>) -> R,
     R: Future<Output = Response<ResponseBody>>,
 {
     if let Err(error) = stream.set_nodelay(true) {
@@ -104,10 +107,9 @@
     let reset_switch = ResetSwitch::default();
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
-        let has_body = !request.body().is_end_stream();
-        let response = handle(request);
         let (open, reset_switch) = (&open, &reset_switch);
         open.record_request();
+        let response = handle(request.map(|body| RequestBody::new(body, open)));
         async move {
             let response = response.await;
             // Such a response, or the bytes after it, may end with its connection.
@@ -117,8 +119,6 @@
             {
                 reset_switch.turn_on();
             }
-            // Only a request that is refused is answered before its body was read.
-            open.record_unread_body(has_body && !response.status().is_success());
             Ok::<_, Infallible>(TrackedBody::wrap(response, open))
         }
     });
@@ -134,6 +134,10 @@
     let result = tokio::select! {
         biased;
         result = connection.as_mut() => result,
+        () = wait_for_stalled_head(&policy.closing, &open) => {
+            log::info!("connection closed: the head of a request stalled while this VM stops");
+            return;
+        }
         () = wait_until_closing(&policy.closing, &open) => {
             if matches!(open.phase(), ConnectionPhase::Opened | ConnectionPhase::Idle) {
                 open.record_closing();
@@ -161,6 +165,14 @@
     wait_while_in(open, ConnectionPhase::ReadingHead).await;
 }
 
+/// Waits until heads that are being read are given up, if a head is being read then.
+async fn wait_for_stalled_head(signals: &ClosingSignals, open: &OpenConnection) {
+    signals.closing_heads.cancelled().await;
+    if open.phase() != ConnectionPhase::ReadingHead {
+        std::future::pending().await
+    }
+}
+
 async fn wait_while_in(open: &OpenConnection, phase: ConnectionPhase) {
     let poll = |_: &mut Context<'_>| match open.phase() == phase {
         true => Poll::Pending,
@@ -176,13 +188,17 @@
     closing: CancellationToken,
     handle: F,
 ) where
-    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    F: Fn(Request<RequestBody>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let policy = ConnectionPolicy {
         head_timeout: INTERNAL_IDLE_TIMEOUT,
         max_head_bytes: MAX_INTERNAL_HEAD_BYTES,
-        closing: ClosingSignals { closing: closing.clone(), closing_opened: closing },
+        closing: ClosingSignals {
+            closing: closing.clone(),
+            closing_opened: closing.clone(),
+            closing_heads: closing,
+        },
     };
     loop {
         let stream = accept(&listener).await;
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -78,6 +78,7 @@
 pub mod relay_messages;
 pub mod relay_use;
 pub mod report_server_end;
+pub mod request_body;
 pub mod request_context;
 pub mod request_progress;
 pub mod request_tokens;
--- a/crates/sassafrashoist/src/gateway/open_connection.rs
+++ b/crates/sassafrashoist/src/gateway/open_connection.rs
@@ -10,19 +10,24 @@
 
 /// A connection that is open; dropping it counts it as closed.
 ///
-/// The socket, the task that serves it and the body of its response share it.
+/// The socket, the task that serves it and the bodies of its request and response share it. All of
+/// them are polled by that task, so that the phase does not change between a test and an update.
 #[derive(Debug)]
 pub struct OpenConnection {
     connections: Arc<OpenConnections>,
     phase: Mutex<ConnectionPhase>,
-    has_unread_body: AtomicBool,
+    is_body_unfinished: AtomicBool,
     _open: TaskTrackerToken,
 }
 
 impl OpenConnection {
     pub(super) fn new(connections: Arc<OpenConnections>, open: TaskTrackerToken) -> Self {
-        let phase = Mutex::new(ConnectionPhase::Opened);
-        Self { connections, phase, has_unread_body: AtomicBool::new(false), _open: open }
+        Self {
+            connections,
+            phase: Mutex::new(ConnectionPhase::Opened),
+            is_body_unfinished: AtomicBool::new(false),
+            _open: open,
+        }
     }
 
     /// Returns what is owed to the caller.
@@ -30,8 +35,13 @@
         *self.phase.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that bytes were read. Those that are read during a request belong to its body.
-    pub fn record_read(&self) {
+    /// Records that bytes were read. Those that are read during a request belong to its body. Line
+    /// breaks between two requests are no part of a head.
+    pub fn record_read(&self, bytes: &[u8]) {
+        let is_line_break = |byte: &u8| matches!(byte, b'\r' | b'\n');
+        if bytes.iter().all(is_line_break) {
+            return;
+        }
         if matches!(self.phase(), ConnectionPhase::Opened | ConnectionPhase::Idle) {
             self.set_phase(ConnectionPhase::ReadingHead);
         }
@@ -42,14 +52,14 @@
         self.set_phase(ConnectionPhase::InRequest);
     }
 
-    /// Records whether the body of the newest request may not have been read to its end.
-    pub fn record_unread_body(&self, has_unread_body: bool) {
-        self.has_unread_body.store(has_unread_body, Ordering::Release);
+    /// Records whether a part of the body of the newest request has not been read yet.
+    pub fn record_body_unfinished(&self, is_unfinished: bool) {
+        self.is_body_unfinished.store(is_unfinished, Ordering::Release);
     }
 
-    /// Returns whether the body of the newest request may not have been read to its end.
-    pub fn has_unread_body(&self) -> bool {
-        self.has_unread_body.load(Ordering::Acquire)
+    /// Returns whether a part of the body of the newest request has not been read.
+    pub fn is_body_unfinished(&self) -> bool {
+        self.is_body_unfinished.load(Ordering::Acquire)
     }
 
     /// Records that the HTTP library has taken the whole response.
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -112,7 +112,8 @@
     }
     context.cancel.cancel();
     let calls_answered = context.internal_connections.wait_until_closed();
-    if tokio::time::timeout(PEER_ANSWER_TIMEOUT, calls_answered).await.is_err() {
+    let time_left = plan.exits_at.saturating_sub(context.now());
+    if tokio::time::timeout(PEER_ANSWER_TIMEOUT.min(time_left), calls_answered).await.is_err() {
         log::info!(
             connections:% = context.internal_connections;
             "calls of other VMs or operators not answered before the exit"
@@ -153,12 +154,8 @@
         connections:% = context.caller_connections, requests = context.requests.len();
         "no connection accepted any more"
     );
-    let closing_opened = signals.closing_opened.clone();
-    let opened_end = tokio::time::sleep_until(context.instant(plan.opened_end_at));
-    tokio::spawn(async move {
-        opened_end.await;
-        closing_opened.cancel();
-    });
+    cancel_at(context.instant(plan.opened_end_at), &signals.closing_opened);
+    cancel_at(context.instant(plan.heads_end_at), &signals.closing_heads);
     let all_answered = async {
         context.caller_connections.wait_until_closed().await;
         context.requests.close();
@@ -182,6 +179,14 @@
     }
 }
 
+fn cancel_at(at: tokio::time::Instant, signal: &CancellationToken) {
+    let signal = signal.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep_until(at).await;
+        signal.cancel();
+    });
+}
+
 /// Reloads the settings file on SIGHUP or after a change, and regularly does the upkeep of the
 /// metrics.
 async fn follow_settings(context: Arc<GatewayContext>, path: PathBuf, mut hang_up: Signal) {
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -156,7 +156,7 @@
     Failed(StartedResponse),
     /// No connection to the server could be opened, so nothing was sent.
     NotReached,
-    /// Nothing was sent, because this VM stops.
+    /// Nothing was sent, because this VM stops too soon for the request.
     Stopping,
     /// The server received the request, did not run it and never will.
     NotRun(&'static str),
@@ -210,10 +210,12 @@
             return AttemptStart::NotReached;
         }
     };
-    if context.serving_ended.is_cancelled() {
+    let is_first = !request.progress.was_sent();
+    // Recorded before the check, as the answer at the end of the time to serve depends on it.
+    request.progress.record_sent();
+    if context.serving_ended.is_cancelled() || (is_first && !context.covers(request.deadline)) {
         return AttemptStart::Stopping;
     }
-    request.progress.record_sent();
     let attempt = AttemptHeaders {
         server_id: slot.server_id().to_owned(),
         account_id: request.account_id.clone(),
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use serde::Serialize;
 use tokio::net::TcpListener;
 
@@ -25,6 +24,7 @@
 use super::permit_messages::{LIMIT_PATH, PERMIT_PATH};
 use super::queue_entry::QueueEntry;
 use super::relay_messages::RELAY_PATH;
+use super::request_body::RequestBody;
 use super::response_body::{ResponseBody, full_response};
 use super::send_message::MAX_MESSAGE_BYTES;
 use super::serve_relay::serve_relay;
@@ -51,7 +51,7 @@
 
 async fn handle_request(
     context: &Arc<GatewayContext>,
-    mut request: Request<Incoming>,
+    mut request: Request<RequestBody>,
 ) -> Response<ResponseBody> {
     let path = request.uri().path().to_owned();
     if path == CONFIG_PATH {
@@ -110,7 +110,7 @@
 }
 
 /// Receives a message of another VM; fails with the status of the response if it is not complete.
-async fn receive_message(path: &str, request: Request<Incoming>) -> Result<Bytes, StatusCode> {
+async fn receive_message(path: &str, request: Request<RequestBody>) -> Result<Bytes, StatusCode> {
     let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
     match tokio::time::timeout(MESSAGE_TIMEOUT, body).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
@@ -129,7 +129,7 @@
 /// is received in both cases, because the sender may miss a response that comes before its end.
 async fn serve_fetch(
     context: &Arc<GatewayContext>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<ResponseBody> {
     let permit = context.served_fetches.try_acquire();
     let body = match receive_message(CONFIG_PATH, request).await {
@@ -160,6 +160,7 @@
     context: &GatewayContext,
     message: &UnrequestedTransfer,
 ) -> Response<ResponseBody> {
+    let mut tokens = context.lock_tokens();
     if context.serving_ended.is_cancelled() {
         log::warn!(
             from = message.transfer_id.0;
@@ -167,7 +168,6 @@
         );
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let mut tokens = context.lock_tokens();
     if *tokens.holding.holder_id() != message.holder_id {
         log::warn!(
             from = message.transfer_id.0;
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -8,7 +8,6 @@
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use sassafrashoist_adapter::request_headers::{CallerHeaders, single_host};
 use sassafrashoist_adapter::response_headers::encode_refusal;
 use sassafrashoist_core::gateway::Uptime;
@@ -23,6 +22,7 @@
 use super::isolate_suspects::check_quarantine;
 use super::obtain_tokens::{NoTokens, WorstCase, obtain_tokens};
 use super::refuse_by_config::{RequestTarget, refuse_by_config};
+use super::request_body::RequestBody;
 use super::request_context::{RequestContext, ResumedStream};
 use super::request_progress::RequestProgress;
 use super::response_body::{ResponseBody, full_response};
@@ -104,13 +104,13 @@
 /// Serves a request; reports a caller that disconnects before its response has started.
 pub async fn serve_request(
     context: &Arc<GatewayContext>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<ResponseBody> {
     let _in_progress = context.requests.token();
     let (parts, body) = request.into_parts();
     let caller = CallerHeaders::decode(&parts.headers);
     let id = caller.request_id.clone().unwrap_or_else(|| "-".to_owned());
-    let disconnect_guard = DisconnectGuard::new(id.clone(), context.exiting.clone());
+    let disconnect_guard = DisconnectGuard::new(id.clone(), &context.exiting);
     let progress = Arc::<RequestProgress>::default();
     let handled = handle_request(context, id.clone(), caller, parts, body, Arc::clone(&progress));
     let response = tokio::select! {
@@ -137,7 +137,7 @@
     id: RequestId,
     caller: CallerHeaders,
     parts: Parts,
-    body: Incoming,
+    body: RequestBody,
     progress: Arc<RequestProgress>,
 ) -> Response<ResponseBody> {
     let arrived_at = context.now();
@@ -294,7 +294,7 @@
     request: &RequestContext,
     context: &GatewayContext,
     max_bytes: usize,
-    body: Incoming,
+    body: RequestBody,
 ) -> Result<Bytes, Refusal> {
     let read = Limited::new(body, max_bytes).collect();
     match tokio::time::timeout_at(context.instant(request.deadline), read).await {
@@ -332,6 +332,10 @@
             StatusCode::PAYMENT_REQUIRED,
             "budget does not cover the request",
         )),
+        // Other VMs may have tokens, and this one returns its own.
+        Err(NoTokens::OutOfReach(_)) if context.draining.is_cancelled() => {
+            Err(Refusal::retry_later(Duration::ZERO, STOPPING))
+        }
         Err(NoTokens::OutOfReach(delay)) => {
             Err(Refusal::retry_later(delay, "tokens are out of reach"))
         }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod account_limits;
 mod bad_requests;
 mod bundles;
+mod closing_connections;
 mod config_messages;
 mod config_sharing;
 mod drain;
