soak: stop gateways under load that stays until they exit

Callers of a gateway that got SIGTERM saw requests run and their connections closed without an answer. The soak did not: the log service acknowledged appends at once, callers sent whole requests on connections of their own, and other faults excused nearly every stop.

A run now begins with planned work without faults: overlapping stops with a second signal or a stop during the start, configurations in a row, SIGHUP and slow appends.

--- a/crates/sassafrashoist/tests/testsuite/soak.rs
+++ b/crates/sassafrashoist/tests/testsuite/soak.rs
@@ -12,6 +12,7 @@
     std::fs::remove_dir_all(&folder).ok();
     let plan = SoakPlan {
         seed: 1,
+        planned_work: Duration::from_secs(5),
         duration: Duration::from_secs(10),
         program: PathBuf::from(env!("CARGO_BIN_EXE_sassafrashoist")),
         folder,
