--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -10,6 +10,7 @@
 use sassafrashoist_core::gateway::config_age::ConfigAge;
 use sassafrashoist_core::gateway::config_sharing::ConfigSharing;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
+use sassafrashoist_core::gateway::drain_plan::DrainPlan;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::read_precedence::{ReadPrecedence, TopicRank};
@@ -29,6 +30,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::open_connections::OpenConnections;
 use super::permit_book::PermitBook;
 use super::read_clocks::read_clocks;
 use super::report_server_end::Inquiry;
@@ -68,6 +70,7 @@
     read_precedence: Mutex<ReadPrecedence>,
     topic_read: Notify,
     datagram_socket: OnceLock<Arc<UdpSocket>>,
+    drain_plan: OnceLock<DrainPlan>,
     started_instant: Instant,
     /// The VM's clocks when the process started.
     pub started_at: ClockReading,
@@ -79,10 +82,18 @@
     pub config_heard: Notify,
     /// The requests of other VMs for the configuration that may be served now.
     pub served_fetches: Semaphore,
+    /// The connections of callers.
+    pub caller_connections: Arc<OpenConnections>,
+    /// The connections of other VMs and of operators.
+    pub internal_connections: Arc<OpenConnections>,
     /// Requests in progress.
     pub requests: TaskTracker,
     /// Cancelled when the process receives the signal to stop.
     pub draining: CancellationToken,
+    /// Cancelled when the shutdown grace period leaves no time to serve.
+    pub serving_ended: CancellationToken,
+    /// Cancelled when this process exits, whatever is still in progress.
+    pub exiting: CancellationToken,
     /// Cancelled to end all tasks.
     pub cancel: CancellationToken,
 }
@@ -127,14 +138,19 @@
             read_precedence: Mutex::default(),
             topic_read: Notify::new(),
             datagram_socket: OnceLock::new(),
+            drain_plan: OnceLock::new(),
             started_instant: Instant::now(),
             started_at: read_clocks(),
             ledger_wakeup: Notify::new(),
             tokens_changed: Notify::new(),
             config_heard: Notify::new(),
             served_fetches: Semaphore::new(MAX_SERVED_FETCHES),
+            caller_connections: Arc::default(),
+            internal_connections: Arc::default(),
             requests: TaskTracker::new(),
             draining: cancel.child_token(),
+            serving_ended: CancellationToken::new(),
+            exiting: CancellationToken::new(),
             cancel,
         })
     }
@@ -314,6 +330,18 @@
         }
     }
 
+    /// Begins the graceful shutdown; the plan of the first signal holds.
+    pub fn begin_drain(&self, plan: DrainPlan) {
+        self.drain_plan.get_or_init(|| plan);
+        self.draining.cancel();
+    }
+
+    /// Returns whether a request with a deadline may be passed on to a server, as far as the shutdown
+    /// grace period goes.
+    pub fn covers(&self, deadline: Uptime) -> bool {
+        self.drain_plan.get().is_none_or(|plan| plan.covers(self.now(), deadline))
+    }
+
     /// Locks the permits that this VM issues.
     pub fn lock_permits(&self) -> MutexGuard<'_, PermitBook> {
         lock(&self.permits)
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -1,7 +1,10 @@
 //! Accepts HTTP/1.1 connections.
 
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -10,11 +13,16 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use super::caller_stream::{CallerStream, ResetSwitch};
+use super::closing_signals::ClosingSignals;
+use super::open_connection::OpenConnection;
+use super::open_connections::OpenConnections;
 use super::response_body::ResponseBody;
+use super::tracked_body::TrackedBody;
 
 /// Delay after a failed accept, which usually means that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -31,8 +39,8 @@
     pub head_timeout: Duration,
     /// The maximum length of a request head.
     pub max_head_bytes: usize,
-    /// Cancelled to close each connection after the request in progress.
-    pub closing: CancellationToken,
+    /// When connections are closed.
+    pub closing: ClosingSignals,
 }
 
 /// Listens on an address.
@@ -57,9 +65,35 @@
     }
 }
 
+/// Closes a listener; returns the connections in its backlog, whose callers count them as open.
+pub fn close_listener(listener: TcpListener) -> Vec<TcpStream> {
+    let mut backlog = Vec::new();
+    let accept_backlog = || -> io::Result<()> {
+        let listener = listener.into_std()?;
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    backlog.push(TcpStream::from_std(stream)?);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+    };
+    if let Err(error) = accept_backlog() {
+        log::warn!(error:% = error; "connections in the backlog of the listener not accepted");
+    }
+    backlog
+}
+
 /// Serves the requests of one connection.
-pub async fn serve_connection<F, R>(stream: TcpStream, policy: ConnectionPolicy, handle: F)
-where
+pub async fn serve_connection<F, R>(
+    stream: TcpStream,
+    open: Arc<OpenConnection>,
+    policy: ConnectionPolicy,
+    handle: F,
+) where
     F: Fn(Request<Incoming>) -> R,
     R: Future<Output = Response<ResponseBody>>,
 {
@@ -71,7 +105,8 @@
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
         let response = handle(request);
-        let reset_switch = &reset_switch;
+        let (open, reset_switch) = (&open, &reset_switch);
+        open.record_request();
         async move {
             let response = response.await;
             // Such a response, or the bytes after it, may end with its connection.
@@ -81,20 +116,25 @@
             {
                 reset_switch.turn_on();
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(TrackedBody::wrap(response, open))
         }
     });
+    let caller_stream = CallerStream::new(stream, Arc::clone(&open), reset_switch.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(policy.head_timeout)
         .max_buf_size(policy.max_head_bytes)
         .preserve_header_case(true)
-        .serve_connection(TokioIo::new(CallerStream::new(stream, reset_switch.clone())), service)
+        .serve_connection(TokioIo::new(caller_stream), service)
         .with_upgrades();
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => result,
-        () = policy.closing.cancelled() => {
+        () = wait_until_closing(&policy.closing, &open) => {
+            if matches!(open.phase(), ConnectionPhase::Opened | ConnectionPhase::Idle) {
+                open.record_closing();
+            }
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -104,19 +144,45 @@
     }
 }
 
+/// Waits until a connection is to be closed after the request in progress.
+///
+/// The HTTP library closes a connection that is not in a request at once, also if it has read a part
+/// of the next head, or if the first request is about to arrive. The phase changes only while the
+/// connection is polled, which wakes this future too, as both are polled by one task.
+async fn wait_until_closing(signals: &ClosingSignals, open: &OpenConnection) {
+    signals.closing.cancelled().await;
+    tokio::select! {
+        () = signals.closing_opened.cancelled() => {}
+        () = wait_while_in(open, ConnectionPhase::Opened) => {}
+    }
+    wait_while_in(open, ConnectionPhase::ReadingHead).await;
+}
+
+async fn wait_while_in(open: &OpenConnection, phase: ConnectionPhase) {
+    let poll = |_: &mut Context<'_>| match open.phase() == phase {
+        true => Poll::Pending,
+        false => Poll::Ready(()),
+    };
+    std::future::poll_fn(poll).await;
+}
+
 /// Serves requests that do not come from callers until cancelled.
-pub async fn serve_listener<F, R>(listener: TcpListener, closing: CancellationToken, handle: F)
-where
+pub async fn serve_listener<F, R>(
+    listener: TcpListener,
+    connections: Arc<OpenConnections>,
+    closing: CancellationToken,
+    handle: F,
+) where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let policy = ConnectionPolicy {
         head_timeout: INTERNAL_IDLE_TIMEOUT,
         max_head_bytes: MAX_INTERNAL_HEAD_BYTES,
-        closing,
+        closing: ClosingSignals { closing: closing.clone(), closing_opened: closing },
     };
     loop {
         let stream = accept(&listener).await;
-        tokio::spawn(serve_connection(stream, policy.clone(), handle.clone()));
+        tokio::spawn(serve_connection(stream, connections.add(), policy.clone(), handle.clone()));
     }
 }
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -8,6 +8,8 @@
 //!   ([`obtain_tokens`]), send the request to backend servers until one responds ([`run_attempts`],
 //!   [`send_attempt`]), forward the response ([`forward_events`]), settle the used tokens
 //!   ([`token_reservation`]).
+//! - [`open_connections`] knows what is owed to the callers of all connections, which a VM that stops
+//!   waits for.
 //! - [`refuse_by_config`] refuses what the configuration does not allow; for now only, while it may be
 //!   old.
 //! - [`topic_reader`] reads a topic of the log service and [`follow_topic`] keeps reading it;
@@ -37,6 +39,7 @@
 
 pub mod caller_stream;
 pub mod choose_server;
+pub mod closing_signals;
 pub mod config_messages;
 pub mod crash_messages;
 pub mod disconnect_guard;
@@ -55,6 +58,8 @@
 pub mod log_client;
 pub mod maintain_holding;
 pub mod obtain_tokens;
+pub mod open_connection;
+pub mod open_connections;
 pub mod open_relay;
 pub mod peer_datagram;
 pub mod peer_messages;
@@ -70,6 +75,7 @@
 pub mod relay_use;
 pub mod report_server_end;
 pub mod request_context;
+pub mod request_progress;
 pub mod request_tokens;
 pub mod response_body;
 pub mod run_attempts;
@@ -92,4 +98,5 @@
 pub mod token_reservation;
 pub mod topic_connectivity;
 pub mod topic_reader;
+pub mod tracked_body;
 pub mod transfer_tokens;
