--- a/crates/sassafrashoist/tests/testsuite/drain.rs
+++ b/crates/sassafrashoist/tests/testsuite/drain.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sassafrashoist_platform_stand_in::log_service::LogFault;
-use sassafrashoist_platform_stand_in::raw_server::{RawResponse, RawServer};
+use sassafrashoist_platform_stand_in::raw_server::{RawEnd, RawResponse, RawServer};
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
     API_KEY, BID_PATH, EVENT_INTERVAL, FleetPlan, HOST, StandInFleet,
 };
@@ -50,7 +50,7 @@
     );
     let server = RawServer::start(move |_| RawResponse {
         writes: vec![(run_time, answer.clone())],
-        closes: false,
+        end: RawEnd::StaysOpen,
     })
     .await
     .unwrap();
