--- a/crates/sassafrashoist/src/gateway/find_stream_origin.rs
+++ b/crates/sassafrashoist/src/gateway/find_stream_origin.rs
@@ -7,8 +7,10 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
+use sassafrashoist_core::gateway::server_listing::ServerListing;
 use sassafrashoist_core::gateway::stream_origins::{StreamKey, StreamOrigin, stream_key};
 
+use super::check_server_list::read_unapplied_entries;
 use super::gateway_context::GatewayContext;
 use super::request_context::{RequestContext, ResumedStream};
 use super::send_message::send_message;
@@ -27,6 +29,8 @@
     KeeperOutOfReach,
     /// No VM that should keep the origin does.
     NotKept,
+    /// The server list cannot be read, which might tell the version without the origin.
+    ListOutOfReach,
 }
 
 /// Finds where the stream began that a request resumes: on this VM, on the VMs that keep its origin,
@@ -42,7 +46,9 @@
     let mut unknown = UnknownOrigin::NotKept;
     if let Some(stream_id) = &request.caller.resumed_request_id {
         let key = stream_key(stream_id);
-        if let Some(found) = find_here(context, request, key) {
+        if is_origin_here_reliable(context)
+            && let Some(found) = find_here(context, request, key)
+        {
             return check_origin(context, found);
         }
         match ask_keepers(context, request, stream_id).await {
@@ -50,7 +56,15 @@
             Err(error) => unknown = error,
         }
     }
-    find_by_sole_version(context, request).ok_or(unknown)
+    find_by_sole_version(context, request, unknown).await
+}
+
+/// Returns whether this VM reads the server list, so that it would know of an origin that names an
+/// earlier incarnation of its server. Without others, there is nobody to ask.
+fn is_origin_here_reliable(context: &GatewayContext) -> bool {
+    let now = context.now();
+    context.lock_servers().pool_versions.is_current(now)
+        || context.lock_tokens().issuers.live_vms.others(now).next().is_none()
 }
 
 fn check_origin(
@@ -114,18 +128,24 @@
     postcard::from_bytes(&body).wrap_err("failed to decode the response")
 }
 
-fn find_by_sole_version(
-    context: &GatewayContext,
+async fn find_by_sole_version(
+    context: &Arc<GatewayContext>,
     request: &RequestContext,
-) -> Option<ResumedStream> {
-    let now = context.now();
+    unknown: UnknownOrigin,
+) -> Result<ResumedStream, UnknownOrigin> {
     let max_age = request.route.timeout * MAX_STREAM_AGE_FACTOR + MAX_ENDING_TIME;
     // Any of the route's pools may have begun the stream.
     let [destination] = request.route.destinations.as_slice() else {
-        return None;
+        return Err(unknown);
     };
     let pool_id = &destination.pool_id;
-    let software_version = context.lock_servers().sole_version(pool_id, max_age, now)?;
+    let sole_version = |unapplied: &[ServerListing]| {
+        context.lock_servers().sole_version(pool_id, max_age, unapplied, context.now())
+    };
+    sole_version(&[]).ok_or(unknown)?;
+    // A server that has just joined may have begun the stream through another VM.
+    let unapplied = read_unapplied_entries(context).await.ok_or(UnknownOrigin::ListOutOfReach)?;
+    let software_version = sole_version(&unapplied).ok_or(unknown)?;
     let origin = StreamOrigin {
         pool_id: pool_id.clone(),
         server_id: String::new(),
@@ -133,16 +153,21 @@
         software_version,
         account_id: request.account_id.clone(),
     };
-    Some(ResumedStream { origin, began_at: now })
+    Ok(ResumedStream { origin, began_at: context.now() })
 }
 
-/// Returns the origin of a stream that this VM keeps, for another VM.
+/// Returns the origin of a stream that this VM keeps, for another VM, unless the server list shows
+/// that it may name the wrong incarnation of its server: the other VM may have an older list.
 pub fn find_kept_origin(
     context: &GatewayContext,
     question: &StreamOriginRequest,
 ) -> Option<KeptOrigin> {
     let now = context.now();
     let streams = context.lock_streams();
-    let (began_at, origin) = streams.find(question.key, question.account_id.as_deref())?;
-    Some(KeptOrigin { origin: origin.clone(), began_ago: now.saturating_sub(*began_at) })
+    let (began_at, origin) = streams.find(question.key, question.account_id.as_deref())?.clone();
+    drop(streams);
+    if context.lock_servers().is_origin_outdated(&origin, began_at) {
+        return None;
+    }
+    Some(KeptOrigin { origin, began_ago: now.saturating_sub(began_at) })
 }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod old_config;
 mod older_peers;
 mod open_connections;
+mod out_of_step;
 mod outcomes;
 mod peer_messages;
 mod processes;
