Keep the retry limit out of a test of streams through another VM

The requests that the test sends before, as fast as it can, had used up the retry limit of the gateway, so that a stream that met the resuming server first was not sent to an engine; the same was traced on. The test gives this gateway a retry limit that it does not reach; its checks are unchanged.

--- a/crates/sassafrashoist/tests/testsuite/raw_responses.rs
+++ b/crates/sassafrashoist/tests/testsuite/raw_responses.rs
@@ -161,6 +161,9 @@
 #[tokio::test]
 async fn stream_through_another_vm_is_not_joined_with_an_answer_that_does_not_go_on() {
     let fleet = start_with_paths("through_another_vm", 3, 2, true).await;
+    // The requests before the streams may use up the retry limit, and no stream would be resumed.
+    fleet.gateways[0].add_setting("bounds.budgetSlack=1000000").unwrap();
+    fleet.gateways[0].reload_settings().await.unwrap();
     fleet.set_path_fault(0, PathFault::RefusesNew);
     fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::Overloaded));
     let mut number = 0;
