Give a head its own time, from its first byte on

A caller whose connection had been idle for nearly the whole idle time got a closed connection in the middle of its next head: the timer of the HTTP library runs from the end of the request before, and nothing counted the head. That was the last moment found on an ordinary connection at which a request that is being read is in nobody's count.

The phases of a connection now decide: an idle connection is closed after the idle timeout, and a head has the longer of the idle and the head timeout from its first byte on. The library's timer is off. The idle time begins anew with each request, also if that was answered at once.

The tests of connections share one fixture and wait for phases instead of 100 ms.

--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -30,13 +30,16 @@
 
 /// The maximum length of the head of a request that does not come from a caller.
 const MAX_INTERNAL_HEAD_BYTES: usize = 8_192;
-/// How long a connection that does not come from a caller may be idle.
+/// How long a connection that does not come from a caller may be idle, and how long a head on it may
+/// take to arrive.
 const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// How connections are served.
 #[derive(Debug, Clone)]
 pub struct ConnectionPolicy {
-    /// How long a request head may take to arrive, including the idle time before it.
+    /// How long a connection may be idle.
+    pub idle_timeout: Duration,
+    /// How long a request head may take to arrive, from its first byte on.
     pub head_timeout: Duration,
     /// The maximum length of a request head.
     pub max_head_bytes: usize,
@@ -125,7 +128,8 @@
     let caller_stream = CallerStream::new(stream, Arc::clone(&open), reset_switch.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(policy.head_timeout)
+        // The timer of the HTTP library runs from the end of the request before.
+        .header_read_timeout(None)
         .max_buf_size(policy.max_head_bytes)
         .preserve_header_case(true)
         .serve_connection(TokioIo::new(caller_stream), service)
@@ -138,6 +142,15 @@
             log::info!("connection closed: the head of a request stalled while this VM stops");
             return;
         }
+        phase = wait_until_overdue(&policy, &open) => {
+            if phase == ConnectionPhase::ReadingHead {
+                log::info!("connection closed: the head of a request took too long");
+                return;
+            }
+            open.record_closing();
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
         () = wait_until_closing(&policy.closing, &open) => {
             if matches!(open.phase(), ConnectionPhase::Opened | ConnectionPhase::Idle) {
                 open.record_closing();
@@ -151,18 +164,39 @@
     }
 }
 
+/// Waits until a connection has been idle for too long, or a head takes too long to arrive; returns the
+/// phase that lasts too long.
+async fn wait_until_overdue(policy: &ConnectionPolicy, open: &OpenConnection) -> ConnectionPhase {
+    loop {
+        let (phase, change_count) = (open.phase(), open.change_count());
+        let changed = wait_while(|| open.change_count() == change_count);
+        let timeout = match phase {
+            ConnectionPhase::Opened | ConnectionPhase::Idle => policy.idle_timeout,
+            ConnectionPhase::ReadingHead => policy.head_timeout,
+            ConnectionPhase::InRequest
+            | ConnectionPhase::WritingResponse
+            | ConnectionPhase::Closing => {
+                changed.await;
+                continue;
+            }
+        };
+        if tokio::time::timeout(timeout, changed).await.is_err() {
+            return phase;
+        }
+    }
+}
+
 /// Waits until a connection is to be closed after the request in progress.
 ///
 /// The HTTP library closes a connection that is not in a request at once, also if it has read a part
-/// of the next head, or if the first request is about to arrive. The phase changes only while the
-/// connection is polled, which wakes this future too, as both are polled by one task.
+/// of the next head, or if the first request is about to arrive.
 async fn wait_until_closing(signals: &ClosingSignals, open: &OpenConnection) {
     signals.closing.cancelled().await;
     tokio::select! {
         () = signals.closing_opened.cancelled() => {}
-        () = wait_while_in(open, ConnectionPhase::Opened) => {}
+        () = wait_while(|| open.phase() == ConnectionPhase::Opened) => {}
     }
-    wait_while_in(open, ConnectionPhase::ReadingHead).await;
+    wait_while(|| open.phase() == ConnectionPhase::ReadingHead).await;
 }
 
 /// Waits until heads that are being read are given up, if a head is being read then.
@@ -173,8 +207,10 @@
     }
 }
 
-async fn wait_while_in(open: &OpenConnection, phase: ConnectionPhase) {
-    let poll = |_: &mut Context<'_>| match open.phase() == phase {
+/// Waits while a condition on the phase of a connection holds. The phase changes only while the
+/// connection is polled, which wakes this future too, as both are polled by one task.
+async fn wait_while(condition: impl Fn() -> bool) {
+    let poll = |_: &mut Context<'_>| match condition() {
         true => Poll::Pending,
         false => Poll::Ready(()),
     };
@@ -192,6 +228,7 @@
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let policy = ConnectionPolicy {
+        idle_timeout: INTERNAL_IDLE_TIMEOUT,
         head_timeout: INTERNAL_IDLE_TIMEOUT,
         max_head_bytes: MAX_INTERNAL_HEAD_BYTES,
         closing: ClosingSignals {
--- a/crates/sassafrashoist/src/gateway/open_connection.rs
+++ b/crates/sassafrashoist/src/gateway/open_connection.rs
@@ -1,6 +1,6 @@
 //! A connection that is open.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
@@ -16,6 +16,7 @@
 pub struct OpenConnection {
     connections: Arc<OpenConnections>,
     phase: Mutex<ConnectionPhase>,
+    change_count: AtomicU64,
     is_body_unfinished: AtomicBool,
     _open: TaskTrackerToken,
 }
@@ -25,6 +26,7 @@
         Self {
             connections,
             phase: Mutex::new(ConnectionPhase::Opened),
+            change_count: AtomicU64::new(0),
             is_body_unfinished: AtomicBool::new(false),
             _open: open,
         }
@@ -35,6 +37,11 @@
         *self.phase.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns how often the phase has changed, which tells two equal phases apart.
+    pub fn change_count(&self) -> u64 {
+        self.change_count.load(Ordering::Acquire)
+    }
+
     /// Records that bytes were read. Those that are read during a request belong to its body. Line
     /// breaks between two requests are no part of a head.
     pub fn record_read(&self, bytes: &[u8]) {
@@ -85,6 +92,7 @@
         let mut current = self.phase.lock().unwrap_or_else(PoisonError::into_inner);
         self.connections.record_change(*current, phase);
         *current = phase;
+        self.change_count.fetch_add(1, Ordering::AcqRel);
     }
 }
 
--- a/crates/sassafrashoist/src/gateway/serve_clients.rs
+++ b/crates/sassafrashoist/src/gateway/serve_clients.rs
@@ -58,9 +58,11 @@
 fn connection_policy(context: &GatewayContext, closing: &ClosingSignals) -> ConnectionPolicy {
     let limits = context.routes().map(|routes| routes.config().limits);
     let head_bytes = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.max_header_bytes);
+    let timeout = limits
+        .map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.header_timeout));
     ConnectionPolicy {
-        head_timeout: limits
-            .map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.header_timeout)),
+        idle_timeout: timeout,
+        head_timeout: timeout,
         max_head_bytes: head_bytes.max(MIN_HEAD_BYTES),
         closing: closing.clone(),
     }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod response_sink;
 mod router_process;
 mod routing;
+mod served_connection;
 mod settings;
 mod shutdown;
 mod soak;
--- a/crates/sassafrashoist/tests/testsuite/open_connections.rs
+++ b/crates/sassafrashoist/tests/testsuite/open_connections.rs
@@ -1,141 +1,168 @@
 //! Tests of the connections that a gateway that stops waits for.
 
 use std::net::Ipv4Addr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, StatusCode};
-use sassafrashoist::gateway::closing_signals::ClosingSignals;
-use sassafrashoist::gateway::listen::{ConnectionPolicy, close_listener, serve_connection};
+use sassafrashoist::gateway::listen::close_listener;
 use sassafrashoist::gateway::open_connections::OpenConnections;
-use sassafrashoist::gateway::response_body::full_response;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::served_connection::{REQUEST, WAIT, serve, serve_with_timeouts, succeed};
+
 /// The length of a response of which the kernel takes only a part.
 const RESPONSE_BYTES: usize = 32 * 1024 * 1024;
-const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
-const WAIT: Duration = Duration::from_secs(10);
-
-/// A caller's connection and what the gateway knows of it.
-struct Served {
-    caller: TcpStream,
-    connections: Arc<OpenConnections>,
-    signals: ClosingSignals,
-}
-
-/// Serves one connection, and answers each of its requests with a body of this length.
-async fn serve(response_bytes: usize) -> Served {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-    let caller = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-    let (stream, _) = listener.accept().await.unwrap();
-    let connections = Arc::<OpenConnections>::default();
-    let signals = ClosingSignals::default();
-    let policy =
-        ConnectionPolicy { head_timeout: WAIT, max_head_bytes: 8_192, closing: signals.clone() };
-    let open = connections.add();
-    tokio::spawn(serve_connection(stream, open, policy, move |_| async move {
-        let body = Bytes::from(vec![b'x'; response_bytes]);
-        full_response(StatusCode::OK, HeaderMap::new(), body)
-    }));
-    Served { caller, connections, signals }
-}
+/// A short idle timeout.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Lets the connection's task run until it waits.
-async fn settle() {
-    tokio::time::sleep(Duration::from_millis(100)).await;
+async fn run_connection() {
+    for _ in 0..20 {
+        tokio::task::yield_now().await;
+    }
 }
 
 async fn is_closed(connections: &OpenConnections) -> bool {
     tokio::time::timeout(Duration::ZERO, connections.wait_until_closed()).await.is_ok()
 }
 
-async fn read_to_end(caller: &mut TcpStream) -> usize {
-    let mut received = Vec::new();
-    tokio::time::timeout(WAIT, caller.read_to_end(&mut received)).await.unwrap().unwrap()
-}
-
 // A gateway counted a request as done when it had handed the response to the HTTP library, and
 // exited with a part of the answer in its own buffers.
 #[tokio::test]
 async fn response_that_is_not_written_to_its_end_is_waited_for() {
-    let mut served = serve(RESPONSE_BYTES).await;
+    let mut served = serve(succeed(RESPONSE_BYTES)).await;
     served.caller.write_all(REQUEST).await.unwrap();
-    settle().await;
+    served.wait_for(|counts| counts.writing_response == 1).await;
 
     served.signals.closing.cancel();
-    settle().await;
+    run_connection().await;
     let counts = served.connections.counts();
     let was_closed = is_closed(&served.connections).await;
-    let received = read_to_end(&mut served.caller).await;
+    let received = served.read_to_end().await;
     let closed = tokio::time::timeout(WAIT, served.connections.wait_until_closed()).await;
 
     assert_eq!((counts.writing_response, counts.total()), (1, 1));
     assert!(!was_closed);
-    assert!(received > RESPONSE_BYTES, "{received} bytes with the head");
+    assert!(received.len() > RESPONSE_BYTES, "{} bytes with the head", received.len());
     assert!(closed.is_ok());
 }
 
 // The HTTP library closes a kept connection at once, also if it has read a part of the next head.
 #[tokio::test]
 async fn head_that_is_being_read_on_a_kept_connection_is_waited_for() {
-    let mut served = serve(4).await;
-    served.caller.write_all(REQUEST).await.unwrap();
-    settle().await;
+    let mut served = serve(succeed(4)).await;
     let (first_part, rest) = REQUEST.split_at(10);
+    served.caller.write_all(REQUEST).await.unwrap();
+    served.wait_for(|counts| counts.idle == 1).await;
     served.caller.write_all(first_part).await.unwrap();
-    settle().await;
+    served.wait_for(|counts| counts.reading_head == 1).await;
 
     served.signals.closing.cancel();
     served.signals.closing_opened.cancel();
-    settle().await;
+    run_connection().await;
     let counts = served.connections.counts();
     served.caller.write_all(rest).await.unwrap();
-    let mut received = String::new();
-    let read = tokio::time::timeout(WAIT, served.caller.read_to_string(&mut received)).await;
+    let received = served.read_to_end().await;
 
     assert_eq!((counts.reading_head, counts.total()), (1, 1));
-    read.unwrap().unwrap();
     assert_eq!(received.matches("HTTP/1.1 200 OK").count(), 2, "{received}");
     assert!(received.ends_with("xxxx"), "{received}");
 }
 
+// The timer of the HTTP library ran from the end of the request before, and closed the connection
+// within a head that had begun at the end of the idle time.
+#[tokio::test]
+async fn head_that_begins_at_the_end_of_the_idle_time_is_answered() {
+    let mut served = serve_with_timeouts(IDLE_TIMEOUT, WAIT, succeed(4)).await;
+    let (first_part, rest) = REQUEST.split_at(10);
+    served.caller.write_all(REQUEST).await.unwrap();
+    served.wait_for(|counts| counts.idle == 1).await;
+
+    served.caller.write_all(first_part).await.unwrap();
+    served.wait_for(|counts| counts.reading_head == 1).await;
+    tokio::time::sleep(2 * IDLE_TIMEOUT).await;
+    served.caller.write_all(rest).await.unwrap();
+    let received = served.read_to_end().await;
+
+    assert_eq!(received.matches("HTTP/1.1 200 OK").count(), 2, "{received}");
+}
+
+#[tokio::test]
+async fn idle_time_begins_anew_with_each_request() {
+    let mut served = serve_with_timeouts(IDLE_TIMEOUT, WAIT, succeed(4)).await;
+
+    for _ in 0..4 {
+        served.caller.write_all(REQUEST).await.unwrap();
+        tokio::time::sleep(IDLE_TIMEOUT / 2).await;
+    }
+    let received = served.read_to_end().await;
+    let closed = tokio::time::timeout(WAIT, served.connections.wait_until_closed()).await;
+
+    assert_eq!(received.matches("HTTP/1.1 200 OK").count(), 4, "{received}");
+    assert!(closed.is_ok());
+}
+
+#[tokio::test]
+async fn head_that_takes_too_long_ends_its_connection() {
+    let mut served = serve_with_timeouts(WAIT, IDLE_TIMEOUT, succeed(4)).await;
+
+    served.caller.write_all(&REQUEST[..10]).await.unwrap();
+    let received = served.read_to_end().await;
+    let closed = tokio::time::timeout(WAIT, served.connections.wait_until_closed()).await;
+
+    assert_eq!(received, "");
+    assert!(closed.is_ok());
+}
+
 #[tokio::test]
 async fn connection_without_a_byte_is_served_until_such_connections_are_closed() {
-    let [mut in_time, mut late] = [serve(4).await, serve(4).await];
+    let [mut in_time, mut late] = [serve(succeed(4)).await, serve(succeed(4)).await];
 
     for served in [&in_time, &late] {
         served.signals.closing.cancel();
     }
-    settle().await;
+    run_connection().await;
     in_time.caller.write_all(REQUEST).await.unwrap();
     late.signals.closing_opened.cancel();
-    let answered = read_to_end(&mut in_time.caller).await;
-    let unanswered = read_to_end(&mut late.caller).await;
+    let answered = in_time.read_to_end().await;
+    let unanswered = late.read_to_end().await;
     let closed = tokio::time::timeout(WAIT, late.connections.wait_until_closed()).await;
 
-    assert!(answered > 4, "{answered} bytes with the head");
-    assert_eq!(unanswered, 0);
+    assert!(answered.ends_with("xxxx"), "{answered}");
+    assert_eq!(unanswered, "");
     assert!(closed.is_ok());
 }
 
 #[tokio::test]
 async fn idle_connection_is_closed_at_once() {
-    let mut served = serve(4).await;
+    let mut served = serve(succeed(4)).await;
     served.caller.write_all(REQUEST).await.unwrap();
-    settle().await;
-    let counts = served.connections.counts();
+    let counts = served.wait_for(|counts| counts.idle == 1).await;
 
     served.signals.closing.cancel();
-    let received = read_to_end(&mut served.caller).await;
+    let received = served.read_to_end().await;
     let closed = tokio::time::timeout(WAIT, served.connections.wait_until_closed()).await;
 
-    assert_eq!((counts.idle, counts.total()), (1, 1));
-    assert!(received > 4, "{received} bytes with the head");
+    assert_eq!(counts.total(), 1);
+    assert!(received.ends_with("xxxx"), "{received}");
     assert!(closed.is_ok());
 }
 
+// A line break between two requests counted as a head that is being read, for good.
+#[test]
+fn line_breaks_are_no_part_of_a_head() {
+    let connections = std::sync::Arc::<OpenConnections>::default();
+    let open = connections.add();
+
+    open.record_read(b"\r\n");
+    let after_line_break = open.phase();
+    open.record_read(b"\r\nG");
+
+    assert_eq!(after_line_break, ConnectionPhase::Opened);
+    assert_eq!(open.phase(), ConnectionPhase::ReadingHead);
+}
+
 // Connections that the kernel had accepted were reset when the listener was closed.
 #[tokio::test]
 async fn connections_in_the_backlog_are_accepted_when_the_listener_is_closed() {
