Test hushed streams while the configuration changes

The test plays 32 streams with three gateways as processes: silent before the first event, within an event, before the end, and between two segments; beside a change of the idle timeout, the route timeout, a split and a move of the route; taken up by their callers with `Resumes` and `Last-Event-Id` at a gateway that has the new version and at one that stands still until then. It checks rule ORDER: one service, no event missing, double or early, no early end.

--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod config_sharing;
 mod drain;
 mod gateway;
+mod hushed_streams;
 mod late_in_grace;
 mod log_client;
 mod lost_paths;
