Know the version of servers whose entries do not change

What callers saw: a stream taken up without `Resumes` was refused with 503 "software version of the stream is not known", however long the server list had been calm and of one version.

Cause: the versions of a pool were taken from the entries that were read in the time in which a stream can have begun. A listed server whose entry is not written again in that time was not among them, so the pool had no version at all. The age of the list, which counts from the call, was not the cause: it stays current under long polls without entries.

Change: the servers in the directory count as well, whenever their entries were read. All conditions on the list stay: read without a gap, for as long as a stream lasts, with all versions that were in it since.

Evidence: stream_without_a_name_goes_on_although_the_server_list_is_calm failed before (503 for 4 of 4 streams after 22.5 s of calm) and passes. version_of_servers_whose_entries_do_not_change_stays_known is the same in core (not run on the code before). The tests of PoolVersions pass the servers of the directory, there none, as a further argument.

--- a/crates/sassafrashoist-core/src/gateway/pool_versions.rs
+++ b/crates/sassafrashoist-core/src/gateway/pool_versions.rs
@@ -69,22 +69,29 @@
         self.read_at.is_some_and(|read_at| now <= read_at + MAX_READ_GAP)
     }
 
-    /// Returns the version of all servers that a pool has had in the last `duration`; `None` if
-    /// there were several, or if that is not known.
-    pub fn sole_version(
-        &self,
+    /// Returns the version of all servers that a pool has had in the last `duration`, with those that
+    /// are in the directory now; `None` if there were several, or if that is not known.
+    pub fn sole_version<'a>(
+        &'a self,
         pool_id: &str,
         duration: Duration,
+        listed: impl Iterator<Item = &'a ServerListing>,
         now: Uptime,
-    ) -> Option<&SoftwareVersion> {
+    ) -> Option<&'a SoftwareVersion> {
         if !self.is_current(now) || now < self.read_since + duration {
             return None;
         }
-        let mut recent = self
+        // A server whose entry does not change stays in the list without being seen again.
+        let listed = listed
+            .filter(|listing| listing.pool_id == pool_id)
+            .map(|listing| &listing.software_version);
+        let recent = self
             .last_seen
             .iter()
-            .filter(|((pool, _), last_seen)| pool == pool_id && now < **last_seen + duration);
-        let ((_, version), _) = recent.next()?;
-        recent.next().is_none().then_some(version)
+            .filter(|((pool, _), last_seen)| pool == pool_id && now < **last_seen + duration)
+            .map(|((_, version), _)| version);
+        let mut versions = listed.chain(recent);
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
     }
 }
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -266,10 +266,8 @@
         unapplied: &[ServerListing],
         now: Uptime,
     ) -> Option<SoftwareVersion> {
-        let version = self.pool_versions.sole_version(pool_id, duration, now)?;
         let listings = self.servers.values().map(|server| &server.listing).chain(unapplied);
-        let mut in_pool = listings.filter(|listing| listing.pool_id == pool_id);
-        in_pool.all(|listing| listing.software_version == *version).then(|| version.clone())
+        self.pool_versions.sole_version(pool_id, duration, listings, now).cloned()
     }
 
     /// Chooses the server with the lowest cost for one attempt and counts the attempt as started.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/pool_versions.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/pool_versions.rs
@@ -36,10 +36,10 @@
 fn the_only_version_is_known_after_as_long_as_a_stream_lasts() {
     let mut versions = PoolVersions::default();
     let early = read_for(&mut versions, START, 10, "v1");
-    let version_early = versions.sole_version("engines", STREAM_TIME, early).cloned();
+    let version_early = versions.sole_version("engines", STREAM_TIME, [].iter(), early).cloned();
     let late = read_for(&mut versions, early, 10, "v1");
 
-    let version_late = versions.sole_version("engines", STREAM_TIME, late).cloned();
+    let version_late = versions.sole_version("engines", STREAM_TIME, [].iter(), late).cloned();
 
     assert_eq!((version_early, version_late), (None, Some("v1".to_owned())));
 }
@@ -49,10 +49,10 @@
     let mut versions = PoolVersions::default();
     let changed = read_for(&mut versions, START, 30, "v1");
     let soon = read_for(&mut versions, changed, 15, "v2");
-    let version_soon = versions.sole_version("engines", STREAM_TIME, soon).cloned();
+    let version_soon = versions.sole_version("engines", STREAM_TIME, [].iter(), soon).cloned();
     let late = read_for(&mut versions, soon, 10, "v2");
 
-    let version_late = versions.sole_version("engines", STREAM_TIME, late).cloned();
+    let version_late = versions.sole_version("engines", STREAM_TIME, [].iter(), late).cloned();
 
     assert_eq!((version_soon, version_late), (None, Some("v2".to_owned())));
 }
@@ -63,7 +63,7 @@
     let before = read_for(&mut versions, START, 30, "v1");
     let after = read_for(&mut versions, before + Duration::from_secs(5), 1, "v1");
 
-    assert_eq!(versions.sole_version("engines", STREAM_TIME, after), None);
+    assert_eq!(versions.sole_version("engines", STREAM_TIME, [].iter(), after), None);
 }
 
 // Entries are read late: the server may have started again when the stream began there.
@@ -144,7 +144,7 @@
     versions.record_seen(&listing("v1", 1), received_at);
     versions.record_read(known_at);
 
-    let version = versions.sole_version("engines", STREAM_TIME, received_at);
+    let version = versions.sole_version("engines", STREAM_TIME, [].iter(), received_at);
 
     assert_eq!((version, versions.list_age(received_at)), (None, Some(Duration::from_secs(4))));
 }
@@ -156,10 +156,10 @@
     let before = read_for(&mut versions, START, 30, "v1");
     versions.record_newest_read(before + Duration::from_secs(1));
     let soon = read_for(&mut versions, before + Duration::from_secs(2), 10, "v1");
-    let version_soon = versions.sole_version("engines", STREAM_TIME, soon).cloned();
+    let version_soon = versions.sole_version("engines", STREAM_TIME, [].iter(), soon).cloned();
     let late = read_for(&mut versions, soon, 10, "v1");
 
-    let version_late = versions.sole_version("engines", STREAM_TIME, late).cloned();
+    let version_late = versions.sole_version("engines", STREAM_TIME, [].iter(), late).cloned();
 
     assert_eq!((version_soon, version_late), (None, Some("v1".to_owned())));
 }
@@ -230,3 +230,21 @@
 
     assert_eq!((same, earlier, unlisted), (Some(listing("v1", 1)), None, None));
 }
+
+// A server writes its entry once and stays in the list.
+#[test]
+fn version_of_servers_whose_entries_do_not_change_stays_known() {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    directory.add_or_update(listing("v1", 1), START);
+    let until = START + STREAM_TIME * 3;
+    let mut now = START;
+    while now <= until {
+        directory.pool_versions.record_read(now);
+        now += Duration::from_secs(1);
+    }
+
+    let version = directory.sole_version("engines", STREAM_TIME, &[], until);
+
+    assert_eq!(version, Some("v1".to_owned()));
+}
--- a/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
+++ b/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
@@ -28,6 +28,9 @@
 /// How long a change in the log service may take to become active, with a margin for a slow
 /// machine.
 const PROPAGATION_TIME: Duration = Duration::from_millis(800);
+/// The time after which a gateway knows that a route has led to one pool only, of one software
+/// version, for as long as a stream lasts, with a margin.
+const SOLE_VERSION_TIME: Duration = Duration::from_millis(22_500);
 const STREAM_COUNT: usize = 4;
 
 async fn start(name: &str, engine_count: usize) -> StandInFleet {
@@ -126,6 +129,18 @@
     responses.iter().map(|response| response.status).collect()
 }
 
+// Servers that write no entries stay in the list: their version counts as long as they do.
+#[tokio::test]
+async fn stream_without_a_name_goes_on_although_the_server_list_is_calm() {
+    let fleet = start("calm", 4).await;
+    tokio::time::sleep(SOLE_VERSION_TIME).await;
+    let begun = begin_streams(&fleet).await;
+
+    let resumed = resume_streams(&fleet, CURRENT_TAKER, &begun, false).await;
+
+    assert_eq!(statuses(&resumed), [200; STREAM_COUNT]);
+}
+
 #[tokio::test]
 async fn stream_whose_route_was_split_goes_on_at_the_service_that_began_it() {
     let mut fleet = start_with_two_services("split_named").await;
