Deduce the pool of a stream from where its route has led

What callers saw: a stream taken up without `Resumes`, whose origin no VM tells, went on at another service after its route was moved: pieces of two services in one stream (rule ORDER).

Cause: find_by_sole_version took the only destination and the timeout of the newest configuration. The stream had begun under an earlier one. The same holds for a route that was split in between, and for one whose timeout was shortened, so that too short a past was searched.

Change: core's RouteHistory keeps, for each host and path prefix, the pools and the timeout of each time in which a stream may have begun that can still be resumed. It tells a pool only if all these times led to that one; the versions of the pool are then searched for as long as the oldest of these streams lasts. A path counts, not a route: one that is removed or added hands its requests to or from a shorter prefix. What was in force before the process's first configuration is not known and counts as elsewhere.

Evidence: stream_without_a_name_does_not_go_on_at_the_service_that_its_route_was_moved_to failed before (4 of 4 streams got events of both services, status 200) and passes. The unit tests drive splits, moves, removed and new prefixes and shorter timeouts. Not shown by a failing test: the wait for the newest configuration; stream_without_a_name_does_not_go_on_at_the_service_that_its_route_was_moved_from passed before too, because the gateway applies the new configuration within 5 ms of going on.

What remains: a timeout that was longer before the process's first configuration is not known; the unknown time counts with the timeout of the first configuration, as the age of the server list does.

--- a/crates/sassafrashoist-core/src/gateway/config_age.rs
+++ b/crates/sassafrashoist-core/src/gateway/config_age.rs
@@ -57,6 +57,11 @@
             || self.unconfirmed_time(now).is_none_or(|time| time > MAX_UNCONFIRMED_TIME)
     }
 
+    /// Returns whether the active configuration is known to have been the newest one at a time.
+    pub fn was_newest_at(&self, at: Uptime) -> bool {
+        self.newer_version().is_none() && self.confirmed_at.is_some_and(|known| known >= at)
+    }
+
     /// Returns the newest version that other VMs have, if it is newer than the active one.
     pub fn newer_version(&self) -> Option<ConfigVersion> {
         let version = self.heard?.version;
--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -22,8 +22,8 @@
 //!   limit, and how many.
 //! - [`drain_plan`] and [`connection_phase`]: the times of a graceful shutdown, and what is owed to
 //!   callers meanwhile.
-//! - [`stream_origins`], [`pool_versions`] and [`incarnation_check`]: the software version at which a
-//!   stream may go on, and whether a server still has it.
+//! - [`stream_origins`], [`route_history`], [`pool_versions`] and [`incarnation_check`]: the pool and
+//!   the software version at which a stream may go on, and whether a server still has it.
 //! - [`event_sequence`]: which events of a server go on with a stream of another.
 //! - [`crash_book`]: the requests that may crash backend servers; [`crash_trials`] and
 //!   [`recent_answers`]: which copy of one runs, and which requests are known not to. The rule itself
@@ -77,6 +77,7 @@
 pub mod request_limit;
 pub mod retry_limiter;
 pub mod route;
+pub mod route_history;
 pub mod route_table;
 pub mod server_directory;
 pub mod server_listing;
--- a/crates/sassafrashoist-core/src/gateway/route_table.rs
+++ b/crates/sassafrashoist-core/src/gateway/route_table.rs
@@ -53,11 +53,10 @@
     ///
     /// Fails when no route matches.
     pub fn find_route(&self, host: &str, path: &str) -> Result<&Route, NotAllowed> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
-        let prefixes = self.routes_by_host.get(&name).ok_or(NotAllowed::NoRoute)?;
-        let mut prefix_ends = path.rmatch_indices('/').map(|(position, _)| position + 1);
-        let index =
-            prefix_ends.find_map(|end| prefixes.get(&path[..end])).ok_or(NotAllowed::NoRoute)?;
+        let prefixes = self.routes_by_host.get(&host_name(host)).ok_or(NotAllowed::NoRoute)?;
+        let index = path_prefixes(path)
+            .find_map(|prefix| prefixes.get(prefix))
+            .ok_or(NotAllowed::NoRoute)?;
         Ok(&self.config.routes[*index])
     }
 
@@ -82,3 +81,13 @@
         }
     }
 }
+
+/// Returns the name of a host, which may include a port, as routes are found by it.
+pub(super) fn host_name(host: &str) -> String {
+    host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase()
+}
+
+/// Returns the prefixes of a path that a route may have, the longest first.
+pub(super) fn path_prefixes(path: &str) -> impl Iterator<Item = &str> {
+    path.rmatch_indices('/').map(|(position, _)| &path[..=position])
+}
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/config_age.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/config_age.rs
@@ -83,3 +83,14 @@
 
     assert_eq!(age.unconfirmed_time(NOW), Some(Duration::ZERO));
 }
+
+// A decision about a stream must not rest on a configuration that was replaced before.
+#[test]
+fn configuration_was_the_newest_one_only_up_to_its_confirmation_and_if_no_vm_has_a_newer_one() {
+    let mut age = age_of(11);
+    let before = [NOW, NOW + READ_WAIT].map(|at| age.was_newest_at(at));
+
+    age.record_heard(13, NOW + READ_WAIT);
+
+    assert_eq!((before, age.was_newest_at(NOW)), ([true, false], false));
+}
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod reclaim;
 mod request_limit;
 mod retry_limiter;
+mod route_history;
 mod route_table;
 mod server_directory;
 mod server_limit_over_vms;
--- a/crates/sassafrashoist/src/gateway/find_stream_origin.rs
+++ b/crates/sassafrashoist/src/gateway/find_stream_origin.rs
@@ -1,27 +1,23 @@
 //! Finds where a stream began that a caller resumes.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use eyre::WrapErr;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
+use sassafrashoist_core::gateway::route_history::SolePool;
 use sassafrashoist_core::gateway::server_listing::ServerListing;
 use sassafrashoist_core::gateway::stream_origins::{StreamKey, StreamOrigin, stream_key};
 
 use super::check_server_list::read_unapplied_entries;
+use super::confirm_config::wait_until_newest_config;
 use super::gateway_context::GatewayContext;
 use super::request_context::{RequestContext, ResumedStream};
 use super::send_message::send_message;
 use super::share_stream_origin::KEEPER_COUNT;
 use super::stream_origin_messages::{KeptOrigin, STREAM_ORIGIN_PATH, StreamOriginRequest};
 
-/// A stream that a caller may still resume began at most this multiple of its route's timeout ago.
-const MAX_STREAM_AGE_FACTOR: u32 = 2;
-/// How long a server may still begin streams after it left the server list.
-const MAX_ENDING_TIME: Duration = Duration::from_secs(10);
-
 /// The reason when the origin of a stream is not found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UnknownOrigin {
@@ -31,10 +27,13 @@
     NotKept,
     /// The server list cannot be read, which might tell the version without the origin.
     ListOutOfReach,
+    /// The active configuration, which might tell the pool, is not known to be the newest one.
+    ConfigOutOfReach,
 }
 
 /// Finds where the stream began that a request resumes: on this VM, on the VMs that keep its origin,
-/// or by the fact that its pool has had one software version only for as long as a stream lasts.
+/// or by the fact that its route has led to one pool only, of one software version, for as long as a
+/// stream lasts.
 ///
 /// # Errors
 ///
@@ -133,21 +132,27 @@
     request: &RequestContext,
     unknown: UnknownOrigin,
 ) -> Result<ResumedStream, UnknownOrigin> {
-    let max_age = request.route.timeout * MAX_STREAM_AGE_FACTOR + MAX_ENDING_TIME;
-    // Any of the route's pools may have begun the stream.
-    let [destination] = request.route.destinations.as_slice() else {
-        return Err(unknown);
-    };
-    let pool_id = &destination.pool_id;
-    let sole_version = |unapplied: &[ServerListing]| {
+    let asked_at = context.now();
+    let path = request.uri.path();
+    let sole_pool = || context.lock_routes().sole_pool(&request.route.host, path, asked_at);
+    let sole_version = |pool: &SolePool, unapplied: &[ServerListing]| {
+        let (pool_id, max_age) = (&pool.pool_id, pool.max_stream_age);
         context.lock_servers().sole_version(pool_id, max_age, unapplied, context.now())
     };
-    sole_version(&[]).ok_or(unknown)?;
-    // A server that has just joined may have begun the stream through another VM.
-    let unapplied = read_unapplied_entries(context).await.ok_or(UnknownOrigin::ListOutOfReach)?;
-    let software_version = sole_version(&unapplied).ok_or(unknown)?;
+    let pool = sole_pool().ok_or(unknown)?;
+    sole_version(&pool, &[]).ok_or(unknown)?;
+    // The stream may have begun through another VM, at a server that has just joined or at a pool
+    // that its route has just been moved to.
+    let (unapplied, is_newest) =
+        tokio::join!(read_unapplied_entries(context), wait_until_newest_config(context, asked_at));
+    let unapplied = unapplied.ok_or(UnknownOrigin::ListOutOfReach)?;
+    if !is_newest {
+        return Err(UnknownOrigin::ConfigOutOfReach);
+    }
+    let pool = sole_pool().ok_or(unknown)?;
+    let software_version = sole_version(&pool, &unapplied).ok_or(unknown)?;
     let origin = StreamOrigin {
-        pool_id: pool_id.clone(),
+        pool_id: pool.pool_id,
         server_id: String::new(),
         started_at_unix_ms: 0,
         software_version,
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -16,6 +16,7 @@
 use sassafrashoist_core::gateway::read_precedence::{ReadPrecedence, TopicRank};
 use sassafrashoist_core::gateway::relay_vms::RelayVms;
 use sassafrashoist_core::gateway::retry_limiter::{RetryLimit, RetryLimiter};
+use sassafrashoist_core::gateway::route_history::RouteHistory;
 use sassafrashoist_core::gateway::route_table::RouteTable;
 use sassafrashoist_core::gateway::server_directory::ServerDirectory;
 use sassafrashoist_core::gateway::server_listing::ServerListing;
@@ -55,7 +56,7 @@
 #[derive(Debug)]
 pub struct GatewayContext {
     settings: Mutex<Arc<VmSettings>>,
-    routes: Mutex<Option<Arc<RouteTable>>>,
+    routes: Mutex<RouteHistory>,
     config_age: Mutex<ConfigAge>,
     config_sharing: Mutex<ConfigSharing>,
     servers: Mutex<ServerDirectory>,
@@ -181,18 +182,17 @@
 
     /// Returns the routes of the active configuration; `None` before the first one is read.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
-        lock(&self.routes).clone()
+        self.lock_routes().active().cloned()
+    }
+
+    /// Locks the routes of the active configuration and of earlier ones.
+    pub fn lock_routes(&self) -> MutexGuard<'_, RouteHistory> {
+        lock(&self.routes)
     }
 
     /// Replaces the active configuration if the given one is newer; returns whether it is.
     pub fn replace_routes(&self, routes: &Arc<RouteTable>) -> bool {
-        let mut current = lock(&self.routes);
-        let is_newer =
-            current.as_ref().is_none_or(|c| c.config().version < routes.config().version);
-        if is_newer {
-            *current = Some(Arc::clone(routes));
-        }
-        drop(current);
+        let is_newer = self.lock_routes().replace(routes, self.now());
         if is_newer {
             self.lock_config_age().record_active(routes.config().version);
         }
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -31,8 +31,9 @@
 //! - [`share_rejections`] tells all VMs of requests that a brittle server turned away.
 //! - [`share_stream_origin`] sends where a stream began to the VMs that keep it, and
 //!   [`find_stream_origin`] finds it when a caller resumes the stream; [`check_server_list`] reads what
-//!   is new in the server list when only that can tell, and [`confirm_incarnation`] asks other VMs
-//!   whether the next server of a stream has restarted.
+//!   is new in the server list when only that can tell, and [`confirm_config`] waits until no newer
+//!   configuration is known; [`confirm_incarnation`] asks other VMs whether the next server of a stream
+//!   has restarted.
 //! - [`serve_readiness`] serves the readiness check of the load balancer, [`serve_metrics`] the
 //!   metrics for operators.
 //!
@@ -44,6 +45,7 @@
 pub mod choose_server;
 pub mod closing_signals;
 pub mod config_messages;
+pub mod confirm_config;
 pub mod confirm_incarnation;
 pub mod crash_messages;
 pub mod disconnect_guard;
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -269,6 +269,9 @@
         UnknownOrigin::ListOutOfReach => {
             Refusal::retry_later(KEEPER_RETRY_AFTER, "list of software versions out of reach")
         }
+        UnknownOrigin::ConfigOutOfReach => {
+            Refusal::retry_later(KEEPER_RETRY_AFTER, "newest configuration out of reach")
+        }
         UnknownOrigin::NotKept => Refusal::new(
             StatusCode::SERVICE_UNAVAILABLE,
             "software version of the stream is not known",
--- a/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
+++ b/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
@@ -31,6 +31,8 @@
 /// The time after which a gateway knows that a route has led to one pool only, of one software
 /// version, for as long as a stream lasts, with a margin.
 const SOLE_VERSION_TIME: Duration = Duration::from_millis(22_500);
+/// Time between two entries of a server in the list.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
 const STREAM_COUNT: usize = 4;
 
 async fn start(name: &str, engine_count: usize) -> StandInFleet {
@@ -129,6 +131,51 @@
     responses.iter().map(|response| response.status).collect()
 }
 
+async fn wait_with_heartbeats(fleet: &StandInFleet, time: Duration) {
+    let until = tokio::time::Instant::now() + time;
+    while tokio::time::Instant::now() < until {
+        fleet.send_heartbeats();
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+    }
+}
+
+// The route's only destination is that of the newest configuration, not that of the stream.
+#[tokio::test]
+async fn stream_without_a_name_does_not_go_on_at_the_service_that_its_route_was_moved_to() {
+    let mut fleet = start_with_two_services("moved_unnamed").await;
+    wait_with_heartbeats(&fleet, SOLE_VERSION_TIME).await;
+    let begun = begin_streams(&fleet).await;
+    fleet.route_drafts_to(&[(OTHER_POOL, 1)]);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+
+    let resumed = resume_streams(&fleet, CURRENT_TAKER, &begun, false).await;
+
+    let joined = streams_of_two_services(&fleet, &begun);
+    assert!(joined.is_empty(), "{joined:?}: {:?}", statuses(&resumed));
+}
+
+// A gateway that stood still during the move knows one destination only, the old one, until it has read
+// the new configuration.
+#[tokio::test]
+async fn stream_without_a_name_does_not_go_on_at_the_service_that_its_route_was_moved_from() {
+    let mut fleet = start_with_two_services("moved_unread").await;
+    wait_with_heartbeats(&fleet, SOLE_VERSION_TIME).await;
+    fleet.gateways[LATE_TAKER].set_paused(true).unwrap();
+    fleet.route_drafts_to(&[(OTHER_POOL, 1)]);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let begun = begin_streams(&fleet).await;
+
+    let resuming = resume_streams(&fleet, LATE_TAKER, &begun, false);
+    let waking = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        fleet.gateways[LATE_TAKER].set_paused(false).unwrap();
+    };
+    let (resumed, ()) = tokio::join!(resuming, waking);
+
+    let joined = streams_of_two_services(&fleet, &begun);
+    assert!(joined.is_empty(), "{joined:?}: {:?}", statuses(&resumed));
+}
+
 // Servers that write no entries stay in the list: their version counts as long as they do.
 #[tokio::test]
 async fn stream_without_a_name_goes_on_although_the_server_list_is_calm() {
