Say that a route no longer leads to the service of a stream

What callers saw: a stream whose route was moved to another service was refused with 503 "no server of the stream's software version", although there were such servers.

Cause: one refusal stood for two conditions, a pool that the route does not lead to and a pool without a server of the version.

Change: the first has its own reason, "route no longer leads to the service that began the stream", at once and without a time to retry. The old service may not go on: a gateway that has the new configuration may have served requests by it, and must not go back to the old one (CONFIG); the new service has not begun the stream (ORDER). A VM that still has the old configuration lets the stream go on. If the configuration may be old, or if the route has never led there on this VM so that another one has a newer configuration, the caller gets a time to retry. A route that was split goes on at the service that began the stream, as before.

Evidence: stream_whose_route_was_moved_is_refused_at_once_with_the_reason failed before (the old reason) and passes; stream_whose_route_was_split_goes_on_at_the_service_that_began_it passes before and after.

--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -169,7 +169,8 @@
         && let Err(refusal) = resolve_stream(context, &routes, &mut request).await
     {
         let stream_id = request.caller.resumed_request_id.as_deref().unwrap_or("-");
-        return refusal.into_response(&id, &format_args!("stream {stream_id}"));
+        let subject = format_args!("stream {stream_id}");
+        return refuse_by_config(context, version, refusal, &id, &subject);
     }
     if let Err(refusal) = check_quarantine(context, &request) {
         return Refusal::retry_later(Duration::ZERO, refusal.reason())
@@ -279,9 +280,10 @@
     })?;
     let ResumedStream { origin, .. } = &found;
     let goes_to_pool = |destination: &Destination| destination.pool_id == origin.pool_id;
-    if !request.route.destinations.iter().any(goes_to_pool)
-        || !context.lock_servers().has_version(&origin.pool_id, &origin.software_version)
-    {
+    if !request.route.destinations.iter().any(goes_to_pool) {
+        return Err(refuse_moved_stream(context, request, &origin.pool_id));
+    }
+    if !context.lock_servers().has_version(&origin.pool_id, &origin.software_version) {
         return Err(Refusal::new(
             StatusCode::SERVICE_UNAVAILABLE,
             "no server of the stream's software version",
@@ -293,6 +295,28 @@
     Ok(())
 }
 
+/// Refuses a request that resumes a stream of a pool to which its route does not lead.
+///
+/// What another service sends does not go on with the stream, and the new configuration does not allow
+/// the old one. If the route has never led there on this VM, another VM has a newer configuration.
+fn refuse_moved_stream(
+    context: &GatewayContext,
+    request: &RequestContext,
+    pool_id: &str,
+) -> Refusal {
+    let (host, path) = (&request.route.host, request.uri.path());
+    if context.lock_routes().has_led_to(host, path, pool_id, context.now()) {
+        return Refusal::by_config(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "route no longer leads to the service that began the stream",
+        );
+    }
+    Refusal::retry_later(
+        KEEPER_RETRY_AFTER,
+        "route is not known to lead to the service that began the stream",
+    )
+}
+
 async fn read_body(
     request: &RequestContext,
     context: &GatewayContext,
--- a/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
+++ b/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
@@ -188,6 +188,28 @@
     assert_eq!(statuses(&resumed), [200; STREAM_COUNT]);
 }
 
+// The caller was told that no server had the software version, and returned in vain.
+#[tokio::test]
+async fn stream_whose_route_was_moved_is_refused_at_once_with_the_reason() {
+    let mut fleet = start_with_two_services("moved_named").await;
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let begun = begin_streams(&fleet).await;
+    fleet.route_drafts_to(&[(OTHER_POOL, 1)]);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+
+    let resumed = resume_streams(&fleet, CURRENT_TAKER, &begun, true).await;
+
+    for response in &resumed {
+        assert_eq!(response.status, 503);
+        assert_eq!(
+            String::from_utf8_lossy(&response.body),
+            "route no longer leads to the service that began the stream"
+        );
+        assert!(!response.headers.contains_key("retry-after"), "{response:?}");
+    }
+    assert!(streams_of_two_services(&fleet, &begun).is_empty());
+}
+
 #[tokio::test]
 async fn stream_whose_route_was_split_goes_on_at_the_service_that_began_it() {
     let mut fleet = start_with_two_services("split_named").await;
