Bound the memory that long responses of all requests hold together

Callers saw their requests end with the process: each response was buffered up to 256 KiB, in a buffer that doubles, and its pieces kept read buffers of up to 64 KiB, but nothing bounded the sum. Some hundred callers of a server whose body has no end took a VM over its memory, which ends all requests of the process.

One budget counts what bodies hold. As in a switch whose ports share a buffer, a holder may hold no more than stays free after it, beyond a base of 16 KiB, so that the greediest stop first and new requests find memory; all bodies together hold at most half of what requests may take. The decision is in core (MemoryBudget, RequestLimit), MemoryShare and HeldBytes return the memory when the last reference to a piece is dropped. A response that may not hold more is forwarded from there on while it arrives, no faster than its caller reads. Responses are buffered in segments of 8 KiB instead of one buffer, and connections to servers are read in pieces of less than 8 KiB, so that the HTTP library's read buffer does not grow. RequestLimit also counts what is held.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -29,6 +29,8 @@
 //!   [`recent_answers`]: which copy of one runs, and which requests are known not to. The rule itself
 //!   is [`quarantine`](crate::requests::quarantine), as on the router's own path.
 //! - [`live_vms`]: the VMs that all others select in the same way for a task.
+//! - [`request_limit`] and [`memory_budget`]: how many requests a VM holds, and how much their bodies
+//!   and events may hold.
 //! - [`line_limit`]: which of many alike events are logged.
 //! - [`retry_limiter`]: how many requests may be sent a second time, in a sliding window.
 //!
@@ -63,6 +65,7 @@
 mod limit_periods;
 pub mod line_limit;
 pub mod live_vms;
+pub mod memory_budget;
 pub mod odd_entries;
 pub mod permit_bucket;
 pub mod permit_issuers;
--- a/crates/sassafrashoist-core/src/gateway/request_limit.rs
+++ b/crates/sassafrashoist-core/src/gateway/request_limit.rs
@@ -13,24 +13,40 @@
 /// The requests that a VM holds however little memory it has.
 const MIN_REQUEST_COUNT: u64 = 32;
 
+/// Bodies and events may hold this part of the memory of the requests, so that the rest stays for
+/// new requests.
+const HELD_DIVISOR: u64 = 2;
+
 /// The number of requests that a VM holds at a time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestLimit {
-    max_count: u64,
+    max_bytes: u64,
 }
 
 impl RequestLimit {
     /// Creates the limit of a VM with this memory; `None` if its memory is not limited.
     pub fn of_memory(memory_bytes: Option<u64>) -> Self {
-        let max_count = memory_bytes.map_or(u64::MAX, |memory_bytes| {
-            let free_bytes = memory_bytes.saturating_sub(IDLE_BYTES);
-            (free_bytes / REQUEST_BYTES).max(MIN_REQUEST_COUNT)
+        let max_bytes = memory_bytes.map_or(u64::MAX, |memory_bytes| {
+            memory_bytes.saturating_sub(IDLE_BYTES).max(MIN_REQUEST_COUNT * REQUEST_BYTES)
         });
-        Self { max_count }
+        Self { max_bytes }
+    }
+
+    /// Returns whether the VM can hold this number of requests, whose bodies and events hold
+    /// `held_bytes`.
+    pub fn allows(self, request_count: usize, held_bytes: u64) -> bool {
+        request_count as u64 <= MIN_REQUEST_COUNT
+            || request_bytes(request_count).saturating_add(held_bytes) <= self.max_bytes
     }
 
-    /// Returns whether the VM can hold this number of requests.
-    pub fn allows(self, request_count: usize) -> bool {
-        request_count as u64 <= self.max_count
+    /// Returns how much the bodies and events of this number of requests may hold.
+    pub fn max_held_bytes(self, request_count: usize) -> u64 {
+        let free_bytes = self.max_bytes.saturating_sub(request_bytes(request_count));
+        free_bytes.min(self.max_bytes / HELD_DIVISOR)
     }
 }
+
+/// Returns the memory of requests without long bodies and events.
+fn request_bytes(request_count: usize) -> u64 {
+    (request_count as u64).saturating_mul(REQUEST_BYTES)
+}
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod log_read_fleet;
 mod log_reads_over_vms;
 mod lost_paths_over_vms;
+mod memory_budget;
 mod odd_entries;
 mod old_config_over_vms;
 mod path_fleet;
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -12,9 +12,11 @@
 use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::drain_plan::DrainPlan;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
+use sassafrashoist_core::gateway::memory_budget::MemoryBudget;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::read_precedence::{ReadPrecedence, TopicRank};
 use sassafrashoist_core::gateway::relay_vms::RelayVms;
+use sassafrashoist_core::gateway::request_limit::RequestLimit;
 use sassafrashoist_core::gateway::retry_limiter::{RetryLimit, RetryLimiter};
 use sassafrashoist_core::gateway::route_table::RouteTable;
 use sassafrashoist_core::gateway::server_directory::ServerDirectory;
@@ -68,6 +70,7 @@
     permits: Mutex<PermitBook>,
     streams: Mutex<StreamOrigins>,
     crashes: Mutex<CrashBook>,
+    memory: Mutex<MemoryBudget>,
     read_precedence: Mutex<ReadPrecedence>,
     topic_read: Notify,
     datagram_socket: OnceLock<Arc<UdpSocket>>,
@@ -138,6 +141,7 @@
             permits: Mutex::default(),
             streams: Mutex::default(),
             crashes: Mutex::default(),
+            memory: Mutex::default(),
             read_precedence: Mutex::default(),
             topic_read: Notify::new(),
             datagram_socket: OnceLock::new(),
@@ -361,6 +365,22 @@
         lock(&self.crashes)
     }
 
+    /// Locks how much memory bodies and events hold.
+    pub fn lock_memory(&self) -> MutexGuard<'_, MemoryBudget> {
+        lock(&self.memory)
+    }
+
+    /// Returns how many requests this VM holds at a time.
+    pub fn request_limit(&self) -> RequestLimit {
+        RequestLimit::of_memory(self.settings().memory_bytes)
+    }
+
+    /// Returns whether this VM can hold the requests in progress.
+    pub fn can_hold_requests(&self) -> bool {
+        let held_bytes = self.lock_memory().held_bytes();
+        self.request_limit().allows(self.requests.len(), held_bytes)
+    }
+
     /// Returns the socket for datagrams to other VMs, once it is open.
     pub fn datagram_socket(&self) -> Option<&UdpSocket> {
         self.datagram_socket.get().map(|socket| &**socket)
--- a/crates/sassafrashoist/src/gateway/http_connection.rs
+++ b/crates/sassafrashoist/src/gateway/http_connection.rs
@@ -12,11 +12,13 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::rt::{Read, Write};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use super::bounded_reads::BoundedReads;
+
 /// The longest response head.
 const MAX_HEAD_BYTES: usize = 65_536;
 
@@ -71,7 +73,7 @@
             Err(_) => return Err(not_connected(format!("no response within {timeout:?}"))),
         };
         stream.set_nodelay(true).map_err(|error| not_connected(error.to_string()))?;
-        Self::over(address, TokioIo::new(stream)).await
+        Self::over(address, stream).await
     }
 
     /// Wraps an open connection to an address.
@@ -81,12 +83,12 @@
     /// Fails if the connection has ended.
     pub async fn over<T>(address: SocketAddr, io: T) -> Result<Self, NotConnected>
     where
-        T: Read + Write + Unpin + Send + 'static,
+        T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         let (sender, connection) = http1::Builder::new()
             .preserve_header_case(true)
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(io)
+            .handshake(TokioIo::new(BoundedReads::new(io)))
             .await
             .map_err(|error| NotConnected { address, reason: error.to_string() })?;
         let driver = tokio::spawn(async move {
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -39,6 +39,8 @@
 //! Decisions are made in `sassafrashoist_core::gateway`; the platform's header names, paths and
 //! formats are in `sassafrashoist_adapter`.
 
+pub mod bounded_reads;
+pub mod buffered_body;
 pub mod caller_stream;
 pub mod check_server_list;
 pub mod choose_server;
@@ -55,12 +57,14 @@
 pub mod follow_topic;
 pub mod forward_events;
 pub mod gateway_context;
+pub mod held_bytes;
 pub mod http_connection;
 pub mod isolate_suspects;
 pub mod issue_permit;
 pub mod listen;
 pub mod log_client;
 pub mod maintain_holding;
+pub mod memory_share;
 pub mod obtain_tokens;
 pub mod open_connection;
 pub mod open_connections;
--- a/crates/sassafrashoist/src/gateway/response_body.rs
+++ b/crates/sassafrashoist/src/gateway/response_body.rs
@@ -3,12 +3,11 @@
 use std::convert::Infallible;
 
 use bytes::Bytes;
-use futures::stream;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::Frame;
+use http_body_util::{BodyExt, BodyStream, Full, StreamBody};
 
+use super::buffered_body::BufferedBody;
 use crate::util::streamed_body::{BodySender, IncompleteBody, streamed_frames};
 
 /// The body of a response to a caller.
@@ -19,9 +18,9 @@
     Full::new(bytes).map_err(|never: Infallible| match never {}).boxed_unsync()
 }
 
-/// Returns a body whose bytes are all present, but whose length is not sent in the head.
-pub fn body_of_unknown_length(bytes: Bytes) -> ResponseBody {
-    StreamBody::new(stream::once(async { Ok(Frame::data(bytes)) })).boxed_unsync()
+/// Returns a body whose length is not sent in the head.
+pub fn body_of_unknown_length(body: BufferedBody) -> ResponseBody {
+    StreamBody::new(BodyStream::new(body)).boxed_unsync()
 }
 
 /// Returns a streamed body and its sender; up to `capacity` chunks are buffered.
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -13,13 +13,14 @@
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 use sassafrashoist_platform::response_framing::ResponseFraming;
 
+use super::buffered_body::BufferedBody;
 use super::choose_server::{NoServer, choose_server};
 use super::forward_events::{forward_events, read_first_event};
 use super::gateway_context::GatewayContext;
 use super::isolate_suspects::admit_attempt;
 use super::report_server_end::report_lost_connection;
 use super::request_context::RequestContext;
-use super::response_body::{ResponseBody, body_of_unknown_length, full_response, streamed_body};
+use super::response_body::{ResponseBody, body_of_unknown_length, streamed_body};
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt};
 use super::serve_request::Refusal;
 use super::share_crashes::record_answer;
@@ -246,7 +247,7 @@
     let (head, mut body) = response.into_parts();
     let headers = encode_response(&head.headers);
     let deadline = context.instant(request.deadline);
-    let mut buffered = BytesMut::new();
+    let mut buffered = BufferedBody::new(context);
     loop {
         let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
@@ -263,15 +264,15 @@
             }
             Err(_) => return Err("answer not whole before the deadline"),
         };
-        if let Some(data) = frame.data_ref() {
-            slot.record_bytes();
-            buffered.extend_from_slice(data);
-        }
-        if buffered.len() > MAX_BUFFERED_BYTES {
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        slot.record_bytes();
+        if buffered.len() + data.len() > MAX_BUFFERED_BYTES || !buffered.try_push(&data) {
             let (sender, response_body) = streamed_body(BODY_CHUNK_CAPACITY);
             let held_until_end = (connection, slot, context.requests.token());
             tokio::spawn(async move {
-                let forwarding = forward_long_body(buffered.freeze(), body, sender);
+                let forwarding = forward_long_body(buffered, data, body, sender);
                 if tokio::time::timeout_at(deadline, forwarding).await.is_err() {
                     log::info!("long response cut off at the deadline");
                 }
@@ -290,34 +291,50 @@
         slot.set_verdict(AttemptVerdict::Succeeded);
     }
     record_response(context, request, slot.server_id(), framing, head.status, buffered.len());
-    if framing.marks_end() {
-        if head.status.is_success() {
-            record_answer(context, request, slot.sent_ago());
-        }
-        return Ok(full_response(head.status, headers, Bytes::from(buffered)));
+    let mut response = Response::new(if framing.marks_end() {
+        buffered.boxed_unsync()
+    } else {
+        body_of_unknown_length(buffered)
+    });
+    *response.status_mut() = head.status;
+    *response.headers_mut() = headers;
+    if !framing.marks_end() {
+        delimit_by_close(&mut response);
+    } else if head.status.is_success() {
+        record_answer(context, request, slot.sent_ago());
     }
-    let mut response = full_response(head.status, headers, Bytes::new());
-    *response.body_mut() = body_of_unknown_length(buffered.freeze());
-    delimit_by_close(&mut response);
     Ok(response)
 }
 
-/// Forwards a long response body while it arrives.
-async fn forward_long_body(buffered: Bytes, mut body: Incoming, sender: BodySender) {
-    let mut is_open = sender.send(buffered).await;
-    while is_open {
-        match body.frame().await {
-            Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data() {
-                    is_open = sender.send(data).await;
+/// Forwards a long response body while it arrives, no faster than the caller reads it.
+async fn forward_long_body(
+    buffered: BufferedBody,
+    data: Bytes,
+    mut body: Incoming,
+    sender: BodySender,
+) {
+    let (share, segments) = buffered.into_parts();
+    for segment in segments {
+        if !sender.send(segment).await {
+            return;
+        }
+    }
+    let mut data = data;
+    while sender.send(share.hold(&data).await).await {
+        data = loop {
+            match body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        break data;
+                    }
                 }
+                Some(Err(error)) => {
+                    log::info!(error:% = error; "connection lost during a long response");
+                    return;
+                }
+                None => return sender.finish(),
             }
-            Some(Err(error)) => {
-                log::info!(error:% = error; "connection lost during a long response");
-                return;
-            }
-            None => return sender.finish(),
-        }
+        };
     }
 }
 
--- a/crates/sassafrashoist/src/gateway/serve_relay.rs
+++ b/crates/sassafrashoist/src/gateway/serve_relay.rs
@@ -13,7 +13,6 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use hyper::upgrade::{OnUpgrade, Upgraded};
 use hyper_util::rt::TokioIo;
-use sassafrashoist_core::gateway::request_limit::RequestLimit;
 use sassafrashoist_core::gateway::server_paths::Way;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -65,8 +64,7 @@
     if !context.lock_tokens().ledger.is_open(&request.holder_id) {
         return Err(RelayOutcome::UnknownSender);
     }
-    let limit = RequestLimit::of_memory(context.settings().memory_bytes);
-    if context.draining.is_cancelled() || !limit.allows(context.requests.len()) {
+    if context.draining.is_cancelled() || !context.can_hold_requests() {
         return Err(RelayOutcome::Busy);
     }
     let server_id = &request.server_id;
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -11,7 +11,6 @@
 use sassafrashoist_adapter::request_headers::{CallerHeaders, single_host};
 use sassafrashoist_adapter::response_headers::encode_refusal;
 use sassafrashoist_core::gateway::Uptime;
-use sassafrashoist_core::gateway::request_limit::RequestLimit;
 use sassafrashoist_core::gateway::route::{Destination, Repeatability};
 use sassafrashoist_core::gateway::route_table::{NotAllowed, RouteTable};
 use sassafrashoist_core::ids::{RequestId, Tokens};
@@ -141,10 +140,12 @@
     progress: Arc<RequestProgress>,
 ) -> Response<ResponseBody> {
     let arrived_at = context.now();
-    let limit = RequestLimit::of_memory(context.settings().memory_bytes);
-    if !limit.allows(context.requests.len()) {
-        return Refusal::retry_later(FULL_RETRY_AFTER, "VM holds too many requests")
-            .into_response(&id, &format_args!("{} in progress", context.requests.len()));
+    if !context.can_hold_requests() {
+        let held_bytes = context.lock_memory().held_bytes();
+        return Refusal::retry_later(FULL_RETRY_AFTER, "VM holds too many requests").into_response(
+            &id,
+            &format_args!("{} in progress, {held_bytes} bytes held", context.requests.len()),
+        );
     }
     let Some(routes) = context.routes() else {
         let refusal = Refusal::retry_later(STARTING_RETRY_AFTER, "no configuration known yet");
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod late_in_grace;
 mod log_client;
 mod lost_paths;
+mod memory_bounds;
 mod mixed_builds;
 mod odd_entries;
 mod old_config;
