Bound the memory that the events of all streams hold together

The splitter's buffer and the events that a caller has not read take their memory from the budget. A long event for which there is none ends the segment ("event exceeds the memory that is left"), as one that is too long does; 16 KiB need no permission. Events that wait for a slow caller are bounded by their bytes, and the server is read no faster than the caller reads. Events are copied out of the splitter, whose buffer is used again, and not kept when it was long and is empty.

--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -14,7 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sassafrashoist_adapter::response_headers::{encode_response, goes_on_with};
-use sassafrashoist_core::event_splitter::{EventSplitter, StreamEvent};
+use sassafrashoist_core::event_splitter::StreamEvent;
 use sassafrashoist_core::gateway::event_sequence::{EventCheck, EventSequence};
 use sassafrashoist_core::gateway::stream_origins::StreamOrigin;
 use sassafrashoist_core::ids::BackendServerId;
@@ -25,7 +25,9 @@
 use super::choose_server::choose_server;
 use super::confirm_incarnation::confirm_incarnation;
 use super::gateway_context::GatewayContext;
+use super::held_splitter::HeldSplitter;
 use super::isolate_suspects::admit_attempt;
+use super::memory_share::MemoryShare;
 use super::report_server_end::report_lost_connection;
 use super::request_context::{RequestContext, ResumedStream};
 use super::response_body::{ResponseBody, streamed_body};
@@ -55,6 +57,9 @@
 /// The reason of a failed attempt whose stream has an event without end.
 const EVENT_TOO_LONG: &str = "event too long";
 
+/// The reason of a failed attempt whose stream has a long event for which there is no memory.
+const EVENT_EXCEEDS_MEMORY: &str = "event exceeds the memory that is left";
+
 /// The reason of a failed attempt whose stream has no framing and was closed before any event.
 const CLOSED_BEFORE_EVENT: &str = "stream closed before its first event";
 
@@ -64,7 +69,7 @@
     /// The response.
     pub started: StartedResponse,
     /// The bytes that were read so far.
-    pub splitter: EventSplitter,
+    pub splitter: HeldSplitter,
     /// Whether the body has ended.
     pub has_ended: bool,
 }
@@ -81,7 +86,7 @@
     mut started: StartedResponse,
     unresponsive_timeout: Option<Duration>,
 ) -> Result<StartedStream, &'static str> {
-    let mut splitter = EventSplitter::default();
+    let mut splitter = HeldSplitter::new(context);
     loop {
         let frame = tokio::select! {
             frame = started.response.body_mut().frame() => frame,
@@ -97,7 +102,10 @@
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
                     started.slot.record_bytes();
-                    splitter.push(data);
+                    if !splitter.try_push(data) {
+                        let reason = EVENT_EXCEEDS_MEMORY;
+                        return Err(record_no_event(request, &mut started, reason, &"-"));
+                    }
                     if splitter.has_event() {
                         return Ok(StartedStream { started, splitter, has_ended: false });
                     }
@@ -166,6 +174,7 @@
     let first_head = (started.response.status(), started.response.headers().clone());
     let forwarder = EventForwarder {
         in_progress: context.requests.token(),
+        unread: MemoryShare::new(&context),
         context,
         request,
         reservation,
@@ -202,7 +211,9 @@
     request: Arc<RequestContext>,
     reservation: Option<TokenReservation>,
     counts: AttemptCounts,
-    splitter: EventSplitter,
+    splitter: HeldSplitter,
+    /// The memory of the events that the caller has not read yet.
+    unread: Arc<MemoryShare>,
     sender: BodySender,
     caller_framing: ResponseFraming,
     sequence: EventSequence,
@@ -239,7 +250,7 @@
                 return;
             };
             started = next;
-            self.splitter = EventSplitter::default();
+            self.splitter = HeldSplitter::new(&self.context);
             self.sequence.begin_segment();
             end = self.forward_segment(&mut started).await;
         }
@@ -309,8 +320,8 @@
             match frame {
                 Some(Ok(frame)) => {
                     slot.record_bytes();
-                    if let Some(data) = frame.data_ref() {
-                        self.splitter.push(data);
+                    if frame.data_ref().is_some_and(|data| !self.splitter.try_push(data)) {
+                        return SegmentEnd::Failed(EVENT_EXCEEDS_MEMORY);
                     }
                     let now = self.context.now();
                     if now >= reported_at + GOING_ON_INTERVAL {
@@ -369,7 +380,8 @@
         }
         self.forwarded_bytes += event.raw.len();
         let deadline = self.context.instant(self.request.deadline);
-        match tokio::time::timeout_at(deadline, self.sender.send(event.raw)).await {
+        let sending = async { self.sender.send(self.unread.hold(&event.raw).await).await };
+        match tokio::time::timeout_at(deadline, sending).await {
             Ok(true) => None,
             Ok(false) => Some(SegmentEnd::CallerDisconnected),
             Err(_) => Some(SegmentEnd::DeadlineExceeded),
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -58,6 +58,7 @@
 pub mod forward_events;
 pub mod gateway_context;
 pub mod held_bytes;
+pub mod held_splitter;
 pub mod http_connection;
 pub mod isolate_suspects;
 pub mod issue_permit;
--- a/crates/sassafrashoist/tests/testsuite/memory_bounds.rs
+++ b/crates/sassafrashoist/tests/testsuite/memory_bounds.rs
@@ -13,7 +13,7 @@
 use sassafrashoist_platform_stand_in::raw_caller::RawCaller;
 use sassafrashoist_platform_stand_in::raw_server::{RawResponse, RawServer};
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    BID_PATH, DRAFT_PATH, EVENT_COUNT, EVENT_INTERVAL, FleetPlan,
+    BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, EVENT_INTERVAL, FleetPlan,
     ROUTE_TIMEOUT, STATUS_PATH, StandInFleet, TOKENS_PER_EVENT,
 };
 use tokio::sync::Mutex;
@@ -47,6 +47,8 @@
 /// One chunk of four gigabytes.
 const CHUNKED_HEAD: &str =
     "HTTP/1.1 200 OK\r\nupstream-signature: s\r\ntransfer-encoding: chunked\r\n\r\nffffffff\r\n";
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nupstream-signature: s\r\ncontent-type: text/event-stream\r\n\r\n";
 
 /// What was seen while callers waited for responses without end.
 #[derive(Debug)]
@@ -170,6 +172,19 @@
     observe(&fleet, &to_model(DRAFT_PATH), hold_requests(&fleet, request)).await
 }
 
+/// Sends requests for streams to engines whose streams do not end.
+async fn hold_streams(name: &str, filler: &str, request: &CallerRequest) -> Seen {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let fleet = start(name, plan(0, 2)).await;
+    let server =
+        EndlessServer::start_repeating(STREAM_HEAD.to_owned(), filler.as_bytes()).await.unwrap();
+    fleet.list_server("llm", "endless-0", server.address);
+    fleet.list_server("llm", "endless-1", server.address);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+
+    observe(&fleet, &status(), hold_requests(&fleet, request)).await
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_with_a_length_but_no_end_do_not_exceed_the_memory() {
     let seen = hold_plain_requests("length", LENGTH_HEAD, &status()).await;
@@ -191,6 +206,29 @@
     assert_bounded(&seen);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn events_without_end_do_not_exceed_the_memory() {
+    let seen = hold_streams("event", "data: x", &to_model(CHAT_PATH)).await;
+
+    assert_bounded(&seen);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_without_end_do_not_exceed_the_memory() {
+    let seen = hold_streams("events", "data: x\n\n", &to_model(CHAT_PATH)).await;
+
+    assert_bounded(&seen);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn long_events_without_end_do_not_exceed_the_memory() {
+    let event = format!("data: {}\n\n", "x".repeat(100_000));
+
+    let seen = hold_streams("long_events", &event, &to_model(CHAT_PATH)).await;
+
+    assert_bounded(&seen);
+}
+
 // The allocator keeps what was returned to it, which must serve the requests that come.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn returned_memory_is_used_again() {
