--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod late_in_grace;
 mod log_client;
 mod lost_paths;
+mod memory_bounds;
 mod mixed_builds;
 mod odd_entries;
 mod old_config;
