--- a/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
+++ b/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
@@ -250,60 +250,84 @@
     const ALL: [Self; 4] =
         [Self::BeforeFirstEvent, Self::InsideEvent, Self::BeforeEnd, Self::BetweenSegments];
 
-    /// Returns the path of streams that are silent at this moment.
-    fn path(self) -> String {
-        format!("/draft/{self:?}")
-    }
-
     fn of_request(request: &RawRequest) -> Option<Self> {
         let line = request.head.lines().next()?;
-        Self::ALL.into_iter().find(|moment| line.contains(&moment.path()))
+        Self::ALL.into_iter().find(|moment| line.contains(&format!("{moment:?}")))
     }
 }
 
-fn event(service: &str, number: usize) -> String {
-    format!("id: {number}\ndata: {service} {number}\n\n")
+/// How the end of a stream's body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection.
+    Unframed,
 }
 
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
+impl Framing {
+    fn of_request(request: &RawRequest) -> Self {
+        let is_unframed = request.head.lines().next().is_some_and(|l| l.contains("Unframed"));
+        if is_unframed { Self::Unframed } else { Self::Chunked }
+    }
+
+    fn header(self) -> &'static str {
+        match self {
+            Self::Chunked => "transfer-encoding: chunked\r\n",
+            Self::Unframed => "",
+        }
+    }
+
+    fn encode(self, text: &str) -> String {
+        match self {
+            Self::Chunked => format!("{:x}\r\n{text}\r\n", text.len()),
+            Self::Unframed => text.to_owned(),
+        }
+    }
+
+    /// Returns the bytes that end a body, and what becomes of the connection.
+    fn end(self) -> (&'static str, RawEnd) {
+        match self {
+            Self::Chunked => ("0\r\n\r\n", RawEnd::StaysOpen),
+            Self::Unframed => ("", RawEnd::Closes),
+        }
+    }
+}
+
+fn event(service: &str, number: usize) -> String {
+    format!("id: {number}\ndata: {service} {number}\n\n")
 }
 
 /// Returns a stream that is silent once, unless its caller resumes it.
 fn hushed_stream(service: &str, request: &RawRequest) -> RawResponse {
-    let head = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nupstream-signature: s\r\n\
-                content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    let framing = Framing::of_request(request);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {{id}}\r\nupstream-signature: s\r\n\
+         content-type: text/event-stream\r\n{}\r\n",
+        framing.header()
+    );
     let last_id = request.header("last-event-id").and_then(|id| id.parse().ok());
     let is_resumed_by_caller =
         request.header("request-id").is_some_and(|id| id.contains("resumed"));
-    let moment = Moment::of_request(request);
+    let moment = Moment::of_request(request).filter(|_| !is_resumed_by_caller);
     let first = last_id.map_or(1, |last: usize| last + 1);
     let events: Vec<_> = (first..=EVENT_COUNT).map(|number| event(service, number)).collect();
     let whole = events.concat();
-    let at_once = |text: String| (Duration::ZERO, text);
-    let after_silence = |text: String| (SILENCE, text);
-    let end = "0\r\n\r\n".to_owned();
-    let (writes, end) = match moment.filter(|_| !is_resumed_by_caller) {
-        Some(Moment::BeforeFirstEvent) => {
-            (vec![at_once(head.to_owned()), after_silence(chunk(&whole) + &end)], RawEnd::StaysOpen)
-        }
-        Some(Moment::InsideEvent) => {
-            let (before, after) = whole.split_at(whole.len() / 2);
-            let writes =
-                vec![at_once(head.to_owned() + &chunk(before)), after_silence(chunk(after) + &end)];
-            (writes, RawEnd::StaysOpen)
-        }
-        Some(Moment::BeforeEnd) => {
-            (vec![at_once(head.to_owned() + &chunk(&whole)), after_silence(end)], RawEnd::StaysOpen)
-        }
-        Some(Moment::BetweenSegments) if last_id.is_none() => {
-            (vec![at_once(head.to_owned() + &chunk(&events[..2].concat()))], RawEnd::Closes)
-        }
-        Some(Moment::BetweenSegments) => {
-            (vec![at_once(head.to_owned()), after_silence(chunk(&whole) + &end)], RawEnd::StaysOpen)
-        }
-        None => (vec![at_once(head.to_owned() + &chunk(&whole) + &end)], RawEnd::StaysOpen),
+    if moment == Some(Moment::BetweenSegments) && last_id.is_none() {
+        let text = head + &framing.encode(&events[..2].concat());
+        return RawResponse { end: RawEnd::Resets, ..RawResponse::at_once(&text) };
+    }
+    let bytes_before = match moment {
+        Some(Moment::InsideEvent) => whole.len() / 2,
+        Some(Moment::BeforeEnd) | None => whole.len(),
+        Some(Moment::BeforeFirstEvent | Moment::BetweenSegments) => 0,
     };
+    let (before, after) = whole.split_at(bytes_before);
+    let encode = |text: &str| if text.is_empty() { String::new() } else { framing.encode(text) };
+    let (end_text, end) = framing.end();
+    let silence = if moment.is_some() { SILENCE } else { Duration::ZERO };
+    let writes =
+        vec![(Duration::ZERO, head + &encode(before)), (silence, encode(after) + end_text)];
     RawResponse { writes, end }
 }
 
@@ -368,7 +392,7 @@
 
 /// Sends a stream's request to a gateway; its caller leaves a silent server and resumes it at another
 /// gateway.
-async fn receive_stream(gateways: [SocketAddr; 2], moment: Moment, id: &str) -> ReceivedStream {
+async fn receive_stream(gateways: [SocketAddr; 2], path: &str, id: &str) -> ReceivedStream {
     let mut received =
         ReceivedStream { events: Vec::new(), is_complete: false, statuses: Vec::new() };
     let mut begun_by = None;
@@ -379,7 +403,7 @@
             headers.push(("last-event-id", received.events.len().to_string()));
             headers.push(("resumes", String::clone(stream_id)));
         }
-        let request = draft(&moment.path(), id.len(), headers);
+        let request = draft(path, id.len(), headers);
         let mut caller = RawCaller::connect(gateway).await.unwrap();
         caller.write(&request.encode(&attempt_id)).await.unwrap();
         let answer = caller.read_answer_until_silent(PATIENCE).await;
@@ -390,9 +414,17 @@
             begun_by.get_or_insert(attempt_id);
         }
         let status = answer.head.split(' ').nth(1).unwrap_or("-").to_owned();
-        received.is_complete = answer.end == AnswerEnd::Complete && status == "200";
+        let is_framed = ["content-length", "transfer-encoding"]
+            .iter()
+            .any(|name| answer.header(name).is_some());
+        let has_ended = match answer.end {
+            AnswerEnd::Complete => true,
+            AnswerEnd::Closed => !is_framed && !answer.head.is_empty(),
+            AnswerEnd::Reset | AnswerEnd::CallerLeft => false,
+        };
+        received.is_complete = has_ended && status == "200";
         received.statuses.push(status);
-        if answer.end == AnswerEnd::Complete {
+        if has_ended {
             break;
         }
     }
@@ -405,15 +437,17 @@
     fleet: &mut StandInFleet,
     change: Change,
 ) -> Vec<(String, ReceivedStream)> {
-    let cases: Vec<_> = Moment::ALL
-        .into_iter()
-        .flat_map(|moment| [CURRENT_TAKER, LATE_TAKER].map(|taker| (moment, taker)))
-        .map(|(moment, taker)| {
-            let gateways = [BEGINNER, taker].map(|index| fleet.gateways[index].caller_address);
-            (format!("{change:?}-{moment:?}-{taker}"), gateways, moment)
-        })
-        .collect();
-    let streams = cases.iter().map(|(id, gateways, moment)| receive_stream(*gateways, *moment, id));
+    let mut cases = Vec::new();
+    for moment in Moment::ALL {
+        for framing in [Framing::Chunked, Framing::Unframed] {
+            for taker in [CURRENT_TAKER, LATE_TAKER] {
+                let gateways = [BEGINNER, taker].map(|index| fleet.gateways[index].caller_address);
+                let id = format!("{change:?}-{moment:?}-{framing:?}-{taker}");
+                cases.push((id, gateways, format!("/draft/{moment:?}/{framing:?}")));
+            }
+        }
+    }
+    let streams = cases.iter().map(|(id, gateways, path)| receive_stream(*gateways, path, id));
     let changing = async {
         tokio::time::sleep(CHANGE_DELAY).await;
         fleet.gateways[LATE_TAKER].set_paused(true).unwrap();
