Test that an unread move of a route joins no services

What callers saw, in the test: a stream that began at the service to which its route had just been moved, taken up without `Resumes` at a gateway that could not read the move, went on at the old service.

The test replaces one that passed on because the gateway read the move within 5 ms of going on; now it cannot read the topic, and the others stand still.

--- a/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
+++ b/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
@@ -10,11 +10,13 @@
 use http::Method;
 use sassafrashoist_platform_stand_in::backend_server::ServerFault;
 use sassafrashoist_platform_stand_in::caller::{CallerRequest, CallerResponse};
+use sassafrashoist_platform_stand_in::log_service::LogFault;
 use sassafrashoist_platform_stand_in::raw_answer::AnswerEnd;
 use sassafrashoist_platform_stand_in::raw_caller::RawCaller;
 use sassafrashoist_platform_stand_in::raw_server::{RawEnd, RawRequest, RawResponse, RawServer};
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    DRAFT_PATH, ENGINE_POOL, EVENT_INTERVAL, FleetPlan, IDLE_TIMEOUT, ROUTE_TIMEOUT, StandInFleet,
+    CONFIG_TOPIC, DRAFT_PATH, ENGINE_POOL, EVENT_INTERVAL, FleetPlan, IDLE_TIMEOUT, ROUTE_TIMEOUT,
+    StandInFleet,
 };
 
 /// The gateway at which streams begin.
@@ -31,6 +33,8 @@
 /// The time after which a gateway knows that a route has led to one pool only, of one software
 /// version, for as long as a stream lasts, with a margin.
 const SOLE_VERSION_TIME: Duration = Duration::from_millis(22_500);
+/// How long a read of the configuration waits for a newer one, with a margin.
+const MAX_READ_WAIT: Duration = Duration::from_millis(1_400);
 /// Time between two entries of a server in the list.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
 const STREAM_COUNT: usize = 4;
@@ -154,28 +158,38 @@
     assert!(joined.is_empty(), "{joined:?}: {:?}", statuses(&resumed));
 }
 
-// A gateway that stood still during the move knows one destination only, the old one, until it has read
-// the new configuration.
+// A gateway that could not read the move yet knows one destination only, the old one.
 #[tokio::test]
 async fn stream_without_a_name_does_not_go_on_at_the_service_that_its_route_was_moved_from() {
     let mut fleet = start_with_two_services("moved_unread").await;
     wait_with_heartbeats(&fleet, SOLE_VERSION_TIME).await;
+    fleet.log.set_fault(LogFault::TopicDown(CONFIG_TOPIC));
+    wait_with_heartbeats(&fleet, MAX_READ_WAIT).await;
+    let earlier_count = configs_in_force(&fleet, BEGINNER);
     fleet.gateways[LATE_TAKER].set_paused(true).unwrap();
+    fleet.log.set_fault(LogFault::None);
     fleet.route_drafts_to(&[(OTHER_POOL, 1)]);
-    tokio::time::sleep(PROPAGATION_TIME).await;
+    while configs_in_force(&fleet, BEGINNER) == earlier_count {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
     let begun = begin_streams(&fleet).await;
+    fleet.log.set_fault(LogFault::TopicDown(CONFIG_TOPIC));
+    fleet.gateways[BEGINNER].set_paused(true).unwrap();
+    fleet.gateways[CURRENT_TAKER].set_paused(true).unwrap();
+    fleet.gateways[LATE_TAKER].set_paused(false).unwrap();
 
-    let resuming = resume_streams(&fleet, LATE_TAKER, &begun, false);
-    let waking = async {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        fleet.gateways[LATE_TAKER].set_paused(false).unwrap();
-    };
-    let (resumed, ()) = tokio::join!(resuming, waking);
+    let resumed = resume_streams(&fleet, LATE_TAKER, &begun, false).await;
 
     let joined = streams_of_two_services(&fleet, &begun);
     assert!(joined.is_empty(), "{joined:?}: {:?}", statuses(&resumed));
 }
 
+/// Returns how many configurations a gateway has put into force, by its log.
+fn configs_in_force(fleet: &StandInFleet, gateway: usize) -> usize {
+    let text = std::fs::read_to_string(&fleet.gateways[gateway].log_path).unwrap();
+    text.matches("\"configuration in force\"").count()
+}
+
 // Servers that write no entries stay in the list: their version counts as long as they do.
 #[tokio::test]
 async fn stream_without_a_name_goes_on_although_the_server_list_is_calm() {
