Keep streams at their servers while all servers are silent

What callers saw: when all servers of a pool stood still for 1.7 s, streams were moved to servers that were silent too after 1.5 s. The retry limit refused part of the moves, and those streams were broken off 0.2 s before their servers went on. Requests without a first event went to a second silent server after their target latency.

Cause: the time since a server's last byte counted as its failure, whatever the other servers did, even while this VM itself did not run. A stream was given up before it was known whether another server could take it.

Change: core's server_silence measures how long a server is silent although others are not. Time in which all servers in use are silent does not count (up to 1.8 s if another one is idle, as several may fail at once), and a VM that did not run counts one step of 0.2 s. A request leaves its server only if another one that is not silent may take it (software version, breaker, limits) and its retry is granted; otherwise it waits on. A retry prefers servers that are not silent. Timeouts and the shorter one of lost paths stay. Log lines and two counters tell a shared silence from that of one server.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! - [`config_age`]: whether the configuration that decides this may be old.
 //! - [`server_directory`]: the backend servers, their load and health, and the choice among them by
 //!   cost, rendezvous hashing and circuit breakers.
+//! - [`server_silence`]: whether a server that sends nothing has failed.
 //! - [`server_paths`] and [`relay_vms`]: which of these servers this VM reaches, and through which
 //!   other VM it reaches the rest.
 //! - [`token_ledger`], [`token_holding`] and [`allocator_vms`]: which VM may use which tokens of a
@@ -81,6 +82,7 @@
 pub mod server_directory;
 pub mod server_listing;
 pub mod server_paths;
+pub mod server_silence;
 pub mod server_state;
 pub mod spending_limit;
 pub mod stream_origins;
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -12,6 +12,7 @@
 
 use super::pool_versions::PoolVersions;
 use super::server_listing::ServerListing;
+use super::server_silence::{OtherServers, SILENT_TIME};
 use super::server_state::{RejectedBy, ReportedLoad, ServerState};
 use super::stream_origins::StreamOrigin;
 use super::{PromptPartId, SoftwareVersion, Uptime};
@@ -190,6 +191,34 @@
         in_pool.map(|server| server.listing.id.clone()).collect()
     }
 
+    /// Returns what the servers of a pool other than `server_id` sent, and whether one of them could
+    /// take a request with these requirements.
+    pub fn other_servers(
+        &mut self,
+        server_id: &str,
+        requirements: &ServerRequirements,
+        now: Uptime,
+    ) -> OtherServers {
+        let ending_use_time = self.ending_use_time;
+        let mut others = OtherServers::default();
+        for server in self.servers.values_mut().filter(|server| {
+            server.listing.pool_id == requirements.pool_id && server.listing.id != server_id
+        }) {
+            server.breaker.advance(now);
+            let is_silent = server.is_silent(now);
+            let heard_at = server.last_bytes_at();
+            others.heard_at = others.heard_at.max(heard_at);
+            others.speaking_count +=
+                usize::from(heard_at.is_some_and(|at| now.saturating_sub(at) < SILENT_TIME));
+            others.silent_count += usize::from(is_silent);
+            others.has_substitute |= !is_silent
+                && server.may_take(requirements, now)
+                && server.breaker.allows_attempt()
+                && (server.accepts_requests() || server.is_ending_recently(ending_use_time, now));
+        }
+        others
+    }
+
     /// Returns the listing of another server that accepts requests; at best one that this VM has heard
     /// from last.
     pub fn another_server(&self, server_id: &str) -> Option<&ServerListing> {
@@ -514,6 +543,10 @@
         if usable.iter().any(|server| server.is_responsive(now)) {
             usable.retain(|server| server.is_responsive(now));
         }
+        // The server before may have been given up for its silence.
+        if !requirements.excluded.is_empty() && usable.iter().any(|server| !server.is_silent(now)) {
+            usable.retain(|server| !server.is_silent(now));
+        }
         let preferred = requirements.prefix_id.as_deref().and_then(|prefix_id| {
             choose_owner(prefix_id, usable.iter().map(|server| server.listing.id.as_str()))
         });
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -5,6 +5,7 @@
 use super::Uptime;
 use super::server_directory::ServerRequirements;
 use super::server_listing::ServerListing;
+use super::server_silence::SILENT_TIME;
 use crate::routing::circuit_breaker::{AttemptVerdict, CircuitBreaker};
 use crate::routing::server_limit::ServerLimit;
 
@@ -95,6 +96,7 @@
     other_vms_request_count: f64,
     reported_at: Uptime,
     last_activity_at: Uptime,
+    last_bytes_at: Option<Uptime>,
     failure_rate: f64,
     failure_rate_at: Uptime,
 }
@@ -123,6 +125,7 @@
             other_vms_request_count: 0.0,
             reported_at: Uptime::ZERO,
             last_activity_at: now,
+            last_bytes_at: None,
             failure_rate: 0.0,
             failure_rate_at: now,
         }
@@ -265,11 +268,22 @@
         self.breaker.begin_attempt();
     }
 
-    /// Returns when bytes of the server arrived last.
-    pub(super) fn last_activity_at(&self) -> Uptime {
+    /// Returns when bytes of the server arrived last, or it got a request while it had none.
+    pub fn last_activity_at(&self) -> Uptime {
         self.last_activity_at
     }
 
+    /// Returns when bytes of the server arrived last; `None` if none did.
+    pub(super) fn last_bytes_at(&self) -> Option<Uptime> {
+        self.last_bytes_at
+    }
+
+    /// Returns whether the server has requests in progress and has sent nothing for
+    /// [`SILENT_TIME`].
+    pub(super) fn is_silent(&self, now: Uptime) -> bool {
+        self.unresponsive_time(now) >= SILENT_TIME
+    }
+
     /// Forgets failures of attempts that were due to the path of this VM.
     pub(super) fn forget_failures(&mut self) {
         self.breaker = CircuitBreaker::default();
@@ -279,6 +293,7 @@
 
     pub(super) fn record_activity(&mut self, now: Uptime) {
         self.last_activity_at = now;
+        self.last_bytes_at = Some(now);
     }
 
     /// Records that the response of an attempt started, or that there is none.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod server_directory;
 mod server_limit_over_vms;
 mod server_paths;
+mod server_silence;
 mod simulated_fleet;
 mod simulated_fleet_properties;
 mod stream_origins;
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -35,6 +35,7 @@
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt, wait_until_unresponsive};
 use super::share_crashes::{record_answer, record_going_on};
 use super::share_stream_origin::record_origin;
+use super::silence_limit::SilenceLimit;
 use super::token_reservation::TokenReservation;
 use crate::util::http_response::delimit_by_close;
 use crate::util::streamed_body::BodySender;
@@ -69,6 +70,15 @@
     pub has_ended: bool,
 }
 
+/// Why a stream has no first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoFirstEvent {
+    /// The server is silent; the retry is already counted.
+    ServerSilent,
+    /// It failed for this reason.
+    Failed(&'static str),
+}
+
 /// Reads a stream up to its first complete event.
 ///
 /// # Errors
@@ -79,18 +89,18 @@
     context: &Arc<GatewayContext>,
     request: &RequestContext,
     mut started: StartedResponse,
-    unresponsive_timeout: Option<Duration>,
-) -> Result<StartedStream, &'static str> {
+    silence_limit: Option<&SilenceLimit>,
+) -> Result<StartedStream, NoFirstEvent> {
     let mut splitter = EventSplitter::default();
     loop {
         let frame = tokio::select! {
             frame = started.response.body_mut().frame() => frame,
             () = tokio::time::sleep_until(context.instant(request.deadline)) => {
-                return Err("no event before the deadline");
+                return Err(NoFirstEvent::Failed("no event before the deadline"));
             }
-            () = wait_until_unresponsive(context, &started.slot, unresponsive_timeout) => {
+            () = wait_until_unresponsive(context, request, &started.slot, silence_limit) => {
                 started.slot.set_failed();
-                return Err("server is silent");
+                return Err(NoFirstEvent::ServerSilent);
             }
         };
         match frame {
@@ -133,14 +143,14 @@
     started: &mut StartedResponse,
     reason: &'static str,
     error: &dyn fmt::Display,
-) -> &'static str {
+) -> NoFirstEvent {
     log::info!(
         id = request.id(), server = started.slot.server_id(),
         framing = started.framing.as_str(), reason = reason, error:% = error;
         "stream broken off before its first event"
     );
     started.slot.set_failed();
-    reason
+    NoFirstEvent::Failed(reason)
 }
 
 /// Forwards a stream in a separate task and returns the response that the task writes to.
@@ -188,14 +198,27 @@
     Ended,
     /// The connection ended before the stream did.
     ConnectionLost(&'static str),
-    /// The server is unresponsive or violates the format.
+    /// The server violates the format.
     Failed(&'static str),
+    /// The server is silent; the retry is already counted.
+    ServerSilent,
     /// The caller disconnected.
     CallerDisconnected,
     /// The deadline passed.
     DeadlineExceeded,
 }
 
+impl SegmentEnd {
+    /// Returns the reason for which another server has to continue the stream.
+    fn failure(&self) -> Option<&'static str> {
+        match self {
+            Self::Failed(reason) | Self::ConnectionLost(reason) => Some(reason),
+            Self::ServerSilent => Some("server is silent"),
+            Self::Ended | Self::CallerDisconnected | Self::DeadlineExceeded => None,
+        }
+    }
+}
+
 struct EventForwarder {
     in_progress: TaskTrackerToken,
     context: Arc<GatewayContext>,
@@ -221,7 +244,7 @@
         } else {
             self.forward_segment(&mut started).await
         };
-        while let SegmentEnd::Failed(reason) | SegmentEnd::ConnectionLost(reason) = end {
+        while let Some(reason) = end.failure() {
             log::info!(
                 id = self.request.id(), server = started.slot.server_id(), reason = reason,
                 framing = started.framing.as_str(),
@@ -234,7 +257,8 @@
             started.slot.set_failed();
             let failed_server_id = started.slot.server_id().to_owned();
             drop(started);
-            let Some(next) = self.resume(failed_server_id).await else {
+            let is_retry_counted = matches!(end, SegmentEnd::ServerSilent);
+            let Some(next) = self.resume(failed_server_id, is_retry_counted).await else {
                 metrics::counter!("sassafrashoist_streams_broken_total").increment(1);
                 return;
             };
@@ -274,15 +298,28 @@
             SegmentEnd::DeadlineExceeded => {
                 log::info!(id = self.request.id(); "stream cut at the deadline");
             }
-            SegmentEnd::Failed(_) | SegmentEnd::ConnectionLost(_) => {}
+            SegmentEnd::Failed(_) | SegmentEnd::ServerSilent | SegmentEnd::ConnectionLost(_) => {}
         }
         drop(self.in_progress);
     }
 
+    /// Returns when the stream leaves a silent server; `None` if no other server may continue it.
+    fn silence_limit(&self, server_id: &str) -> Option<SilenceLimit> {
+        let ResumedStream { origin, began_at } = self.origin.as_ref()?;
+        let may_resume = self.counts.sent < MAX_SERVERS_TRIED
+            && self.counts.allows_run(&self.request)
+            && !self.context.lock_servers().is_origin_doubtful(origin, *began_at);
+        may_resume.then(|| {
+            let mut requirements = self.request.server_requirements();
+            requirements.software_version = Some(origin.software_version.clone());
+            requirements.excluded.push(server_id.to_owned());
+            SilenceLimit { timeout: STREAM_UNRESPONSIVE_TIMEOUT, requirements }
+        })
+    }
+
     /// Forwards the events that one server sends until the segment ends.
     async fn forward_segment(&mut self, started: &mut StartedResponse) -> SegmentEnd {
-        let unresponsive_timeout =
-            self.counts.allows_run(&self.request).then_some(STREAM_UNRESPONSIVE_TIMEOUT);
+        let silence_limit = self.silence_limit(started.slot.server_id());
         let earlier_bytes = self.forwarded_bytes;
         let mut reported_at = self.context.now();
         loop {
@@ -302,8 +339,10 @@
                 () = tokio::time::sleep_until(self.context.instant(self.request.deadline)) => {
                     return SegmentEnd::DeadlineExceeded;
                 }
-                () = wait_until_unresponsive(&self.context, slot, unresponsive_timeout) => {
-                    return SegmentEnd::Failed("server is silent");
+                () = wait_until_unresponsive(
+                    &self.context, &self.request, slot, silence_limit.as_ref(),
+                ) => {
+                    return SegmentEnd::ServerSilent;
                 }
             };
             match frame {
@@ -394,7 +433,13 @@
     }
 
     /// Sends the request to another server, which continues after the last forwarded event.
-    async fn resume(&mut self, failed_server_id: BackendServerId) -> Option<StartedResponse> {
+    ///
+    /// `is_retry_counted` says whether the first attempt is already counted as a retry.
+    async fn resume(
+        &mut self,
+        failed_server_id: BackendServerId,
+        mut is_retry_counted: bool,
+    ) -> Option<StartedResponse> {
         let ResumedStream { origin, began_at } = self.origin.clone()?;
         if self.context.lock_servers().is_origin_doubtful(&origin, began_at) {
             return None;
@@ -412,7 +457,8 @@
         let mut last_server_id = failed_server_id;
         while self.counts.sent < MAX_SERVERS_TRIED
             && self.counts.allows_run(&self.request)
-            && self.context.try_retry(&self.request.pool_id)
+            && (std::mem::take(&mut is_retry_counted)
+                || self.context.try_retry(&self.request.pool_id))
         {
             let admitted = tokio::select! {
                 admitted =
@@ -439,15 +485,16 @@
                 last_event = self.sequence.last_id().unwrap_or("-");
                 "stream resumed"
             );
-            let unresponsive_timeout = self
-                .counts
-                .allows_another_run(&self.request)
-                .then(|| initial_unresponsive_timeout(&self.request, &chosen));
+            let silence_limit =
+                self.counts.allows_another_run(&self.request).then(|| SilenceLimit {
+                    timeout: initial_unresponsive_timeout(&self.request, &chosen),
+                    requirements: requirements.clone(),
+                });
             let last_id = self.sequence.last_id().map(str::to_owned);
             let event_id = last_id.or_else(|| self.request.caller.last_event_id.clone());
             let start = tokio::select! {
                 start = send_attempt(
-                    &self.context, &self.request, chosen, trial, event_id, unresponsive_timeout,
+                    &self.context, &self.request, chosen, trial, event_id, silence_limit.as_ref(),
                 ) => start,
                 () = self.sender.closed() => return None,
             };
@@ -469,6 +516,11 @@
                     last_server_id = server_id;
                     self.counts.may_have_run += 1;
                 }
+                AttemptStart::Silent => {
+                    last_server_id = server_id;
+                    is_retry_counted = true;
+                    self.counts.may_have_run += 1;
+                }
                 AttemptStart::Stopping => return None,
                 AttemptStart::NotReached | AttemptStart::NotRun(_) => {}
             }
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -11,6 +11,7 @@
 use sassafrashoist_core::gateway::config_sharing::ConfigSharing;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::drain_plan::DrainPlan;
+use sassafrashoist_core::gateway::line_limit::LineLimit;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::read_precedence::{ReadPrecedence, TopicRank};
@@ -38,6 +39,8 @@
 use super::share_config::MAX_SERVED_FETCHES;
 use super::token_book::TokenBook;
 
+/// The most lines a second about requests that wait for silent servers.
+const MAX_SILENCE_LINES_PER_S: u32 = 5;
 /// The retry slack of the fleet is divided by at least this number of VMs.
 const MIN_RETRY_VM_COUNT: usize = 8;
 /// Factor on the number of VMs in the ledger, because VMs that are not in it may retry as well.
@@ -65,6 +68,7 @@
     inquiries: Mutex<HashMap<BackendServerId, Inquiry>>,
     tokens: Mutex<TokenBook>,
     retries: Mutex<RetryLimiter>,
+    silence_lines: Mutex<LineLimit>,
     permits: Mutex<PermitBook>,
     streams: Mutex<StreamOrigins>,
     crashes: Mutex<CrashBook>,
@@ -135,6 +139,7 @@
             inquiries: Mutex::default(),
             tokens: Mutex::new(TokenBook::new(holding, issuers)),
             retries: Mutex::default(),
+            silence_lines: Mutex::new(LineLimit::new(MAX_SILENCE_LINES_PER_S)),
             permits: Mutex::default(),
             streams: Mutex::default(),
             crashes: Mutex::default(),
@@ -381,10 +386,9 @@
         issuers
     }
 
-    /// Returns how long a server has sent nothing to any request in progress; `None` if the server
-    /// is no longer in the directory.
-    pub fn unresponsive_time(&self, server_id: &str, now: Uptime) -> Option<Duration> {
-        Some(self.lock_servers().server(server_id)?.unresponsive_time(now))
+    /// Returns whether another line about a request that waits for a silent server is logged.
+    pub fn is_silence_logged(&self, now: Uptime) -> bool {
+        lock(&self.silence_lines).record(now).is_some()
     }
 
     /// Records that the whole server list was read.
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -98,6 +98,7 @@
 pub mod share_limit;
 pub mod share_rejections;
 pub mod share_stream_origin;
+pub mod silence_limit;
 pub mod stream_origin_messages;
 pub mod token_book;
 pub mod token_reservation;
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -14,7 +14,7 @@
 use sassafrashoist_platform::response_framing::ResponseFraming;
 
 use super::choose_server::{NoServer, choose_server};
-use super::forward_events::{forward_events, read_first_event};
+use super::forward_events::{NoFirstEvent, forward_events, read_first_event};
 use super::gateway_context::GatewayContext;
 use super::isolate_suspects::admit_attempt;
 use super::report_server_end::report_lost_connection;
@@ -23,6 +23,7 @@
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt};
 use super::serve_request::Refusal;
 use super::share_crashes::record_answer;
+use super::silence_limit::SilenceLimit;
 use super::token_reservation::TokenReservation;
 use crate::util::http_response::delimit_by_close;
 use crate::util::streamed_body::BodySender;
@@ -35,6 +36,8 @@
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// The reason when this VM stops too soon for a request. Other VMs take it at once.
 pub const STOPPING: &str = "VM stops";
+/// The reason when a server that is silent was given up and no other served the request.
+const SERVER_SILENT: &str = "server is silent";
 /// The minimum time that a server must be unresponsive before a request that may run again is sent
 /// to another server.
 const MIN_UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -73,6 +76,7 @@
     pub fn allows_another_run(&self, request: &RequestContext) -> bool {
         request.route.repeatability.may_run_again()
             && self.may_have_run + 1 < request.route.max_attempts
+            && self.sent < MAX_SERVERS_TRIED
     }
 }
 
@@ -87,6 +91,7 @@
     let mut failure = "no server";
     let mut return_after = Duration::ZERO;
     let mut last_server_id: Option<BackendServerId> = None;
+    let mut is_retry_counted = false;
     while counts.sent < MAX_SERVERS_TRIED && counts.allows_run(&request) {
         if request.time_left(context.now()) < MIN_TIME_LEFT {
             failure = "deadline reached";
@@ -105,7 +110,8 @@
                 break;
             }
         };
-        if counts.delivered > 0 && !context.try_retry(&request.pool_id) {
+        let needs_retry = counts.delivered > 0 && !std::mem::take(&mut is_retry_counted);
+        if needs_retry && !context.try_retry(&request.pool_id) {
             log::info!(id = request.id(), pool = request.pool_id; "retry limit reached");
             break;
         }
@@ -122,14 +128,14 @@
         let server_id = chosen.listing.id.clone();
         requirements.excluded.push(server_id.clone());
         counts.sent += 1;
-        let unresponsive_timeout = counts
-            .allows_another_run(&request)
-            .then(|| initial_unresponsive_timeout(&request, &chosen));
+        let silence_limit = counts.allows_another_run(&request).then(|| SilenceLimit {
+            timeout: initial_unresponsive_timeout(&request, &chosen),
+            requirements: requirements.clone(),
+        });
+        let silence_limit = silence_limit.as_ref();
         let event_id = request.caller.last_event_id.clone();
         let started =
-            match send_attempt(&context, &request, chosen, trial, event_id, unresponsive_timeout)
-                .await
-            {
+            match send_attempt(&context, &request, chosen, trial, event_id, silence_limit).await {
                 AttemptStart::Served(started) => started,
                 AttemptStart::Failed(started) => {
                     counts.record_possible_run();
@@ -161,17 +167,29 @@
                     mark_may_have_run(&mut reservation);
                     continue;
                 }
+                AttemptStart::Silent => {
+                    last_server_id = Some(server_id);
+                    failure = SERVER_SILENT;
+                    is_retry_counted = true;
+                    counts.record_possible_run();
+                    mark_may_have_run(&mut reservation);
+                    continue;
+                }
             };
         last_server_id = Some(server_id);
         counts.record_possible_run();
         let is_stream =
             request.route.repeatability.is_stream() && started.response.status().is_success();
         if is_stream {
-            let first = read_first_event(&context, &request, started, unresponsive_timeout).await;
+            let first = read_first_event(&context, &request, started, silence_limit).await;
             mark_may_have_run(&mut reservation);
             match first {
                 Ok(first) => return forward_events(context, request, reservation, counts, first),
-                Err(reason) => failure = reason,
+                Err(NoFirstEvent::ServerSilent) => {
+                    failure = SERVER_SILENT;
+                    is_retry_counted = true;
+                }
+                Err(NoFirstEvent::Failed(reason)) => failure = reason,
             }
         } else {
             mark_may_have_run(&mut reservation);
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -11,6 +11,7 @@
 use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::gateway::server_directory::ServerChoice;
 use sassafrashoist_core::gateway::server_listing::ServerListing;
+use sassafrashoist_core::gateway::server_silence::{OtherServers, ServerSilence};
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
 use sassafrashoist_core::routing::server_limit::LimitStatement;
 use sassafrashoist_platform::response_framing::ResponseFraming;
@@ -25,6 +26,7 @@
 use super::request_context::RequestContext;
 use super::share_limit::start_reporting;
 use super::share_rejections::{record_brittle, record_rejection};
+use super::silence_limit::SilenceLimit;
 
 /// How long a connection of this VM may be silent when its path counts as lost. Old connections may
 /// live on while new ones do not open.
@@ -162,19 +164,20 @@
     NotRun(&'static str),
     /// There is no valid response, and the request may have run.
     Lost(&'static str),
+    /// Like `Lost`, as the server is silent; the retry is already counted.
+    Silent,
 }
 
 /// Sends a request to a server and waits for the response head, at most until the deadline.
 ///
-/// With `unresponsive_timeout`, the attempt also ends when the server has sent nothing to any
-/// request for that long.
+/// With `silence_limit`, the attempt also ends when the server has failed by its silence.
 pub async fn send_attempt(
     context: &Arc<GatewayContext>,
     request: &RequestContext,
     chosen: ServerChoice,
     trial: Option<Trial>,
     last_event_id: Option<String>,
-    unresponsive_timeout: Option<Duration>,
+    silence_limit: Option<&SilenceLimit>,
 ) -> AttemptStart {
     let mut slot = ServerSlot::new(Arc::clone(context), chosen, trial);
     let goes_on = request.is_resumable() && last_event_id.is_some();
@@ -232,9 +235,9 @@
         () = tokio::time::sleep_until(context.instant(request.deadline)) => {
             return AttemptStart::Lost("no answer before the deadline");
         }
-        () = wait_until_unresponsive(context, &slot, unresponsive_timeout) => {
+        () = wait_until_unresponsive(context, request, &slot, silence_limit) => {
             slot.set_failed();
-            return AttemptStart::Lost("server is silent");
+            return AttemptStart::Silent;
         }
     };
     let response = match result {
@@ -351,39 +354,70 @@
     start_reporting(context, server_id);
 }
 
-/// Completes when a server has sent nothing to any request for `unresponsive_timeout`; never if
-/// that is `None`.
+/// Completes when a request has waited in vain for bytes of a server that has failed by its silence,
+/// and may be retried; the retry is counted then. Never completes without a limit.
 ///
-/// A connection of this VM whose path is lost gets less time, and what the server sends through other
-/// VMs does not count for it.
+/// While the other servers are silent too, or none could take the request, it waits on. A connection
+/// of this VM whose path is lost gets less time, and what the server sends through other VMs does not
+/// count for it.
 pub async fn wait_until_unresponsive(
     context: &GatewayContext,
+    request: &RequestContext,
     slot: &ServerSlot,
-    unresponsive_timeout: Option<Duration>,
+    limit: Option<&SilenceLimit>,
 ) {
-    let Some(unresponsive_timeout) = unresponsive_timeout else {
+    let Some(limit) = limit else {
         return std::future::pending().await;
     };
+    let mut silence = ServerSilence::new(context.now());
+    let mut is_wait_recorded = false;
     loop {
+        tokio::time::sleep(UNRESPONSIVE_POLL_INTERVAL).await;
         let now = context.now();
+        let (active_at, others) = {
+            let mut servers = context.lock_servers();
+            let active_at = servers.server(slot.server_id()).map(|s| s.last_activity_at());
+            (active_at, servers.other_servers(slot.server_id(), &limit.requirements, now))
+        };
+        silence.update(active_at, &others, now);
         let silent_time = now.saturating_sub(slot.last_bytes_at);
-        if slot.relay_use.is_none()
+        let is_path_silent = slot.relay_use.is_none()
             && slot.has_lost_path()
-            && silent_time >= unresponsive_timeout.min(LOST_PATH_TIMEOUT)
+            && silent_time >= limit.timeout.min(LOST_PATH_TIMEOUT);
+        if (is_path_silent || silence.is_failure(limit.timeout, &others))
+            && context.try_retry(&request.pool_id)
         {
+            metrics::counter!("sassafrashoist_silent_servers_left_total").increment(1);
+            log_silence(request, slot, &silence, &others, "silent server given up");
             return;
         }
-        let unresponsive_time = context.unresponsive_time(slot.server_id(), now);
-        let waited = now.saturating_sub(slot.sent_at);
-        if waited >= unresponsive_timeout
-            && unresponsive_time.is_none_or(|time| time >= unresponsive_timeout)
-        {
-            return;
+        if !is_wait_recorded && silence.total() >= limit.timeout {
+            is_wait_recorded = true;
+            metrics::counter!("sassafrashoist_silent_server_waits_total").increment(1);
+            if context.is_silence_logged(now) {
+                log_silence(request, slot, &silence, &others, "waiting for a silent server");
+            }
         }
-        tokio::time::sleep(UNRESPONSIVE_POLL_INTERVAL).await;
     }
 }
 
+fn log_silence(
+    request: &RequestContext,
+    slot: &ServerSlot,
+    silence: &ServerSilence,
+    others: &OtherServers,
+    message: &str,
+) {
+    log::info!(
+        id = request.id(), server = slot.server_id(),
+        silent_ms = silence.total().as_millis() as u64,
+        while_others_spoke_ms = silence.while_others_spoke().as_millis() as u64,
+        others_speaking = others.speaking_count, others_silent = others.silent_count,
+        has_substitute = others.has_substitute, path_lost = slot.has_lost_path();
+        "{message}"
+    );
+}
+
 fn origin_form(uri: &Uri) -> Uri {
     uri.path_and_query().map_or_else(|| uri.clone(), |path| Uri::from(path.clone()))
 }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod served_connection;
 mod settings;
 mod shutdown;
+mod silent_servers;
 mod soak;
 mod token_book;
 mod truncated_heads;
