--- a/crates/sassafrashoist/tests/testsuite/memory_bounds.rs
+++ b/crates/sassafrashoist/tests/testsuite/memory_bounds.rs
@@ -13,8 +13,8 @@
 use sassafrashoist_platform_stand_in::raw_caller::RawCaller;
 use sassafrashoist_platform_stand_in::raw_server::{RawResponse, RawServer};
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, EVENT_INTERVAL, FleetPlan,
-    ROUTE_TIMEOUT, STATUS_PATH, StandInFleet, TOKENS_PER_EVENT,
+    BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, EVENT_INTERVAL, FleetPlan, ROUTE_TIMEOUT,
+    STATUS_PATH, StandInFleet, TOKENS_PER_EVENT,
 };
 use tokio::sync::Mutex;
 
