Refuse request bodies that do not fit into the memory, before they are read

Requests were admitted by their number, at 64 KiB each, whatever the length of their bodies, and a body was held twice while its pieces were joined.

A body takes its memory from the budget before it is read, if its length is known; one that does not fit is refused with 503 and Retry-After ("VM has no memory left for the body"), and one that is longer than maxBodyBytes with 413, without being read. A chunked body takes memory as it grows. A body is read into one buffer and not copied again.

--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -59,6 +59,7 @@
 pub mod gateway_context;
 pub mod held_bytes;
 pub mod held_splitter;
+pub mod held_vec;
 pub mod http_connection;
 pub mod isolate_suspects;
 pub mod issue_permit;
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Body;
 use sassafrashoist_adapter::request_headers::{CallerHeaders, single_host};
 use sassafrashoist_adapter::response_headers::encode_refusal;
 use sassafrashoist_core::gateway::Uptime;
@@ -18,6 +19,7 @@
 use super::disconnect_guard::DisconnectGuard;
 use super::find_stream_origin::{UnknownOrigin, find_stream_origin};
 use super::gateway_context::GatewayContext;
+use super::held_vec::HeldVec;
 use super::isolate_suspects::check_quarantine;
 use super::obtain_tokens::{NoTokens, WorstCase, obtain_tokens};
 use super::refuse_by_config::{RequestTarget, refuse_by_config};
@@ -291,26 +293,52 @@
     Ok(())
 }
 
+/// Reads the body of a request; refuses one that does not fit into the memory, before it is read if
+/// its length is known.
 async fn read_body(
     request: &RequestContext,
-    context: &GatewayContext,
+    context: &Arc<GatewayContext>,
     max_bytes: usize,
     body: RequestBody,
 ) -> Result<Bytes, Refusal> {
-    let read = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout_at(context.instant(request.deadline), read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::by_config(StatusCode::PAYLOAD_TOO_LARGE, "body is too long"))
-        }
-        Ok(Err(error)) => {
-            log::debug!(id = request.id(), error:% = error; "request body not read");
-            Err(Refusal::new(StatusCode::BAD_REQUEST, "body cannot be read"))
+    let length = body.size_hint().exact();
+    if length.is_some_and(|length| length > max_bytes as u64) {
+        return Err(too_long());
+    }
+    let mut held = HeldVec::new(context);
+    if length.is_some_and(|length| !held.try_reserve(length as usize)) {
+        return Err(no_memory());
+    }
+    let mut body = Limited::new(body, max_bytes);
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+                true => too_long(),
+                false => {
+                    log::debug!(id = request.id(), error:% = error; "request body not read");
+                    Refusal::new(StatusCode::BAD_REQUEST, "body cannot be read")
+                }
+            })?;
+            if frame.data_ref().is_some_and(|data| !held.try_extend(data)) {
+                return Err(no_memory());
+            }
         }
+        Ok(held.into_bytes())
+    };
+    match tokio::time::timeout_at(context.instant(request.deadline), read).await {
+        Ok(result) => result,
         Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body came too slowly")),
     }
 }
 
+fn too_long() -> Refusal {
+    Refusal::by_config(StatusCode::PAYLOAD_TOO_LARGE, "body is too long")
+}
+
+fn no_memory() -> Refusal {
+    Refusal::retry_later(FULL_RETRY_AFTER, "VM has no memory left for the body")
+}
+
 /// Reserves the tokens of a request; `None` if its account has no budget or it needs no tokens.
 async fn reserve(
     context: &Arc<GatewayContext>,
--- a/crates/sassafrashoist/tests/testsuite/memory_bounds.rs
+++ b/crates/sassafrashoist/tests/testsuite/memory_bounds.rs
@@ -1,7 +1,8 @@
-//! Tests of the memory of a gateway under bodies and events without end.
+//! Tests of the memory of a gateway under bodies and events without end, and under long request
+//! bodies.
 //!
-//! Each request was bounded, but not their sum: some hundred callers of a faulty server made the
-//! process exceed the memory of its VM, which ends all its requests.
+//! Each request was bounded, but not their sum: some hundred callers of a faulty server, or 17 callers
+//! with long bodies, made the process exceed the memory of its VM, which ends all its requests.
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -10,10 +11,11 @@
 use http::Method;
 use sassafrashoist_platform_stand_in::caller::CallerRequest;
 use sassafrashoist_platform_stand_in::endless_server::EndlessServer;
+use sassafrashoist_platform_stand_in::raw_answer::RawAnswer;
 use sassafrashoist_platform_stand_in::raw_caller::RawCaller;
 use sassafrashoist_platform_stand_in::raw_server::{RawResponse, RawServer};
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, EVENT_INTERVAL, FleetPlan,
+    BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, EVENT_INTERVAL, FleetPlan, IDLE_TIMEOUT,
     ROUTE_TIMEOUT, STATUS_PATH, StandInFleet, TOKENS_PER_EVENT,
 };
 use tokio::sync::Mutex;
@@ -26,6 +28,14 @@
 const MEMORY_BYTES: u64 = MEMORY_MB * 1_024 * 1_024;
 /// The memory that bodies and events hold.
 const HELD_GAUGE: &str = "sassafrashoist_held_body_bytes";
+/// The longest request body.
+const MAX_BODY_BYTES: usize = 4_194_304;
+/// The callers that send one at the same time.
+const LONG_BODY_COUNT: usize = 24;
+/// Time in which a request is refused whose length says that it does not fit.
+const REFUSAL_TIME: Duration = Duration::from_millis(300);
+/// How long these callers wait.
+const LONG_BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// The length of a long response.
 const LONG_RESPONSE_BYTES: usize = 32 * 1_024 * 1_024;
 /// The callers of a faulty server.
@@ -247,6 +257,103 @@
     assert!(peaks.iter().all(|peak_bytes| *peak_bytes < MEMORY_BYTES), "{peaks:?}");
 }
 
+/// Begins requests whose bodies have the longest length; returns those that are not refused at once,
+/// and the refusals.
+async fn begin_long_bodies(fleet: &StandInFleet) -> (Vec<RawCaller>, Vec<RawAnswer>) {
+    let (mut admitted, mut refusals) = (Vec::new(), Vec::new());
+    for index in 0..LONG_BODY_COUNT {
+        let mut caller = RawCaller::connect(fleet.gateways[0].caller_address).await.unwrap();
+        let body = vec![b'x'; MAX_BODY_BYTES].into();
+        let timeout = LONG_BODY_TIMEOUT;
+        let request = CallerRequest { body, timeout, ..status() }.encode(&format!("l{index}"));
+        let head_bytes = request.len() - MAX_BODY_BYTES;
+        caller.write(&request[..head_bytes]).await.unwrap();
+        match tokio::time::timeout(REFUSAL_TIME, caller.read_answer()).await {
+            Ok(refusal) => refusals.push(refusal),
+            Err(_) => admitted.push(caller),
+        }
+    }
+    (admitted, refusals)
+}
+
+async fn start_with_long_bodies(name: &str) -> StandInFleet {
+    let mut fleet = start(name, plan(0, 2)).await;
+    fleet.change_body_limit(MAX_BODY_BYTES);
+    fleet.change_timeouts(LONG_BODY_TIMEOUT, IDLE_TIMEOUT);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    fleet
+}
+
+// 17 callers with bodies of 4 MiB, each within the limit, made a VM of 110 MB end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn long_request_bodies_do_not_exceed_the_memory() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let fleet = start_with_long_bodies("request_bodies").await;
+    let (mut admitted, refusals) = begin_long_bodies(&fleet).await;
+
+    let mut answers = Vec::new();
+    let peak_bytes = watch_memory(&fleet, async {
+        let body = vec![b'x'; MAX_BODY_BYTES - 1];
+        for caller in &mut admitted {
+            caller.write(&body).await.unwrap();
+        }
+        for caller in &mut admitted {
+            caller.write(b"x").await.unwrap();
+        }
+        answers = join_all(admitted.iter_mut().map(RawCaller::read_answer)).await;
+    })
+    .await;
+
+    println!("{peak_bytes} {} {}", answers.len(), refusals.len());
+    assert!(peak_bytes < MEMORY_BYTES, "{peak_bytes}");
+    assert!(answers.len() >= 4, "{}", answers.len());
+    assert!(answers.iter().all(|answer| answer.status() == Some(200)), "{answers:?}");
+    for refusal in &refusals {
+        assert!(refusal.head.starts_with("HTTP/1.1 503 "), "{refusal:?}");
+        assert!(refusal.header("retry-after").is_some(), "{refusal:?}");
+    }
+    let body = vec![b'x'; MAX_BODY_BYTES].into();
+    let again = fleet.send(0, "again", &CallerRequest { body, ..bid() }).await.unwrap();
+    assert_eq!(again.status, 200, "{again:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn chunked_request_bodies_do_not_exceed_the_memory() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let fleet = start_with_long_bodies("chunked_requests").await;
+    let begin = |index: usize| {
+        let text = String::from_utf8(status().encode(&format!("c{index}"))).unwrap();
+        let (head, _) = text.split_once("Content-Length").unwrap();
+        format!("{head}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n", MAX_BODY_BYTES)
+    };
+
+    let mut statuses = Vec::new();
+    let peak_bytes = watch_memory(&fleet, async {
+        let body = vec![b'x'; MAX_BODY_BYTES];
+        let mut callers = Vec::new();
+        for index in 0..LONG_BODY_COUNT {
+            let mut caller = RawCaller::connect(fleet.gateways[0].caller_address).await.unwrap();
+            caller.write(begin(index).as_bytes()).await.unwrap();
+            // A refusal may end the connection.
+            caller.write(&body).await.ok();
+            callers.push(caller);
+        }
+        for caller in &mut callers {
+            caller.write(b"\r\n0\r\n\r\n").await.ok();
+        }
+        let answers = join_all(callers.iter_mut().map(RawCaller::read_answer)).await;
+        statuses = answers.iter().map(RawAnswer::status).collect();
+    })
+    .await;
+
+    println!("{peak_bytes} {statuses:?}");
+    assert!(peak_bytes < MEMORY_BYTES, "{peak_bytes}");
+    let served_count = statuses.iter().filter(|status| **status == Some(200)).count();
+    assert!(served_count >= 4, "{statuses:?}");
+    let other_count = statuses.iter().filter(|status| **status == Some(503)).count();
+    assert_eq!(served_count + other_count, LONG_BODY_COUNT, "{statuses:?}");
+}
+
 // The bounds must not cut sound responses.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn long_response_is_whole_for_a_fast_and_a_slow_caller() {
