--- a/crates/sassafrashoist-core/tests/testsuite/event_splitter.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/event_splitter.rs
@@ -98,3 +98,29 @@
 
     assert_eq!(found, [false, false, false, true]);
 }
+
+// Each event in the queue of a slow caller kept the whole buffer that it was split off from.
+#[test]
+fn buffer_of_a_long_event_is_not_kept() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&[b"data: ".as_slice(), &[b'x'; 100_000], b"\n\n"].concat());
+    let long_capacity = splitter.capacity();
+
+    let event = splitter.next_event().unwrap();
+    let rest = splitter.next_event();
+
+    assert_eq!((event.raw.len(), rest), (100_008, None));
+    assert!(long_capacity >= 100_008 && splitter.capacity() == 0, "{long_capacity}");
+}
+
+#[test]
+fn capacity_after_a_push_is_known_before_it() {
+    let mut splitter = EventSplitter::default();
+
+    for piece_bytes in [1, 10, 8_191, 3, 8_191, 8_191, 40_000] {
+        let expected = splitter.capacity_after(piece_bytes);
+        splitter.push(&vec![b'x'; piece_bytes]);
+
+        assert_eq!(splitter.capacity(), expected);
+    }
+}
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -269,6 +269,10 @@
         };
         slot.record_bytes();
         if buffered.len() + data.len() > MAX_BUFFERED_BYTES || !buffered.try_push(&data) {
+            log::info!(
+                id = request.id(), server = slot.server_id(), buffered_bytes = buffered.len();
+                "long response forwarded before it is complete"
+            );
             let (sender, response_body) = streamed_body(BODY_CHUNK_CAPACITY);
             let held_until_end = (connection, slot, context.requests.token());
             tokio::spawn(async move {
