Wait for a confirmed configuration in the test of a moved route

Trace: a read that returns a record confirms the configuration as of its call, up to 1 s before, and the next one only when it ends, 1 s later. In between it counts as doubtful from 1.5 s on, also on a sound VM, and a refusal by a doubtful configuration tells the caller to retry: that is right, a still newer version may lead back.

--- a/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
+++ b/crates/sassafrashoist/tests/testsuite/hushed_streams.rs
@@ -209,7 +209,8 @@
     tokio::time::sleep(PROPAGATION_TIME).await;
     let begun = begin_streams(&fleet).await;
     fleet.route_drafts_to(&[(OTHER_POOL, 1)]);
-    tokio::time::sleep(PROPAGATION_TIME).await;
+    // Until the read after that of the move has ended, a still newer configuration may exist.
+    tokio::time::sleep(PROPAGATION_TIME + MAX_READ_WAIT).await;
 
     let resumed = resume_streams(&fleet, CURRENT_TAKER, &begun, true).await;
 
