Give each test of silent servers a folder of its own

Two tests used the folder gateway/silent: the one that started later removed the settings and logs of the other, whose gateway was then not ready after 20 s (seen once in five runs of these tests beside load). No check changes.

--- a/crates/sassafrashoist/tests/testsuite/gateway.rs
+++ b/crates/sassafrashoist/tests/testsuite/gateway.rs
@@ -183,7 +183,7 @@
 
 #[tokio::test]
 async fn a_silent_server_does_not_hold_a_request_that_may_run_again() {
-    let fleet = start("silent", plan()).await;
+    let fleet = start("silent_service", plan()).await;
     fleet.plain_servers[0].set_fault(ServerFault::Unresponsive);
 
     for number in 0..4 {
