Stop reading servers that send bytes without end

Callers of all routes got no answers while a server sent interim responses, zeros in the size of a chunk or empty lines without end: the HTTP library parses all that it can read, a task that always finds bytes does not hand the thread back, and nothing ended the request before its deadline.

A reader beneath the library now counts the bytes since a head or data was handed over. It yields after 8 KiB of them, and fails after 64 KiB of a head, 256 interim responses, or 8 KiB between two parts of a body. The attempt ends as lost, the server's verdict is a failure, and the log line says what was sent. Ordinary messages are read as before: no limit applies after data, and the library's buffer begins with 8 KiB. It holds for servers, the log service, other VMs and connections through another VM.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 //! - [`stream_origins`], [`pool_versions`] and [`incarnation_check`]: the software version at which a
 //!   stream may go on, and whether a server still has it.
 //! - [`event_sequence`]: which events of a server go on with a stream of another.
+//! - [`framing_allowance`]: how much of what a server or caller sends may be no data.
 //! - [`crash_book`]: the requests that may crash backend servers; [`crash_trials`] and
 //!   [`recent_answers`]: which copy of one runs, and which requests are known not to. The rule itself
 //!   is [`quarantine`](crate::requests::quarantine), as on the router's own path.
@@ -55,6 +56,7 @@
 pub mod event_sequence;
 pub mod fleet_config;
 pub mod flow_rate;
+pub mod framing_allowance;
 pub mod hand_over;
 pub mod holder_record;
 pub mod holder_role;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod drain_plan;
 mod event_sequence;
 mod flow_rate;
+mod framing_allowance;
 mod growing_fleet;
 mod hand_over;
 mod incarnation_check;
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -12,7 +12,6 @@
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use sassafrashoist_adapter::response_headers::{encode_response, goes_on_with};
 use sassafrashoist_core::event_splitter::{EventSplitter, StreamEvent};
 use sassafrashoist_core::gateway::event_sequence::{EventCheck, EventSequence};
@@ -33,6 +32,7 @@
     AttemptCounts, MAX_SERVERS_TRIED, initial_unresponsive_timeout, record_response,
 };
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt, wait_until_unresponsive};
+use super::server_body::ServerBody;
 use super::share_crashes::{record_answer, record_going_on};
 use super::share_stream_origin::record_origin;
 use super::token_reservation::TokenReservation;
@@ -295,7 +295,7 @@
                 return SegmentEnd::Failed(EVENT_TOO_LONG);
             }
             let StartedResponse { response, slot, .. } = started;
-            let body: &mut Incoming = response.body_mut();
+            let body: &mut ServerBody = response.body_mut();
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.sender.closed() => return SegmentEnd::CallerDisconnected,
--- a/crates/sassafrashoist/src/gateway/http_connection.rs
+++ b/crates/sassafrashoist/src/gateway/http_connection.rs
@@ -3,6 +3,9 @@
 //! A connection to a backend server or another VM is not used again: bytes that a server sends after
 //! its response belong to no request, and a connection that was closed while it was idle never leaves
 //! a request in doubt.
+//!
+//! A server that sends bytes without end that are neither a response head nor data of the body is not
+//! read any more once its [`FramingMeter`] says so.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,15 +13,17 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::rt::{Read, Write};
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
+use sassafrashoist_core::gateway::framing_allowance::MAX_HEAD_BYTES;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-/// The longest response head.
-const MAX_HEAD_BYTES: usize = 65_536;
+use super::framing_meter::FramingMeter;
+use super::metered_stream::MeteredStream;
+use super::server_body::ServerBody;
 
 /// The error when no connection could be opened, so that nothing was sent.
 #[derive(Debug, thiserror::Error)]
@@ -41,6 +46,14 @@
         /// The cause.
         source: hyper::Error,
     },
+    /// The server sent bytes without end that are no response head, such as interim responses.
+    #[error("{address} sent {bytes} bytes without a response")]
+    Endless {
+        /// The server.
+        address: SocketAddr,
+        /// The bytes that were read.
+        bytes: usize,
+    },
     /// The server switched the protocol although the request did not ask for that.
     #[error("{address} switched the protocol unasked")]
     Switched {
@@ -55,6 +68,7 @@
     address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    meter: FramingMeter,
 }
 
 impl Connection {
@@ -71,7 +85,7 @@
             Err(_) => return Err(not_connected(format!("no response within {timeout:?}"))),
         };
         stream.set_nodelay(true).map_err(|error| not_connected(error.to_string()))?;
-        Self::over(address, TokioIo::new(stream)).await
+        Self::over(address, stream).await
     }
 
     /// Wraps an open connection to an address.
@@ -81,8 +95,10 @@
     /// Fails if the connection has ended.
     pub async fn over<T>(address: SocketAddr, io: T) -> Result<Self, NotConnected>
     where
-        T: Read + Write + Unpin + Send + 'static,
+        T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
+        let meter = FramingMeter::new(MAX_HEAD_BYTES);
+        let io = TokioIo::new(MeteredStream::new(io, meter.clone()));
         let (sender, connection) = http1::Builder::new()
             .preserve_header_case(true)
             .max_buf_size(MAX_HEAD_BYTES)
@@ -94,7 +110,7 @@
                 log::debug!(address:% = address, error:% = error; "connection ended");
             }
         });
-        Ok(Self { address, sender, driver })
+        Ok(Self { address, sender, driver, meter })
     }
 
     /// Returns whether another request can be sent. Bytes that arrive while none is in progress
@@ -112,7 +128,7 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, BrokenConnection> {
+    ) -> Result<Response<ServerBody>, BrokenConnection> {
         let response = self.send_upgrade(request).await?;
         // The HTTP library skips all other interim responses, but returns this one as if it were final.
         if response.status() == StatusCode::SWITCHING_PROTOCOLS {
@@ -128,12 +144,25 @@
     /// Fails when the connection ends or fails; the request may have been executed.
     pub async fn send_upgrade(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, BrokenConnection> {
-        let address = self.address;
-        let broken = |source| BrokenConnection::Failed { address, source };
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<ServerBody>, BrokenConnection> {
+        let (address, meter) = (self.address, self.meter.clone());
+        let interim_meter = meter.clone();
+        on_informational(&mut request, move |_| interim_meter.lock().record_interim());
+        meter.lock().expect_head();
+        let broken = |source| match meter.excess_bytes() {
+            Some(bytes) => BrokenConnection::Endless { address, bytes },
+            None => BrokenConnection::Failed { address, source },
+        };
         self.sender.ready().await.map_err(broken)?;
-        self.sender.send_request(request).await.map_err(broken)
+        let response = self.sender.send_request(request).await.map_err(broken)?;
+        let mut allowance = self.meter.lock();
+        allowance.record_head();
+        if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+            allowance.lift();
+        }
+        drop(allowance);
+        Ok(response.map(|body| ServerBody::new(body, meter)))
     }
 }
 
--- a/crates/sassafrashoist/src/gateway/open_relay.rs
+++ b/crates/sassafrashoist/src/gateway/open_relay.rs
@@ -9,6 +9,7 @@
 use http::header::{CONNECTION, HOST, UPGRADE};
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::rt::TokioIo;
 use sassafrashoist_core::gateway::server_listing::ServerListing;
 
 use super::gateway_context::GatewayContext;
@@ -73,7 +74,7 @@
     let response = connection.send_upgrade(request).await?;
     if response.status() == StatusCode::SWITCHING_PROTOCOLS {
         let upgraded = hyper::upgrade::on(response).await.wrap_err("failed to switch protocols")?;
-        return Ok(Ok(Connection::over(vm_address, upgraded).await?));
+        return Ok(Ok(Connection::over(vm_address, TokioIo::new(upgraded)).await?));
     }
     ensure!(response.status() == StatusCode::OK, "VM responded with status {}", response.status());
     let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect().await;
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -6,7 +6,6 @@
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use sassafrashoist_adapter::response_headers::encode_response;
 use sassafrashoist_core::gateway::server_directory::ServerChoice;
 use sassafrashoist_core::ids::BackendServerId;
@@ -22,6 +21,7 @@
 use super::response_body::{ResponseBody, body_of_unknown_length, full_response, streamed_body};
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt};
 use super::serve_request::Refusal;
+use super::server_body::ServerBody;
 use super::share_crashes::record_answer;
 use super::token_reservation::TokenReservation;
 use crate::util::http_response::delimit_by_close;
@@ -303,7 +303,7 @@
 }
 
 /// Forwards a long response body while it arrives.
-async fn forward_long_body(buffered: Bytes, mut body: Incoming, sender: BodySender) {
+async fn forward_long_body(buffered: Bytes, mut body: ServerBody, sender: BodySender) {
     let mut is_open = sender.send(buffered).await;
     while is_open {
         match body.frame().await {
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -5,7 +5,6 @@
 
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use sassafrashoist_adapter::request_headers::{AttemptHeaders, encode_attempt};
 use sassafrashoist_adapter::response_headers::{ResponseHead, ResponseKind};
 use sassafrashoist_core::gateway::Uptime;
@@ -23,6 +22,7 @@
 use super::relay_use::RelayUse;
 use super::report_server_end::report_lost_connection;
 use super::request_context::RequestContext;
+use super::server_body::ServerBody;
 use super::share_limit::start_reporting;
 use super::share_rejections::{record_brittle, record_rejection};
 
@@ -138,7 +138,7 @@
 #[derive(Debug)]
 pub struct StartedResponse {
     /// The head and body.
-    pub response: Response<Incoming>,
+    pub response: Response<ServerBody>,
     /// How the end of the body is marked.
     pub framing: ResponseFraming,
     /// The connection that the body arrives on.
@@ -255,7 +255,7 @@
 fn classify_response(
     context: &Arc<GatewayContext>,
     request: &RequestContext,
-    response: Response<Incoming>,
+    response: Response<ServerBody>,
     connection: Connection,
     mut slot: ServerSlot,
 ) -> AttemptStart {
--- a/crates/sassafrashoist/tests/testsuite/log_client.rs
+++ b/crates/sassafrashoist/tests/testsuite/log_client.rs
@@ -1,5 +1,6 @@
 //! Tests of the log service's connection, which is used for many calls.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use sassafrashoist::gateway::gateway_context::GatewayContext;
@@ -12,12 +13,16 @@
 
 /// Creates a client whose log service is a server.
 pub fn client_of(server: &RawServer) -> LogClient {
+    client_at(server.address)
+}
+
+/// Creates a client whose log service has this address.
+pub fn client_at(address: SocketAddr) -> LogClient {
     let settings = format!(
         "nodeName=vm-0\nzone=plateau\nip=127.0.0.1\nlistenersMap.http=127.0.0.1:1\n\
-         listenersMap.ready=127.0.0.1:2\nportRange=3,3\nprovider.address={}\n\
+         listenersMap.ready=127.0.0.1:2\nportRange=3,3\nprovider.address={address}\n\
          bounds.gracePeriodS=4\nbounds.drainTimeoutMs=2000\nbounds.retryBudgetRatio=0.2\n\
-         bounds.retryWindowS=10\nbounds.budgetSlack=100\nbounds.cacheWindowS=10\n",
-        server.address
+         bounds.retryWindowS=10\nbounds.budgetSlack=100\nbounds.cacheWindowS=10\n"
     );
     let settings = parse_vm_settings(&settings).unwrap();
     LogClient::new(GatewayContext::new(settings, CancellationToken::new()))
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod config_messages;
 mod config_sharing;
 mod drain;
+mod endless_bytes;
 mod gateway;
 mod late_in_grace;
 mod log_client;
