End streams whose server sends no new event

A server that repeats events, or sends comments or empty lines without end, kept its stream and the thread of the gateway until the deadline: repeated events are dropped without a wait, and each comment is sent by itself.

The segment now fails after 64 KiB without a new event; a short event counts as 128 bytes.

--- a/crates/sassafrashoist-core/src/gateway/event_sequence.rs
+++ b/crates/sassafrashoist-core/src/gateway/event_sequence.rs
@@ -87,7 +87,7 @@
 }
 
 /// Returns whether an event has no fields.
-fn is_comment(event: &StreamEvent) -> bool {
+pub fn is_comment(event: &StreamEvent) -> bool {
     let mut lines = event.raw.split(|byte| *byte == b'\n');
     lines.all(|line| matches!(line, [] | b"\r" | [b':', ..]))
 }
--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -25,7 +25,8 @@
 //! - [`stream_origins`], [`pool_versions`] and [`incarnation_check`]: the software version at which a
 //!   stream may go on, and whether a server still has it.
 //! - [`event_sequence`]: which events of a server go on with a stream of another.
-//! - [`framing_allowance`]: how much of what a server or caller sends may be no data.
+//! - [`framing_allowance`] and [`event_allowance`]: how much of what a server or caller sends may be no
+//!   data, and how much of a stream no new event.
 //! - [`crash_book`]: the requests that may crash backend servers; [`crash_trials`] and
 //!   [`recent_answers`]: which copy of one runs, and which requests are known not to. The rule itself
 //!   is [`quarantine`](crate::requests::quarantine), as on the router's own path.
@@ -53,6 +54,7 @@
 pub mod crash_trials;
 pub mod document_delta;
 pub mod drain_plan;
+pub mod event_allowance;
 pub mod event_sequence;
 pub mod fleet_config;
 pub mod flow_rate;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod crashes_over_vms;
 mod document_delta;
 mod drain_plan;
+mod event_allowance;
 mod event_sequence;
 mod flow_rate;
 mod framing_allowance;
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -14,7 +14,8 @@
 use http_body_util::BodyExt;
 use sassafrashoist_adapter::response_headers::{encode_response, goes_on_with};
 use sassafrashoist_core::event_splitter::{EventSplitter, StreamEvent};
-use sassafrashoist_core::gateway::event_sequence::{EventCheck, EventSequence};
+use sassafrashoist_core::gateway::event_allowance::EventAllowance;
+use sassafrashoist_core::gateway::event_sequence::{EventCheck, EventSequence, is_comment};
 use sassafrashoist_core::gateway::stream_origins::StreamOrigin;
 use sassafrashoist_core::ids::BackendServerId;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
@@ -55,6 +56,9 @@
 /// The reason of a failed attempt whose stream has an event without end.
 const EVENT_TOO_LONG: &str = "event too long";
 
+/// The reason of a failed attempt whose stream has comments or earlier events without end.
+const NO_NEW_EVENT: &str = "stream without a new event";
+
 /// The reason of a failed attempt whose stream has no framing and was closed before any event.
 const CLOSED_BEFORE_EVENT: &str = "stream closed before its first event";
 
@@ -174,6 +178,7 @@
         sender,
         caller_framing: started.framing,
         sequence: EventSequence::new(resumed_after.flatten()),
+        allowance: EventAllowance::default(),
         first_head,
         origin,
         forwarded_bytes: 0,
@@ -206,6 +211,7 @@
     sender: BodySender,
     caller_framing: ResponseFraming,
     sequence: EventSequence,
+    allowance: EventAllowance,
     /// The status and headers of the server that began the stream.
     first_head: (StatusCode, HeaderMap),
     /// Where the stream began; `None` if its software version is not certain.
@@ -241,6 +247,7 @@
             started = next;
             self.splitter = EventSplitter::default();
             self.sequence.begin_segment();
+            self.allowance = EventAllowance::default();
             end = self.forward_segment(&mut started).await;
         }
         match end {
@@ -356,10 +363,17 @@
     /// Forwards an event unless it is a duplicate or does not belong to the stream; returns how the
     /// segment ended if that ends it.
     async fn forward_event(&mut self, event: StreamEvent) -> Option<SegmentEnd> {
-        match self.sequence.check(&event) {
-            EventCheck::Forward => {}
-            EventCheck::Duplicate => return None,
-            EventCheck::Foreign(reason) => return Some(SegmentEnd::Failed(reason)),
+        let check = self.sequence.check(&event);
+        if let EventCheck::Foreign(reason) = check {
+            return Some(SegmentEnd::Failed(reason));
+        }
+        if check == EventCheck::Forward && !is_comment(&event) {
+            self.allowance.record_event();
+        } else if self.allowance.record_idle(event.raw.len(), self.context.now()) {
+            return Some(SegmentEnd::Failed(NO_NEW_EVENT));
+        }
+        if check == EventCheck::Duplicate {
+            return None;
         }
         if event.id.is_some()
             && let (Some(reservation), Some(tokens)) =
--- a/crates/sassafrashoist/tests/testsuite/endless_bytes.rs
+++ b/crates/sassafrashoist/tests/testsuite/endless_bytes.rs
@@ -12,7 +12,7 @@
 
 use http::Method;
 use sassafrashoist::gateway::send_message::send_message;
-use sassafrashoist_platform_stand_in::caller::{CallerRequest, CallerResponse, send};
+use sassafrashoist_platform_stand_in::caller::{BodyEnd, CallerRequest, CallerResponse, send};
 use sassafrashoist_platform_stand_in::endless_server::EndlessServer;
 use sassafrashoist_platform_stand_in::http_listener::PathFault;
 use sassafrashoist_platform_stand_in::raw_answer::AnswerEnd;
@@ -46,6 +46,8 @@
 
 const CHUNKED_HEAD: &str =
     "HTTP/1.1 200 OK\r\nupstream-signature: s\r\ntransfer-encoding: chunked\r\n\r\n";
+const UNFRAMED_HEAD: &str = "HTTP/1.1 200 OK\r\nupstream-signature: s\r\n\r\n";
+const FIRST_EVENT: &str = "id: 1\ndata: part 1\n\n";
 
 /// What faulty servers send without end.
 struct Case {
@@ -246,6 +248,29 @@
     .await;
 }
 
+/// Plays cases whose stream has begun, so that its response is aborted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn events_without_end_do_not_keep_a_gateway_busy() {
+    let no_event = "without a new event";
+    let cases = [
+        case("comments", &format!("{UNFRAMED_HEAD}{FIRST_EVENT}"), ": x\n\n", no_event),
+        case("no-events", &format!("{UNFRAMED_HEAD}{FIRST_EVENT}"), "\n\n", no_event),
+        case("comments-first", UNFRAMED_HEAD, ": x\n\n", no_event),
+        case("repeated", &format!("{UNFRAMED_HEAD}{FIRST_EVENT}"), FIRST_EVENT, no_event),
+        case("one-event", &format!("{UNFRAMED_HEAD}{FIRST_EVENT}"), "data: x\n", "event too long"),
+    ];
+    let fleet = start("events", plan()).await;
+    for case in cases {
+        let outcome = play(&fleet, &case).await;
+
+        outcome.others.assert_half(case.name);
+        assert!(outcome.longest() < GIVEN_UP_WITHIN, "{}: {:?}", case.name, outcome.longest());
+        let mut ends = outcome.exchanges.iter().map(|exchange| exchange.response.end);
+        assert!(!ends.any(|end| end == BodyEnd::Complete), "{}: a stream looks whole", case.name);
+        assert!(outcome.is_logged(case.logged), "{}: no line with {:?}", case.name, case.logged);
+    }
+}
+
 async fn start_plain(name: &str, plain_count: usize) -> StandInFleet {
     start(name, FleetPlan { plain_count, ..plan() }).await
 }
