Stop reading requests whose bodies have no end

Other callers got 0 of 244 answers while 64 callers sent zeros without end in the size of a chunk, and none of their connections ended.

--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -14,11 +14,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
+use sassafrashoist_core::gateway::framing_allowance::MAX_HEAD_BYTES;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use super::caller_stream::{CallerStream, ResetSwitch};
 use super::closing_signals::ClosingSignals;
+use super::framing_meter::FramingMeter;
+use super::metered_stream::MeteredStream;
 use super::open_connection::OpenConnection;
 use super::open_connections::OpenConnections;
 use super::request_body::RequestBody;
@@ -108,13 +111,17 @@
         return;
     }
     let reset_switch = ResetSwitch::default();
+    let meter = FramingMeter::new(policy.max_head_bytes.max(MAX_HEAD_BYTES));
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
-        let (open, reset_switch) = (&open, &reset_switch);
+        let (open, reset_switch, meter) = (&open, &reset_switch, &meter);
         open.record_request();
-        let response = handle(request.map(|body| RequestBody::new(body, open)));
+        let response = handle(request.map(|body| RequestBody::new(body, open, meter.clone())));
         async move {
             let response = response.await;
+            if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+                meter.lock().lift();
+            }
             // Such a response, or the bytes after it, may end with its connection.
             if caller_version == Version::HTTP_10
                 || response.version() == Version::HTTP_10
@@ -126,13 +133,14 @@
         }
     });
     let caller_stream = CallerStream::new(stream, Arc::clone(&open), reset_switch.clone());
+    let metered_stream = MeteredStream::new(caller_stream, meter.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The timer of the HTTP library runs from the end of the request before.
         .header_read_timeout(None)
         .max_buf_size(policy.max_head_bytes)
         .preserve_header_case(true)
-        .serve_connection(TokioIo::new(caller_stream), service)
+        .serve_connection(TokioIo::new(metered_stream), service)
         .with_upgrades();
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
@@ -159,6 +167,9 @@
             connection.await
         }
     };
+    if let Some(bytes) = meter.excess_bytes() {
+        log::info!(bytes = bytes; "connection closed: its caller sent neither a request nor data of one");
+    }
     if let Err(error) = result {
         log::debug!(error:% = error; "incoming connection ended with an error");
     }
--- a/crates/sassafrashoist/src/gateway/request_body.rs
+++ b/crates/sassafrashoist/src/gateway/request_body.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
+use super::framing_meter::FramingMeter;
 use super::open_connection::OpenConnection;
 
 /// The body of a request.
@@ -14,13 +15,15 @@
 pub struct RequestBody {
     body: Incoming,
     connection: Arc<OpenConnection>,
+    meter: FramingMeter,
 }
 
 impl RequestBody {
     /// Wraps the body of the request that was read on a connection.
-    pub fn new(body: Incoming, connection: &Arc<OpenConnection>) -> Self {
+    pub fn new(body: Incoming, connection: &Arc<OpenConnection>, meter: FramingMeter) -> Self {
         connection.record_body_unfinished(!body.is_end_stream());
-        Self { body, connection: Arc::clone(connection) }
+        meter.lock().record_head();
+        Self { body, connection: Arc::clone(connection), meter }
     }
 }
 
@@ -32,7 +35,18 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let Self { body, connection, meter } = &mut *self;
+        let mut allowance = meter.lock();
+        let frame = ready!(Pin::new(body).poll_frame(cx));
+        match &frame {
+            Some(Ok(_)) => allowance.record_data(),
+            // The rest of such a body is not read, as it may have no end.
+            Some(Err(_)) if allowance.excess_bytes().is_some() => {
+                connection.record_body_unfinished(false)
+            }
+            Some(Err(_)) | None => {}
+        }
+        drop(allowance);
         if frame.is_none() || self.body.is_end_stream() {
             self.connection.record_body_unfinished(false);
         }
@@ -47,3 +61,9 @@
         self.body.size_hint()
     }
 }
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        self.meter.lock().expect_head();
+    }
+}
--- a/crates/sassafrashoist/tests/testsuite/endless_bytes.rs
+++ b/crates/sassafrashoist/tests/testsuite/endless_bytes.rs
@@ -21,6 +21,8 @@
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
     API_KEY, BID_PATH, DRAFT_PATH, EVENT_INTERVAL, FleetPlan, HOST, STATUS_PATH, StandInFleet,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::log_client::client_at;
@@ -394,6 +396,45 @@
     assert!(answer.head.starts_with("HTTP/1.1 200"), "{}", answer.head);
 }
 
+/// Writes without end until the connection is closed; returns what was received meanwhile.
+async fn write_without_end(address: SocketAddr, start: String, pattern: &str) -> String {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    let chunk = pattern.repeat(16_384 / pattern.len()).into_bytes();
+    let writing = async {
+        if writer.write_all(start.as_bytes()).await.is_ok() {
+            while writer.write_all(&chunk).await.is_ok() {}
+        }
+    };
+    let mut received = Vec::new();
+    // A reset after the response is the end of the connection too.
+    let reading = async { reader.read_to_end(&mut received).await.ok() };
+    tokio::join!(writing, reading);
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_bodies_without_end_do_not_keep_a_gateway_busy() {
+    let fleet = start_plain("callers", 2).await;
+    let address = fleet.gateways[BESIDE].caller_address;
+    for (name, start, pattern) in
+        [("size", "", "0"), ("extension", "5;", "x"), ("trailer", "0\r\n", "a: b\r\n")]
+    {
+        let mut callers = JoinSet::new();
+        for caller in 0..FAULTY_CALLER_COUNT {
+            let head = chunked_request(&format!("{name}-{caller}"));
+            callers.spawn(write_without_end(address, format!("{head}{start}"), pattern));
+        }
+        let others = OtherAnswers::count(&fleet).await;
+        let ended_count = std::iter::from_fn(|| callers.try_join_next()).count();
+
+        println!("caller's {name}: {others:?}, {ended_count} connections ended");
+        others.assert_half(name);
+        assert_eq!(ended_count, FAULTY_CALLER_COUNT, "{name}");
+    }
+    assert!(fleet.gateways[0].read_log().unwrap().contains("its caller sent neither"));
+}
+
 /// Starts a server without end at the address of a path that is about to close.
 async fn replace_path(address: SocketAddr, start: &str, pattern: &str) -> EndlessServer {
     loop {
