--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -40,7 +40,6 @@
 //! Decisions are made in `sassafrashoist_core::gateway`; the platform's header names, paths and
 //! formats are in `sassafrashoist_adapter`.
 
-pub mod bounded_reads;
 pub mod buffered_body;
 pub mod caller_stream;
 pub mod check_server_list;
@@ -58,6 +57,7 @@
 pub mod follow_servers;
 pub mod follow_topic;
 pub mod forward_events;
+pub mod framing_meter;
 pub mod gateway_context;
 pub mod held_bytes;
 pub mod held_splitter;
@@ -69,6 +69,7 @@
 pub mod log_client;
 pub mod maintain_holding;
 pub mod memory_share;
+pub mod metered_stream;
 pub mod obtain_tokens;
 pub mod open_connection;
 pub mod open_connections;
@@ -101,6 +102,7 @@
 pub mod serve_readiness;
 pub mod serve_relay;
 pub mod serve_request;
+pub mod server_body;
 pub mod share_config;
 pub mod share_crashes;
 pub mod share_limit;
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use sassafrashoist_adapter::response_headers::encode_response;
 use sassafrashoist_core::gateway::server_directory::ServerChoice;
 use sassafrashoist_core::ids::BackendServerId;
@@ -23,6 +22,7 @@
 use super::response_body::{ResponseBody, body_of_unknown_length, streamed_body};
 use super::send_attempt::{AttemptStart, StartedResponse, send_attempt};
 use super::serve_request::Refusal;
+use super::server_body::ServerBody;
 use super::share_crashes::record_answer;
 use super::silence_limit::SilenceLimit;
 use super::token_reservation::TokenReservation;
@@ -332,7 +332,7 @@
 async fn forward_long_body(
     buffered: BufferedBody,
     data: Bytes,
-    mut body: Incoming,
+    mut body: ServerBody,
     sender: BodySender,
 ) {
     let (share, segments) = buffered.into_parts();
