Hold a long event once on its way to a slow caller

Found by reading: an event was copied out of the splitter and copied again for the queue of the caller, and the splitter kept its buffer, so that a long event was in memory three times while its caller did not read, and counted at most twice. The queue now takes the event itself, and the splitter drops a long buffer as soon as its last event is split off.

--- a/crates/sassafrashoist-core/src/event_splitter.rs
+++ b/crates/sassafrashoist-core/src/event_splitter.rs
@@ -67,6 +67,9 @@
         let raw = Bytes::copy_from_slice(&self.pending()[..end]);
         self.taken_bytes += end;
         self.searched_bytes = 0;
+        if self.pending().is_empty() {
+            self.discard_taken();
+        }
         let id =
             find_field(&raw, b"id:").map(|value| String::from_utf8_lossy(value).trim().to_owned());
         Some(StreamEvent { raw, id })
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -380,7 +380,7 @@
         }
         self.forwarded_bytes += event.raw.len();
         let deadline = self.context.instant(self.request.deadline);
-        let sending = async { self.sender.send(self.unread.hold(&event.raw).await).await };
+        let sending = async { self.sender.send(self.unread.hold(event.raw).await).await };
         match tokio::time::timeout_at(deadline, sending).await {
             Ok(true) => None,
             Ok(false) => Some(SegmentEnd::CallerDisconnected),
--- a/crates/sassafrashoist/src/gateway/held_bytes.rs
+++ b/crates/sassafrashoist/src/gateway/held_bytes.rs
@@ -2,19 +2,22 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
+
 use super::memory_share::MemoryShare;
 
 /// Bytes whose memory a share holds; dropping them returns it.
 #[derive(Debug)]
 pub struct HeldBytes {
-    data: Vec<u8>,
+    data: Bytes,
+    held_bytes: usize,
     share: Arc<MemoryShare>,
 }
 
 impl HeldBytes {
-    /// Wraps bytes whose whole capacity the share holds.
-    pub fn new(data: Vec<u8>, share: Arc<MemoryShare>) -> Self {
-        Self { data, share }
+    /// Wraps bytes for which the share holds `held_bytes`.
+    pub fn new(data: Bytes, held_bytes: usize, share: Arc<MemoryShare>) -> Self {
+        Self { data, held_bytes, share }
     }
 }
 
@@ -26,8 +29,7 @@
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
-        let held_bytes = self.data.capacity();
-        self.data = Vec::new();
-        self.share.release(held_bytes);
+        self.data = Bytes::new();
+        self.share.release(self.held_bytes);
     }
 }
--- a/crates/sassafrashoist/src/gateway/memory_share.rs
+++ b/crates/sassafrashoist/src/gateway/memory_share.rs
@@ -44,9 +44,9 @@
         is_held
     }
 
-    /// Copies bytes that are on their way to a caller; waits until enough of those before them are
-    /// sent.
-    pub async fn hold(self: &Arc<Self>, data: &[u8]) -> Bytes {
+    /// Wraps bytes that are on their way to a caller and keep no larger buffer; waits until enough of
+    /// those before them are sent.
+    pub async fn hold(self: &Arc<Self>, data: Bytes) -> Bytes {
         while !self.try_hold(data.len()) {
             if self.held_bytes.load(Ordering::Acquire) == 0 {
                 self.context.lock_memory().hold(data.len() as u64);
@@ -55,12 +55,14 @@
             }
             self.released.notified().await;
         }
-        self.wrap(data.to_vec())
+        let held_bytes = data.len();
+        Bytes::from_owner(HeldBytes::new(data, held_bytes, Arc::clone(self)))
     }
 
-    /// Wraps bytes that the share holds; it holds them until the last reference to them is dropped.
+    /// Wraps bytes whose capacity the share holds; it holds them until the last reference to them is dropped.
     pub fn wrap(self: &Arc<Self>, data: Vec<u8>) -> Bytes {
-        Bytes::from_owner(HeldBytes::new(data, Arc::clone(self)))
+        let held_bytes = data.capacity();
+        Bytes::from_owner(HeldBytes::new(Bytes::from(data), held_bytes, Arc::clone(self)))
     }
 
     /// Returns memory.
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -324,7 +324,8 @@
         }
     }
     let mut data = data;
-    while sender.send(share.hold(&data).await).await {
+    // A copy, as a piece keeps the whole buffer that it was read into.
+    while sender.send(share.hold(Bytes::copy_from_slice(&data)).await).await {
         data = loop {
             match body.frame().await {
                 Some(Ok(frame)) => {
