Look at the other servers of a pool only during a silence

Each request that waits walked all servers of its pool every 0.1 s, also while its server sent something; in a pool of hundreds of servers that takes the processor of a small VM. A server that was heard within the last interval is not silent, and the next check begins anew from its last byte.

--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -374,15 +374,21 @@
     loop {
         tokio::time::sleep(UNRESPONSIVE_POLL_INTERVAL).await;
         let now = context.now();
+        let has_lost_path = slot.has_lost_path();
         let (active_at, others) = {
             let mut servers = context.lock_servers();
             let active_at = servers.server(slot.server_id()).map(|s| s.last_activity_at());
+            let is_heard = active_at.is_some_and(|at| now < at + UNRESPONSIVE_POLL_INTERVAL);
+            if is_heard && !has_lost_path {
+                // Only a silence needs the state of all other servers.
+                continue;
+            }
             (active_at, servers.other_servers(slot.server_id(), &limit.requirements, now))
         };
         silence.update(active_at, &others, now);
         let silent_time = now.saturating_sub(slot.last_bytes_at);
         let is_path_silent = slot.relay_use.is_none()
-            && slot.has_lost_path()
+            && has_lost_path
             && silent_time >= limit.timeout.min(LOST_PATH_TIMEOUT);
         if (is_path_silent || silence.is_failure(limit.timeout, &others))
             && context.try_retry(&request.pool_id)
