--- a/crates/sassafrashoist-core/src/gateway/framing_allowance.rs
+++ b/crates/sassafrashoist-core/src/gateway/framing_allowance.rs
@@ -111,8 +111,9 @@
         self.turn_bytes = 0;
     }
 
-    /// Records that a head is to come next.
+    /// Records that a head is to come next. What was read of the message before may not have been taken.
     pub fn expect_head(&mut self) {
+        self.renew();
         self.is_in_body = false;
         self.is_blank = true;
         self.interim_count = 0;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/framing_allowance.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/framing_allowance.rs
@@ -119,6 +119,18 @@
     assert_eq!(allowance.excess_bytes(), Some(read_bytes));
 }
 
+// A request whose body is too long is answered before the rest of the body was taken.
+#[test]
+fn rest_of_a_body_that_nobody_takes_does_not_count_as_framing() {
+    let mut allowance = in_body();
+    allowance.record_data();
+    allowance.record_read(&vec![b'x'; 2 * MAX_BODY_FRAMING_BYTES]);
+
+    allowance.expect_head();
+
+    assert_ne!(allowance.next_step(), ReadStep::Stop);
+}
+
 #[test]
 fn each_message_of_a_connection_has_the_whole_allowance() {
     let mut allowance = in_head();
