Answer requests whose bodies are refused before they are read to their end

A caller whose body was too long got a closed connection in place of its 413: nobody took the rest of the body, so that it counted as framing, and the reader ended the connection before the response was written (gateway::what_no_configuration_allows_is_refused). The rest of a body that nobody takes is now read on with pauses, within the time for which a closed connection lingers. The allowance within a body is 32 KiB, four reads, as the HTTP library may read ahead of the one who takes the data.

--- a/crates/sassafrashoist-core/src/gateway/framing_allowance.rs
+++ b/crates/sassafrashoist-core/src/gateway/framing_allowance.rs
@@ -9,7 +9,7 @@
 /// The most interim responses before a response.
 pub const MAX_INTERIM_RESPONSES: usize = 256;
 /// The most bytes between two parts of the data of a body, and the most empty lines before a head.
-pub const MAX_BODY_FRAMING_BYTES: usize = 8_192;
+pub const MAX_BODY_FRAMING_BYTES: usize = 32_768;
 /// The most bytes without a head or data that are read before other tasks run, and the most that are
 /// read at once while none was handed over.
 pub const MAX_TURN_BYTES: usize = 8_192;
@@ -41,6 +41,8 @@
     /// Whether data was handed over since the last read.
     has_data: bool,
     is_lifted: bool,
+    /// Whether the rest of a body is discarded, so that no part of it is handed over.
+    is_discarding: bool,
     /// The bytes without a head or data after which the reader stopped, which is for good.
     excess_bytes: Option<usize>,
 }
@@ -57,6 +59,7 @@
             interim_count: 0,
             has_data: false,
             is_lifted: false,
+            is_discarding: false,
             excess_bytes: None,
         }
     }
@@ -98,6 +101,14 @@
     pub fn record_head(&mut self) {
         self.renew();
         self.is_in_body = true;
+        self.is_discarding = false;
+    }
+
+    /// Records that the rest of a body is not taken: the reader yields, but does not stop before the
+    /// response is written. The time to discard bytes is limited elsewhere.
+    pub fn discard_rest(&mut self) {
+        self.expect_head();
+        self.is_discarding = true;
     }
 
     /// Records that data was handed over.
@@ -131,7 +142,7 @@
         };
         let is_too_much =
             self.framing_bytes >= max_bytes || self.interim_count > MAX_INTERIM_RESPONSES;
-        is_too_much && !self.is_lifted
+        is_too_much && !self.is_lifted && !self.is_discarding
     }
 
     /// Returns the bytes without a head or data after which the reader stopped, if it did.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/framing_allowance.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/framing_allowance.rs
@@ -131,6 +131,21 @@
     assert_ne!(allowance.next_step(), ReadStep::Stop);
 }
 
+// A caller got no response when the rest of a body that was refused exceeded the allowance.
+#[test]
+fn rest_of_a_refused_body_is_read_on_with_pauses_until_the_next_head() {
+    let mut allowance = in_body();
+    allowance.discard_rest();
+    allowance.record_read(&vec![b'x'; 2 * MAX_HEAD_BYTES]);
+    let while_discarding = [allowance.next_step(), allowance.next_step()];
+
+    allowance.record_head();
+    allowance.record_read(&vec![b'x'; MAX_BODY_FRAMING_BYTES]);
+
+    assert_eq!(while_discarding, [ReadStep::Yield, ReadStep::ReadAtMost(MAX_TURN_BYTES)]);
+    assert_eq!(allowance.next_step(), ReadStep::Stop);
+}
+
 #[test]
 fn each_message_of_a_connection_has_the_whole_allowance() {
     let mut allowance = in_head();
--- a/crates/sassafrashoist/src/gateway/request_body.rs
+++ b/crates/sassafrashoist/src/gateway/request_body.rs
@@ -64,6 +64,6 @@
 
 impl Drop for RequestBody {
     fn drop(&mut self) {
-        self.meter.lock().expect_head();
+        self.meter.lock().discard_rest();
     }
 }
