Test callers that close their writing side after a request

A caller that sends its request and then closes its writing side gets a closed connection and no answer, in calm too: the HTTP library ends a connection when it reads the end of the stream, whatever is in progress.

--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod drain;
 mod endless_bytes;
 mod gateway;
+mod half_closed_callers;
 mod hushed_streams;
 mod late_in_grace;
 mod log_client;
