Answer callers that close their writing side after a request

A caller that sent its request and closed its writing side got a closed connection and no answer, in calm too, while a run that may happen at most once went on at its server.

Cause: the HTTP library ends a connection when it reads the end of the stream within a request; the end of what a caller sends was taken for its leaving. Without that, a caller that left would not be noticed, and its work would go on.

The library is now told to allow half-closed connections, and the gateway itself finds out who left: at the end of the stream it sends an interim response, which resets the connection of a caller that closed it and which HTTP lets any other ignore (core's caller_check.rs; the time between two of them doubles). Within a response and to callers of HTTP/1.0 none may be sent; there the next bytes of the response show it.

A next request is no longer read within the one before, so that it may lie unread when the connection is closed, which resets it: a connection with unread bytes now lingers as one whose body is not read to its end.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 pub mod allocator_vms;
 pub mod append_pacing;
 pub mod brittle_users;
+pub mod caller_check;
 pub mod clock_reading;
 pub mod config_age;
 pub mod config_announcement;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod allocator_vms;
 mod append_pacing;
 mod brittle_servers_over_vms;
+mod caller_check;
 mod config_age;
 mod config_readers;
 mod config_sharing;
--- a/crates/sassafrashoist/src/gateway/caller_stream.rs
+++ b/crates/sassafrashoist/src/gateway/caller_stream.rs
@@ -1,8 +1,9 @@
 //! The connection of a caller.
 //!
 //! A connection that is closed with unread bytes is reset, which can take the response with it. If a
-//! response ends the connection while the caller still sends the body of its request, the connection is
-//! therefore read until the caller closes it, at most for [`LINGER_TIME`].
+//! response ends the connection while the caller still sends the body of its request, or has sent more
+//! than was read, the connection is therefore read until the caller closes it, at most for
+//! [`LINGER_TIME`].
 //!
 //! A response without length or chunks is complete for its caller when its connection is closed
 //! properly. While such a response is in progress, the connection is set to be reset when it is
@@ -17,9 +18,9 @@
 
 use rustix::net::sockopt::set_socket_linger;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+use super::caller_socket::CallerSocket;
 use super::open_connection::OpenConnection;
 
 /// How long a connection is read after its last response.
@@ -45,7 +46,7 @@
 /// The connection of a caller.
 #[derive(Debug)]
 pub struct CallerStream {
-    tcp: TcpStream,
+    socket: CallerSocket,
     connection: Arc<OpenConnection>,
     reset_switch: ResetSwitch,
     resets_when_dropped: bool,
@@ -55,14 +56,18 @@
 
 impl CallerStream {
     /// Wraps an accepted connection.
-    pub fn new(tcp: TcpStream, connection: Arc<OpenConnection>, reset_switch: ResetSwitch) -> Self {
-        Self { tcp, connection, reset_switch, resets_when_dropped: false, linger_end: None }
+    pub fn new(
+        socket: CallerSocket,
+        connection: Arc<OpenConnection>,
+        reset_switch: ResetSwitch,
+    ) -> Self {
+        Self { socket, connection, reset_switch, resets_when_dropped: false, linger_end: None }
     }
 
     fn set_reset_when_dropped(&mut self, resets: bool) {
         // A connection that is closed with a linger time of zero is reset.
         let linger = resets.then_some(Duration::ZERO);
-        if let Err(error) = set_socket_linger(&self.tcp, linger) {
+        if let Err(error) = set_socket_linger(&*self.socket.lock(), linger) {
             log::warn!(error:% = error; "failed to set how a caller's connection ends");
         }
         self.resets_when_dropped = resets;
@@ -76,7 +81,7 @@
                 return Poll::Ready(());
             }
             let mut buffer = ReadBuf::new(&mut chunk);
-            match ready!(Pin::new(&mut self.tcp).poll_read(cx, &mut buffer)) {
+            match ready!(Pin::new(&mut *self.socket.lock()).poll_read(cx, &mut buffer)) {
                 Ok(()) if !buffer.filled().is_empty() => {}
                 // The caller has closed the connection, or it has failed.
                 Ok(()) | Err(_) => return Poll::Ready(()),
@@ -84,6 +89,13 @@
         }
     }
 
+    /// Returns whether the caller has sent bytes that were not read.
+    fn has_unread_bytes(&self, cx: &mut Context<'_>) -> bool {
+        let mut byte = [0];
+        let peeked = self.socket.lock().poll_peek(cx, &mut ReadBuf::new(&mut byte));
+        matches!(peeked, Poll::Ready(Ok(1..)))
+    }
+
     fn apply_reset_switch(&mut self) {
         if self.reset_switch.is_on() && !self.resets_when_dropped {
             self.set_reset_when_dropped(true);
@@ -93,12 +105,12 @@
 
 impl AsyncRead for CallerStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let earlier_bytes = buffer.filled().len();
-        let result = Pin::new(&mut self.tcp).poll_read(cx, buffer);
+        let result = Pin::new(&mut *self.socket.lock()).poll_read(cx, buffer);
         self.connection.record_read(&buffer.filled()[earlier_bytes..]);
         result
     }
@@ -111,7 +123,8 @@
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.apply_reset_switch();
-        Pin::new(&mut self.tcp).poll_write(cx, data)
+        self.connection.record_write();
+        Pin::new(&mut *self.socket.lock()).poll_write(cx, data)
     }
 
     fn poll_write_vectored(
@@ -120,17 +133,18 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.apply_reset_switch();
-        Pin::new(&mut self.tcp).poll_write_vectored(cx, buffers)
+        self.connection.record_write();
+        Pin::new(&mut *self.socket.lock()).poll_write_vectored(cx, buffers)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.tcp.is_write_vectored()
+        self.socket.lock().is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // The HTTP library flushes once it has written all that it has buffered.
         self.connection.record_written();
-        Pin::new(&mut self.tcp).poll_flush(cx)
+        Pin::new(&mut *self.socket.lock()).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -140,8 +154,8 @@
         let mut linger_end = match self.linger_end.take() {
             Some(linger_end) => linger_end,
             None => {
-                ready!(Pin::new(&mut self.tcp).poll_shutdown(cx))?;
-                if !self.connection.is_body_unfinished() {
+                ready!(Pin::new(&mut *self.socket.lock()).poll_shutdown(cx))?;
+                if !self.connection.is_body_unfinished() && !self.has_unread_bytes(cx) {
                     return Poll::Ready(Ok(()));
                 }
                 Box::pin(tokio::time::sleep(LINGER_TIME))
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use super::caller_socket::CallerSocket;
 use super::caller_stream::{CallerStream, ResetSwitch};
 use super::closing_signals::ClosingSignals;
 use super::framing_meter::FramingMeter;
@@ -27,6 +28,7 @@
 use super::request_body::RequestBody;
 use super::response_body::ResponseBody;
 use super::tracked_body::TrackedBody;
+use super::watch_caller::wait_until_caller_left;
 
 /// Delay after a failed accept, which usually means that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -115,10 +117,11 @@
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
         let (open, reset_switch, meter) = (&open, &reset_switch, &meter);
-        open.record_request();
+        open.record_request(caller_version);
         let response = handle(request.map(|body| RequestBody::new(body, open, meter.clone())));
         async move {
             let response = response.await;
+            open.record_response_start();
             if response.status() == StatusCode::SWITCHING_PROTOCOLS {
                 meter.lock().lift();
             }
@@ -132,39 +135,49 @@
             Ok::<_, Infallible>(TrackedBody::wrap(response, open))
         }
     });
-    let caller_stream = CallerStream::new(stream, Arc::clone(&open), reset_switch.clone());
+    let socket = CallerSocket::new(stream);
+    let caller_stream = CallerStream::new(socket.clone(), Arc::clone(&open), reset_switch.clone());
     let metered_stream = MeteredStream::new(caller_stream, meter.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The timer of the HTTP library runs from the end of the request before.
         .header_read_timeout(None)
+        .half_close(true)
         .max_buf_size(policy.max_head_bytes)
         .preserve_header_case(true)
         .serve_connection(TokioIo::new(metered_stream), service)
         .with_upgrades();
     let mut connection = std::pin::pin!(connection);
-    let result = tokio::select! {
-        biased;
-        result = connection.as_mut() => result,
-        () = wait_for_stalled_head(&policy.closing, &open) => {
-            log::info!("connection closed: the head of a request stalled while this VM stops");
-            return;
-        }
-        phase = wait_until_overdue(&policy, &open) => {
-            if phase == ConnectionPhase::ReadingHead {
-                log::info!("connection closed: the head of a request took too long");
-                return;
+    let served = async {
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => return result,
+            () = wait_for_stalled_head(&policy.closing, &open) => {
+                log::info!("connection closed: the head of a request stalled while this VM stops");
+                return Ok(());
             }
-            open.record_closing();
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-        () = wait_until_closing(&policy.closing, &open) => {
-            if matches!(open.phase(), ConnectionPhase::Opened | ConnectionPhase::Idle) {
+            phase = wait_until_overdue(&policy, &open) => {
+                if phase == ConnectionPhase::ReadingHead {
+                    log::info!("connection closed: the head of a request took too long");
+                    return Ok(());
+                }
                 open.record_closing();
             }
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            () = wait_until_closing(&policy.closing, &open) => {
+                if matches!(open.phase(), ConnectionPhase::Opened | ConnectionPhase::Idle) {
+                    open.record_closing();
+                }
+            }
+        }
+        connection.as_mut().graceful_shutdown();
+        connection.await
+    };
+    let result = tokio::select! {
+        biased;
+        result = served => result,
+        error = wait_until_caller_left(&socket, &open) => {
+            log::debug!(error:% = error; "connection closed: its caller left within a request");
+            return;
         }
     };
     if let Some(bytes) = meter.excess_bytes() {
@@ -220,7 +233,7 @@
 
 /// Waits while a condition on the phase of a connection holds. The phase changes only while the
 /// connection is polled, which wakes this future too, as both are polled by one task.
-async fn wait_while(condition: impl Fn() -> bool) {
+pub(super) async fn wait_while(condition: impl Fn() -> bool) {
     let poll = |_: &mut Context<'_>| match condition() {
         true => Poll::Pending,
         false => Poll::Ready(()),
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 //! formats are in `sassafrashoist_adapter`.
 
 pub mod buffered_body;
+pub mod caller_socket;
 pub mod caller_stream;
 pub mod check_server_list;
 pub mod choose_server;
@@ -116,3 +117,4 @@
 pub mod topic_reader;
 pub mod tracked_body;
 pub mod transfer_tokens;
+pub mod watch_caller;
--- a/crates/sassafrashoist/src/gateway/open_connection.rs
+++ b/crates/sassafrashoist/src/gateway/open_connection.rs
@@ -3,6 +3,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
+use http::Version;
+use sassafrashoist_core::gateway::caller_check::ResponseProgress;
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
@@ -18,6 +20,8 @@
     phase: Mutex<ConnectionPhase>,
     change_count: AtomicU64,
     is_body_unfinished: AtomicBool,
+    is_interim_allowed: AtomicBool,
+    has_unwritten_bytes: AtomicBool,
     _open: TaskTrackerToken,
 }
 
@@ -28,6 +32,8 @@
             phase: Mutex::new(ConnectionPhase::Opened),
             change_count: AtomicU64::new(0),
             is_body_unfinished: AtomicBool::new(false),
+            is_interim_allowed: AtomicBool::new(false),
+            has_unwritten_bytes: AtomicBool::new(false),
             _open: open,
         }
     }
@@ -54,11 +60,33 @@
         }
     }
 
-    /// Records that the head of a request was read.
-    pub fn record_request(&self) {
+    /// Records that the head of a request was read, whose caller uses this version of HTTP.
+    pub fn record_request(&self, version: Version) {
+        self.is_interim_allowed.store(version == Version::HTTP_11, Ordering::Release);
         self.set_phase(ConnectionPhase::InRequest);
     }
 
+    /// Records that the response of the newest request has started.
+    pub fn record_response_start(&self) {
+        self.is_interim_allowed.store(false, Ordering::Release);
+    }
+
+    /// Returns whether a request was read to its end, and a part of its response is still to come.
+    pub fn awaits_response(&self) -> bool {
+        let is_in_request =
+            matches!(self.phase(), ConnectionPhase::InRequest | ConnectionPhase::WritingResponse);
+        is_in_request && !self.is_body_unfinished()
+    }
+
+    /// Returns whether an interim response may be sent now.
+    pub fn response_progress(&self) -> ResponseProgress {
+        let has_unwritten_bytes = self.has_unwritten_bytes.load(Ordering::Acquire);
+        match self.is_interim_allowed.load(Ordering::Acquire) && !has_unwritten_bytes {
+            true => ResponseProgress::NotStarted,
+            false => ResponseProgress::NoInterimAllowed,
+        }
+    }
+
     /// Records whether a part of the body of the newest request has not been read yet.
     pub fn record_body_unfinished(&self, is_unfinished: bool) {
         self.is_body_unfinished.store(is_unfinished, Ordering::Release);
@@ -76,8 +104,14 @@
         }
     }
 
+    /// Records that the HTTP library writes bytes, of which a part may be left in its buffer.
+    pub fn record_write(&self) {
+        self.has_unwritten_bytes.store(true, Ordering::Release);
+    }
+
     /// Records that all bytes that the HTTP library has taken were written.
     pub fn record_written(&self) {
+        self.has_unwritten_bytes.store(false, Ordering::Release);
         if self.phase() == ConnectionPhase::WritingResponse {
             self.set_phase(ConnectionPhase::Idle);
         }
