Test callers that leave in a silent stream or behind unread bytes

What callers saw: nothing; servers work on for callers that have left, beyond the half second of GONE.

A caller that half-closes and leaves after 1.7 s is noticed late, as interim responses become rarer. Bytes that are not read during a request hide the end of the stream behind them, before too.

--- a/crates/sassafrashoist/tests/testsuite/leaving_callers.rs
+++ b/crates/sassafrashoist/tests/testsuite/leaving_callers.rs
@@ -16,7 +16,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::served_connection::{REQUEST, ServedConnection, answer, serve, serve_with_timeouts};
+use crate::served_connection::{
+    REQUEST, ServedConnection, WAIT, answer, serve, serve_with_timeouts,
+};
 use crate::waiting::wait_until;
 
 /// How long a server may work for a caller that has left.
@@ -27,6 +29,8 @@
 const SETTLE_TIME: Duration = Duration::from_millis(100);
 /// The idle timeout of a connection whose request runs longer.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(100);
+/// A time after which few interim responses are sent.
+const LONG_STAY_TIME: Duration = Duration::from_millis(1_700);
 /// The length of a response that the buffers of a connection do not hold.
 const LONG_RESPONSE_BYTES: usize = 24 * 1024 * 1024;
 const EVENT: &[u8] = b"data: 1\n\n";
@@ -108,6 +112,29 @@
     served.signals.closing_heads.cancel();
 }
 
+async fn read_event(caller: &mut TcpStream) {
+    let mut received = Vec::new();
+    while !received.ends_with(b"data: 1\n\n\r\n") {
+        let count = caller.read_buf(&mut received).await.unwrap();
+        assert!(count > 0, "{}", String::from_utf8_lossy(&received));
+    }
+}
+
+// Nothing is written to a silent stream that would show that its caller has left. Callers give up a
+// stream because it is silent.
+#[tokio::test]
+async fn silent_stream_of_a_caller_that_left_is_dropped() {
+    let handled = Handled::default();
+    let stream = handled.clone();
+    let mut served = serve(move |request| stream.clone().respond_with_silent_stream(request)).await;
+    served.caller.write_all(REQUEST).await.unwrap();
+    read_event(&mut served.caller).await;
+
+    drop(served.caller);
+
+    assert!(handled.is_dropped_in_time().await, "{}", served.connections);
+}
+
 // The connection is reset, as the caller has not read the event.
 #[tokio::test]
 async fn silent_stream_of_a_caller_that_left_without_reading_is_dropped() {
@@ -122,6 +149,52 @@
     assert!(handled.is_dropped_in_time().await, "{}", served.connections);
 }
 
+// Such a caller knows no interim responses.
+#[tokio::test]
+async fn request_of_a_caller_of_the_older_protocol_that_left_is_dropped() {
+    let handled = Handled::default();
+    let mut served = handled.serve(WAIT).await;
+    served.caller.write_all(b"GET / HTTP/1.0\r\nhost: a\r\n\r\n").await.unwrap();
+    handled.wait_until_begun().await;
+
+    drop(served.caller);
+
+    assert!(handled.is_dropped_in_time().await, "{}", served.connections);
+}
+
+// Bytes that are not read during a request hide the end of the stream.
+#[tokio::test]
+async fn request_of_a_caller_that_left_after_a_line_break_is_dropped() {
+    let handled = Handled::default();
+    let mut served = handled.serve(WAIT).await;
+    served.caller.write_all(REQUEST).await.unwrap();
+    handled.wait_until_begun().await;
+    served.caller.write_all(b"\r\n").await.unwrap();
+    tokio::time::sleep(SETTLE_TIME).await;
+
+    drop(served.caller);
+
+    assert!(handled.is_dropped_in_time().await, "{}", served.connections);
+}
+
+// The time between two interim responses grows with the request.
+#[tokio::test]
+async fn request_of_a_caller_that_sends_no_more_and_leaves_much_later_is_dropped() {
+    let handled = Handled::default();
+    let mut served = handled.serve(WAIT).await;
+    served.caller.write_all(REQUEST).await.unwrap();
+    served.caller.shutdown().await.unwrap();
+    handled.wait_until_begun().await;
+    tokio::time::sleep(LONG_STAY_TIME).await;
+    // Unread interim responses would reset the connection.
+    let mut interim = vec![0; 4_096];
+    assert!(served.caller.read(&mut interim).await.unwrap() > 0);
+
+    drop(served.caller);
+
+    assert!(handled.is_dropped_in_time().await, "{}", served.connections);
+}
+
 // A caller that has not read the response before has no room for an interim response, but waits.
 #[tokio::test]
 async fn caller_with_a_full_buffer_has_not_left() {
