Test half-closed callers around a stop and through another gateway

Requests of each kind are sent every 100 ms from 0.8 s before SIGTERM until after the listener has closed; half of their callers close their writing side at once, half while the request runs. Each gets a complete answer. Through another gateway each kind is answered too, and the server's work ends when the caller leaves.

--- a/crates/sassafrashoist/tests/testsuite/half_closed_callers.rs
+++ b/crates/sassafrashoist/tests/testsuite/half_closed_callers.rs
@@ -14,7 +14,8 @@
 use sassafrashoist::gateway::response_body::ResponseBody;
 use sassafrashoist_platform_stand_in::backend_server::RUN_TIME_HEADER;
 use sassafrashoist_platform_stand_in::caller::CallerRequest;
-use sassafrashoist_platform_stand_in::raw_answer::RawAnswer;
+use sassafrashoist_platform_stand_in::http_listener::PathFault;
+use sassafrashoist_platform_stand_in::raw_answer::{AnswerEnd, RawAnswer};
 use sassafrashoist_platform_stand_in::raw_caller::RawCaller;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
     BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_COUNT, FleetPlan, ROUTE_TIMEOUT, STATUS_PATH,
@@ -31,6 +32,11 @@
 /// How long a caller that closed its writing side stays before it leaves.
 const STAY_TIME: Duration = Duration::from_millis(250);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// The time in which requests are sent around the signal to stop, and the number of their moments.
+const STOP_TIME: Duration = Duration::from_millis(3_200);
+const STOP_MOMENTS: u32 = 32;
+/// The time after which a gateway that lost its paths serves its callers like the others.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
 
 /// The requests that a connection handles: how many were begun, and how many ended early.
 #[derive(Debug, Clone, Default)]
@@ -235,10 +241,14 @@
 }
 
 async fn start(name: &str) -> StandInFleet {
+    start_with(name, plan()).await
+}
+
+async fn start_with(name: &str, plan: FleetPlan) -> StandInFleet {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("half_closed").join(name);
     std::fs::remove_dir_all(&folder).ok();
     let program = Path::new(env!("CARGO_BIN_EXE_sassafrashoist"));
-    StandInFleet::start(program, &folder, plan()).await.unwrap()
+    StandInFleet::start(program, &folder, plan).await.unwrap()
 }
 
 /// One request of each kind: one that may run at most once, one that may be repeated, a stream that
@@ -320,3 +330,78 @@
     tokio::time::sleep(RUN_TIME + GONE_TIME).await;
     assert!(!fleet.runs_of(id)[0].is_finished(), "{id} was run to its end");
 }
+
+// The listener of a stopping gateway is open for a part of its grace period.
+#[tokio::test]
+async fn half_closed_callers_are_answered_around_the_signal_to_stop() {
+    let mut fleet = start("stop").await;
+    let address = fleet.gateways[0].caller_address;
+    let mut callers = Vec::new();
+    for moment in 0..=STOP_MOMENTS {
+        if moment == STOP_MOMENTS / 4 {
+            fleet.gateways[0].terminate().unwrap();
+        }
+        for (id, request) in request_of_each_kind() {
+            let id = format!("{id}-{moment}");
+            let Ok(mut caller) = RawCaller::connect(address).await else { continue };
+            caller.write(&request.encode(&id)).await.unwrap();
+            // Half of them close their writing side while the request runs.
+            if moment % 2 == 0 {
+                caller.close_writing().await.unwrap();
+            }
+            callers.push((id, caller, moment));
+        }
+        tokio::time::sleep(STOP_TIME / STOP_MOMENTS).await;
+        for (_, caller, _) in callers.iter_mut().filter(|(_, _, sent)| sent % 2 == 1) {
+            // The answer may have ended the connection.
+            caller.close_writing().await.ok();
+        }
+    }
+
+    let count = callers.len();
+    for (id, mut caller, _) in callers {
+        let answer = read(&mut caller).await;
+        let status = answer.status();
+        assert!(answer.end == AnswerEnd::Complete, "{id}: {:?} {}", answer.end, answer.head);
+        assert!(matches!(status, Some(200 | 503)), "{id}: {}", answer.head);
+    }
+    assert!(count > STOP_MOMENTS as usize * 3, "{count} callers");
+    fleet.gateways[0].wait_for_exit().await.unwrap();
+}
+
+// Another gateway carries the bytes between its callers and the servers.
+#[tokio::test]
+async fn half_closed_callers_of_a_gateway_without_paths_are_answered() {
+    let plan = FleetPlan { gateway_count: 3, has_own_paths: true, ..plan() };
+    let fleet = start_with("relay", plan).await;
+    fleet.set_path_fault(0, PathFault::RefusesNew);
+    let address = fleet.gateways[0].caller_address;
+    let deadline = Instant::now() + CONTACT_TIME;
+    for number in 0.. {
+        let bid = CallerRequest::plain(Method::POST, BID_PATH);
+        fleet.send(0, &format!("early-{number}"), &bid).await.ok();
+        if Instant::now() > deadline {
+            break;
+        }
+    }
+
+    for (id, request) in request_of_each_kind() {
+        let mut caller = send_and_close_writing(address, id, &request).await;
+        let answer = read(&mut caller).await;
+        assert_eq!(answer.status(), Some(200), "{id}: {:?} {}", answer.end, answer.head);
+        assert_eq!(answer.end, AnswerEnd::Complete, "{id}");
+    }
+    let (_, chat) = &request_of_each_kind()[3];
+    let caller = send_and_close_writing(address, "left", chat).await;
+    wait_until("the stream runs", || {
+        fleet.runs_of("left").first().is_some_and(|run| run.sent_event_count() > 0)
+    })
+    .await;
+    drop(caller);
+    tokio::time::sleep(GONE_TIME).await;
+
+    let events = fleet.runs_of("left")[0].sent_event_count();
+    assert!(events < EVENT_COUNT, "{events} events were sent");
+    let logs = (1..3).map(|gateway| fleet.gateways[gateway].read_log().unwrap());
+    assert!(logs.into_iter().any(|log| log.contains("connection for another VM")));
+}
