--- a/crates/sassafrashoist/tests/testsuite/leaving_callers.rs
+++ b/crates/sassafrashoist/tests/testsuite/leaving_callers.rs
@@ -135,6 +135,36 @@
     assert!(handled.is_dropped_in_time().await, "{}", served.connections);
 }
 
+// What shows that a caller has left must not change the response of one that stays.
+#[tokio::test]
+async fn silent_stream_of_a_caller_that_sends_no_more_is_whole() {
+    let handle = |_: Request<RequestBody>| async {
+        let (sender, body) = streamed_body(4);
+        tokio::spawn(async move {
+            for _ in 0..3 {
+                sender.send(Bytes::from_static(EVENT)).await;
+                tokio::time::sleep(RUN_TIME).await;
+            }
+            sender.finish();
+        });
+        Response::new(body)
+    };
+    let mut served = serve(handle).await;
+
+    served.caller.write_all(REQUEST).await.unwrap();
+    served.caller.shutdown().await.unwrap();
+    let received = served.read_to_end().await;
+
+    let (_, mut chunks) = received.split_once("\r\n\r\n").unwrap();
+    let mut body = String::new();
+    while let Some((length, rest)) = chunks.split_once("\r\n") {
+        let length = usize::from_str_radix(length, 16).unwrap();
+        body.push_str(&rest[..length]);
+        chunks = rest[length..].strip_prefix("\r\n").unwrap();
+    }
+    assert_eq!(body, "data: 1\n\n".repeat(3), "{received:?}");
+}
+
 // The connection is reset, as the caller has not read the event.
 #[tokio::test]
 async fn silent_stream_of_a_caller_that_left_without_reading_is_dropped() {
