Notice callers that left behind unread bytes

What callers saw: nothing; a server works on for a caller that has left if more arrived on its connection than its request: a line break, or a pipelined request.

Cause: the end of the stream is found by a peek, which returns the unread bytes before the end.

--- a/crates/sassafrashoist/src/gateway/caller_socket.rs
+++ b/crates/sassafrashoist/src/gateway/caller_socket.rs
@@ -2,9 +2,10 @@
 
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::Poll;
 
-use tokio::io::ReadBuf;
+use futures::FutureExt;
+use sassafrashoist_core::gateway::caller_check::CHECK_INTERVAL;
+use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 /// An interim response that says nothing but that the request has been received.
@@ -26,24 +27,36 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits until the caller has closed its writing side. Bytes that have not been read hide the end
-    /// behind them.
+    /// Waits until the caller has closed its writing side.
     ///
     /// # Errors
     ///
     /// Fails when the connection has failed.
     pub async fn wait_for_end(&self) -> io::Result<()> {
+        while self.wait_for_input().await? && !self.is_end_received()? {
+            // Unread bytes keep the socket readable, so that the end behind them wakes nobody.
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    /// Waits until there are unread bytes, or the end of the stream is next; returns whether there are
+    /// bytes.
+    async fn wait_for_input(&self) -> io::Result<bool> {
         std::future::poll_fn(|cx| {
             let mut byte = [0];
-            match self.lock().poll_peek(cx, &mut ReadBuf::new(&mut byte)) {
-                Poll::Ready(Ok(0)) => Poll::Ready(Ok(())),
-                Poll::Ready(Ok(_)) | Poll::Pending => Poll::Pending,
-                Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            }
+            let peeked = self.lock().poll_peek(cx, &mut ReadBuf::new(&mut byte));
+            peeked.map_ok(|count| count > 0)
         })
         .await
     }
 
+    /// Returns whether the end of the stream has been received, read or not.
+    fn is_end_received(&self) -> io::Result<bool> {
+        let ready = self.lock().ready(Interest::READABLE).now_or_never().transpose()?;
+        Ok(ready.is_some_and(|ready| ready.is_read_closed()))
+    }
+
     /// Fails if the connection has failed since the last call.
     ///
     /// # Errors
