Notice callers that leave a silent stream

Since half-closed callers are answered, servers worked on for a caller that had left a stream until they sent the next event: within a response nothing was written that could reset the connection of a caller that left. Callers leave streams just because they are silent.

Between two chunks that have been written, a leading zero of the length of the next chunk now serves as the interim response does before the head: HTTP allows it, and the body stays the same. The first check of a caller sends nothing any more, so that prompt answers come without interim responses; checks are 50 ms apart instead of 100 ms.

--- a/crates/sassafrashoist-core/src/gateway/caller_check.rs
+++ b/crates/sassafrashoist-core/src/gateway/caller_check.rs
@@ -3,21 +3,24 @@
 //! A caller that closes its connection and one that closes only its writing side look alike: both end
 //! their stream. They differ in what their kernels do with bytes that arrive later: the connection of a
 //! caller that left is reset, one that still reads accepts them. An interim response, which HTTP allows
-//! before each response, is therefore sent to such a caller from time to time.
+//! before each response, is therefore sent to such a caller from time to time. Within a response that is
+//! sent in chunks, a leading zero of the length of the next chunk serves the same purpose.
 
 use std::time::Duration;
 
 /// The time between two looks at the connection.
-pub const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+pub const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What is known of the response when a caller is checked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseProgress {
     /// Nothing of the response has been written, and the caller knows interim responses.
     NotStarted,
-    /// The response is being written, the caller knows no interim responses, or bytes are left in a
-    /// buffer. What is written next shows whether the caller is there.
-    NoInterimAllowed,
+    /// The response is sent in chunks, and all that were begun have been written.
+    BetweenChunks,
+    /// Nothing may be sent: bytes are left in a buffer, the caller knows no interim responses, or the
+    /// response has no chunks. What is written next shows whether the caller is there.
+    NothingAllowed,
 }
 
 /// What to do at a check.
@@ -25,17 +28,26 @@
 pub enum CheckStep {
     /// Sends an interim response, whose fate the next checks show.
     SendInterim,
+    /// Sends a leading zero of the length of the next chunk, whose fate the next checks show.
+    SendLeadingZero,
     /// Only looks whether the connection has failed.
     Look,
 }
 
 /// The checks of a caller whose stream has ended within a request.
 ///
-/// The time between two interim responses doubles, so that few are sent in a request of any length.
-#[derive(Debug, Default, Clone, PartialEq, Eq)]
+/// The first check sends nothing, so that a prompt answer comes without interim responses. The time
+/// between two of them doubles, so that few are sent in a request of any length.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallerCheck {
     check_count: u32,
-    next_interim_at: u32,
+    next_send_at: u32,
+}
+
+impl Default for CallerCheck {
+    fn default() -> Self {
+        Self { check_count: 0, next_send_at: 1 }
+    }
 }
 
 impl CallerCheck {
@@ -44,10 +56,15 @@
     pub fn next_step(&mut self, progress: ResponseProgress) -> CheckStep {
         let check = self.check_count;
         self.check_count = self.check_count.saturating_add(1);
-        if progress == ResponseProgress::NoInterimAllowed || check < self.next_interim_at {
+        let step = match progress {
+            ResponseProgress::NotStarted => CheckStep::SendInterim,
+            ResponseProgress::BetweenChunks => CheckStep::SendLeadingZero,
+            ResponseProgress::NothingAllowed => return CheckStep::Look,
+        };
+        if check < self.next_send_at {
             return CheckStep::Look;
         }
-        self.next_interim_at = check.saturating_mul(2).saturating_add(1);
-        CheckStep::SendInterim
+        self.next_send_at = check.saturating_mul(2);
+        step
     }
 }
--- a/crates/sassafrashoist/src/gateway/caller_socket.rs
+++ b/crates/sassafrashoist/src/gateway/caller_socket.rs
@@ -73,8 +73,22 @@
     ///
     /// Fails when the connection has failed, or when only a part of the response was sent.
     pub fn send_interim(&self) -> io::Result<()> {
-        match self.lock().try_write(INTERIM_RESPONSE) {
-            Ok(written_bytes) if written_bytes < INTERIM_RESPONSE.len() => {
+        self.send(INTERIM_RESPONSE)
+    }
+
+    /// Sends a leading zero of the length of the next chunk if there is room for it. All chunks that were
+    /// begun must have been written.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection has failed.
+    pub fn send_leading_zero(&self) -> io::Result<()> {
+        self.send(b"0")
+    }
+
+    fn send(&self, bytes: &[u8]) -> io::Result<()> {
+        match self.lock().try_write(bytes) {
+            Ok(written_bytes) if written_bytes < bytes.len() => {
                 Err(io::ErrorKind::WriteZero.into())
             }
             Ok(_) => Ok(()),
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
-use http::{Request, Response, StatusCode, Version};
-use hyper::body::Incoming;
+use http::header::CONTENT_LENGTH;
+use http::{Method, Request, Response, StatusCode, Version};
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -116,12 +117,15 @@
     let meter = FramingMeter::new(policy.max_head_bytes.max(MAX_HEAD_BYTES));
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
+        let is_head = request.method() == Method::HEAD;
         let (open, reset_switch, meter) = (&open, &reset_switch, &meter);
         open.record_request(caller_version);
         let response = handle(request.map(|body| RequestBody::new(body, open, meter.clone())));
         async move {
             let response = response.await;
-            open.record_response_start();
+            open.record_response_start(
+                caller_version == Version::HTTP_11 && !is_head && is_chunked(&response),
+            );
             if response.status() == StatusCode::SWITCHING_PROTOCOLS {
                 meter.lock().lift();
             }
@@ -188,6 +192,17 @@
     }
 }
 
+/// Returns whether the HTTP library sends the body of a response in chunks.
+fn is_chunked(response: &Response<ResponseBody>) -> bool {
+    let has_no_body = response.status().is_informational()
+        || matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    response.version() == Version::HTTP_11
+        && !has_no_body
+        && !response.headers().contains_key(CONTENT_LENGTH)
+        && !response.body().is_end_stream()
+        && response.body().size_hint().exact().is_none()
+}
+
 /// Waits until a connection has been idle for too long, or a head takes too long to arrive; returns the
 /// phase that lasts too long.
 async fn wait_until_overdue(policy: &ConnectionPolicy, open: &OpenConnection) -> ConnectionPhase {
--- a/crates/sassafrashoist/src/gateway/open_connection.rs
+++ b/crates/sassafrashoist/src/gateway/open_connection.rs
@@ -21,6 +21,7 @@
     change_count: AtomicU64,
     is_body_unfinished: AtomicBool,
     is_interim_allowed: AtomicBool,
+    is_chunked: AtomicBool,
     has_unwritten_bytes: AtomicBool,
     _open: TaskTrackerToken,
 }
@@ -33,6 +34,7 @@
             change_count: AtomicU64::new(0),
             is_body_unfinished: AtomicBool::new(false),
             is_interim_allowed: AtomicBool::new(false),
+            is_chunked: AtomicBool::new(false),
             has_unwritten_bytes: AtomicBool::new(false),
             _open: open,
         }
@@ -63,12 +65,14 @@
     /// Records that the head of a request was read, whose caller uses this version of HTTP.
     pub fn record_request(&self, version: Version) {
         self.is_interim_allowed.store(version == Version::HTTP_11, Ordering::Release);
+        self.is_chunked.store(false, Ordering::Release);
         self.set_phase(ConnectionPhase::InRequest);
     }
 
     /// Records that the response of the newest request has started.
-    pub fn record_response_start(&self) {
+    pub fn record_response_start(&self, is_chunked: bool) {
         self.is_interim_allowed.store(false, Ordering::Release);
+        self.is_chunked.store(is_chunked, Ordering::Release);
     }
 
     /// Returns whether a request was read to its end, and a part of its response is still to come.
@@ -78,12 +82,17 @@
         is_in_request && !self.is_body_unfinished()
     }
 
-    /// Returns whether an interim response may be sent now.
+    /// Returns what is known of the response of the newest request.
     pub fn response_progress(&self) -> ResponseProgress {
-        let has_unwritten_bytes = self.has_unwritten_bytes.load(Ordering::Acquire);
-        match self.is_interim_allowed.load(Ordering::Acquire) && !has_unwritten_bytes {
-            true => ResponseProgress::NotStarted,
-            false => ResponseProgress::NoInterimAllowed,
+        let is_in_request = self.phase() == ConnectionPhase::InRequest;
+        if !is_in_request || self.has_unwritten_bytes.load(Ordering::Acquire) {
+            ResponseProgress::NothingAllowed
+        } else if self.is_interim_allowed.load(Ordering::Acquire) {
+            ResponseProgress::NotStarted
+        } else if self.is_chunked.load(Ordering::Acquire) {
+            ResponseProgress::BetweenChunks
+        } else {
+            ResponseProgress::NothingAllowed
         }
     }
 
--- a/crates/sassafrashoist/src/gateway/watch_caller.rs
+++ b/crates/sassafrashoist/src/gateway/watch_caller.rs
@@ -36,6 +36,7 @@
     loop {
         let result = match check.next_step(open.response_progress()) {
             CheckStep::SendInterim => socket.send_interim(),
+            CheckStep::SendLeadingZero => socket.send_leading_zero(),
             CheckStep::Look => Ok(()),
         };
         if let Err(error) = result.and_then(|()| socket.check()) {
