Let streams go on after all gateways were killed if the log proves one version

Cause: the origin of a stream is in the memory of three processes only, and a new process knew a sole version only after it had read the server list for twice the route's timeout and 10 s. What the log itself says of the time before was not read.

Change: where no VM keeps the origin, and the newest entries and the active configuration name one version and one pool, the gateway reads the server list and the configurations from their first records. The stream goes on if its path has led to one pool only, whose servers have had one version only, by all of them. The refusal stays if a record was trimmed, if Store-Era is above 0, if a configuration cannot be decoded or is older than the one before, if a topic has more than 2 MiB, and, with a Retry-After, until the list has been read for 3 s. `born` is not used: a server that has left is not in the list, and clocks differ.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -24,7 +24,8 @@
 //! - [`drain_plan`] and [`connection_phase`]: the times of a graceful shutdown, and what is owed to
 //!   callers meanwhile.
 //! - [`stream_origins`], [`route_history`], [`pool_versions`] and [`incarnation_check`]: the pool and
-//!   the software version at which a stream may go on, and whether a server still has it.
+//!   the software version at which a stream may go on, and whether a server still has it;
+//!   [`origin_history`] and [`topic_history`]: what the log proves of them after all VMs were killed.
 //! - [`event_sequence`]: which events of a server go on with a stream of another.
 //! - [`framing_allowance`] and [`event_allowance`]: how much of what a server or caller sends may be no
 //!   data, and how much of a stream no new event.
@@ -73,6 +74,7 @@
 pub mod live_vms;
 pub mod memory_budget;
 pub mod odd_entries;
+pub mod origin_history;
 pub mod permit_bucket;
 pub mod permit_issuers;
 pub mod planned_record;
@@ -100,6 +102,7 @@
 pub mod token_prefetch;
 pub mod token_queue;
 pub mod topic_cursor;
+pub mod topic_history;
 pub mod vm_settings;
 
 use std::time::Duration;
--- a/crates/sassafrashoist-core/src/gateway/pool_versions.rs
+++ b/crates/sassafrashoist-core/src/gateway/pool_versions.rs
@@ -69,6 +69,11 @@
         self.read_at.is_some_and(|read_at| now <= read_at + MAX_READ_GAP)
     }
 
+    /// Returns for how long the server list has been read without a gap; `None` if it is not read.
+    pub fn read_without_gap_for(&self, now: Uptime) -> Option<Duration> {
+        self.is_current(now).then(|| now.saturating_sub(self.read_since))
+    }
+
     /// Returns the version of all servers that a pool has had in the last `duration`, with those that
     /// are in the directory now; `None` if there were several, or if that is not known.
     pub fn sole_version<'a>(
--- a/crates/sassafrashoist-core/src/gateway/route_history.rs
+++ b/crates/sassafrashoist-core/src/gateway/route_history.rs
@@ -5,7 +5,7 @@
 //! matched, until no stream that began under it can be resumed any more.
 //!
 //! What was in force before the first configuration of this process is not known. It counts as if it
-//! had led elsewhere, with the timeouts of that first one.
+//! had led elsewhere, with the timeouts of that first one, unless the history has the first one of all.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -67,11 +67,18 @@
     active: Option<Arc<RouteTable>>,
     /// When the first configuration came into force.
     known_since: Option<Uptime>,
+    /// Whether nothing was in force before the first configuration of this history.
+    knows_first_config: bool,
     /// By host and path prefix, the oldest first.
     periods: HashMap<String, HashMap<String, Vec<Period>>>,
 }
 
 impl RouteHistory {
+    /// Creates a history whose first configuration is the first one that was ever in force.
+    pub fn from_first_config() -> Self {
+        Self { knows_first_config: true, ..Self::default() }
+    }
+
     /// Returns the active configuration; `None` before the first one.
     pub fn active(&self) -> Option<&Arc<RouteTable>> {
         self.active.as_ref()
@@ -105,7 +112,10 @@
         if self.periods.get(&host).is_some_and(|known| known.contains_key(&route.path_prefix)) {
             return;
         }
-        let mut periods = vec![Period::unknown(route, known_since)];
+        let mut periods = Vec::new();
+        if !self.knows_first_config {
+            periods.push(Period::unknown(route, known_since));
+        }
         periods.extend_from_slice(self.find(&route.host, &route.path_prefix));
         self.periods.entry(host).or_default().insert(route.path_prefix.clone(), periods);
     }
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -299,6 +299,13 @@
         self.pool_versions.sole_version(pool_id, duration, listings, now).cloned()
     }
 
+    /// Returns how long the entry of a server that started again may still be missing from the list;
+    /// `None` if the list is not read.
+    pub fn entry_delay_left(&self, now: Uptime) -> Option<Duration> {
+        let read_for = self.pool_versions.read_without_gap_for(now)?;
+        Some(MAX_ENTRY_DELAY.saturating_sub(read_for))
+    }
+
     /// Chooses the server with the lowest cost for one attempt and counts the attempt as started.
     ///
     /// `random` adds a small random cost, which spreads requests over servers of similar cost.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -34,6 +34,7 @@
 mod memory_budget;
 mod odd_entries;
 mod old_config_over_vms;
+mod origin_history;
 mod path_fleet;
 mod permit_bucket;
 mod pool_versions;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/pool_versions.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/pool_versions.rs
@@ -248,3 +248,27 @@
 
     assert_eq!(version, Some("v1".to_owned()));
 }
+
+// A server that started again while the log service was away writes its entry a little later.
+#[test]
+fn an_entry_may_be_missing_from_a_list_that_has_just_been_read() {
+    let mut directory =
+        ServerDirectory::new("plateau".to_owned(), Duration::ZERO, Duration::from_secs(2));
+    let unread = directory.entry_delay_left(START);
+    directory.pool_versions.record_newest_read(START);
+    let at_once = directory.entry_delay_left(START);
+    let soon = START + Duration::from_secs(1);
+    directory.pool_versions.record_read(soon);
+    let soon = directory.entry_delay_left(soon);
+    let late = START + Duration::from_secs(4);
+    directory.pool_versions.record_read(late);
+
+    let after_delay = directory.entry_delay_left(late);
+    let after_outage = directory.entry_delay_left(late + Duration::from_secs(10));
+
+    let seconds = |seconds| Some(Duration::from_secs(seconds));
+    assert_eq!(
+        [unread, at_once, soon, after_delay, after_outage],
+        [None, seconds(3), seconds(2), seconds(0), None]
+    );
+}
--- a/crates/sassafrashoist/src/gateway/find_stream_origin.rs
+++ b/crates/sassafrashoist/src/gateway/find_stream_origin.rs
@@ -1,18 +1,22 @@
 //! Finds where a stream began that a caller resumes.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use eyre::WrapErr;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use sassafrashoist_core::gateway::SoftwareVersion;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::route_history::SolePool;
 use sassafrashoist_core::gateway::server_listing::ServerListing;
 use sassafrashoist_core::gateway::stream_origins::{StreamKey, StreamOrigin, stream_key};
+use sassafrashoist_core::ids::PoolId;
 
 use super::check_server_list::read_unapplied_entries;
 use super::confirm_config::wait_until_newest_config;
 use super::gateway_context::GatewayContext;
+use super::read_origin_history::read_origin_history;
 use super::request_context::{RequestContext, ResumedStream};
 use super::send_message::send_message;
 use super::share_stream_origin::KEEPER_COUNT;
@@ -27,13 +31,15 @@
     NotKept,
     /// The server list cannot be read, which might tell the version without the origin.
     ListOutOfReach,
+    /// The server list may lack the entry of a server that started again, for this time.
+    ListTooRecent(Duration),
     /// The active configuration, which might tell the pool, is not known to be the newest one.
     ConfigOutOfReach,
 }
 
 /// Finds where the stream began that a request resumes: on this VM, on the VMs that keep its origin,
 /// or by the fact that its route has led to one pool only, of one software version, for as long as a
-/// stream lasts.
+/// stream lasts, or ever.
 ///
 /// # Errors
 ///
@@ -55,7 +61,10 @@
             Err(error) => unknown = error,
         }
     }
-    find_by_sole_version(context, request, unknown).await
+    match find_by_sole_version(context, request, unknown).await {
+        Err(error) if error == unknown => find_by_history(context, request, unknown).await,
+        result => result,
+    }
 }
 
 /// Returns whether this VM reads the server list, so that it would know of an origin that names an
@@ -151,14 +160,62 @@
     }
     let pool = sole_pool().ok_or(unknown)?;
     let software_version = sole_version(&pool, &unapplied).ok_or(unknown)?;
+    Ok(begun_at_any_server(context, request, pool.pool_id, software_version))
+}
+
+/// Finds the pool and the version by all that the log has ever named. That is read only where its newest
+/// state names one of each.
+async fn find_by_history(
+    context: &Arc<GatewayContext>,
+    request: &RequestContext,
+    unknown: UnknownOrigin,
+) -> Result<ResumedStream, UnknownOrigin> {
+    let [destination] = request.route.destinations.as_slice() else {
+        return Err(unknown);
+    };
+    check_listed_version(context, &destination.pool_id, unknown)?;
+    let (host, path) = (&request.route.host, request.uri.path());
+    let origin = read_origin_history(context, |history| history.sole_origin(host, path)).await;
+    let (pool_id, software_version) =
+        origin.ok_or(UnknownOrigin::ListOutOfReach)?.ok_or(unknown)?;
+    log::info!(
+        id = request.id(), pool = pool_id, version = software_version;
+        "origin of a stream found: the log has named one pool and version only"
+    );
+    Ok(begun_at_any_server(context, request, pool_id, software_version))
+}
+
+/// Requires that the list names one version of a pool, and that no entry may be missing from it.
+fn check_listed_version(
+    context: &GatewayContext,
+    pool_id: &str,
+    unknown: UnknownOrigin,
+) -> Result<(), UnknownOrigin> {
+    let now = context.now();
+    let servers = context.lock_servers();
+    servers.sole_version(pool_id, Duration::ZERO, &[], now).ok_or(unknown)?;
+    match servers.entry_delay_left(now) {
+        Some(Duration::ZERO) => Ok(()),
+        Some(delay) => Err(UnknownOrigin::ListTooRecent(delay)),
+        None => Err(unknown),
+    }
+}
+
+/// Returns an origin that names no server.
+fn begun_at_any_server(
+    context: &GatewayContext,
+    request: &RequestContext,
+    pool_id: PoolId,
+    software_version: SoftwareVersion,
+) -> ResumedStream {
     let origin = StreamOrigin {
-        pool_id: pool.pool_id,
+        pool_id,
         server_id: String::new(),
         started_at_unix_ms: 0,
         software_version,
         account_id: request.account_id.clone(),
     };
-    Ok(ResumedStream { origin, began_at: context.now() })
+    ResumedStream { origin, began_at: context.now() }
 }
 
 /// Returns the origin of a stream that this VM keeps, for another VM, unless the server list shows
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -38,6 +38,7 @@
 use super::open_connections::OpenConnections;
 use super::permit_book::PermitBook;
 use super::read_clocks::read_clocks;
+use super::read_origin_history::OriginHistoryReads;
 use super::report_server_end::Inquiry;
 use super::share_config::MAX_SERVED_FETCHES;
 use super::token_book::TokenBook;
@@ -97,6 +98,8 @@
     pub internal_connections: Arc<OpenConnections>,
     /// The last read of the server list for a request, held while another one is made.
     pub server_list_check: tokio::sync::Mutex<Option<ServerListCheck>>,
+    /// The history of the server list and of the configurations, held while it is read.
+    pub origin_history: tokio::sync::Mutex<OriginHistoryReads>,
     /// Requests in progress.
     pub requests: TaskTracker,
     /// Cancelled when the process receives the signal to stop.
@@ -161,6 +164,7 @@
             caller_connections: Arc::default(),
             internal_connections: Arc::default(),
             server_list_check: tokio::sync::Mutex::default(),
+            origin_history: tokio::sync::Mutex::default(),
             requests: TaskTracker::new(),
             draining: cancel.child_token(),
             serving_ended: CancellationToken::new(),
--- a/crates/sassafrashoist/src/gateway/log_client.rs
+++ b/crates/sassafrashoist/src/gateway/log_client.rs
@@ -96,6 +96,12 @@
         std::mem::take(&mut self.has_lost_records)
     }
 
+    /// Returns how often the log service has lost acknowledged records, by its last response; `None` if
+    /// it does not say.
+    pub fn era(&self) -> Option<u64> {
+        self.era
+    }
+
     /// Opens a connection unless there is one that has not ended: a call on one that has would be in
     /// doubt although it was never sent.
     ///
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -32,7 +32,8 @@
 //! - [`share_stream_origin`] sends where a stream began to the VMs that keep it, and
 //!   [`find_stream_origin`] finds it when a caller resumes the stream; [`check_server_list`] reads what
 //!   is new in the server list when only that can tell, and [`confirm_config`] waits until no newer
-//!   configuration is known; [`confirm_incarnation`] asks other VMs whether the next server of a stream
+//!   configuration is known; [`read_origin_history`] reads all that the log has named when no VM has
+//!   followed it for long; [`confirm_incarnation`] asks other VMs whether the next server of a stream
 //!   has restarted.
 //! - [`serve_readiness`] serves the readiness check of the load balancer, [`serve_metrics`] the
 //!   metrics for operators.
@@ -83,6 +84,7 @@
 pub mod queue_entry;
 pub mod reach_server;
 pub mod read_clocks;
+pub mod read_origin_history;
 pub mod receive_datagrams;
 pub mod refuse_by_config;
 pub mod relay_messages;
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -273,6 +273,9 @@
         UnknownOrigin::ListOutOfReach => {
             Refusal::retry_later(KEEPER_RETRY_AFTER, "list of software versions out of reach")
         }
+        UnknownOrigin::ListTooRecent(delay) => {
+            Refusal::retry_later(delay, "list of software versions may lack a server")
+        }
         UnknownOrigin::ConfigOutOfReach => {
             Refusal::retry_later(KEEPER_RETRY_AFTER, "newest configuration out of reach")
         }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod relay_stream;
 mod response_body;
 mod response_sink;
+mod restarted_fleet;
 mod router_process;
 mod routing;
 mod served_connection;
--- /dev/null
+++ b/crates/sassafrashoist/tests/testsuite/restarted_fleet.rs
@@ -0,0 +1,208 @@
+//! Tests of streams that callers take up after all gateways were killed at once, so that no process
+//! knows any more where they began.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use futures::future::join_all;
+use http::Method;
+use sassafrashoist_platform_stand_in::backend_server::ServerFault;
+use sassafrashoist_platform_stand_in::caller::CallerRequest;
+use sassafrashoist_platform_stand_in::stand_in_fleet::{
+    DRAFT_PATH, ENGINE_POOL, EVENT_INTERVAL, FleetPlan, SECOND_ENGINE_POOL, StandInFleet,
+};
+
+const STREAM_COUNT: usize = 8;
+const GATEWAY_COUNT: usize = 2;
+/// How long a change in the log service may take to become active, with a margin for a slow
+/// machine.
+const PROPAGATION_TIME: Duration = Duration::from_millis(800);
+/// The time after a restart for which entries of servers may be missing from the list, with a margin.
+const MAX_ENTRY_DELAY: Duration = Duration::from_millis(3_500);
+
+/// What became of the streams that were taken up.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct TakenUp {
+    /// Streams that went on at the version that began them.
+    same_version: usize,
+    /// Streams that went on at another version.
+    other_version: usize,
+    /// Streams that were refused with 503.
+    refused: usize,
+}
+
+/// A stream that broke off.
+#[derive(Debug)]
+struct BrokenStream {
+    id: String,
+    event_count: usize,
+    versions: BTreeSet<String>,
+}
+
+async fn start(name: &str) -> StandInFleet {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("restarted_fleet").join(name);
+    std::fs::remove_dir_all(&folder).ok();
+    let program = Path::new(env!("CARGO_BIN_EXE_sassafrashoist"));
+    let plan = FleetPlan {
+        gateway_count: GATEWAY_COUNT,
+        engine_count: 4,
+        plain_count: 0,
+        paid_tokens: 10_000_000,
+        has_own_paths: false,
+        event_interval: EVENT_INTERVAL,
+    };
+    StandInFleet::start(program, &folder, plan).await.unwrap()
+}
+
+async fn start_with_two_versions(name: &str) -> StandInFleet {
+    let mut fleet = start(name).await;
+    fleet.set_engine_version(2, "v2");
+    fleet.set_engine_version(3, "v2");
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    fleet
+}
+
+/// Returns a request that does not name its tokens: those of the processes before may not be back.
+fn draft(number: usize, headers: Vec<(&'static str, String)>) -> CallerRequest {
+    let mut request = CallerRequest::plain(Method::POST, DRAFT_PATH);
+    request.headers = vec![("prefix-hash", format!("a{number}:450,b{number}:450"))];
+    request.headers.extend(headers);
+    request
+}
+
+fn versions_of(fleet: &StandInFleet, id: &str) -> BTreeSet<String> {
+    fleet.versions_of(id).into_iter().map(str::to_owned).collect()
+}
+
+/// Begins streams, which break off after two events.
+async fn begin_streams(fleet: &StandInFleet) -> Vec<BrokenStream> {
+    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::DisconnectsAfter(2)));
+    let mut begun = Vec::new();
+    for number in 0..STREAM_COUNT {
+        let id = format!("begun-{number}");
+        let response = fleet.send(number % GATEWAY_COUNT, &id, &draft(number, Vec::new())).await;
+        let body = response.unwrap().body;
+        let event_count = String::from_utf8_lossy(&body).matches("\n\n").count();
+        assert!(event_count >= 2, "{body:?}");
+        let versions = versions_of(fleet, &id);
+        assert_eq!(versions.len(), 1, "{id}: {versions:?}");
+        begun.push(BrokenStream { id, event_count, versions });
+    }
+    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::None));
+    begun
+}
+
+async fn kill_all_and_restart(fleet: &mut StandInFleet) {
+    fleet.gateways.iter_mut().for_each(|gateway| gateway.kill().unwrap());
+    fleet.gateways.iter_mut().for_each(|gateway| gateway.respawn().unwrap());
+    for gateway in &fleet.gateways {
+        gateway.wait_until_ready().await.unwrap();
+    }
+}
+
+/// Takes streams up, all at the same time, each at another gateway than the one that began it.
+async fn take_up(fleet: &StandInFleet, begun: &[BrokenStream]) -> TakenUp {
+    let responses = join_all(begun.iter().enumerate().map(|(number, stream)| async move {
+        let last_event = ("last-event-id", stream.event_count.to_string());
+        let request = draft(number, vec![last_event, ("resumes", stream.id.clone())]);
+        let id = format!("{}-resumed", stream.id);
+        fleet.send((number + 1) % GATEWAY_COUNT, &id, &request).await.unwrap()
+    }))
+    .await;
+    let mut taken_up = TakenUp::default();
+    for (stream, response) in begun.iter().zip(responses) {
+        let versions = versions_of(fleet, &format!("{}-resumed", stream.id));
+        match response.status {
+            200 if versions == stream.versions => taken_up.same_version += 1,
+            503 if versions.is_empty() => taken_up.refused += 1,
+            _ => taken_up.other_version += 1,
+        }
+    }
+    taken_up
+}
+
+const ALL_GO_ON: TakenUp = TakenUp { same_version: STREAM_COUNT, other_version: 0, refused: 0 };
+const ALL_REFUSED: TakenUp = TakenUp { same_version: 0, other_version: 0, refused: STREAM_COUNT };
+
+#[tokio::test]
+async fn streams_go_on_after_all_gateways_were_killed_where_there_was_one_version() {
+    let mut fleet = start("one_version").await;
+    let begun = begin_streams(&fleet).await;
+
+    kill_all_and_restart(&mut fleet).await;
+    tokio::time::sleep(MAX_ENTRY_DELAY).await;
+    let taken_up = take_up(&fleet, &begun).await;
+
+    assert_eq!(taken_up, ALL_GO_ON);
+}
+
+#[tokio::test]
+async fn streams_are_not_joined_after_all_gateways_were_killed_during_a_release() {
+    let mut fleet = start_with_two_versions("two_versions").await;
+    let begun = begin_streams(&fleet).await;
+
+    kill_all_and_restart(&mut fleet).await;
+    tokio::time::sleep(MAX_ENTRY_DELAY).await;
+    let taken_up = take_up(&fleet, &begun).await;
+
+    assert_eq!(taken_up.other_version, 0, "{taken_up:?}");
+}
+
+// The newest entries name one version only.
+#[tokio::test]
+async fn streams_of_a_version_that_left_before_all_gateways_were_killed_are_not_joined() {
+    let mut fleet = start_with_two_versions("old_version_left").await;
+    let begun = begin_streams(&fleet).await;
+    fleet.unlist_engine(0);
+    fleet.unlist_engine(1);
+
+    kill_all_and_restart(&mut fleet).await;
+    tokio::time::sleep(MAX_ENTRY_DELAY).await;
+    let taken_up = take_up(&fleet, &begun).await;
+
+    assert_eq!(taken_up, ALL_REFUSED);
+}
+
+// The records of a version that has left may be gone.
+#[tokio::test]
+async fn no_stream_goes_on_by_a_server_list_that_was_trimmed_or_has_lost_records() {
+    for (name, loses_records) in [("trimmed", false), ("lost_records", true)] {
+        let mut fleet = start_with_two_versions(name).await;
+        let begun = begin_streams(&fleet).await;
+        fleet.unlist_engine(0);
+        fleet.unlist_engine(1);
+        fleet.gateways.iter_mut().for_each(|gateway| gateway.kill().unwrap());
+        if loses_records {
+            fleet.lose_newest_ledger_records(0);
+        } else {
+            fleet.trim_topics();
+        }
+
+        kill_all_and_restart(&mut fleet).await;
+        tokio::time::sleep(MAX_ENTRY_DELAY).await;
+        let taken_up = take_up(&fleet, &begun).await;
+
+        assert_eq!(taken_up, ALL_REFUSED, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn streams_of_a_route_that_was_moved_before_all_gateways_were_killed_are_not_joined() {
+    let mut fleet = start("moved").await;
+    fleet.start_second_engines(&["v1", "v1"], EVENT_INTERVAL).await.unwrap();
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let begun = begin_streams(&fleet).await;
+    fleet.route_drafts_to(&[(SECOND_ENGINE_POOL, 1)]);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+
+    kill_all_and_restart(&mut fleet).await;
+    tokio::time::sleep(MAX_ENTRY_DELAY).await;
+    let moved = take_up(&fleet, &begun).await;
+    fleet.route_drafts_to(&[(ENGINE_POOL, 1)]);
+    kill_all_and_restart(&mut fleet).await;
+    tokio::time::sleep(MAX_ENTRY_DELAY).await;
+    let moved_back = take_up(&fleet, &begun).await;
+
+    assert_eq!((moved, moved_back), (ALL_REFUSED, ALL_REFUSED));
+}
