--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod config_sharing;
 mod drain;
 mod endless_bytes;
+mod ends_of_connections;
 mod gateway;
 mod half_closed_callers;
 mod hushed_streams;
