Answer requests whose handling panics

Callers saw a closed connection: a request is handled in the task of its connection, so that a panic ended both. Only requests that may run at most once had a task of their own, once they had tokens.

The panic is now caught per request and answered 502, which promises nothing, as the request may have reached a server; the connection goes on. It is no longer logged as "caller left before its answer" but as "request ended with a panic".

--- a/crates/sassafrashoist/src/gateway/disconnect_guard.rs
+++ b/crates/sassafrashoist/src/gateway/disconnect_guard.rs
@@ -28,7 +28,8 @@
 
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
-        if self.has_response {
+        // A request whose handling panics gets a response.
+        if self.has_response || std::thread::panicking() {
             return;
         }
         if self.exiting.is_cancelled() {
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -3,16 +3,19 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use eyre::WrapErr;
+use futures::FutureExt;
 use http::{Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use sassafrashoist_adapter::request_headers::request_id;
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
 use sassafrashoist_core::gateway::framing_allowance::MAX_HEAD_BYTES;
 use tokio::net::{TcpListener, TcpStream};
@@ -27,6 +30,7 @@
 use super::open_connections::OpenConnections;
 use super::request_body::RequestBody;
 use super::response_body::ResponseBody;
+use super::serve_request::Refusal;
 use super::tracked_body::TrackedBody;
 use super::watch_caller::wait_until_caller_left;
 
@@ -118,9 +122,11 @@
         let caller_version = request.version();
         let (open, reset_switch, meter) = (&open, &reset_switch, &meter);
         open.record_request(caller_version);
+        let request_id = request_id(request.headers()).unwrap_or("-").to_owned();
         let response = handle(request.map(|body| RequestBody::new(body, open, meter.clone())));
         async move {
-            let response = response.await;
+            let response = AssertUnwindSafe(response).catch_unwind().await;
+            let response = response.unwrap_or_else(|_| answer_panic(&request_id));
             open.record_response_start();
             if response.status() == StatusCode::SWITCHING_PROTOCOLS {
                 meter.lock().lift();
@@ -188,6 +194,12 @@
     }
 }
 
+/// Responds to a request whose handling has panicked; it may have reached a server.
+fn answer_panic(request_id: &str) -> Response<ResponseBody> {
+    log::error!(id = request_id; "request ended with a panic");
+    Refusal::new(StatusCode::BAD_GATEWAY, "internal failure").into_response(request_id, &"")
+}
+
 /// Waits until a connection has been idle for too long, or a head takes too long to arrive; returns the
 /// phase that lasts too long.
 async fn wait_until_overdue(policy: &ConnectionPolicy, open: &OpenConnection) -> ConnectionPhase {
