Let kept connections follow the timeouts of the newest configuration

A caller that goes by a newer, longer idle time found its kept connection closed under its next request: the timeouts were read once, when the connection was accepted.

A timeout that becomes longer now holds at once; a shorter one from the next phase of the connection on, as its caller may still count on the longer one. The rule is core's connection_timeouts.rs.

--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod config_sharing_fleet;
 mod config_sharing_over_vms;
 mod connection_phase;
+mod connection_timeouts;
 mod crash_book;
 mod crash_fleet;
 mod crash_outbox;
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -9,6 +9,7 @@
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
 use sassafrashoist_core::gateway::config_age::ConfigAge;
 use sassafrashoist_core::gateway::config_sharing::ConfigSharing;
+use sassafrashoist_core::gateway::connection_timeouts::ConnectionTimeouts;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::drain_plan::DrainPlan;
 use sassafrashoist_core::gateway::line_limit::LineLimit;
@@ -30,7 +31,7 @@
 use sassafrashoist_core::gateway::{ConfigVersion, HolderId, Uptime};
 use sassafrashoist_core::ids::BackendServerId;
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -80,6 +81,7 @@
     topic_read: Notify,
     datagram_socket: OnceLock<Arc<UdpSocket>>,
     drain_plan: OnceLock<DrainPlan>,
+    caller_timeouts: watch::Sender<ConnectionTimeouts>,
     started_instant: Instant,
     /// The VM's clocks when the process started.
     pub started_at: ClockReading,
@@ -152,6 +154,7 @@
             topic_read: Notify::new(),
             datagram_socket: OnceLock::new(),
             drain_plan: OnceLock::new(),
+            caller_timeouts: watch::Sender::default(),
             started_instant: Instant::now(),
             started_at: read_clocks(),
             ledger_wakeup: Notify::new(),
@@ -203,11 +206,17 @@
     pub fn replace_routes(&self, routes: &Arc<RouteTable>) -> bool {
         let is_newer = self.lock_routes().replace(routes, self.now());
         if is_newer {
+            self.caller_timeouts.send_replace(ConnectionTimeouts::of(&routes.config().limits));
             self.lock_config_age().record_active(routes.config().version);
         }
         is_newer
     }
 
+    /// Returns the timeouts of callers' connections, which follow the active configuration.
+    pub fn caller_timeouts(&self) -> watch::Receiver<ConnectionTimeouts> {
+        self.caller_timeouts.subscribe()
+    }
+
     /// Locks what this VM knows of the age of its configuration.
     pub fn lock_config_age(&self) -> MutexGuard<'_, ConfigAge> {
         lock(&self.config_age)
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -17,8 +17,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sassafrashoist_adapter::request_headers::request_id;
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
+use sassafrashoist_core::gateway::connection_timeouts::ConnectionTimeouts;
 use sassafrashoist_core::gateway::framing_allowance::MAX_HEAD_BYTES;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::caller_socket::CallerSocket;
@@ -39,17 +42,15 @@
 
 /// The maximum length of the head of a request that does not come from a caller.
 const MAX_INTERNAL_HEAD_BYTES: usize = 8_192;
-/// How long a connection that does not come from a caller may be idle, and how long a head on it may
-/// take to arrive.
-const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The timeouts of a connection that does not come from a caller.
+const INTERNAL_TIMEOUTS: ConnectionTimeouts =
+    ConnectionTimeouts { idle: Duration::from_secs(30), head: Duration::from_secs(30) };
 
 /// How connections are served.
 #[derive(Debug, Clone)]
 pub struct ConnectionPolicy {
-    /// How long a connection may be idle.
-    pub idle_timeout: Duration,
-    /// How long a request head may take to arrive, from its first byte on.
-    pub head_timeout: Duration,
+    /// How long a connection may stay in each phase, now.
+    pub timeouts: watch::Receiver<ConnectionTimeouts>,
     /// The maximum length of a request head.
     pub max_head_bytes: usize,
     /// When connections are closed.
@@ -162,7 +163,7 @@
                 log::info!("connection closed: the head of a request stalled while this VM stops");
                 return Ok(());
             }
-            phase = wait_until_overdue(&policy, &open) => {
+            phase = wait_until_overdue(&policy.timeouts, &open) => {
                 if phase == ConnectionPhase::ReadingHead {
                     log::info!("connection closed: the head of a request took too long");
                     return Ok(());
@@ -201,23 +202,32 @@
 }
 
 /// Waits until a connection has been idle for too long, or a head takes too long to arrive; returns the
-/// phase that lasts too long.
-async fn wait_until_overdue(policy: &ConnectionPolicy, open: &OpenConnection) -> ConnectionPhase {
+/// phase that lasts too long. A timeout that becomes longer meanwhile applies at once, a shorter one
+/// from the next phase on, as the caller may still count on the longer one.
+async fn wait_until_overdue(
+    timeouts: &watch::Receiver<ConnectionTimeouts>,
+    open: &OpenConnection,
+) -> ConnectionPhase {
     loop {
-        let (phase, change_count) = (open.phase(), open.change_count());
+        let (phase, change_count, began) = (open.phase(), open.change_count(), Instant::now());
         let changed = wait_while(|| open.change_count() == change_count);
-        let timeout = match phase {
-            ConnectionPhase::Opened | ConnectionPhase::Idle => policy.idle_timeout,
-            ConnectionPhase::ReadingHead => policy.head_timeout,
-            ConnectionPhase::InRequest
-            | ConnectionPhase::WritingResponse
-            | ConnectionPhase::Closing => {
-                changed.await;
-                continue;
+        let Some(mut timeout) = timeouts.borrow().longest(phase) else {
+            changed.await;
+            continue;
+        };
+        let overdue = async {
+            loop {
+                tokio::time::sleep_until(began + timeout).await;
+                match timeouts.borrow().longest(phase) {
+                    Some(longer) if longer > timeout => timeout = longer,
+                    Some(_) | None => return,
+                }
             }
         };
-        if tokio::time::timeout(timeout, changed).await.is_err() {
-            return phase;
+        tokio::select! {
+            biased;
+            () = changed => {}
+            () = overdue => return phase,
         }
     }
 }
@@ -264,8 +274,7 @@
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let policy = ConnectionPolicy {
-        idle_timeout: INTERNAL_IDLE_TIMEOUT,
-        head_timeout: INTERNAL_IDLE_TIMEOUT,
+        timeouts: watch::Sender::new(INTERNAL_TIMEOUTS).subscribe(),
         max_head_bytes: MAX_INTERNAL_HEAD_BYTES,
         closing: ClosingSignals {
             closing: closing.clone(),
--- a/crates/sassafrashoist/src/gateway/serve_clients.rs
+++ b/crates/sassafrashoist/src/gateway/serve_clients.rs
@@ -1,7 +1,6 @@
 //! Accepts connections from callers.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::header::CONNECTION;
 use http::{HeaderValue, Response};
@@ -15,8 +14,6 @@
 
 /// The maximum length of a request head before a configuration has been read.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16_384;
-/// How long a connection may be idle before a configuration has been read.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// The smallest buffer size that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8_192;
 
@@ -58,11 +55,8 @@
 fn connection_policy(context: &GatewayContext, closing: &ClosingSignals) -> ConnectionPolicy {
     let limits = context.routes().map(|routes| routes.config().limits);
     let head_bytes = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.max_header_bytes);
-    let timeout = limits
-        .map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.header_timeout));
     ConnectionPolicy {
-        idle_timeout: timeout,
-        head_timeout: timeout,
+        timeouts: context.caller_timeouts(),
         max_head_bytes: head_bytes.max(MIN_HEAD_BYTES),
         closing: closing.clone(),
     }
--- a/crates/sassafrashoist/tests/testsuite/open_connections.rs
+++ b/crates/sassafrashoist/tests/testsuite/open_connections.rs
@@ -1,7 +1,7 @@
 //! Tests of the connections that a gateway that stops waits for.
 
 use std::net::Ipv4Addr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sassafrashoist::gateway::listen::close_listener;
 use sassafrashoist::gateway::open_connections::OpenConnections;
@@ -103,6 +103,23 @@
     assert!(closed.is_ok());
 }
 
+// Its caller may still count on the longer time; the next idle time is the shorter one.
+#[tokio::test]
+async fn idle_time_that_becomes_shorter_holds_from_the_next_request_on() {
+    let mut served = serve_with_timeouts(3 * IDLE_TIMEOUT, WAIT, succeed(4)).await;
+    served.caller.write_all(REQUEST).await.unwrap();
+    served.wait_for(|counts| counts.idle == 1).await;
+
+    served.timeouts.send_modify(|timeouts| timeouts.idle = IDLE_TIMEOUT);
+    tokio::time::sleep(2 * IDLE_TIMEOUT).await;
+    served.caller.write_all(REQUEST).await.unwrap();
+    let began = Instant::now();
+    let received = served.read_to_end().await;
+
+    assert_eq!(received.matches("HTTP/1.1 200 OK").count(), 2, "{received}");
+    assert!(began.elapsed() < 3 * IDLE_TIMEOUT, "{:?}", began.elapsed());
+}
+
 #[tokio::test]
 async fn head_that_takes_too_long_ends_its_connection() {
     let mut served = serve_with_timeouts(WAIT, IDLE_TIMEOUT, succeed(4)).await;
--- a/crates/sassafrashoist/tests/testsuite/served_connection.rs
+++ b/crates/sassafrashoist/tests/testsuite/served_connection.rs
@@ -12,8 +12,10 @@
 use sassafrashoist::gateway::request_body::RequestBody;
 use sassafrashoist::gateway::response_body::{ResponseBody, full_response};
 use sassafrashoist_core::gateway::connection_phase::PhaseCounts;
+use sassafrashoist_core::gateway::connection_timeouts::ConnectionTimeouts;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// A whole request without a body.
 pub const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
@@ -30,6 +32,8 @@
     pub connections: Arc<OpenConnections>,
     /// The signals that close it.
     pub signals: ClosingSignals,
+    /// Its timeouts.
+    pub timeouts: watch::Sender<ConnectionTimeouts>,
 }
 
 /// Serves one connection without a timeout that matters.
@@ -41,10 +45,10 @@
     serve_with_timeouts(WAIT, WAIT, handle).await
 }
 
-/// Serves one connection.
+/// Serves one connection with these timeouts.
 pub async fn serve_with_timeouts<F, R>(
-    idle_timeout: Duration,
-    head_timeout: Duration,
+    idle: Duration,
+    head: Duration,
     handle: F,
 ) -> ServedConnection
 where
@@ -57,10 +61,12 @@
     let connections = Arc::<OpenConnections>::default();
     let signals = ClosingSignals::default();
     let closing = signals.clone();
-    let policy = ConnectionPolicy { idle_timeout, head_timeout, max_head_bytes: 8_192, closing };
+    let timeouts = watch::Sender::new(ConnectionTimeouts { idle, head });
+    let policy =
+        ConnectionPolicy { timeouts: timeouts.subscribe(), max_head_bytes: 8_192, closing };
     let open = connections.add();
     tokio::spawn(async move { serve_connection(stream, open, policy, handle).await });
-    ServedConnection { caller, connections, signals }
+    ServedConnection { caller, connections, signals, timeouts }
 }
 
 /// Returns a response whose body has this length.
