Keep reading after the refusal of a head

A caller that was still sending its malformed head when it was refused got a reset, which can take the 400 with it. Bodies had that protection; of a head, all that had arrived could have been read, and the connection was closed at once.

A connection that ends within a head now lingers, for a second at most.

--- a/crates/sassafrashoist/src/gateway/caller_stream.rs
+++ b/crates/sassafrashoist/src/gateway/caller_stream.rs
@@ -1,8 +1,8 @@
 //! The connection of a caller.
 //!
 //! A connection that is closed with unread bytes is reset, which can take the response with it. If a
-//! response ends the connection while the caller still sends the body of its request, or has sent more
-//! than was read, the connection is therefore read until the caller closes it, at most for
+//! response ends the connection while the caller still sends the head or body of its request, or has
+//! sent more than was read, the connection is therefore read until the caller closes it, at most for
 //! [`LINGER_TIME`].
 //!
 //! A response without length or chunks is complete for its caller when its connection is closed
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use rustix::net::sockopt::set_socket_linger;
+use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
@@ -155,7 +156,9 @@
             Some(linger_end) => linger_end,
             None => {
                 ready!(Pin::new(&mut *self.socket.lock()).poll_shutdown(cx))?;
-                if !self.connection.is_body_unfinished() && !self.has_unread_bytes(cx) {
+                let is_request_unfinished = self.connection.is_body_unfinished()
+                    || self.connection.phase() == ConnectionPhase::ReadingHead;
+                if !is_request_unfinished && !self.has_unread_bytes(cx) {
                     return Poll::Ready(Ok(()));
                 }
                 Box::pin(tokio::time::sleep(LINGER_TIME))
