Refuse heads that arrive too slowly with 408

A head that takes too long was answered by closing the connection, which a caller cannot tell from a request that was read and lost. 408 says that the request has not run and never will (RFC 9110, 15.5.9); the head was not read to its end, so that this holds.

head_that_takes_too_long_ends_its_connection asked for no bytes at all. Connections without a byte, idle ones and heads that stall while the VM stops are closed as before.

--- a/crates/sassafrashoist/src/gateway/caller_socket.rs
+++ b/crates/sassafrashoist/src/gateway/caller_socket.rs
@@ -1,14 +1,22 @@
 //! The socket of a caller.
 
 use std::io;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::Poll;
+use std::task::{Context, Poll, ready};
 
-use tokio::io::ReadBuf;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::caller_stream::LINGER_TIME;
+
 /// An interim response that says nothing but that the request has been received.
 const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// The response to a head that does not arrive in time.
+const HEAD_TIMEOUT_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// The most bytes that are read at once to be discarded.
+const DISCARD_CHUNK_BYTES: usize = 4_096;
 
 /// The socket of a caller, which the HTTP library and the check of the caller share. Both run in one
 /// task, so that the lock is never waited for.
@@ -53,6 +61,33 @@
         self.lock().take_error()?.map_or(Ok(()), Err)
     }
 
+    /// Reads and discards what the caller still sends, until it closes the connection or that fails.
+    pub fn poll_discard(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut chunk = [0; DISCARD_CHUNK_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut chunk);
+            match ready!(Pin::new(&mut *self.lock()).poll_read(cx, &mut buffer)) {
+                Ok(()) if !buffer.filled().is_empty() => {}
+                Ok(()) | Err(_) => return Poll::Ready(()),
+            }
+        }
+    }
+
+    /// Responds to a head that has not arrived in time, and closes the connection once the caller does,
+    /// at the latest after [`LINGER_TIME`]. Nothing of another response may be left to be written.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection has failed.
+    pub async fn refuse_late_head(&self) -> io::Result<()> {
+        self.lock().try_write(HEAD_TIMEOUT_RESPONSE)?;
+        std::future::poll_fn(|cx| Pin::new(&mut *self.lock()).poll_shutdown(cx)).await?;
+        let discarded = std::future::poll_fn(|cx| self.poll_discard(cx));
+        // A caller that sends on does not hold the connection.
+        let _ = tokio::time::timeout(LINGER_TIME, discarded).await;
+        Ok(())
+    }
+
     /// Sends an interim response. Nothing of another response may be left to be written.
     ///
     /// # Errors
--- a/crates/sassafrashoist/src/gateway/caller_stream.rs
+++ b/crates/sassafrashoist/src/gateway/caller_stream.rs
@@ -25,9 +25,7 @@
 use super::open_connection::OpenConnection;
 
 /// How long a connection is read after its last response.
-const LINGER_TIME: Duration = Duration::from_secs(1);
-/// The most bytes that are read at once then.
-const LINGER_CHUNK_BYTES: usize = 4_096;
+pub const LINGER_TIME: Duration = Duration::from_secs(1);
 
 /// Makes the connection end with a reset unless its response is written to its end.
 #[derive(Debug, Clone, Default)]
@@ -76,18 +74,10 @@
 
     /// Reads and discards what the caller still sends, until it closes the connection.
     fn poll_linger(&mut self, end: &mut Pin<Box<Sleep>>, cx: &mut Context<'_>) -> Poll<()> {
-        let mut chunk = [0; LINGER_CHUNK_BYTES];
-        loop {
-            if end.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(());
-            }
-            let mut buffer = ReadBuf::new(&mut chunk);
-            match ready!(Pin::new(&mut *self.socket.lock()).poll_read(cx, &mut buffer)) {
-                Ok(()) if !buffer.filled().is_empty() => {}
-                // The caller has closed the connection, or it has failed.
-                Ok(()) | Err(_) => return Poll::Ready(()),
-            }
+        if end.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
         }
+        self.socket.poll_discard(cx)
     }
 
     /// Returns whether the caller has sent bytes that were not read.
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -166,6 +166,9 @@
             phase = wait_until_overdue(&policy.timeouts, &open) => {
                 if phase == ConnectionPhase::ReadingHead {
                     log::info!("connection closed: the head of a request took too long");
+                    if let Err(error) = socket.refuse_late_head().await {
+                        log::debug!(error:% = error; "caller left within a head");
+                    }
                     return Ok(());
                 }
                 open.record_closing();
--- a/crates/sassafrashoist/tests/testsuite/open_connections.rs
+++ b/crates/sassafrashoist/tests/testsuite/open_connections.rs
@@ -120,15 +120,26 @@
     assert!(began.elapsed() < 3 * IDLE_TIMEOUT, "{:?}", began.elapsed());
 }
 
+// The connection was closed without a word, which a caller can take for a request that was read.
 #[tokio::test]
-async fn head_that_takes_too_long_ends_its_connection() {
+async fn head_that_takes_too_long_is_refused_and_ends_its_connection() {
     let mut served = serve_with_timeouts(WAIT, IDLE_TIMEOUT, succeed(4)).await;
+    let (first_part, rest) = REQUEST.split_at(10);
+    served.caller.write_all(REQUEST).await.unwrap();
+    served.wait_for(|counts| counts.idle == 1).await;
 
-    served.caller.write_all(&REQUEST[..10]).await.unwrap();
+    served.caller.write_all(first_part).await.unwrap();
+    tokio::time::sleep(2 * IDLE_TIMEOUT).await;
+    served.caller.write_all(rest).await.unwrap();
     let received = served.read_to_end().await;
     let closed = tokio::time::timeout(WAIT, served.connections.wait_until_closed()).await;
 
-    assert_eq!(received, "");
+    let answers: Vec<_> = received.split("HTTP/1.1 ").skip(1).collect();
+    assert!(answers.len() == 2 && answers[0].starts_with("200"), "{received}");
+    assert!(
+        answers[1].starts_with("408") && answers[1].contains("connection: close"),
+        "{received}"
+    );
     assert!(closed.is_ok());
 }
 
