Test a lack of descriptors, and relays whose both ends stop

Two rows of the table of ends that had no test. Both pass without a change: without descriptors the gateway answers 503 on kept connections and serves again when they are back; a request that another VM carries is served when both VMs get SIGTERM. assert_carried_request_is_served takes a list of the gateways that stop, with the same assertions for each.

--- a/crates/sassafrashoist/tests/testsuite/ends_of_connections.rs
+++ b/crates/sassafrashoist/tests/testsuite/ends_of_connections.rs
@@ -1,5 +1,7 @@
 //! Tests of connections that end, or could end, without an answer to a request that was read.
 
+use std::fs::Permissions;
+use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -14,6 +16,7 @@
     STATUS_PATH, StandInFleet,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::served_connection::{REQUEST, ServedConnection, WAIT, answer, serve, succeed};
 
@@ -22,9 +25,29 @@
 /// The shortest idle time of the stand-in's configurations; no less than their time for a head.
 const SHORT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
-async fn start(name: &str) -> StandInFleet {
+fn folder(name: &str) -> PathBuf {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("ends_of_connections").join(name);
     std::fs::remove_dir_all(&folder).ok();
+    folder
+}
+
+async fn start(name: &str) -> StandInFleet {
+    start_program(Path::new(env!("CARGO_BIN_EXE_sassafrashoist")), &folder(name)).await
+}
+
+/// Starts a fleet whose gateway may have so many descriptors open.
+async fn start_with_descriptors(name: &str, count: u32) -> StandInFleet {
+    let folder = folder(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    let script = folder.join("limited.sh");
+    let program = env!("CARGO_BIN_EXE_sassafrashoist");
+    let text = format!("#!/bin/sh\nulimit -n {count}\nexec '{program}' \"$@\"\n");
+    std::fs::write(&script, text).unwrap();
+    std::fs::set_permissions(&script, Permissions::from_mode(0o755)).unwrap();
+    start_program(&script, &folder).await
+}
+
+async fn start_program(program: &Path, folder: &Path) -> StandInFleet {
     let plan = FleetPlan {
         gateway_count: 1,
         engine_count: 1,
@@ -33,8 +56,18 @@
         has_own_paths: false,
         event_interval: EVENT_INTERVAL,
     };
-    let program = Path::new(env!("CARGO_BIN_EXE_sassafrashoist"));
-    StandInFleet::start(program, &folder, plan).await.unwrap()
+    StandInFleet::start(program, folder, plan).await.unwrap()
+}
+
+/// Sends requests one after the other on one connection; returns the statuses of the answers.
+async fn send_each(caller: &mut RawCaller, name: &str, count: usize) -> Vec<Option<u16>> {
+    let mut statuses = Vec::new();
+    for number in 0..count {
+        let request = CallerRequest::plain(Method::POST, BID_PATH);
+        caller.write(&request.encode(&format!("{name}-{number}"))).await.unwrap();
+        statuses.push(read(caller).await.status());
+    }
+    statuses
 }
 
 async fn read(caller: &mut RawCaller) -> RawAnswer {
@@ -199,3 +232,26 @@
     assert!(chunk[..count].starts_with(b"HTTP/1.1 502"), "{:?}", &chunk[..count]);
     assert!(received.starts_with("HTTP/1.1 200"), "{received}");
 }
+
+// A gateway without a descriptor for a connection to a server can still answer.
+#[tokio::test]
+async fn requests_without_a_descriptor_for_their_server_are_refused_for_now() {
+    let fleet = start_with_descriptors("descriptors", 48).await;
+    let address = fleet.gateways[0].caller_address;
+    let mut caller = RawCaller::connect(address).await.unwrap();
+    let before = send_each(&mut caller, "before", 1).await;
+    let mut idle = Vec::new();
+    for _ in 0..64 {
+        idle.push(TcpStream::connect(address).await.unwrap());
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+
+    let without = send_each(&mut caller, "without", 10).await;
+    drop(idle);
+    tokio::time::sleep(4 * SETTLE_TIME).await;
+    let after = send_each(&mut caller, "after", 10).await;
+
+    assert_eq!(before, [Some(200)]);
+    assert_eq!(without, [Some(503); 10]);
+    assert_eq!(after, [Some(200); 10]);
+}
--- a/crates/sassafrashoist/tests/testsuite/shutdown.rs
+++ b/crates/sassafrashoist/tests/testsuite/shutdown.rs
@@ -690,31 +690,41 @@
     fleet
 }
 
-/// Stops a gateway while a request is carried from the first gateway to the second.
-async fn assert_carried_request_is_served(name: &str, stopped: usize) {
+/// Stops gateways while a request is carried from the first gateway to the second.
+async fn assert_carried_request_is_served(name: &str, stopped: &[usize]) {
     let mut fleet = start_without_paths(name, 2).await;
     let request = with_response_bytes(bid(RUN_PAST_CLOSE), 1_000_000);
     let mut caller = send_raw(&fleet.gateways[0], "carried", &request).await;
     wait_until_running(&fleet, "carried").await;
 
     let terminated_at = Instant::now();
-    fleet.gateways[stopped].terminate().unwrap();
+    for gateway in stopped {
+        fleet.gateways[*gateway].terminate().unwrap();
+    }
     let answer = read(&mut caller).await;
 
     assert_eq!(answer.status(), Some(200), "{answer:?}");
-    assert!(exit_time(&mut fleet.gateways[stopped], terminated_at).await < GRACE);
+    for gateway in stopped {
+        assert!(exit_time(&mut fleet.gateways[*gateway], terminated_at).await < GRACE);
+    }
 }
 
 // The gateway that carries a connection must count it as a request in progress.
 #[tokio::test]
 async fn request_is_served_when_the_gateway_that_carries_it_stops() {
-    assert_carried_request_is_served("carrier_stops", 1).await;
+    assert_carried_request_is_served("carrier_stops", &[1]).await;
 }
 
 // The gateway that asked must serve its caller to the end.
 #[tokio::test]
 async fn request_through_another_gateway_is_served_when_its_own_gateway_stops() {
-    assert_carried_request_is_served("asker_stops", 0).await;
+    assert_carried_request_is_served("asker_stops", &[0]).await;
+}
+
+// A planned stop of many VMs can be that of both ends.
+#[tokio::test]
+async fn carried_request_is_served_when_both_of_its_gateways_stop() {
+    assert_carried_request_is_served("both_stop", &[1, 0]).await;
 }
 
 // A gateway that carries a request until its grace ends leaves it to the other one to answer.
