End connections whose callers stop reading

A caller that reads nothing held its connection, and the memory of its response, for as long as it liked: no timeout applies once the response is ready, and with enough such callers the VM would refuse all others for lack of memory.

The kernel now ends a connection that takes none of the bytes sent for 60 s (TCP_USER_TIMEOUT); unlike the process it sees each byte that a slow caller takes, which room in the send buffer does not show.

--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -15,6 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::net::sockopt::set_tcp_user_timeout;
 use sassafrashoist_adapter::request_headers::request_id;
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
 use sassafrashoist_core::gateway::connection_timeouts::ConnectionTimeouts;
@@ -46,11 +47,16 @@
 const INTERNAL_TIMEOUTS: ConnectionTimeouts =
     ConnectionTimeouts { idle: Duration::from_secs(30), head: Duration::from_secs(30) };
 
+/// How long a caller may take none of the bytes of a response.
+pub const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// How connections are served.
 #[derive(Debug, Clone)]
 pub struct ConnectionPolicy {
     /// How long a connection may stay in each phase, now.
     pub timeouts: watch::Receiver<ConnectionTimeouts>,
+    /// How long a caller may take none of the bytes of a response.
+    pub write_timeout: Duration,
     /// The maximum length of a request head.
     pub max_head_bytes: usize,
     /// When connections are closed.
@@ -117,6 +123,11 @@
         log::debug!(error:% = error; "connection was closed before it was served");
         return;
     }
+    // The kernel ends the connection then; it knows of each byte that a slow caller takes.
+    let write_timeout_ms = u32::try_from(policy.write_timeout.as_millis()).unwrap_or(u32::MAX);
+    if let Err(error) = set_tcp_user_timeout(&stream, write_timeout_ms) {
+        log::warn!(error:% = error; "failed to set how long a caller may read nothing");
+    }
     let reset_switch = ResetSwitch::default();
     let meter = FramingMeter::new(policy.max_head_bytes.max(MAX_HEAD_BYTES));
     let service = service_fn(|request: Request<Incoming>| {
@@ -278,6 +289,7 @@
 {
     let policy = ConnectionPolicy {
         timeouts: watch::Sender::new(INTERNAL_TIMEOUTS).subscribe(),
+        write_timeout: WRITE_TIMEOUT,
         max_head_bytes: MAX_INTERNAL_HEAD_BYTES,
         closing: ClosingSignals {
             closing: closing.clone(),
--- a/crates/sassafrashoist/src/gateway/serve_clients.rs
+++ b/crates/sassafrashoist/src/gateway/serve_clients.rs
@@ -8,7 +8,7 @@
 
 use super::closing_signals::ClosingSignals;
 use super::gateway_context::GatewayContext;
-use super::listen::{ConnectionPolicy, accept, close_listener, serve_connection};
+use super::listen::{ConnectionPolicy, WRITE_TIMEOUT, accept, close_listener, serve_connection};
 use super::response_body::ResponseBody;
 use super::serve_request::serve_request;
 
@@ -57,6 +57,7 @@
     let head_bytes = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.max_header_bytes);
     ConnectionPolicy {
         timeouts: context.caller_timeouts(),
+        write_timeout: WRITE_TIMEOUT,
         max_head_bytes: head_bytes.max(MIN_HEAD_BYTES),
         closing: closing.clone(),
     }
--- a/crates/sassafrashoist/tests/testsuite/ends_of_connections.rs
+++ b/crates/sassafrashoist/tests/testsuite/ends_of_connections.rs
@@ -18,8 +18,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::served_connection::{REQUEST, ServedConnection, WAIT, answer, serve, succeed};
+use crate::served_connection::{
+    REQUEST, ServedConnection, WAIT, WRITE_TIMEOUT, answer, serve, succeed,
+};
 
+/// The length of a response of which the kernel takes only a part.
+const LONG_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 /// Gives bytes the time to arrive.
 const SETTLE_TIME: Duration = Duration::from_millis(100);
 /// The shortest idle time of the stand-in's configurations; no less than their time for a head.
@@ -255,3 +259,34 @@
     assert_eq!(without, [Some(503); 10]);
     assert_eq!(after, [Some(200); 10]);
 }
+
+// A caller that reads nothing held its connection, and the memory of its response, without end.
+#[tokio::test]
+async fn connection_of_a_caller_that_stops_reading_ends() {
+    let mut served = serve(succeed(LONG_RESPONSE_BYTES)).await;
+    served.caller.write_all(REQUEST).await.unwrap();
+    served.wait_for(|counts| counts.writing_response == 1).await;
+
+    let closed = tokio::time::timeout(WAIT, served.connections.wait_until_closed()).await;
+    let mut received = Vec::new();
+    let read = tokio::time::timeout(WAIT, served.caller.read_to_end(&mut received)).await;
+
+    assert!(closed.is_ok(), "{}", served.connections);
+    assert!(read.is_ok() && received.len() < LONG_RESPONSE_BYTES, "{} bytes", received.len());
+}
+
+#[tokio::test]
+async fn caller_that_reads_slowly_gets_its_whole_answer() {
+    let mut served = serve(succeed(LONG_RESPONSE_BYTES)).await;
+    served.caller.write_all(REQUEST).await.unwrap();
+    let mut received = vec![0; LONG_RESPONSE_BYTES];
+
+    for part in received.chunks_mut(LONG_RESPONSE_BYTES / 6) {
+        tokio::time::sleep(WRITE_TIMEOUT / 2).await;
+        served.caller.read_exact(part).await.unwrap();
+    }
+    served.caller.shutdown().await.unwrap();
+    let rest = served.read_to_end().await;
+
+    assert!(rest.ends_with("xxxx"), "{} bytes are left", rest.len());
+}
--- a/crates/sassafrashoist/tests/testsuite/served_connection.rs
+++ b/crates/sassafrashoist/tests/testsuite/served_connection.rs
@@ -21,6 +21,8 @@
 pub const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 /// The longest wait for anything.
 pub const WAIT: Duration = Duration::from_secs(10);
+/// How long the caller may take none of the bytes of a response.
+pub const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two checks of the counts.
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -62,8 +64,12 @@
     let signals = ClosingSignals::default();
     let closing = signals.clone();
     let timeouts = watch::Sender::new(ConnectionTimeouts { idle, head });
-    let policy =
-        ConnectionPolicy { timeouts: timeouts.subscribe(), max_head_bytes: 8_192, closing };
+    let policy = ConnectionPolicy {
+        timeouts: timeouts.subscribe(),
+        write_timeout: WRITE_TIMEOUT,
+        max_head_bytes: 8_192,
+        closing,
+    };
     let open = connections.add();
     tokio::spawn(async move { serve_connection(stream, open, policy, handle).await });
     ServedConnection { caller, connections, signals, timeouts }
