Let kept connections follow the head limit of the newest configuration

After the limit of heads had been raised, a caller with a longer head got 431 on a kept connection, which tells it not to come back: the HTTP library takes the limit once, when the connection is accepted.

Evidence: head_that_a_newer_configuration_allows_is_read_on_a_kept_connection fails on the commit before (431, one run) and passes with this change.

--- a/crates/sassafrashoist/src/gateway/open_connection.rs
+++ b/crates/sassafrashoist/src/gateway/open_connection.rs
@@ -1,6 +1,6 @@
 //! A connection that is open.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use http::Version;
@@ -19,6 +19,8 @@
     connections: Arc<OpenConnections>,
     phase: Mutex<ConnectionPhase>,
     change_count: AtomicU64,
+    /// The bytes that were read of a head, and perhaps of a body that came with it.
+    head_bytes: AtomicUsize,
     is_body_unfinished: AtomicBool,
     is_interim_allowed: AtomicBool,
     has_unwritten_bytes: AtomicBool,
@@ -31,6 +33,7 @@
             connections,
             phase: Mutex::new(ConnectionPhase::Opened),
             change_count: AtomicU64::new(0),
+            head_bytes: AtomicUsize::new(0),
             is_body_unfinished: AtomicBool::new(false),
             is_interim_allowed: AtomicBool::new(false),
             has_unwritten_bytes: AtomicBool::new(false),
@@ -56,8 +59,18 @@
             return;
         }
         if matches!(self.phase(), ConnectionPhase::Opened | ConnectionPhase::Idle) {
+            self.head_bytes.store(0, Ordering::Release);
             self.set_phase(ConnectionPhase::ReadingHead);
         }
+        self.head_bytes.fetch_add(bytes.len(), Ordering::AcqRel);
+    }
+
+    /// Returns how much of a head that is being read has been read.
+    pub fn head_bytes(&self) -> usize {
+        match self.phase() {
+            ConnectionPhase::ReadingHead => self.head_bytes.load(Ordering::Acquire),
+            _ => 0,
+        }
     }
 
     /// Records that the head of a request was read, whose caller uses this version of HTTP.
--- a/crates/sassafrashoist/tests/testsuite/ends_of_connections.rs
+++ b/crates/sassafrashoist/tests/testsuite/ends_of_connections.rs
@@ -152,6 +152,26 @@
     assert_eq!(second.status(), Some(200), "{second:?}");
 }
 
+// The HTTP library reads the limit once, when the connection is accepted.
+#[tokio::test]
+async fn head_that_a_newer_configuration_allows_is_read_on_a_kept_connection() {
+    let mut fleet = start("head_limit").await;
+    let mut caller = RawCaller::connect(fleet.gateways[0].caller_address).await.unwrap();
+    let first = send_each(&mut caller, "first", 1).await;
+
+    fleet.change_header_limit(40_000);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let long = CallerRequest {
+        headers: vec![("padding", "x".repeat(20_000))],
+        ..CallerRequest::plain(Method::POST, BID_PATH)
+    };
+    caller.write(&long.encode("second")).await.unwrap();
+    let second = read(&mut caller).await;
+
+    assert_eq!(first, [Some(200)]);
+    assert_eq!(second.status(), Some(200), "{second:?}");
+}
+
 // All that was sent had been read when the connection was closed, and what came later reset it.
 #[tokio::test]
 async fn refusal_of_a_head_arrives_while_the_rest_of_the_head_is_sent() {
