--- a/crates/sassafrashoist/src/gateway/caller_stream.rs
+++ b/crates/sassafrashoist/src/gateway/caller_stream.rs
@@ -1,8 +1,8 @@
 //! The connection of a caller.
 //!
 //! A connection that is closed with unread bytes is reset, which can take the response with it. If a
-//! response ends the connection while the caller still sends the body of its request, or has sent more
-//! than was read, the connection is therefore read until the caller closes it, at most for
+//! response ends the connection while the caller still sends the head or body of its request, or has
+//! sent more than was read, the connection is therefore read until the caller closes it, at most for
 //! [`LINGER_TIME`].
 //!
 //! A response without length or chunks is complete for its caller when its connection is closed
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use rustix::net::sockopt::set_socket_linger;
+use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
@@ -24,9 +25,7 @@
 use super::open_connection::OpenConnection;
 
 /// How long a connection is read after its last response.
-const LINGER_TIME: Duration = Duration::from_secs(1);
-/// The most bytes that are read at once then.
-const LINGER_CHUNK_BYTES: usize = 4_096;
+pub const LINGER_TIME: Duration = Duration::from_secs(1);
 
 /// Makes the connection end with a reset unless its response is written to its end.
 #[derive(Debug, Clone, Default)]
@@ -75,18 +74,10 @@
 
     /// Reads and discards what the caller still sends, until it closes the connection.
     fn poll_linger(&mut self, end: &mut Pin<Box<Sleep>>, cx: &mut Context<'_>) -> Poll<()> {
-        let mut chunk = [0; LINGER_CHUNK_BYTES];
-        loop {
-            if end.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(());
-            }
-            let mut buffer = ReadBuf::new(&mut chunk);
-            match ready!(Pin::new(&mut *self.socket.lock()).poll_read(cx, &mut buffer)) {
-                Ok(()) if !buffer.filled().is_empty() => {}
-                // The caller has closed the connection, or it has failed.
-                Ok(()) | Err(_) => return Poll::Ready(()),
-            }
+        if end.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
         }
+        self.socket.poll_discard(cx)
     }
 
     /// Returns whether the caller has sent bytes that were not read.
@@ -155,7 +146,9 @@
             Some(linger_end) => linger_end,
             None => {
                 ready!(Pin::new(&mut *self.socket.lock()).poll_shutdown(cx))?;
-                if !self.connection.is_body_unfinished() && !self.has_unread_bytes(cx) {
+                let is_request_unfinished = self.connection.is_body_unfinished()
+                    || self.connection.phase() == ConnectionPhase::ReadingHead;
+                if !is_request_unfinished && !self.has_unread_bytes(cx) {
                     return Poll::Ready(Ok(()));
                 }
                 Box::pin(tokio::time::sleep(LINGER_TIME))
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -3,20 +3,27 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use eyre::WrapErr;
+use futures::FutureExt;
 use http::header::CONTENT_LENGTH;
 use http::{Method, Request, Response, StatusCode, Version};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::net::sockopt::set_tcp_user_timeout;
+use sassafrashoist_adapter::request_headers::request_id;
+use sassafrashoist_core::gateway::connection_limits::ConnectionLimits;
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
 use sassafrashoist_core::gateway::framing_allowance::MAX_HEAD_BYTES;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::caller_socket::CallerSocket;
@@ -28,27 +35,30 @@
 use super::open_connections::OpenConnections;
 use super::request_body::RequestBody;
 use super::response_body::ResponseBody;
+use super::serve_request::Refusal;
 use super::tracked_body::TrackedBody;
 use super::watch_caller::wait_until_caller_left;
 
 /// Delay after a failed accept, which usually means that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// The maximum length of the head of a request that does not come from a caller.
-const MAX_INTERNAL_HEAD_BYTES: usize = 8_192;
-/// How long a connection that does not come from a caller may be idle, and how long a head on it may
-/// take to arrive.
-const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The limits of a connection that does not come from a caller.
+const INTERNAL_LIMITS: ConnectionLimits = ConnectionLimits {
+    idle_timeout: Duration::from_secs(30),
+    head_timeout: Duration::from_secs(30),
+    max_head_bytes: 8_192,
+};
+
+/// How long a caller may take none of the bytes of a response.
+pub const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// How connections are served.
 #[derive(Debug, Clone)]
 pub struct ConnectionPolicy {
-    /// How long a connection may be idle.
-    pub idle_timeout: Duration,
-    /// How long a request head may take to arrive, from its first byte on.
-    pub head_timeout: Duration,
-    /// The maximum length of a request head.
-    pub max_head_bytes: usize,
+    /// The limits of connections and heads, now.
+    pub limits: watch::Receiver<ConnectionLimits>,
+    /// How long a caller may take none of the bytes of a response.
+    pub write_timeout: Duration,
     /// When connections are closed.
     pub closing: ClosingSignals,
 }
@@ -113,16 +123,25 @@
         log::debug!(error:% = error; "connection was closed before it was served");
         return;
     }
+    // The kernel ends the connection then; it knows of each byte that a slow caller takes.
+    let write_timeout_ms = u32::try_from(policy.write_timeout.as_millis()).unwrap_or(u32::MAX);
+    if let Err(error) = set_tcp_user_timeout(&stream, write_timeout_ms) {
+        log::warn!(error:% = error; "failed to set how long a caller may read nothing");
+    }
     let reset_switch = ResetSwitch::default();
-    let meter = FramingMeter::new(policy.max_head_bytes.max(MAX_HEAD_BYTES));
+    // The HTTP library reads heads up to a length that does not change while a connection is open.
+    let library_max_head_bytes = policy.limits.borrow().max_head_bytes.max(MAX_HEAD_BYTES);
+    let meter = FramingMeter::new(library_max_head_bytes);
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
         let is_head = request.method() == Method::HEAD;
         let (open, reset_switch, meter) = (&open, &reset_switch, &meter);
         open.record_request(caller_version);
+        let request_id = request_id(request.headers()).unwrap_or("-").to_owned();
         let response = handle(request.map(|body| RequestBody::new(body, open, meter.clone())));
         async move {
-            let response = response.await;
+            let response = AssertUnwindSafe(response).catch_unwind().await;
+            let response = response.unwrap_or_else(|_| answer_panic(&request_id));
             open.record_response_start(
                 caller_version == Version::HTTP_11 && !is_head && is_chunked(&response),
             );
@@ -147,7 +166,7 @@
         // The timer of the HTTP library runs from the end of the request before.
         .header_read_timeout(None)
         .half_close(true)
-        .max_buf_size(policy.max_head_bytes)
+        .max_buf_size(library_max_head_bytes)
         .preserve_header_case(true)
         .serve_connection(TokioIo::new(metered_stream), service)
         .with_upgrades();
@@ -160,9 +179,15 @@
                 log::info!("connection closed: the head of a request stalled while this VM stops");
                 return Ok(());
             }
-            phase = wait_until_overdue(&policy, &open) => {
+            () = wait_until_head_too_long(&policy.limits, &open) => {
+                log::info!("connection closed: the head of a request is too long");
+                refuse_head(&socket, StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE).await;
+                return Ok(());
+            }
+            phase = wait_until_overdue(&policy.limits, &open) => {
                 if phase == ConnectionPhase::ReadingHead {
                     log::info!("connection closed: the head of a request took too long");
+                    refuse_head(&socket, StatusCode::REQUEST_TIMEOUT).await;
                     return Ok(());
                 }
                 open.record_closing();
@@ -203,24 +228,54 @@
         && response.body().size_hint().exact().is_none()
 }
 
+/// Responds to a request whose handling has panicked; it may have reached a server.
+fn answer_panic(request_id: &str) -> Response<ResponseBody> {
+    log::error!(id = request_id; "request ended with a panic");
+    Refusal::new(StatusCode::BAD_GATEWAY, "internal failure").into_response(request_id, &"")
+}
+
+/// Responds to a request whose head is not read to its end.
+async fn refuse_head(socket: &CallerSocket, status: StatusCode) {
+    if let Err(error) = socket.refuse_head(status).await {
+        log::debug!(error:% = error; "caller left within a head");
+    }
+}
+
+/// Waits until the part of a head that has been read is too long.
+async fn wait_until_head_too_long(
+    limits: &watch::Receiver<ConnectionLimits>,
+    open: &OpenConnection,
+) {
+    wait_while(|| open.head_bytes() < limits.borrow().max_head_bytes).await;
+}
+
 /// Waits until a connection has been idle for too long, or a head takes too long to arrive; returns the
-/// phase that lasts too long.
-async fn wait_until_overdue(policy: &ConnectionPolicy, open: &OpenConnection) -> ConnectionPhase {
+/// phase that lasts too long. A timeout that becomes longer meanwhile applies at once, a shorter one
+/// from the next phase on, as the caller may still count on the longer one.
+async fn wait_until_overdue(
+    limits: &watch::Receiver<ConnectionLimits>,
+    open: &OpenConnection,
+) -> ConnectionPhase {
     loop {
-        let (phase, change_count) = (open.phase(), open.change_count());
+        let (phase, change_count, began) = (open.phase(), open.change_count(), Instant::now());
         let changed = wait_while(|| open.change_count() == change_count);
-        let timeout = match phase {
-            ConnectionPhase::Opened | ConnectionPhase::Idle => policy.idle_timeout,
-            ConnectionPhase::ReadingHead => policy.head_timeout,
-            ConnectionPhase::InRequest
-            | ConnectionPhase::WritingResponse
-            | ConnectionPhase::Closing => {
-                changed.await;
-                continue;
+        let Some(mut timeout) = limits.borrow().longest(phase) else {
+            changed.await;
+            continue;
+        };
+        let overdue = async {
+            loop {
+                tokio::time::sleep_until(began + timeout).await;
+                match limits.borrow().longest(phase) {
+                    Some(longer) if longer > timeout => timeout = longer,
+                    Some(_) | None => return,
+                }
             }
         };
-        if tokio::time::timeout(timeout, changed).await.is_err() {
-            return phase;
+        tokio::select! {
+            biased;
+            () = changed => {}
+            () = overdue => return phase,
         }
     }
 }
@@ -267,9 +322,8 @@
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let policy = ConnectionPolicy {
-        idle_timeout: INTERNAL_IDLE_TIMEOUT,
-        head_timeout: INTERNAL_IDLE_TIMEOUT,
-        max_head_bytes: MAX_INTERNAL_HEAD_BYTES,
+        limits: watch::Sender::new(INTERNAL_LIMITS).subscribe(),
+        write_timeout: WRITE_TIMEOUT,
         closing: ClosingSignals {
             closing: closing.clone(),
             closing_opened: closing.clone(),
--- a/crates/sassafrashoist/tests/testsuite/served_connection.rs
+++ b/crates/sassafrashoist/tests/testsuite/served_connection.rs
@@ -11,14 +11,18 @@
 use sassafrashoist::gateway::open_connections::OpenConnections;
 use sassafrashoist::gateway::request_body::RequestBody;
 use sassafrashoist::gateway::response_body::{ResponseBody, full_response};
+use sassafrashoist_core::gateway::connection_limits::ConnectionLimits;
 use sassafrashoist_core::gateway::connection_phase::PhaseCounts;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// A whole request without a body.
 pub const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 /// The longest wait for anything.
 pub const WAIT: Duration = Duration::from_secs(10);
+/// How long the caller may take none of the bytes of a response.
+pub const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two checks of the counts.
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -30,6 +34,8 @@
     pub connections: Arc<OpenConnections>,
     /// The signals that close it.
     pub signals: ClosingSignals,
+    /// Its limits.
+    pub limits: watch::Sender<ConnectionLimits>,
 }
 
 /// Serves one connection without a timeout that matters.
@@ -41,7 +47,7 @@
     serve_with_timeouts(WAIT, WAIT, handle).await
 }
 
-/// Serves one connection.
+/// Serves one connection with these timeouts.
 pub async fn serve_with_timeouts<F, R>(
     idle_timeout: Duration,
     head_timeout: Duration,
@@ -57,10 +63,13 @@
     let connections = Arc::<OpenConnections>::default();
     let signals = ClosingSignals::default();
     let closing = signals.clone();
-    let policy = ConnectionPolicy { idle_timeout, head_timeout, max_head_bytes: 8_192, closing };
+    let limits =
+        watch::Sender::new(ConnectionLimits { idle_timeout, head_timeout, max_head_bytes: 8_192 });
+    let policy =
+        ConnectionPolicy { limits: limits.subscribe(), write_timeout: WRITE_TIMEOUT, closing };
     let open = connections.add();
     tokio::spawn(async move { serve_connection(stream, open, policy, handle).await });
-    ServedConnection { caller, connections, signals }
+    ServedConnection { caller, connections, signals, limits }
 }
 
 /// Returns a response whose body has this length.
