Bound the connections that callers keep open

Callers saw: requests at work on kept connections got no answer (LOST), because the gateway ended.

Cause: bodies, events and requests of a VM are bounded, its open connections were not. Each takes memory and a descriptor until `idleTimeoutMs`.

Change: `ConnectionLimit` in core derives the number of open connections from memory and `limits.maxFds`. From three quarters of it on, responses end their connections; from seven eighths on, each new connection closes the one that has been idle longest, unless a request has arrived on it; at the limit, new ones wait in the backlog. Requests in progress share the memory with the connections beside them. The future of a request no longer takes room on an idle connection.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 //! - [`live_vms`]: the VMs that all others select in the same way for a task.
 //! - [`request_limit`] and [`memory_budget`]: how many requests a VM holds, and how much their bodies
 //!   and events may hold.
+//! - [`connection_limit`]: how many connections callers may keep open.
 //! - [`line_limit`]: which of many alike events are logged.
 //! - [`retry_limiter`]: how many requests may be sent a second time, in a sliding window.
 //!
@@ -51,6 +52,7 @@
 pub mod config_announcement;
 pub mod config_readers;
 pub mod config_sharing;
+pub mod connection_limit;
 pub mod connection_phase;
 pub mod crash_book;
 pub mod crash_outbox;
--- a/crates/sassafrashoist-core/src/gateway/request_limit.rs
+++ b/crates/sassafrashoist-core/src/gateway/request_limit.rs
@@ -5,6 +5,8 @@
 //! therefore refuses requests that it could not hold, before it reads their bodies; a retry reaches
 //! another VM.
 
+use super::connection_limit::CONNECTION_BYTES;
+
 /// The memory of a process with no requests in progress, including what it knows of hundreds of VMs
 /// and servers, in bytes.
 const IDLE_BYTES: u64 = 40 * 1024 * 1024;
@@ -32,6 +34,18 @@
         Self { max_bytes }
     }
 
+    /// Returns the limit beside this number of connections without a request in progress.
+    pub fn beside_connections(self, connection_count: usize) -> Self {
+        let connection_bytes = (connection_count as u64).saturating_mul(CONNECTION_BYTES);
+        let free_bytes = self.max_bytes.saturating_sub(connection_bytes);
+        Self { max_bytes: free_bytes.max(MIN_REQUEST_COUNT * REQUEST_BYTES) }
+    }
+
+    /// Returns the memory that requests and their connections may take, in bytes.
+    pub(super) fn max_bytes(self) -> u64 {
+        self.max_bytes
+    }
+
     /// Returns whether the VM can hold this number of requests, whose bodies and events hold
     /// `held_bytes`.
     pub fn allows(self, request_count: usize, held_bytes: u64) -> bool {
--- a/crates/sassafrashoist-core/src/gateway/vm_settings.rs
+++ b/crates/sassafrashoist-core/src/gateway/vm_settings.rs
@@ -24,6 +24,8 @@
     pub log_service_address: SocketAddr,
     /// The memory above which the process is killed, in bytes; `None` if there is no such limit.
     pub memory_bytes: Option<u64>,
+    /// The descriptors that the process may have open; `None` if there is no such limit.
+    pub descriptor_count: Option<u64>,
     /// The time limits and retry limits of the platform.
     pub bounds: Bounds,
 }
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod config_sharing;
 mod config_sharing_fleet;
 mod config_sharing_over_vms;
+mod connection_limit;
 mod connection_phase;
 mod crash_book;
 mod crash_fleet;
--- a/crates/sassafrashoist/src/gateway/caller_socket.rs
+++ b/crates/sassafrashoist/src/gateway/caller_socket.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::Poll;
 
+use rustix::net::RecvFlags;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
@@ -44,6 +45,14 @@
         .await
     }
 
+    /// Returns whether the kernel holds bytes of the caller that were not read, or the end of its
+    /// stream, whatever this process has been told of them.
+    pub fn is_readable(&self) -> bool {
+        let mut byte = [0_u8];
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        rustix::net::recv(&*self.lock(), &mut byte[..], flags).is_ok()
+    }
+
     /// Fails if the connection has failed since the last call.
     ///
     /// # Errors
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -9,6 +9,7 @@
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
 use sassafrashoist_core::gateway::config_age::ConfigAge;
 use sassafrashoist_core::gateway::config_sharing::ConfigSharing;
+use sassafrashoist_core::gateway::connection_limit::ConnectionLimit;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::drain_plan::DrainPlan;
 use sassafrashoist_core::gateway::line_limit::LineLimit;
@@ -375,9 +376,17 @@
         lock(&self.memory)
     }
 
-    /// Returns how many requests this VM holds at a time.
+    /// Returns how many requests this VM holds at a time beside the connections of callers.
     pub fn request_limit(&self) -> RequestLimit {
-        RequestLimit::of_memory(self.settings().memory_bytes)
+        let counts = self.caller_connections.counts();
+        let connection_count = counts.total() - counts.unanswered();
+        RequestLimit::of_memory(self.settings().memory_bytes).beside_connections(connection_count)
+    }
+
+    /// Returns how many connections callers may keep open.
+    pub fn connection_limit(&self) -> ConnectionLimit {
+        let settings = self.settings();
+        ConnectionLimit::new(settings.memory_bytes, settings.descriptor_count)
     }
 
     /// Returns whether this VM can hold the requests in progress.
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -163,6 +163,9 @@
                 }
                 open.record_closing();
             }
+            () = wait_until_closed_as_idle(&socket, &open) => {
+                open.record_closing();
+            }
             () = wait_until_closing(&policy.closing, &open) => {
                 if matches!(open.phase(), ConnectionPhase::Opened | ConnectionPhase::Idle) {
                     open.record_closing();
@@ -223,6 +226,16 @@
     wait_while(|| open.phase() == ConnectionPhase::ReadingHead).await;
 }
 
+/// Waits until an idle connection is to be closed in favour of others, and no request has arrived on it.
+async fn wait_until_closed_as_idle(socket: &CallerSocket, open: &OpenConnection) {
+    loop {
+        open.wait_for_close_request().await;
+        if open.phase() == ConnectionPhase::Idle && !socket.is_readable() {
+            return;
+        }
+    }
+}
+
 /// Waits until heads that are being read are given up, if a head is being read then.
 async fn wait_for_stalled_head(signals: &ClosingSignals, open: &OpenConnection) {
     signals.closing_heads.cancelled().await;
--- a/crates/sassafrashoist/src/gateway/open_connection.rs
+++ b/crates/sassafrashoist/src/gateway/open_connection.rs
@@ -6,6 +6,7 @@
 use http::Version;
 use sassafrashoist_core::gateway::caller_check::ResponseProgress;
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
+use tokio::sync::Notify;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::open_connections::OpenConnections;
@@ -19,6 +20,10 @@
     connections: Arc<OpenConnections>,
     phase: Mutex<ConnectionPhase>,
     change_count: AtomicU64,
+    /// The rank among the idle connections while it is idle.
+    idle_rank: Mutex<Option<u64>>,
+    /// Notified to close the connection if it is idle.
+    close_idle: Arc<Notify>,
     is_body_unfinished: AtomicBool,
     is_interim_allowed: AtomicBool,
     has_unwritten_bytes: AtomicBool,
@@ -31,6 +36,8 @@
             connections,
             phase: Mutex::new(ConnectionPhase::Opened),
             change_count: AtomicU64::new(0),
+            idle_rank: Mutex::default(),
+            close_idle: Arc::default(),
             is_body_unfinished: AtomicBool::new(false),
             is_interim_allowed: AtomicBool::new(false),
             has_unwritten_bytes: AtomicBool::new(false),
@@ -117,6 +124,11 @@
         }
     }
 
+    /// Waits until the connection is to be closed if it is idle.
+    pub async fn wait_for_close_request(&self) {
+        self.close_idle.notified().await;
+    }
+
     /// Records that the connection is closed with nothing owed.
     pub fn record_closing(&self) {
         self.set_phase(ConnectionPhase::Closing);
@@ -127,11 +139,23 @@
         self.connections.record_change(*current, phase);
         *current = phase;
         self.change_count.fetch_add(1, Ordering::AcqRel);
+        drop(current);
+        let rank = (phase == ConnectionPhase::Idle)
+            .then(|| self.connections.record_idle(&self.close_idle));
+        self.set_idle_rank(rank);
+    }
+
+    fn set_idle_rank(&self, rank: Option<u64>) {
+        let mut current = self.idle_rank.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(earlier_rank) = std::mem::replace(&mut *current, rank) {
+            self.connections.record_idle_end(earlier_rank);
+        }
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
+        self.set_idle_rank(None);
         self.connections.record_end(self.phase());
     }
 }
--- a/crates/sassafrashoist/src/gateway/open_connections.rs
+++ b/crates/sassafrashoist/src/gateway/open_connections.rs
@@ -1,9 +1,12 @@
 //! The connections that are open, and what is owed to the callers at their other ends.
 
+use std::collections::BTreeMap;
 use std::fmt;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use sassafrashoist_core::gateway::connection_phase::{ConnectionPhase, PhaseCounts};
+use tokio::sync::Notify;
 use tokio_util::task::TaskTracker;
 
 use super::open_connection::OpenConnection;
@@ -12,6 +15,12 @@
 #[derive(Debug, Default)]
 pub struct OpenConnections {
     counts: Mutex<PhaseCounts>,
+    /// The idle connections in the order in which they became idle, each with what closes it.
+    idle: Mutex<BTreeMap<u64, Arc<Notify>>>,
+    /// How often a connection has become idle.
+    idle_count: AtomicU64,
+    /// Notified when a connection was closed.
+    closed: Notify,
     open: TaskTracker,
 }
 
@@ -27,6 +36,20 @@
         *self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Closes the connection that has been idle longest, unless a request arrives on it.
+    pub fn close_longest_idle(&self) {
+        let longest_idle = self.lock_idle().pop_first();
+        if let Some((_, close)) = longest_idle {
+            close.notify_one();
+            metrics::counter!("sassafrashoist_idle_connections_closed_total").increment(1);
+        }
+    }
+
+    /// Waits until a connection was closed since the last call.
+    pub async fn wait_for_close(&self) {
+        self.closed.notified().await;
+    }
+
     /// Waits until no connection is open.
     pub async fn wait_until_closed(&self) {
         self.open.close();
@@ -39,6 +62,23 @@
 
     pub(super) fn record_end(&self, phase: ConnectionPhase) {
         self.update(|counts| counts.close(phase));
+        self.closed.notify_one();
+    }
+
+    /// Records that a connection is idle; returns its rank among the idle ones.
+    pub(super) fn record_idle(&self, close: &Arc<Notify>) -> u64 {
+        let rank = self.idle_count.fetch_add(1, Ordering::Relaxed);
+        self.lock_idle().insert(rank, Arc::clone(close));
+        rank
+    }
+
+    /// Records that the connection of this rank is no longer idle.
+    pub(super) fn record_idle_end(&self, rank: u64) {
+        self.lock_idle().remove(&rank);
+    }
+
+    fn lock_idle(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Notify>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn update(&self, update: impl FnOnce(&mut PhaseCounts)) {
--- a/crates/sassafrashoist/src/gateway/serve_clients.rs
+++ b/crates/sassafrashoist/src/gateway/serve_clients.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::header::CONNECTION;
-use http::{HeaderValue, Response};
+use http::{HeaderValue, Response, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::closing_signals::ClosingSignals;
@@ -29,7 +29,7 @@
 ) {
     loop {
         tokio::select! {
-            stream = accept(&listener) => serve_caller(&context, stream, &closing),
+            stream = accept_one(&context, &listener) => serve_caller(&context, stream, &closing),
             () = closing.closing.cancelled() => break,
         }
     }
@@ -38,18 +38,30 @@
     }
 }
 
+/// Accepts one connection as soon as there is room for it.
+async fn accept_one(context: &GatewayContext, listener: &TcpListener) -> TcpStream {
+    let connections = &context.caller_connections;
+    while !context.connection_limit().allows_another(connections.counts().total()) {
+        connections.close_longest_idle();
+        connections.wait_for_close().await;
+    }
+    accept(listener).await
+}
+
 fn serve_caller(context: &Arc<GatewayContext>, stream: TcpStream, closing: &ClosingSignals) {
     let policy = connection_policy(context, closing);
     let open = context.caller_connections.add();
+    close_idle_beyond_limit(context);
     let context = Arc::clone(context);
     tokio::spawn(async move {
         let handle = |request| {
             let context = Arc::clone(&context);
-            async move {
+            // The HTTP library keeps room for this future as long as the connection is open.
+            Box::pin(async move {
                 let mut response = serve_request(&context, request).await;
-                close_when_draining(&context, &mut response);
+                announce_close(&context, &mut response);
                 response
-            }
+            })
         };
         serve_connection(stream, open, policy, handle).await;
     });
@@ -68,8 +80,20 @@
     }
 }
 
-fn close_when_draining(context: &GatewayContext, response: &mut Response<ResponseBody>) {
-    if context.draining.is_cancelled() {
+/// Closes one connection when another one was added to many.
+fn close_idle_beyond_limit(context: &GatewayContext) {
+    let connections = &context.caller_connections;
+    if context.connection_limit().closes_idle(connections.counts().total()) {
+        connections.close_longest_idle();
+    }
+}
+
+/// Ends the connection with this response while this VM stops or callers keep many connections.
+fn announce_close(context: &GatewayContext, response: &mut Response<ResponseBody>) {
+    let connection_count = context.caller_connections.counts().total();
+    let is_crowded = response.status() != StatusCode::SWITCHING_PROTOCOLS
+        && context.connection_limit().ends_connections(connection_count);
+    if context.draining.is_cancelled() || is_crowded {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
 }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod closing_connections;
 mod config_messages;
 mod config_sharing;
+mod connection_bounds;
 mod drain;
 mod endless_bytes;
 mod gateway;
--- a/crates/sassafrashoist/tests/testsuite/open_connections.rs
+++ b/crates/sassafrashoist/tests/testsuite/open_connections.rs
@@ -3,10 +3,11 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use http::Version;
 use sassafrashoist::gateway::listen::close_listener;
 use sassafrashoist::gateway::open_connections::OpenConnections;
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::served_connection::{REQUEST, WAIT, serve, serve_with_timeouts, succeed};
@@ -149,6 +150,64 @@
     assert!(closed.is_ok());
 }
 
+// Idle connections were kept while new ones took the rest of the memory.
+#[tokio::test]
+async fn longest_idle_connection_is_closed_first() {
+    let connections = std::sync::Arc::<OpenConnections>::default();
+    let open: Vec<_> = (0..4).map(|_| connections.add()).collect();
+    for index in [2, 1, 3, 0, 2] {
+        open[index].record_request(Version::HTTP_11);
+        open[index].record_response();
+        open[index].record_written();
+    }
+    open[1].record_request(Version::HTTP_11);
+
+    let mut closed = Vec::new();
+    for _ in 0..4 {
+        connections.close_longest_idle();
+        for (index, connection) in open.iter().enumerate() {
+            let request = connection.wait_for_close_request();
+            if tokio::time::timeout(Duration::ZERO, request).await.is_ok() {
+                closed.push(index);
+            }
+        }
+    }
+
+    assert_eq!(closed, [3, 0, 2]);
+}
+
+#[tokio::test]
+async fn idle_connection_is_closed_in_favour_of_others() {
+    let mut served = serve(succeed(4)).await;
+    served.caller.write_all(REQUEST).await.unwrap();
+    served.wait_for(|counts| counts.idle == 1).await;
+
+    served.connections.close_longest_idle();
+    let received = served.read_to_end().await;
+
+    assert_eq!(received.matches("HTTP/1.1 200 OK").count(), 1, "{received}");
+}
+
+// A request that has arrived, but has not been read, would be lost with its connection.
+#[tokio::test]
+async fn request_that_arrives_on_a_connection_to_be_closed_is_answered() {
+    let mut served = serve(succeed(4)).await;
+    served.caller.write_all(REQUEST).await.unwrap();
+    served.wait_for(|counts| counts.idle == 1).await;
+
+    served.connections.close_longest_idle();
+    served.caller.try_write(REQUEST).unwrap();
+    let mut responses = [0; 1_024];
+    let mut length = served.caller.read(&mut responses).await.unwrap();
+    while String::from_utf8_lossy(&responses[..length]).matches("xxxx").count() < 2 {
+        let read = served.caller.read(&mut responses[length..]).await.unwrap();
+        assert!(read > 0, "{}", String::from_utf8_lossy(&responses[..length]));
+        length += read;
+    }
+
+    served.wait_for(|counts| counts.idle == 1).await;
+}
+
 // A line break between two requests counted as a head that is being read, for good.
 #[test]
 fn line_breaks_are_no_part_of_a_head() {
