--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 //! - [`live_vms`]: the VMs that all others select in the same way for a task.
 //! - [`request_limit`] and [`memory_budget`]: how many requests a VM holds, and how much their bodies
 //!   and events may hold.
+//! - [`open_connection_limit`]: how many connections callers may keep open.
 //! - [`line_limit`]: which of many alike events are logged.
 //! - [`retry_limiter`]: how many requests may be sent a second time, in a sliding window.
 //!
@@ -76,6 +77,7 @@
 pub mod live_vms;
 pub mod memory_budget;
 pub mod odd_entries;
+pub mod open_connection_limit;
 pub mod origin_history;
 pub mod permit_bucket;
 pub mod permit_issuers;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod memory_budget;
 mod odd_entries;
 mod old_config_over_vms;
+mod open_connection_limit;
 mod origin_history;
 mod path_fleet;
 mod permit_bucket;
--- a/crates/sassafrashoist/src/gateway/caller_socket.rs
+++ b/crates/sassafrashoist/src/gateway/caller_socket.rs
@@ -7,6 +7,7 @@
 
 use futures::FutureExt;
 use http::StatusCode;
+use rustix::net::RecvFlags;
 use sassafrashoist_core::gateway::caller_check::CHECK_INTERVAL;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
@@ -64,6 +65,14 @@
         Ok(ready.is_some_and(|ready| ready.is_read_closed()))
     }
 
+    /// Returns whether the kernel holds bytes of the caller that were not read, or the end of its
+    /// stream, whatever this process has been told of them.
+    pub fn is_readable(&self) -> bool {
+        let mut byte = [0_u8];
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        rustix::net::recv(&*self.lock(), &mut byte[..], flags).is_ok()
+    }
+
     /// Fails if the connection has failed since the last call.
     ///
     /// # Errors
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -15,6 +15,7 @@
 use sassafrashoist_core::gateway::line_limit::LineLimit;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::memory_budget::MemoryBudget;
+use sassafrashoist_core::gateway::open_connection_limit::OpenConnectionLimit;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::read_precedence::{ReadPrecedence, TopicRank};
 use sassafrashoist_core::gateway::relay_vms::RelayVms;
@@ -388,9 +389,17 @@
         lock(&self.memory)
     }
 
-    /// Returns how many requests this VM holds at a time.
+    /// Returns how many requests this VM holds at a time beside the connections of callers.
     pub fn request_limit(&self) -> RequestLimit {
-        RequestLimit::of_memory(self.settings().memory_bytes)
+        let counts = self.caller_connections.counts();
+        let connection_count = counts.total() - counts.unanswered();
+        RequestLimit::of_memory(self.settings().memory_bytes).beside_connections(connection_count)
+    }
+
+    /// Returns how many connections callers may keep open.
+    pub fn open_connection_limit(&self) -> OpenConnectionLimit {
+        let settings = self.settings();
+        OpenConnectionLimit::new(settings.memory_bytes, settings.descriptor_count)
     }
 
     /// Returns whether this VM can hold the requests in progress.
