Take back the head limit of a newer configuration on kept connections

The test of the fault stays, as known red: a caller of a kept connection gets 431 for a head that only the newest configuration allows.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -22,8 +22,7 @@
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
 //! - [`drain_plan`] and [`connection_phase`]: the times of a graceful shutdown, and what is owed to
-//!   callers meanwhile; [`connection_limits`]: how long a connection waits for a request, and
-//!   how long its head may be.
+//!   callers meanwhile; [`connection_timeouts`]: how long a connection waits for a request.
 //! - [`stream_origins`], [`route_history`], [`pool_versions`] and [`incarnation_check`]: the pool and
 //!   the software version at which a stream may go on, and whether a server still has it;
 //!   [`origin_history`] and [`topic_history`]: what the log proves of them after all VMs were killed.
@@ -54,8 +53,8 @@
 pub mod config_announcement;
 pub mod config_readers;
 pub mod config_sharing;
-pub mod connection_limits;
 pub mod connection_phase;
+pub mod connection_timeouts;
 pub mod crash_book;
 pub mod crash_outbox;
 pub mod crash_report;
--- a/crates/sassafrashoist/src/gateway/caller_socket.rs
+++ b/crates/sassafrashoist/src/gateway/caller_socket.rs
@@ -6,7 +6,6 @@
 use std::task::{Context, Poll, ready};
 
 use futures::FutureExt;
-use http::StatusCode;
 use rustix::net::RecvFlags;
 use sassafrashoist_core::gateway::caller_check::CHECK_INTERVAL;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -16,6 +15,9 @@
 
 /// An interim response that says nothing but that the request has been received.
 const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// The response to a head that does not arrive in time.
+const HEAD_TIMEOUT_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// The most bytes that are read at once to be discarded.
 const DISCARD_CHUNK_BYTES: usize = 4_096;
 
@@ -94,16 +96,14 @@
         }
     }
 
-    /// Responds to a head that is not read to its end, and closes the connection once the caller does,
+    /// Responds to a head that has not arrived in time, and closes the connection once the caller does,
     /// at the latest after [`LINGER_TIME`]. Nothing of another response may be left to be written.
     ///
     /// # Errors
     ///
     /// Fails when the connection has failed.
-    pub async fn refuse_head(&self, status: StatusCode) -> io::Result<()> {
-        let response =
-            format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
-        self.lock().try_write(response.as_bytes())?;
+    pub async fn refuse_late_head(&self) -> io::Result<()> {
+        self.lock().try_write(HEAD_TIMEOUT_RESPONSE)?;
         std::future::poll_fn(|cx| Pin::new(&mut *self.lock()).poll_shutdown(cx)).await?;
         let discarded = std::future::poll_fn(|cx| self.poll_discard(cx));
         // A caller that sends on does not hold the connection.
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -9,7 +9,7 @@
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
 use sassafrashoist_core::gateway::config_age::ConfigAge;
 use sassafrashoist_core::gateway::config_sharing::ConfigSharing;
-use sassafrashoist_core::gateway::connection_limits::ConnectionLimits;
+use sassafrashoist_core::gateway::connection_timeouts::ConnectionTimeouts;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::drain_plan::DrainPlan;
 use sassafrashoist_core::gateway::line_limit::LineLimit;
@@ -83,7 +83,7 @@
     topic_read: Notify,
     datagram_socket: OnceLock<Arc<UdpSocket>>,
     drain_plan: OnceLock<DrainPlan>,
-    connection_limits: watch::Sender<ConnectionLimits>,
+    caller_timeouts: watch::Sender<ConnectionTimeouts>,
     started_instant: Instant,
     /// The VM's clocks when the process started.
     pub started_at: ClockReading,
@@ -158,7 +158,7 @@
             topic_read: Notify::new(),
             datagram_socket: OnceLock::new(),
             drain_plan: OnceLock::new(),
-            connection_limits: watch::Sender::default(),
+            caller_timeouts: watch::Sender::default(),
             started_instant: Instant::now(),
             started_at: read_clocks(),
             ledger_wakeup: Notify::new(),
@@ -211,15 +211,15 @@
     pub fn replace_routes(&self, routes: &Arc<RouteTable>) -> bool {
         let is_newer = self.lock_routes().replace(routes, self.now());
         if is_newer {
-            self.connection_limits.send_replace(ConnectionLimits::of(&routes.config().limits));
+            self.caller_timeouts.send_replace(ConnectionTimeouts::of(&routes.config().limits));
             self.lock_config_age().record_active(routes.config().version);
         }
         is_newer
     }
 
-    /// Returns the limits of callers' connections, which follow the active configuration.
-    pub fn connection_limits(&self) -> watch::Receiver<ConnectionLimits> {
-        self.connection_limits.subscribe()
+    /// Returns the timeouts of callers' connections, which follow the active configuration.
+    pub fn caller_timeouts(&self) -> watch::Receiver<ConnectionTimeouts> {
+        self.caller_timeouts.subscribe()
     }
 
     /// Locks what this VM knows of the age of its configuration.
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -18,8 +18,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rustix::net::sockopt::set_tcp_user_timeout;
 use sassafrashoist_adapter::request_headers::request_id;
-use sassafrashoist_core::gateway::connection_limits::ConnectionLimits;
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
+use sassafrashoist_core::gateway::connection_timeouts::ConnectionTimeouts;
 use sassafrashoist_core::gateway::framing_allowance::MAX_HEAD_BYTES;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -42,12 +42,11 @@
 /// Delay after a failed accept, which usually means that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// The limits of a connection that does not come from a caller.
-const INTERNAL_LIMITS: ConnectionLimits = ConnectionLimits {
-    idle_timeout: Duration::from_secs(30),
-    head_timeout: Duration::from_secs(30),
-    max_head_bytes: 8_192,
-};
+/// The maximum length of the head of a request that does not come from a caller.
+const MAX_INTERNAL_HEAD_BYTES: usize = 8_192;
+/// The timeouts of a connection that does not come from a caller.
+const INTERNAL_TIMEOUTS: ConnectionTimeouts =
+    ConnectionTimeouts { idle: Duration::from_secs(30), head: Duration::from_secs(30) };
 
 /// How long a caller may take none of the bytes of a response.
 pub const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -55,10 +54,12 @@
 /// How connections are served.
 #[derive(Debug, Clone)]
 pub struct ConnectionPolicy {
-    /// The limits of connections and heads, now.
-    pub limits: watch::Receiver<ConnectionLimits>,
+    /// How long a connection may stay in each phase, now.
+    pub timeouts: watch::Receiver<ConnectionTimeouts>,
     /// How long a caller may take none of the bytes of a response.
     pub write_timeout: Duration,
+    /// The maximum length of a request head.
+    pub max_head_bytes: usize,
     /// When connections are closed.
     pub closing: ClosingSignals,
 }
@@ -129,9 +130,7 @@
         log::warn!(error:% = error; "failed to set how long a caller may read nothing");
     }
     let reset_switch = ResetSwitch::default();
-    // The HTTP library reads heads up to a length that does not change while a connection is open.
-    let library_max_head_bytes = policy.limits.borrow().max_head_bytes.max(MAX_HEAD_BYTES);
-    let meter = FramingMeter::new(library_max_head_bytes);
+    let meter = FramingMeter::new(policy.max_head_bytes.max(MAX_HEAD_BYTES));
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
         let is_head = request.method() == Method::HEAD;
@@ -166,7 +165,7 @@
         // The timer of the HTTP library runs from the end of the request before.
         .header_read_timeout(None)
         .half_close(true)
-        .max_buf_size(library_max_head_bytes)
+        .max_buf_size(policy.max_head_bytes)
         .preserve_header_case(true)
         .serve_connection(TokioIo::new(metered_stream), service)
         .with_upgrades();
@@ -179,15 +178,12 @@
                 log::info!("connection closed: the head of a request stalled while this VM stops");
                 return Ok(());
             }
-            () = wait_until_head_too_long(&policy.limits, &open) => {
-                log::info!("connection closed: the head of a request is too long");
-                refuse_head(&socket, StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE).await;
-                return Ok(());
-            }
-            phase = wait_until_overdue(&policy.limits, &open) => {
+            phase = wait_until_overdue(&policy.timeouts, &open) => {
                 if phase == ConnectionPhase::ReadingHead {
                     log::info!("connection closed: the head of a request took too long");
-                    refuse_head(&socket, StatusCode::REQUEST_TIMEOUT).await;
+                    if let Err(error) = socket.refuse_late_head().await {
+                        log::debug!(error:% = error; "caller left within a head");
+                    }
                     return Ok(());
                 }
                 open.record_closing();
@@ -237,39 +233,24 @@
     Refusal::new(StatusCode::BAD_GATEWAY, "internal failure").into_response(request_id, &"")
 }
 
-/// Responds to a request whose head is not read to its end.
-async fn refuse_head(socket: &CallerSocket, status: StatusCode) {
-    if let Err(error) = socket.refuse_head(status).await {
-        log::debug!(error:% = error; "caller left within a head");
-    }
-}
-
-/// Waits until the part of a head that has been read is too long.
-async fn wait_until_head_too_long(
-    limits: &watch::Receiver<ConnectionLimits>,
-    open: &OpenConnection,
-) {
-    wait_while(|| open.head_bytes() < limits.borrow().max_head_bytes).await;
-}
-
 /// Waits until a connection has been idle for too long, or a head takes too long to arrive; returns the
 /// phase that lasts too long. A timeout that becomes longer meanwhile applies at once, a shorter one
 /// from the next phase on, as the caller may still count on the longer one.
 async fn wait_until_overdue(
-    limits: &watch::Receiver<ConnectionLimits>,
+    timeouts: &watch::Receiver<ConnectionTimeouts>,
     open: &OpenConnection,
 ) -> ConnectionPhase {
     loop {
         let (phase, change_count, began) = (open.phase(), open.change_count(), Instant::now());
         let changed = wait_while(|| open.change_count() == change_count);
-        let Some(mut timeout) = limits.borrow().longest(phase) else {
+        let Some(mut timeout) = timeouts.borrow().longest(phase) else {
             changed.await;
             continue;
         };
         let overdue = async {
             loop {
                 tokio::time::sleep_until(began + timeout).await;
-                match limits.borrow().longest(phase) {
+                match timeouts.borrow().longest(phase) {
                     Some(longer) if longer > timeout => timeout = longer,
                     Some(_) | None => return,
                 }
@@ -335,8 +316,9 @@
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let policy = ConnectionPolicy {
-        limits: watch::Sender::new(INTERNAL_LIMITS).subscribe(),
+        timeouts: watch::Sender::new(INTERNAL_TIMEOUTS).subscribe(),
         write_timeout: WRITE_TIMEOUT,
+        max_head_bytes: MAX_INTERNAL_HEAD_BYTES,
         closing: ClosingSignals {
             closing: closing.clone(),
             closing_opened: closing.clone(),
--- a/crates/sassafrashoist/src/gateway/open_connection.rs
+++ b/crates/sassafrashoist/src/gateway/open_connection.rs
@@ -1,6 +1,6 @@
 //! A connection that is open.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use http::Version;
@@ -20,8 +20,6 @@
     connections: Arc<OpenConnections>,
     phase: Mutex<ConnectionPhase>,
     change_count: AtomicU64,
-    /// The bytes that were read of a head, and perhaps of a body that came with it.
-    head_bytes: AtomicUsize,
     /// The rank among the idle connections while it is idle.
     idle_rank: Mutex<Option<u64>>,
     /// Notified to close the connection if it is idle.
@@ -39,7 +37,6 @@
             connections,
             phase: Mutex::new(ConnectionPhase::Opened),
             change_count: AtomicU64::new(0),
-            head_bytes: AtomicUsize::new(0),
             idle_rank: Mutex::default(),
             close_idle: Arc::default(),
             is_body_unfinished: AtomicBool::new(false),
@@ -68,18 +65,8 @@
             return;
         }
         if matches!(self.phase(), ConnectionPhase::Opened | ConnectionPhase::Idle) {
-            self.head_bytes.store(0, Ordering::Release);
             self.set_phase(ConnectionPhase::ReadingHead);
         }
-        self.head_bytes.fetch_add(bytes.len(), Ordering::AcqRel);
-    }
-
-    /// Returns how much of a head that is being read has been read.
-    pub fn head_bytes(&self) -> usize {
-        match self.phase() {
-            ConnectionPhase::ReadingHead => self.head_bytes.load(Ordering::Acquire),
-            _ => 0,
-        }
     }
 
     /// Records that the head of a request was read, whose caller uses this version of HTTP.
--- a/crates/sassafrashoist/src/gateway/serve_clients.rs
+++ b/crates/sassafrashoist/src/gateway/serve_clients.rs
@@ -12,6 +12,11 @@
 use super::response_body::ResponseBody;
 use super::serve_request::serve_request;
 
+/// The maximum length of a request head before a configuration has been read.
+const DEFAULT_MAX_HEAD_BYTES: usize = 16_384;
+/// The smallest buffer size that the HTTP library accepts.
+const MIN_HEAD_BYTES: usize = 8_192;
+
 /// Serves callers until the signal to close, also those whose connections are in the backlog of the
 /// listener then.
 pub async fn serve_clients(
@@ -60,9 +65,12 @@
 }
 
 fn connection_policy(context: &GatewayContext, closing: &ClosingSignals) -> ConnectionPolicy {
+    let limits = context.routes().map(|routes| routes.config().limits);
+    let head_bytes = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.max_header_bytes);
     ConnectionPolicy {
-        limits: context.connection_limits(),
+        timeouts: context.caller_timeouts(),
         write_timeout: WRITE_TIMEOUT,
+        max_head_bytes: head_bytes.max(MIN_HEAD_BYTES),
         closing: closing.clone(),
     }
 }
--- a/crates/sassafrashoist/tests/testsuite/open_connections.rs
+++ b/crates/sassafrashoist/tests/testsuite/open_connections.rs
@@ -111,7 +111,7 @@
     served.caller.write_all(REQUEST).await.unwrap();
     served.wait_for(|counts| counts.idle == 1).await;
 
-    served.limits.send_modify(|limits| limits.idle_timeout = IDLE_TIMEOUT);
+    served.timeouts.send_modify(|timeouts| timeouts.idle = IDLE_TIMEOUT);
     tokio::time::sleep(2 * IDLE_TIMEOUT).await;
     served.caller.write_all(REQUEST).await.unwrap();
     let began = Instant::now();
--- a/crates/sassafrashoist/tests/testsuite/served_connection.rs
+++ b/crates/sassafrashoist/tests/testsuite/served_connection.rs
@@ -11,8 +11,8 @@
 use sassafrashoist::gateway::open_connections::OpenConnections;
 use sassafrashoist::gateway::request_body::RequestBody;
 use sassafrashoist::gateway::response_body::{ResponseBody, full_response};
-use sassafrashoist_core::gateway::connection_limits::ConnectionLimits;
 use sassafrashoist_core::gateway::connection_phase::PhaseCounts;
+use sassafrashoist_core::gateway::connection_timeouts::ConnectionTimeouts;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -34,8 +34,8 @@
     pub connections: Arc<OpenConnections>,
     /// The signals that close it.
     pub signals: ClosingSignals,
-    /// Its limits.
-    pub limits: watch::Sender<ConnectionLimits>,
+    /// Its timeouts.
+    pub timeouts: watch::Sender<ConnectionTimeouts>,
 }
 
 /// Serves one connection without a timeout that matters.
@@ -49,8 +49,8 @@
 
 /// Serves one connection with these timeouts.
 pub async fn serve_with_timeouts<F, R>(
-    idle_timeout: Duration,
-    head_timeout: Duration,
+    idle: Duration,
+    head: Duration,
     handle: F,
 ) -> ServedConnection
 where
@@ -63,13 +63,16 @@
     let connections = Arc::<OpenConnections>::default();
     let signals = ClosingSignals::default();
     let closing = signals.clone();
-    let limits =
-        watch::Sender::new(ConnectionLimits { idle_timeout, head_timeout, max_head_bytes: 8_192 });
-    let policy =
-        ConnectionPolicy { limits: limits.subscribe(), write_timeout: WRITE_TIMEOUT, closing };
+    let timeouts = watch::Sender::new(ConnectionTimeouts { idle, head });
+    let policy = ConnectionPolicy {
+        timeouts: timeouts.subscribe(),
+        write_timeout: WRITE_TIMEOUT,
+        max_head_bytes: 8_192,
+        closing,
+    };
     let open = connections.add();
     tokio::spawn(async move { serve_connection(stream, open, policy, handle).await });
-    ServedConnection { caller, connections, signals, limits }
+    ServedConnection { caller, connections, signals, timeouts }
 }
 
 /// Returns a response whose body has this length.
