Count broken responses through another VM against their server

Cause: a failed attempt over a connection through another VM, or of a VM without an own path, never counted against the server, whatever failed. The circuit breaker and the failure rate of a server that breaks its responses off at once did not change, and as it was free again at once, it was the cheapest one. By the logs of the gateway without paths, 23 streams that engine-2 closed before the body had been carried by all three other VMs.

AttemptFailure in core tells these apart: invalid responses always count against the server, proper closes also through another VM, resets and silence only over a connection of a VM that has its own path.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //!   cost, rendezvous hashing and circuit breakers.
 //! - [`server_silence`]: whether a server that sends nothing has failed.
 //! - [`server_paths`] and [`relay_vms`]: which of these servers this VM reaches, and through which
-//!   other VM it reaches the rest.
+//!   other VM it reaches the rest; [`attempt_failure`]: what a failed attempt shows about its server.
 //! - [`token_ledger`], [`token_holding`] and [`allocator_vms`]: which VM may use which tokens of a
 //!   client account; [`hand_over`]: which VMs take in tokens that another one does not need.
 //! - [`spending_limit`]: the write-ahead bound on the tokens that a holder spends.
@@ -44,6 +44,7 @@
 mod account_totals;
 pub mod allocator_vms;
 pub mod append_pacing;
+pub mod attempt_failure;
 pub mod brittle_users;
 pub mod caller_check;
 pub mod clock_reading;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod allocator_vms;
 mod append_pacing;
+mod attempt_failure;
 mod brittle_servers_over_vms;
 mod caller_check;
 mod config_age;
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -14,6 +14,7 @@
 use http_body_util::BodyExt;
 use sassafrashoist_adapter::response_headers::{encode_response, goes_on_with};
 use sassafrashoist_core::event_splitter::StreamEvent;
+use sassafrashoist_core::gateway::attempt_failure::AttemptFailure;
 use sassafrashoist_core::gateway::event_allowance::EventAllowance;
 use sassafrashoist_core::gateway::event_sequence::{EventCheck, EventSequence, is_comment};
 use sassafrashoist_core::gateway::memory_budget::HolderKind;
@@ -109,7 +110,7 @@
                 return Err(NoFirstEvent::Failed("no event before the deadline"));
             }
             () = wait_until_unresponsive(context, request, &started.slot, silence_limit) => {
-                started.slot.set_failed();
+                started.slot.set_failed(AttemptFailure::Lost);
                 return Err(NoFirstEvent::ServerSilent);
             }
         };
@@ -118,20 +119,22 @@
                 if let Some(data) = frame.data_ref() {
                     started.slot.record_bytes();
                     if !splitter.try_push(data) {
-                        let reason = EVENT_EXCEEDS_MEMORY;
-                        return Err(record_no_event(request, &mut started, reason, &"-"));
+                        let failure = (EVENT_EXCEEDS_MEMORY, AttemptFailure::Lost);
+                        return Err(record_no_event(request, &mut started, failure, &"-"));
                     }
                     if splitter.has_event() {
                         return Ok(StartedStream { started, splitter, has_ended: false });
                     }
                     if splitter.is_too_long() {
-                        return Err(record_no_event(request, &mut started, EVENT_TOO_LONG, &"-"));
+                        let failure = (EVENT_TOO_LONG, AttemptFailure::Invalid);
+                        return Err(record_no_event(request, &mut started, failure, &"-"));
                     }
                 }
             }
             None if splitter.is_inside_event() => {
                 report_lost_connection(context, request, &started.slot).await;
-                return Err(record_no_event(request, &mut started, ENDED_INSIDE_EVENT, &"-"));
+                let failure = (ENDED_INSIDE_EVENT, early_end(started.framing));
+                return Err(record_no_event(request, &mut started, failure, &"-"));
             }
             // A stream that its caller resumes may have no event left, but one that may run again is
             // rather sent to another server.
@@ -139,22 +142,28 @@
                 && (request.caller.last_event_id.is_none() || request.is_resumption()) =>
             {
                 report_lost_connection(context, request, &started.slot).await;
-                return Err(record_no_event(request, &mut started, CLOSED_BEFORE_EVENT, &"-"));
+                let failure = (CLOSED_BEFORE_EVENT, early_end(started.framing));
+                return Err(record_no_event(request, &mut started, failure, &"-"));
             }
             None => return Ok(StartedStream { started, splitter, has_ended: true }),
             Some(Err(error)) => {
                 report_lost_connection(context, request, &started.slot).await;
-                return Err(record_no_event(request, &mut started, "stream broken off", &error));
+                let failure = ("stream broken off", error.failure());
+                return Err(record_no_event(request, &mut started, failure, &error));
             }
         }
     }
 }
 
+fn early_end(framing: ResponseFraming) -> AttemptFailure {
+    AttemptFailure::of_early_end(framing.marks_end())
+}
+
 /// Logs and records that a server broke a stream off before its first event; returns the reason.
 fn record_no_event(
     request: &RequestContext,
     started: &mut StartedResponse,
-    reason: &'static str,
+    (reason, failure): (&'static str, AttemptFailure),
     error: &dyn fmt::Display,
 ) -> NoFirstEvent {
     log::info!(
@@ -162,7 +171,7 @@
         framing = started.framing.as_str(), reason = reason, error:% = error;
         "stream broken off before its first event"
     );
-    started.slot.set_failed();
+    started.slot.set_failed(failure);
     NoFirstEvent::Failed(reason)
 }
 
@@ -212,9 +221,11 @@
     /// The body ended after an event.
     Ended,
     /// The connection ended before the stream did.
-    ConnectionLost(&'static str),
+    ConnectionLost(&'static str, AttemptFailure),
     /// The server violates the format.
     Failed(&'static str),
+    /// There is no memory for an event.
+    ExceedsMemory,
     /// The server is silent; the retry is already counted.
     ServerSilent,
     /// The caller disconnected.
@@ -224,11 +235,13 @@
 }
 
 impl SegmentEnd {
-    /// Returns the reason for which another server has to continue the stream.
-    fn failure(&self) -> Option<&'static str> {
+    /// Returns the reason for which another server has to continue the stream, and how this one failed.
+    fn failure(&self) -> Option<(&'static str, AttemptFailure)> {
         match self {
-            Self::Failed(reason) | Self::ConnectionLost(reason) => Some(reason),
-            Self::ServerSilent => Some("server is silent"),
+            Self::Failed(reason) => Some((reason, AttemptFailure::Invalid)),
+            Self::ConnectionLost(reason, failure) => Some((reason, *failure)),
+            Self::ExceedsMemory => Some((EVENT_EXCEEDS_MEMORY, AttemptFailure::Lost)),
+            Self::ServerSilent => Some(("server is silent", AttemptFailure::Lost)),
             Self::Ended | Self::CallerDisconnected | Self::DeadlineExceeded => None,
         }
     }
@@ -262,17 +275,17 @@
         } else {
             self.forward_segment(&mut started).await
         };
-        while let Some(reason) = end.failure() {
+        while let Some((reason, failure)) = end.failure() {
             log::info!(
                 id = self.request.id(), server = started.slot.server_id(), reason = reason,
                 framing = started.framing.as_str(),
                 last_event = self.sequence.last_id().unwrap_or("-");
                 "stream broken off"
             );
-            if matches!(end, SegmentEnd::ConnectionLost(_)) {
+            if matches!(end, SegmentEnd::ConnectionLost(..)) {
                 report_lost_connection(&self.context, &self.request, &started.slot).await;
             }
-            started.slot.set_failed();
+            started.slot.set_failed(failure);
             let failed_server_id = started.slot.server_id().to_owned();
             drop(started);
             let is_retry_counted = matches!(end, SegmentEnd::ServerSilent);
@@ -317,7 +330,10 @@
             SegmentEnd::DeadlineExceeded => {
                 log::info!(id = self.request.id(); "stream cut at the deadline");
             }
-            SegmentEnd::Failed(_) | SegmentEnd::ServerSilent | SegmentEnd::ConnectionLost(_) => {}
+            SegmentEnd::Failed(_)
+            | SegmentEnd::ExceedsMemory
+            | SegmentEnd::ServerSilent
+            | SegmentEnd::ConnectionLost(..) => {}
         }
         drop(self.in_progress);
     }
@@ -368,7 +384,7 @@
                 Some(Ok(frame)) => {
                     slot.record_bytes();
                     if frame.data_ref().is_some_and(|data| !self.splitter.try_push(data)) {
-                        return SegmentEnd::Failed(EVENT_EXCEEDS_MEMORY);
+                        return SegmentEnd::ExceedsMemory;
                     }
                     let now = self.context.now();
                     if now >= reported_at + GOING_ON_INTERVAL {
@@ -376,12 +392,15 @@
                         record_going_on(&self.context, &self.request);
                     }
                 }
-                Some(Err(_)) => return SegmentEnd::ConnectionLost("connection lost"),
+                Some(Err(error)) => {
+                    return SegmentEnd::ConnectionLost("connection lost", error.failure());
+                }
                 // A continuation without any event does not show that the stream is complete.
                 None if self.forwarded_bytes == earlier_bytes
                     && !self.splitter.is_inside_event() =>
                 {
-                    return SegmentEnd::ConnectionLost(CLOSED_BEFORE_EVENT);
+                    let failure = early_end(started.framing);
+                    return SegmentEnd::ConnectionLost(CLOSED_BEFORE_EVENT, failure);
                 }
                 None => return self.forward_remainder(started.framing).await,
             }
@@ -402,7 +421,7 @@
                 id = self.request.id(), framing = framing.as_str(), bytes = rest.len();
                 "stream ended inside an event"
             );
-            return SegmentEnd::ConnectionLost(ENDED_INSIDE_EVENT);
+            return SegmentEnd::ConnectionLost(ENDED_INSIDE_EVENT, early_end(framing));
         }
         if rest.is_empty() {
             return SegmentEnd::Ended;
--- a/crates/sassafrashoist/src/gateway/http_connection.rs
+++ b/crates/sassafrashoist/src/gateway/http_connection.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1;
 use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
+use sassafrashoist_core::gateway::attempt_failure::AttemptFailure;
 use sassafrashoist_core::gateway::framing_allowance::MAX_HEAD_BYTES;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
@@ -62,6 +63,19 @@
     },
 }
 
+impl BrokenConnection {
+    /// Returns how the attempt failed.
+    pub fn failure(&self) -> AttemptFailure {
+        match self {
+            Self::Failed { source, .. } if source.is_incomplete_message() => AttemptFailure::Closed,
+            Self::Failed { source, .. } if !source.is_parse() => AttemptFailure::Lost,
+            Self::Failed { .. } | Self::Endless { .. } | Self::Switched { .. } => {
+                AttemptFailure::Invalid
+            }
+        }
+    }
+}
+
 /// An open connection; dropping it closes the connection, even while a request is in progress.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -277,7 +277,7 @@
                     "answer broken off"
                 );
                 report_lost_connection(context, request, &slot).await;
-                slot.set_failed();
+                slot.set_failed(error.failure());
                 return Err("answer broken off");
             }
             Err(_) => return Err("answer not whole before the deadline"),
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -8,6 +8,7 @@
 use sassafrashoist_adapter::request_headers::{AttemptHeaders, encode_attempt};
 use sassafrashoist_adapter::response_headers::{ResponseHead, ResponseKind};
 use sassafrashoist_core::gateway::Uptime;
+use sassafrashoist_core::gateway::attempt_failure::AttemptFailure;
 use sassafrashoist_core::gateway::server_directory::ServerChoice;
 use sassafrashoist_core::gateway::server_listing::ServerListing;
 use sassafrashoist_core::gateway::server_silence::{OtherServers, ServerSilence};
@@ -113,10 +114,9 @@
         self.relay_use.as_ref().map(RelayUse::vm_id)
     }
 
-    /// Records that the attempt failed. It says nothing about the server if the path to it is lost.
-    pub fn set_failed(&mut self) {
-        let is_of_server = self.relay_use.is_none() && !self.has_lost_path();
-        self.verdict = if is_of_server { AttemptVerdict::Failed } else { AttemptVerdict::Neutral };
+    /// Records how the attempt failed.
+    pub fn set_failed(&mut self, failure: AttemptFailure) {
+        self.verdict = failure.verdict(self.relay_use.is_some(), self.has_lost_path());
     }
 
     /// Records how the attempt ended.
@@ -206,7 +206,7 @@
                 paths_lost = counts.lost;
                 "not connected"
             );
-            slot.set_failed();
+            slot.set_failed(AttemptFailure::Lost);
             if !slot.has_lost_path() {
                 context.lock_servers().record_refused_connection(slot.server_id());
             }
@@ -236,7 +236,7 @@
             return AttemptStart::Lost("no answer before the deadline");
         }
         () = wait_until_unresponsive(context, request, &slot, silence_limit) => {
-            slot.set_failed();
+            slot.set_failed(AttemptFailure::Lost);
             return AttemptStart::Silent;
         }
     };
@@ -248,7 +248,7 @@
                 "connection lost"
             );
             report_lost_connection(context, request, &slot).await;
-            slot.set_failed();
+            slot.set_failed(error.failure());
             return AttemptStart::Lost("connection lost");
         }
     };
--- a/crates/sassafrashoist/src/gateway/server_body.rs
+++ b/crates/sassafrashoist/src/gateway/server_body.rs
@@ -1,10 +1,13 @@
 //! The body of a response to this VM.
 
+use std::error::Error;
+use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use sassafrashoist_core::gateway::attempt_failure::AttemptFailure;
 
 use super::framing_meter::FramingMeter;
 
@@ -22,6 +25,23 @@
     },
 }
 
+impl BrokenBody {
+    /// Returns how the attempt failed.
+    pub fn failure(&self) -> AttemptFailure {
+        let Self::Failed(error) = self else {
+            return AttemptFailure::Invalid;
+        };
+        let cause = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+        match cause.map(io::Error::kind) {
+            Some(io::ErrorKind::UnexpectedEof) => AttemptFailure::Closed,
+            Some(io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData) => {
+                AttemptFailure::Invalid
+            }
+            _ => AttemptFailure::Lost,
+        }
+    }
+}
+
 /// The body of a response to this VM.
 #[derive(Debug)]
 pub struct ServerBody {
--- a/crates/sassafrashoist/tests/testsuite/lost_paths.rs
+++ b/crates/sassafrashoist/tests/testsuite/lost_paths.rs
@@ -67,6 +67,21 @@
     served
 }
 
+/// Sends 30 requests to a gateway, one after the other, and returns how many were served.
+async fn count_whole(
+    fleet: &StandInFleet,
+    gateway: usize,
+    name: &str,
+    request: &CallerRequest,
+) -> usize {
+    let mut served = 0;
+    for number in 0..30 {
+        let response = fleet.send(gateway, &format!("{name}-{gateway}-{number}"), request).await;
+        served += usize::from(response.is_ok_and(|response| is_served(&response)));
+    }
+    served
+}
+
 /// Sends requests to a gateway for [`CONTACT_TIME`], whatever becomes of them.
 async fn send_for_contact_time(fleet: &StandInFleet, gateway: usize, name: &str) {
     let sending = async {
@@ -95,6 +110,33 @@
     }
 }
 
+// What servers did wrong through other VMs said nothing about them, so that the fastest to fail got
+// most requests.
+#[tokio::test]
+async fn gateway_without_paths_avoids_servers_that_break_off_their_responses() {
+    let fleet = start("broken_off").await;
+    let faults = [
+        ServerFault::CloseDelimitedClosesBeforeBody,
+        ServerFault::CloseDelimitedClosesAfter(0),
+        ServerFault::DisconnectsAfter(0),
+        ServerFault::LengthDisconnectsAfter(0),
+    ];
+    let chat = &requests()[1];
+    fleet.set_path_fault(0, PathFault::RefusesNew);
+    for fault in faults {
+        let name = format!("{fault:?}");
+        send_for_contact_time(&fleet, 0, &name).await;
+        fleet.engines[..2].iter().for_each(|engine| engine.set_fault(fault));
+
+        let served = count_whole(&fleet, 0, &name, chat).await;
+        let served_by_other = count_whole(&fleet, 1, &name, chat).await;
+
+        assert!(3 * served >= 2 * served_by_other, "{name}: {served}, other {served_by_other}");
+        assert!(served_by_other >= 15, "{name}: {served_by_other}");
+        fleet.engines[..2].iter().for_each(|engine| engine.set_fault(ServerFault::None));
+    }
+}
+
 // A path that refuses connections was taken for a server whose process ended.
 #[tokio::test]
 async fn gateway_without_paths_suspects_no_request_of_crashing_servers() {
