Ask VMs again that had no path a moment ago

Cause: a plain server ended and started again. Both had only been asked before the server was back. From 56.043 to 57.194 the gateway logged "none could help a moment ago" 35 times, and requests were left with the limit of the other server.

Such a VM is now left out for 0.3 s, which is longer than the time between two probes of a VM that has lost a path, and is the last choice until 2 s have passed. A VM asks each other one about once in 0.3 s for a pool that is out of reach for all.

Evidence: vm_without_a_path_a_moment_ago_helps_again_if_no_other_can failed before, in 1 of 1 run.

--- a/crates/sassafrashoist-core/src/gateway/relay_vms.rs
+++ b/crates/sassafrashoist-core/src/gateway/relay_vms.rs
@@ -21,8 +21,13 @@
 /// How long such a denial counts.
 const DENIED_TIME: Duration = Duration::from_secs(2);
 
-/// How long a VM without a path to a pool is not asked for connections to it.
+/// How long a VM without a path to a pool is not asked for connections to it. It probes its lost paths
+/// more often than that, see [`PROBE_INTERVAL`](super::server_paths::PROBE_INTERVAL).
+const NO_PATH_PAUSE: Duration = Duration::from_millis(300);
+/// How long such a VM is asked only if no other is left.
 const NO_PATH_TIME: Duration = Duration::from_secs(2);
+/// The cost of such a VM.
+const NO_PATH_COST: f64 = 1_000.0;
 
 /// Why a VM did not help.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,7 +50,7 @@
     /// Returns how long a VM is not asked again.
     fn pause(self) -> Duration {
         match self {
-            Self::NoPath => NO_PATH_TIME,
+            Self::NoPath => NO_PATH_PAUSE,
             Self::Denied => DENIED_TIME,
             Self::UnknownServer => Duration::ZERO,
             Self::Busy => Duration::from_millis(300),
@@ -68,8 +73,8 @@
 struct Helper {
     open_count: usize,
     paused_until: Uptime,
-    /// Until when it counts as without a path to each pool.
-    no_path_until: BTreeMap<PoolId, Uptime>,
+    /// When it said last that it had no path to each pool.
+    no_path_at: BTreeMap<PoolId, Uptime>,
     /// Until when it counts as having denied a connection to each pool.
     denied_until: BTreeMap<PoolId, Uptime>,
 }
@@ -79,8 +84,8 @@
         self.denied_until.get(pool_id).is_some_and(|until| now < *until)
     }
 
-    fn has_no_path(&self, pool_id: &str, now: Uptime) -> bool {
-        self.no_path_until.get(pool_id).is_some_and(|until| now < *until)
+    fn had_no_path_within(&self, time: Duration, pool_id: &str, now: Uptime) -> bool {
+        self.no_path_at.get(pool_id).is_some_and(|at| now < *at + time)
     }
 }
 
@@ -109,13 +114,16 @@
             let helper = self.helpers.get(&vm.vm_id);
             let open_count = helper.map_or(0, |helper| helper.open_count);
             let has_denied = helper.is_some_and(|h| h.has_denied(target.pool_id, now));
+            let had_no_path =
+                helper.is_some_and(|h| h.had_no_path_within(NO_PATH_TIME, target.pool_id, now));
             let is_remote = vm.data_centre_id != *target.data_centre_id;
             let is_suspect = suspect.contains(&vm.data_centre_id);
             let jitter = spread(random, index) as f64 / u64::MAX as f64;
             let cost = open_count as f64
                 + if is_remote { REMOTE_COST } else { 0.0 }
                 + if is_suspect { SUSPECT_DATA_CENTRE_COST } else { 0.0 }
-                + if has_denied { DENIED_COST } else { 0.0 };
+                + if has_denied { DENIED_COST } else { 0.0 }
+                + if had_no_path { NO_PATH_COST } else { 0.0 };
             (cost + jitter, vm)
         });
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, vm)| vm)
@@ -166,7 +174,7 @@
         let until = now + failure.pause();
         match failure {
             RelayFailure::NoPath => {
-                helper.no_path_until.insert(pool_id.clone(), until);
+                helper.no_path_at.insert(pool_id.clone(), now);
             }
             RelayFailure::Denied => {
                 helper.denied_until.insert(pool_id.clone(), until);
@@ -188,9 +196,9 @@
     }
 
     fn is_usable(&self, vm_id: &VmId, pool_id: &str, now: Uptime) -> bool {
-        self.helpers
-            .get(vm_id)
-            .is_none_or(|helper| now >= helper.paused_until && !helper.has_no_path(pool_id, now))
+        self.helpers.get(vm_id).is_none_or(|helper| {
+            now >= helper.paused_until && !helper.had_no_path_within(NO_PATH_PAUSE, pool_id, now)
+        })
     }
 
     /// Returns the data centres with a VM that was found without a path to a pool a moment ago.
@@ -201,7 +209,9 @@
         now: Uptime,
     ) -> BTreeSet<&'a DataCentreId> {
         let without_path = others.iter().filter(|vm| {
-            self.helpers.get(&vm.vm_id).is_some_and(|helper| helper.has_no_path(pool_id, now))
+            self.helpers
+                .get(&vm.vm_id)
+                .is_some_and(|helper| helper.had_no_path_within(NO_PATH_TIME, pool_id, now))
         });
         without_path.map(|vm| &vm.data_centre_id).collect()
     }
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod read_precedence;
 mod recent_answers;
 mod reclaim;
+mod relay_vms;
 mod request_limit;
 mod retry_limiter;
 mod route_history;
