--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod allocator_vms;
 mod append_pacing;
+mod attempt_failure;
 mod brittle_servers_over_vms;
 mod caller_check;
 mod config_age;
@@ -44,6 +45,7 @@
 mod read_precedence;
 mod recent_answers;
 mod reclaim;
+mod relay_vms;
 mod request_limit;
 mod retry_limiter;
 mod route_history;
