--- a/crates/sassafrashoist/tests/testsuite/half_closed_callers.rs
+++ b/crates/sassafrashoist/tests/testsuite/half_closed_callers.rs
@@ -4,14 +4,9 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::BodyExt;
-use sassafrashoist::gateway::request_body::RequestBody;
-use sassafrashoist::gateway::response_body::ResponseBody;
+use http::Method;
 use sassafrashoist_platform_stand_in::backend_server::RUN_TIME_HEADER;
 use sassafrashoist_platform_stand_in::caller::CallerRequest;
 use sassafrashoist_platform_stand_in::http_listener::PathFault;
@@ -23,84 +18,20 @@
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-use crate::served_connection::{REQUEST, ServedConnection, WAIT, answer, serve};
+use crate::handled_requests::{GONE_TIME, Handled, final_answers};
+use crate::served_connection::{REQUEST, WAIT};
+use crate::waiting::wait_until;
 
 /// How long a request runs, and the time between two events.
 const RUN_TIME: Duration = Duration::from_millis(700);
-/// How long a server may work for a caller that has left.
-const GONE_TIME: Duration = Duration::from_millis(500);
 /// How long a caller that closed its writing side stays before it leaves.
 const STAY_TIME: Duration = Duration::from_millis(250);
-const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// The time in which requests are sent around the signal to stop, and the number of their moments.
 const STOP_TIME: Duration = Duration::from_millis(3_200);
 const STOP_MOMENTS: u32 = 32;
 /// The time after which a gateway that lost its paths serves its callers like the others.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
-/// The requests that a connection handles: how many were begun, and how many ended early.
-#[derive(Debug, Clone, Default)]
-struct Handled {
-    begun: Arc<AtomicUsize>,
-    dropped: Arc<AtomicUsize>,
-}
-
-/// Counts a request that is dropped before its response.
-struct DropCounter(Arc<AtomicUsize>);
-
-impl Drop for DropCounter {
-    fn drop(&mut self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
-    }
-}
-
-impl Handled {
-    /// Serves one connection whose requests take this long.
-    async fn serve(&self, run_time: Duration) -> ServedConnection {
-        let handled = self.clone();
-        serve(move |request| handled.clone().handle(request, run_time)).await
-    }
-
-    async fn handle(
-        self,
-        request: Request<RequestBody>,
-        run_time: Duration,
-    ) -> Response<ResponseBody> {
-        let status = match request.into_body().collect().await {
-            Ok(_) => StatusCode::OK,
-            Err(_) => StatusCode::BAD_REQUEST,
-        };
-        self.begun.fetch_add(1, Ordering::Relaxed);
-        let counter = DropCounter(self.dropped);
-        tokio::time::sleep(run_time).await;
-        std::mem::forget(counter);
-        answer(status, 4)
-    }
-
-    async fn wait_until_begun(&self) {
-        wait_until("a request is handled", || self.begun.load(Ordering::Relaxed) > 0).await;
-    }
-
-    /// Returns how long it takes until a request is dropped.
-    async fn drop_time(&self) -> Duration {
-        let left_at = Instant::now();
-        wait_until("the request is dropped", || self.dropped.load(Ordering::Relaxed) > 0).await;
-        left_at.elapsed()
-    }
-}
-
-async fn wait_until(what: &str, is_reached: impl Fn() -> bool) {
-    let started_at = Instant::now();
-    while !is_reached() {
-        assert!(started_at.elapsed() < WAIT, "not reached in time: {what}");
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
-}
-
-fn final_answers(received: &str) -> usize {
-    received.matches("HTTP/1.1 200 OK").count()
-}
-
 // The HTTP library ended the connection when it read the end of the caller's stream.
 #[tokio::test]
 async fn request_of_a_caller_that_sends_no_more_is_answered() {
--- a/crates/sassafrashoist/tests/testsuite/leaving_callers.rs
+++ b/crates/sassafrashoist/tests/testsuite/leaving_callers.rs
@@ -3,26 +3,21 @@
 //! The end of a caller's stream may mean either, and bytes before it may hide it.
 
 use std::net::Ipv4Addr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::BodyExt;
 use sassafrashoist::gateway::caller_socket::CallerSocket;
 use sassafrashoist::gateway::request_body::RequestBody;
-use sassafrashoist::gateway::response_body::{ResponseBody, streamed_body};
+use sassafrashoist::gateway::response_body::streamed_body;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::handled_requests::{Handled, final_answers};
 use crate::served_connection::{
     REQUEST, ServedConnection, WAIT, answer, serve, serve_with_timeouts,
 };
-use crate::waiting::wait_until;
 
-/// How long a server may work for a caller that has left.
-const GONE_TIME: Duration = Duration::from_millis(500);
 /// How long a request runs whose caller stays.
 const RUN_TIME: Duration = Duration::from_millis(400);
 /// A time in which bytes on the loopback interface have arrived.
@@ -35,77 +30,6 @@
 const LONG_RESPONSE_BYTES: usize = 24 * 1024 * 1024;
 const EVENT: &[u8] = b"data: 1\n\n";
 
-/// The requests that a connection handles: how many were begun, and how many ended early.
-#[derive(Debug, Clone, Default)]
-struct Handled {
-    begun: Arc<AtomicUsize>,
-    dropped: Arc<AtomicUsize>,
-}
-
-/// Counts a request that is dropped before its response.
-struct DropCounter(Arc<AtomicUsize>);
-
-impl Drop for DropCounter {
-    fn drop(&mut self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
-    }
-}
-
-impl Handled {
-    /// Reads a request and responds after a time.
-    async fn respond_after(
-        self,
-        request: Request<RequestBody>,
-        run_time: Duration,
-    ) -> Response<ResponseBody> {
-        let status = match request.into_body().collect().await {
-            Ok(_) => StatusCode::OK,
-            Err(_) => StatusCode::BAD_REQUEST,
-        };
-        self.begun.fetch_add(1, Ordering::Relaxed);
-        let counter = DropCounter(self.dropped);
-        tokio::time::sleep(run_time).await;
-        std::mem::forget(counter);
-        answer(status, 4)
-    }
-
-    /// Responds with one event, after which the stream is silent.
-    async fn respond_with_silent_stream(self, _: Request<RequestBody>) -> Response<ResponseBody> {
-        let (sender, body) = streamed_body(4);
-        sender.send(Bytes::from_static(EVENT)).await;
-        tokio::spawn(async move {
-            sender.closed().await;
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        });
-        Response::new(body)
-    }
-
-    async fn serve(&self, run_time: Duration) -> ServedConnection {
-        let handled = self.clone();
-        serve(move |request| handled.clone().respond_after(request, run_time)).await
-    }
-
-    async fn wait_until_begun(&self) {
-        wait_until("a request is handled", || self.begun.load(Ordering::Relaxed) > 0).await;
-    }
-
-    /// Returns whether a request was dropped in the time that is allowed.
-    async fn is_dropped_in_time(&self) -> bool {
-        let began_at = Instant::now();
-        while began_at.elapsed() < GONE_TIME {
-            if self.dropped.load(Ordering::Relaxed) > 0 {
-                return true;
-            }
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        false
-    }
-}
-
-fn final_answers(received: &str) -> usize {
-    received.matches("HTTP/1.1 200 OK").count()
-}
-
 fn close(served: &ServedConnection) {
     served.signals.closing.cancel();
     served.signals.closing_opened.cancel();
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod ends_of_connections;
 mod gateway;
 mod half_closed_callers;
+mod handled_requests;
 mod hushed_streams;
 mod late_in_grace;
 mod leaving_callers;
