--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //!   cost, rendezvous hashing and circuit breakers.
 //! - [`server_silence`]: whether a server that sends nothing has failed.
 //! - [`server_paths`] and [`relay_vms`]: which of these servers this VM reaches, and through which
-//!   other VM it reaches the rest.
+//!   other VM it reaches the rest; [`attempt_failure`]: what a failed attempt shows about its server.
 //! - [`token_ledger`], [`token_holding`] and [`allocator_vms`]: which VM may use which tokens of a
 //!   client account; [`hand_over`]: which VMs take in tokens that another one does not need.
 //! - [`spending_limit`]: the write-ahead bound on the tokens that a holder spends.
@@ -22,9 +22,10 @@
 //! - [`permit_issuers`] and [`permit_bucket`]: which VM admits requests to a server that names a
 //!   limit, and how many.
 //! - [`drain_plan`] and [`connection_phase`]: the times of a graceful shutdown, and what is owed to
-//!   callers meanwhile.
+//!   callers meanwhile; [`connection_timeouts`]: how long a connection waits for a request.
 //! - [`stream_origins`], [`route_history`], [`pool_versions`] and [`incarnation_check`]: the pool and
-//!   the software version at which a stream may go on, and whether a server still has it.
+//!   the software version at which a stream may go on, and whether a server still has it;
+//!   [`origin_history`] and [`topic_history`]: what the log proves of them after all VMs were killed.
 //! - [`event_sequence`]: which events of a server go on with a stream of another.
 //! - [`framing_allowance`] and [`event_allowance`]: how much of what a server or caller sends may be no
 //!   data, and how much of a stream no new event.
@@ -34,6 +35,7 @@
 //! - [`live_vms`]: the VMs that all others select in the same way for a task.
 //! - [`request_limit`] and [`memory_budget`]: how many requests a VM holds, and how much their bodies
 //!   and events may hold.
+//! - [`open_connection_limit`]: how many connections callers may keep open.
 //! - [`line_limit`]: which of many alike events are logged.
 //! - [`retry_limiter`]: how many requests may be sent a second time, in a sliding window.
 //!
@@ -44,6 +46,7 @@
 mod account_totals;
 pub mod allocator_vms;
 pub mod append_pacing;
+pub mod attempt_failure;
 pub mod brittle_users;
 pub mod caller_check;
 pub mod clock_reading;
@@ -52,6 +55,7 @@
 pub mod config_readers;
 pub mod config_sharing;
 pub mod connection_phase;
+pub mod connection_timeouts;
 pub mod crash_book;
 pub mod crash_outbox;
 pub mod crash_report;
@@ -73,6 +77,8 @@
 pub mod live_vms;
 pub mod memory_budget;
 pub mod odd_entries;
+pub mod open_connection_limit;
+pub mod origin_history;
 pub mod permit_bucket;
 pub mod permit_issuers;
 pub mod planned_record;
@@ -100,6 +106,7 @@
 pub mod token_prefetch;
 pub mod token_queue;
 pub mod topic_cursor;
+pub mod topic_history;
 pub mod vm_settings;
 
 use std::time::Duration;
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -9,11 +9,13 @@
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
 use sassafrashoist_core::gateway::config_age::ConfigAge;
 use sassafrashoist_core::gateway::config_sharing::ConfigSharing;
+use sassafrashoist_core::gateway::connection_timeouts::ConnectionTimeouts;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::drain_plan::DrainPlan;
 use sassafrashoist_core::gateway::line_limit::LineLimit;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::memory_budget::MemoryBudget;
+use sassafrashoist_core::gateway::open_connection_limit::OpenConnectionLimit;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::read_precedence::{ReadPrecedence, TopicRank};
 use sassafrashoist_core::gateway::relay_vms::RelayVms;
@@ -30,7 +32,7 @@
 use sassafrashoist_core::gateway::{ConfigVersion, HolderId, Uptime};
 use sassafrashoist_core::ids::BackendServerId;
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -38,6 +40,7 @@
 use super::open_connections::OpenConnections;
 use super::permit_book::PermitBook;
 use super::read_clocks::read_clocks;
+use super::read_origin_history::OriginHistoryReads;
 use super::report_server_end::Inquiry;
 use super::share_config::MAX_SERVED_FETCHES;
 use super::token_book::TokenBook;
@@ -80,6 +83,7 @@
     topic_read: Notify,
     datagram_socket: OnceLock<Arc<UdpSocket>>,
     drain_plan: OnceLock<DrainPlan>,
+    caller_timeouts: watch::Sender<ConnectionTimeouts>,
     started_instant: Instant,
     /// The VM's clocks when the process started.
     pub started_at: ClockReading,
@@ -97,6 +101,8 @@
     pub internal_connections: Arc<OpenConnections>,
     /// The last read of the server list for a request, held while another one is made.
     pub server_list_check: tokio::sync::Mutex<Option<ServerListCheck>>,
+    /// The history of the server list and of the configurations, held while it is read.
+    pub origin_history: tokio::sync::Mutex<OriginHistoryReads>,
     /// Requests in progress.
     pub requests: TaskTracker,
     /// Cancelled when the process receives the signal to stop.
@@ -152,6 +158,7 @@
             topic_read: Notify::new(),
             datagram_socket: OnceLock::new(),
             drain_plan: OnceLock::new(),
+            caller_timeouts: watch::Sender::default(),
             started_instant: Instant::now(),
             started_at: read_clocks(),
             ledger_wakeup: Notify::new(),
@@ -161,6 +168,7 @@
             caller_connections: Arc::default(),
             internal_connections: Arc::default(),
             server_list_check: tokio::sync::Mutex::default(),
+            origin_history: tokio::sync::Mutex::default(),
             requests: TaskTracker::new(),
             draining: cancel.child_token(),
             serving_ended: CancellationToken::new(),
@@ -203,11 +211,17 @@
     pub fn replace_routes(&self, routes: &Arc<RouteTable>) -> bool {
         let is_newer = self.lock_routes().replace(routes, self.now());
         if is_newer {
+            self.caller_timeouts.send_replace(ConnectionTimeouts::of(&routes.config().limits));
             self.lock_config_age().record_active(routes.config().version);
         }
         is_newer
     }
 
+    /// Returns the timeouts of callers' connections, which follow the active configuration.
+    pub fn caller_timeouts(&self) -> watch::Receiver<ConnectionTimeouts> {
+        self.caller_timeouts.subscribe()
+    }
+
     /// Locks what this VM knows of the age of its configuration.
     pub fn lock_config_age(&self) -> MutexGuard<'_, ConfigAge> {
         lock(&self.config_age)
@@ -375,9 +389,17 @@
         lock(&self.memory)
     }
 
-    /// Returns how many requests this VM holds at a time.
+    /// Returns how many requests this VM holds at a time beside the connections of callers.
     pub fn request_limit(&self) -> RequestLimit {
-        RequestLimit::of_memory(self.settings().memory_bytes)
+        let counts = self.caller_connections.counts();
+        let connection_count = counts.total() - counts.unanswered();
+        RequestLimit::of_memory(self.settings().memory_bytes).beside_connections(connection_count)
+    }
+
+    /// Returns how many connections callers may keep open.
+    pub fn open_connection_limit(&self) -> OpenConnectionLimit {
+        let settings = self.settings();
+        OpenConnectionLimit::new(settings.memory_bytes, settings.descriptor_count)
     }
 
     /// Returns whether this VM can hold the requests in progress.
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -3,19 +3,27 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use eyre::WrapErr;
-use http::{Request, Response, StatusCode, Version};
-use hyper::body::Incoming;
+use futures::FutureExt;
+use http::header::CONTENT_LENGTH;
+use http::{Method, Request, Response, StatusCode, Version};
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::net::sockopt::set_tcp_user_timeout;
+use sassafrashoist_adapter::request_headers::request_id;
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
+use sassafrashoist_core::gateway::connection_timeouts::ConnectionTimeouts;
 use sassafrashoist_core::gateway::framing_allowance::MAX_HEAD_BYTES;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::caller_socket::CallerSocket;
@@ -27,6 +35,7 @@
 use super::open_connections::OpenConnections;
 use super::request_body::RequestBody;
 use super::response_body::ResponseBody;
+use super::serve_request::Refusal;
 use super::tracked_body::TrackedBody;
 use super::watch_caller::wait_until_caller_left;
 
@@ -35,17 +44,20 @@
 
 /// The maximum length of the head of a request that does not come from a caller.
 const MAX_INTERNAL_HEAD_BYTES: usize = 8_192;
-/// How long a connection that does not come from a caller may be idle, and how long a head on it may
-/// take to arrive.
-const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The timeouts of a connection that does not come from a caller.
+const INTERNAL_TIMEOUTS: ConnectionTimeouts =
+    ConnectionTimeouts { idle: Duration::from_secs(30), head: Duration::from_secs(30) };
+
+/// How long a caller may take none of the bytes of a response.
+pub const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// How connections are served.
 #[derive(Debug, Clone)]
 pub struct ConnectionPolicy {
-    /// How long a connection may be idle.
-    pub idle_timeout: Duration,
-    /// How long a request head may take to arrive, from its first byte on.
-    pub head_timeout: Duration,
+    /// How long a connection may stay in each phase, now.
+    pub timeouts: watch::Receiver<ConnectionTimeouts>,
+    /// How long a caller may take none of the bytes of a response.
+    pub write_timeout: Duration,
     /// The maximum length of a request head.
     pub max_head_bytes: usize,
     /// When connections are closed.
@@ -112,16 +124,26 @@
         log::debug!(error:% = error; "connection was closed before it was served");
         return;
     }
+    // The kernel ends the connection then; it knows of each byte that a slow caller takes.
+    let write_timeout_ms = u32::try_from(policy.write_timeout.as_millis()).unwrap_or(u32::MAX);
+    if let Err(error) = set_tcp_user_timeout(&stream, write_timeout_ms) {
+        log::warn!(error:% = error; "failed to set how long a caller may read nothing");
+    }
     let reset_switch = ResetSwitch::default();
     let meter = FramingMeter::new(policy.max_head_bytes.max(MAX_HEAD_BYTES));
     let service = service_fn(|request: Request<Incoming>| {
         let caller_version = request.version();
+        let is_head = request.method() == Method::HEAD;
         let (open, reset_switch, meter) = (&open, &reset_switch, &meter);
         open.record_request(caller_version);
+        let request_id = request_id(request.headers()).unwrap_or("-").to_owned();
         let response = handle(request.map(|body| RequestBody::new(body, open, meter.clone())));
         async move {
-            let response = response.await;
-            open.record_response_start();
+            let response = AssertUnwindSafe(response).catch_unwind().await;
+            let response = response.unwrap_or_else(|_| answer_panic(&request_id));
+            open.record_response_start(
+                caller_version == Version::HTTP_11 && !is_head && is_chunked(&response),
+            );
             if response.status() == StatusCode::SWITCHING_PROTOCOLS {
                 meter.lock().lift();
             }
@@ -156,13 +178,19 @@
                 log::info!("connection closed: the head of a request stalled while this VM stops");
                 return Ok(());
             }
-            phase = wait_until_overdue(&policy, &open) => {
+            phase = wait_until_overdue(&policy.timeouts, &open) => {
                 if phase == ConnectionPhase::ReadingHead {
                     log::info!("connection closed: the head of a request took too long");
+                    if let Err(error) = socket.refuse_late_head().await {
+                        log::debug!(error:% = error; "caller left within a head");
+                    }
                     return Ok(());
                 }
                 open.record_closing();
             }
+            () = wait_until_closed_as_idle(&socket, &open) => {
+                open.record_closing();
+            }
             () = wait_until_closing(&policy.closing, &open) => {
                 if matches!(open.phase(), ConnectionPhase::Opened | ConnectionPhase::Idle) {
                     open.record_closing();
@@ -188,24 +216,50 @@
     }
 }
 
+/// Returns whether the HTTP library sends the body of a response in chunks.
+fn is_chunked(response: &Response<ResponseBody>) -> bool {
+    let has_no_body = response.status().is_informational()
+        || matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    response.version() == Version::HTTP_11
+        && !has_no_body
+        && !response.headers().contains_key(CONTENT_LENGTH)
+        && !response.body().is_end_stream()
+        && response.body().size_hint().exact().is_none()
+}
+
+/// Responds to a request whose handling has panicked; it may have reached a server.
+fn answer_panic(request_id: &str) -> Response<ResponseBody> {
+    log::error!(id = request_id; "request ended with a panic");
+    Refusal::new(StatusCode::BAD_GATEWAY, "internal failure").into_response(request_id, &"")
+}
+
 /// Waits until a connection has been idle for too long, or a head takes too long to arrive; returns the
-/// phase that lasts too long.
-async fn wait_until_overdue(policy: &ConnectionPolicy, open: &OpenConnection) -> ConnectionPhase {
+/// phase that lasts too long. A timeout that becomes longer meanwhile applies at once, a shorter one
+/// from the next phase on, as the caller may still count on the longer one.
+async fn wait_until_overdue(
+    timeouts: &watch::Receiver<ConnectionTimeouts>,
+    open: &OpenConnection,
+) -> ConnectionPhase {
     loop {
-        let (phase, change_count) = (open.phase(), open.change_count());
+        let (phase, change_count, began) = (open.phase(), open.change_count(), Instant::now());
         let changed = wait_while(|| open.change_count() == change_count);
-        let timeout = match phase {
-            ConnectionPhase::Opened | ConnectionPhase::Idle => policy.idle_timeout,
-            ConnectionPhase::ReadingHead => policy.head_timeout,
-            ConnectionPhase::InRequest
-            | ConnectionPhase::WritingResponse
-            | ConnectionPhase::Closing => {
-                changed.await;
-                continue;
+        let Some(mut timeout) = timeouts.borrow().longest(phase) else {
+            changed.await;
+            continue;
+        };
+        let overdue = async {
+            loop {
+                tokio::time::sleep_until(began + timeout).await;
+                match timeouts.borrow().longest(phase) {
+                    Some(longer) if longer > timeout => timeout = longer,
+                    Some(_) | None => return,
+                }
             }
         };
-        if tokio::time::timeout(timeout, changed).await.is_err() {
-            return phase;
+        tokio::select! {
+            biased;
+            () = changed => {}
+            () = overdue => return phase,
         }
     }
 }
@@ -223,6 +277,16 @@
     wait_while(|| open.phase() == ConnectionPhase::ReadingHead).await;
 }
 
+/// Waits until an idle connection is to be closed in favour of others, and no request has arrived on it.
+async fn wait_until_closed_as_idle(socket: &CallerSocket, open: &OpenConnection) {
+    loop {
+        open.wait_for_close_request().await;
+        if open.phase() == ConnectionPhase::Idle && !socket.is_readable() {
+            return;
+        }
+    }
+}
+
 /// Waits until heads that are being read are given up, if a head is being read then.
 async fn wait_for_stalled_head(signals: &ClosingSignals, open: &OpenConnection) {
     signals.closing_heads.cancelled().await;
@@ -252,8 +316,8 @@
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let policy = ConnectionPolicy {
-        idle_timeout: INTERNAL_IDLE_TIMEOUT,
-        head_timeout: INTERNAL_IDLE_TIMEOUT,
+        timeouts: watch::Sender::new(INTERNAL_TIMEOUTS).subscribe(),
+        write_timeout: WRITE_TIMEOUT,
         max_head_bytes: MAX_INTERNAL_HEAD_BYTES,
         closing: ClosingSignals {
             closing: closing.clone(),
--- a/crates/sassafrashoist/src/gateway/open_connection.rs
+++ b/crates/sassafrashoist/src/gateway/open_connection.rs
@@ -6,6 +6,7 @@
 use http::Version;
 use sassafrashoist_core::gateway::caller_check::ResponseProgress;
 use sassafrashoist_core::gateway::connection_phase::ConnectionPhase;
+use tokio::sync::Notify;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::open_connections::OpenConnections;
@@ -19,8 +20,13 @@
     connections: Arc<OpenConnections>,
     phase: Mutex<ConnectionPhase>,
     change_count: AtomicU64,
+    /// The rank among the idle connections while it is idle.
+    idle_rank: Mutex<Option<u64>>,
+    /// Notified to close the connection if it is idle.
+    close_idle: Arc<Notify>,
     is_body_unfinished: AtomicBool,
     is_interim_allowed: AtomicBool,
+    is_chunked: AtomicBool,
     has_unwritten_bytes: AtomicBool,
     _open: TaskTrackerToken,
 }
@@ -31,8 +37,11 @@
             connections,
             phase: Mutex::new(ConnectionPhase::Opened),
             change_count: AtomicU64::new(0),
+            idle_rank: Mutex::default(),
+            close_idle: Arc::default(),
             is_body_unfinished: AtomicBool::new(false),
             is_interim_allowed: AtomicBool::new(false),
+            is_chunked: AtomicBool::new(false),
             has_unwritten_bytes: AtomicBool::new(false),
             _open: open,
         }
@@ -63,12 +72,14 @@
     /// Records that the head of a request was read, whose caller uses this version of HTTP.
     pub fn record_request(&self, version: Version) {
         self.is_interim_allowed.store(version == Version::HTTP_11, Ordering::Release);
+        self.is_chunked.store(false, Ordering::Release);
         self.set_phase(ConnectionPhase::InRequest);
     }
 
     /// Records that the response of the newest request has started.
-    pub fn record_response_start(&self) {
+    pub fn record_response_start(&self, is_chunked: bool) {
         self.is_interim_allowed.store(false, Ordering::Release);
+        self.is_chunked.store(is_chunked, Ordering::Release);
     }
 
     /// Returns whether a request was read to its end, and a part of its response is still to come.
@@ -78,12 +89,17 @@
         is_in_request && !self.is_body_unfinished()
     }
 
-    /// Returns whether an interim response may be sent now.
+    /// Returns what is known of the response of the newest request.
     pub fn response_progress(&self) -> ResponseProgress {
-        let has_unwritten_bytes = self.has_unwritten_bytes.load(Ordering::Acquire);
-        match self.is_interim_allowed.load(Ordering::Acquire) && !has_unwritten_bytes {
-            true => ResponseProgress::NotStarted,
-            false => ResponseProgress::NoInterimAllowed,
+        let is_in_request = self.phase() == ConnectionPhase::InRequest;
+        if !is_in_request || self.has_unwritten_bytes.load(Ordering::Acquire) {
+            ResponseProgress::NothingAllowed
+        } else if self.is_interim_allowed.load(Ordering::Acquire) {
+            ResponseProgress::NotStarted
+        } else if self.is_chunked.load(Ordering::Acquire) {
+            ResponseProgress::BetweenChunks
+        } else {
+            ResponseProgress::NothingAllowed
         }
     }
 
@@ -117,6 +133,11 @@
         }
     }
 
+    /// Waits until the connection is to be closed if it is idle.
+    pub async fn wait_for_close_request(&self) {
+        self.close_idle.notified().await;
+    }
+
     /// Records that the connection is closed with nothing owed.
     pub fn record_closing(&self) {
         self.set_phase(ConnectionPhase::Closing);
@@ -127,11 +148,23 @@
         self.connections.record_change(*current, phase);
         *current = phase;
         self.change_count.fetch_add(1, Ordering::AcqRel);
+        drop(current);
+        let rank = (phase == ConnectionPhase::Idle)
+            .then(|| self.connections.record_idle(&self.close_idle));
+        self.set_idle_rank(rank);
+    }
+
+    fn set_idle_rank(&self, rank: Option<u64>) {
+        let mut current = self.idle_rank.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(earlier_rank) = std::mem::replace(&mut *current, rank) {
+            self.connections.record_idle_end(earlier_rank);
+        }
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
+        self.set_idle_rank(None);
         self.connections.record_end(self.phase());
     }
 }
