Ask whether a caller is still there after the VM stood still

Cause: a VM that is suspended or gets no processor time finds a request and the end of its caller's stream in the buffers together. Since callers that only close their writing side are served, that end no longer ends the request, and the first interim response that tells both apart came 50 ms later, when the attempt had been sent.

Fix: a process notices by its own timer that it stood still, logs for how long, and before each attempt that may have waited looks at the caller's socket. While the process runs, nothing changes.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -100,6 +100,7 @@
 pub mod server_silence;
 pub mod server_state;
 pub mod spending_limit;
+pub mod stall_watch;
 pub mod stream_origins;
 pub mod token_holding;
 pub mod token_ledger;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -56,6 +56,7 @@
 mod server_silence;
 mod simulated_fleet;
 mod simulated_fleet_properties;
+mod stall_watch;
 mod stream_origins;
 mod token_holding;
 mod token_ledger;
--- a/crates/sassafrashoist/src/gateway/caller_socket.rs
+++ b/crates/sassafrashoist/src/gateway/caller_socket.rs
@@ -2,10 +2,11 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{Context, Poll, ready};
 
 use futures::FutureExt;
+use rustix::io::Errno;
 use rustix::net::RecvFlags;
 use sassafrashoist_core::gateway::caller_check::CHECK_INTERVAL;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -21,12 +22,33 @@
 /// The most bytes that are read at once to be discarded.
 const DISCARD_CHUNK_BYTES: usize = 4_096;
 
-/// The socket of a caller, which the HTTP library and the check of the caller share. Both run in one
-/// task, so that the lock is never waited for.
+/// What has become of the stream that a caller sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamState {
+    /// More may come.
+    Open,
+    /// The caller has left, or only sends no more.
+    Ended,
+    /// The connection has failed.
+    Failed,
+}
+
+/// The socket of a caller, which the HTTP library and the checks of the caller share. The lock is held
+/// for a single call of the kernel.
 #[derive(Debug, Clone)]
 pub struct CallerSocket(Arc<Mutex<TcpStream>>);
 
 impl CallerSocket {
+    /// Returns the socket that others share.
+    pub fn from_shared(tcp: Arc<Mutex<TcpStream>>) -> Self {
+        Self(tcp)
+    }
+
+    /// Returns a reference that does not keep the socket open.
+    pub fn downgrade(&self) -> Weak<Mutex<TcpStream>> {
+        Arc::downgrade(&self.0)
+    }
+
     /// Wraps an accepted connection.
     pub fn new(tcp: TcpStream) -> Self {
         Self(Arc::new(Mutex::new(tcp)))
@@ -75,6 +97,22 @@
         rustix::net::recv(&*self.lock(), &mut byte[..], flags).is_ok()
     }
 
+    /// Returns what has become of the stream of the caller, whatever this process has been told of it.
+    pub fn stream_state(&self) -> StreamState {
+        let mut byte = [0_u8];
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        match rustix::net::recv(&*self.lock(), &mut byte[..], flags) {
+            Ok((_, 0)) => StreamState::Ended,
+            Ok(_) => match self.is_end_received() {
+                Ok(true) => StreamState::Ended,
+                Ok(false) => StreamState::Open,
+                Err(_) => StreamState::Failed,
+            },
+            Err(Errno::AGAIN | Errno::INTR) => StreamState::Open,
+            Err(_) => StreamState::Failed,
+        }
+    }
+
     /// Fails if the connection has failed since the last call.
     ///
     /// # Errors
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -26,6 +26,7 @@
 use sassafrashoist_core::gateway::server_directory::ServerDirectory;
 use sassafrashoist_core::gateway::server_listing::ServerListing;
 use sassafrashoist_core::gateway::server_paths::{Opened, ReachCounts, ServerPaths};
+use sassafrashoist_core::gateway::stall_watch::StallWatch;
 use sassafrashoist_core::gateway::stream_origins::StreamOrigins;
 use sassafrashoist_core::gateway::token_holding::TokenHolding;
 use sassafrashoist_core::gateway::vm_settings::VmSettings;
@@ -75,6 +76,7 @@
     tokens: Mutex<TokenBook>,
     retries: Mutex<RetryLimiter>,
     silence_lines: Mutex<LineLimit>,
+    stalls: Mutex<StallWatch>,
     permits: Mutex<PermitBook>,
     streams: Mutex<StreamOrigins>,
     crashes: Mutex<CrashBook>,
@@ -150,6 +152,7 @@
             tokens: Mutex::new(TokenBook::new(holding, issuers)),
             retries: Mutex::default(),
             silence_lines: Mutex::new(LineLimit::new(MAX_SILENCE_LINES_PER_S)),
+            stalls: Mutex::default(),
             permits: Mutex::default(),
             streams: Mutex::default(),
             crashes: Mutex::default(),
@@ -187,6 +190,27 @@
         tokio::time::Instant::from_std(self.started_instant + at)
     }
 
+    /// Records that this process runs, and logs for how long it stood still before.
+    pub fn record_running(&self) {
+        let now = self.now();
+        let stall_time = lock(&self.stalls).record_running(now);
+        if let Some(stall_time) = stall_time {
+            metrics::histogram!("sassafrashoist_stall_seconds").record(stall_time.as_secs_f64());
+            log::info!(
+                stall_ms = stall_time.as_millis() as u64, connections:% = self.caller_connections,
+                requests = self.requests.len();
+                "process stood still"
+            );
+        }
+    }
+
+    /// Returns for how long what is read now may have waited because this process stood still; zero if
+    /// it did not.
+    pub fn longest_wait(&self) -> Duration {
+        self.record_running();
+        lock(&self.stalls).longest_wait(self.now())
+    }
+
     /// Returns the active settings.
     pub fn settings(&self) -> Arc<VmSettings> {
         Arc::clone(&lock(&self.settings))
--- a/crates/sassafrashoist/src/gateway/listen.rs
+++ b/crates/sassafrashoist/src/gateway/listen.rs
@@ -26,6 +26,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::caller_presence::CallerPresence;
 use super::caller_socket::CallerSocket;
 use super::caller_stream::{CallerStream, ResetSwitch};
 use super::closing_signals::ClosingSignals;
@@ -131,7 +132,9 @@
     }
     let reset_switch = ResetSwitch::default();
     let meter = FramingMeter::new(policy.max_head_bytes.max(MAX_HEAD_BYTES));
-    let service = service_fn(|request: Request<Incoming>| {
+    let socket = CallerSocket::new(stream);
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(CallerPresence::new(&socket, &open));
         let caller_version = request.version();
         let is_head = request.method() == Method::HEAD;
         let (open, reset_switch, meter) = (&open, &reset_switch, &meter);
@@ -157,7 +160,6 @@
             Ok::<_, Infallible>(TrackedBody::wrap(response, open))
         }
     });
-    let socket = CallerSocket::new(stream);
     let caller_stream = CallerStream::new(socket.clone(), Arc::clone(&open), reset_switch.clone());
     let metered_stream = MeteredStream::new(caller_stream, meter.clone());
     let connection = http1::Builder::new()
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -10,6 +10,8 @@
 //!   ([`token_reservation`]).
 //! - [`open_connections`] knows what is owed to the callers of all connections, which a VM that stops
 //!   waits for.
+//! - [`watch_stalls`] notices that the process stood still; [`caller_presence`] then asks whether a
+//!   caller is still there before its request is sent.
 //! - [`refuse_by_config`] refuses what the configuration does not allow; for now only, while it may be
 //!   old.
 //! - [`topic_reader`] reads a topic of the log service and [`follow_topic`] keeps reading it;
@@ -42,6 +44,7 @@
 //! formats are in `sassafrashoist_adapter`.
 
 pub mod buffered_body;
+pub mod caller_presence;
 pub mod caller_socket;
 pub mod caller_stream;
 pub mod check_server_list;
@@ -120,3 +123,4 @@
 pub mod tracked_body;
 pub mod transfer_tokens;
 pub mod watch_caller;
+pub mod watch_stalls;
--- a/crates/sassafrashoist/src/gateway/request_context.rs
+++ b/crates/sassafrashoist/src/gateway/request_context.rs
@@ -14,6 +14,7 @@
 use sassafrashoist_core::requests::quarantine::RequestFingerprint;
 use sassafrashoist_core::requests::request_hash::{PromptPartKey, hash_prompt_part};
 
+use super::caller_presence::CallerPresence;
 use super::request_progress::RequestProgress;
 
 /// The most parts of a prompt that are considered as the cause of a crash.
@@ -59,6 +60,8 @@
     pub arrived_at: Uptime,
     /// When the response must be complete.
     pub deadline: Uptime,
+    /// Whether its caller is still there; `None` if that cannot be known.
+    pub presence: Option<CallerPresence>,
     /// How far the request has come.
     pub progress: Arc<RequestProgress>,
 }
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -20,7 +20,9 @@
 use super::report_server_end::report_lost_connection;
 use super::request_context::RequestContext;
 use super::response_body::{ResponseBody, body_of_unknown_length, streamed_body};
-use super::send_attempt::{AttemptStart, ServerSlot, StartedResponse, send_attempt};
+use super::send_attempt::{
+    AttemptStart, ServerSlot, StartedResponse, is_caller_there, send_attempt,
+};
 use super::serve_request::Refusal;
 use super::server_body::ServerBody;
 use super::share_crashes::record_answer;
@@ -37,6 +39,8 @@
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// The reason when this VM stops too soon for a request. Other VMs take it at once.
 pub const STOPPING: &str = "VM stops";
+/// The reason when the caller has left, which nobody reads.
+const CALLER_LEFT: &str = "caller left";
 /// The reason when a server that is silent was given up and no other served the request.
 const SERVER_SILENT: &str = "server is silent";
 /// The minimum time that a server must be unresponsive before a request that may run again is sent
@@ -103,6 +107,10 @@
             failure = STOPPING;
             break;
         }
+        if !is_caller_there(&context, &request).await {
+            failure = CALLER_LEFT;
+            break;
+        }
         let trial = match admit_attempt(&context, &request, last_server_id.as_deref()).await {
             Ok(trial) => trial,
             Err(refusal) => {
@@ -156,6 +164,10 @@
                     failure = STOPPING;
                     break;
                 }
+                AttemptStart::CallerLeft => {
+                    failure = CALLER_LEFT;
+                    break;
+                }
                 AttemptStart::NotRun(reason) => {
                     failure = reason;
                     counts.delivered += 1;
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -29,6 +29,7 @@
 use super::serve_readiness::serve_readiness;
 use super::share_crashes::{judge_parts, send_digests};
 use super::transfer_tokens::transfer_all_tokens;
+use super::watch_stalls::watch_stalls;
 use crate::util::metrics_page::{init_metrics, run_metrics_upkeep};
 
 /// How long calls of other VMs may take to be answered before this process exits.
@@ -75,6 +76,7 @@
     );
 
     let (closing, finished) = (ClosingSignals::default(), CancellationToken::new());
+    tokio::spawn(watch_stalls(Arc::clone(&context)));
     tokio::spawn(follow_config(Arc::clone(&context)));
     tokio::spawn(fetch_configs(Arc::clone(&context)));
     tokio::spawn(follow_servers(Arc::clone(&context)));
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -160,6 +160,8 @@
     NotReached,
     /// Nothing was sent, because this VM stops too soon for the request.
     Stopping,
+    /// Nothing was sent, because the caller has left.
+    CallerLeft,
     /// The server received the request, did not run it and never will.
     NotRun(&'static str),
     /// There is no valid response, and the request may have run.
@@ -168,6 +170,24 @@
     Silent,
 }
 
+/// Returns whether the caller of a request is still there. It is asked only if it may have left
+/// unnoticed, because this VM stood still.
+pub async fn is_caller_there(context: &GatewayContext, request: &RequestContext) -> bool {
+    let Some(presence) = &request.presence else {
+        return true;
+    };
+    let waited = context.longest_wait();
+    if waited.is_zero() || presence.confirm(context.now()).await {
+        return true;
+    }
+    metrics::counter!("sassafrashoist_callers_left_total").increment(1);
+    log::info!(
+        id = request.id(), waited_ms = waited.as_millis() as u64;
+        "caller left while this VM stood still"
+    );
+    false
+}
+
 /// Sends a request to a server and waits for the response head, at most until the deadline.
 ///
 /// With `silence_limit`, the attempt also ends when the server has failed by its silence.
@@ -213,6 +233,9 @@
             return AttemptStart::NotReached;
         }
     };
+    if !is_caller_there(context, request).await {
+        return AttemptStart::CallerLeft;
+    }
     let is_first = !request.progress.was_sent();
     // Recorded before the check, as the answer at the end of the time to serve depends on it.
     request.progress.record_sent();
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -221,11 +221,12 @@
 /// Finds the route, pool and client account of a request whose body has not been read yet.
 fn resolve_request(
     routes: &RouteTable,
-    parts: Parts,
+    mut parts: Parts,
     caller: CallerHeaders,
     arrived_at: Uptime,
     progress: Arc<RequestProgress>,
 ) -> Result<RequestContext, Refusal> {
+    let presence = parts.extensions.remove();
     let Some(host) = parts.uri.host().or_else(|| single_host(&parts.headers)) else {
         return Err(Refusal::new(StatusCode::BAD_REQUEST, "host is missing or ambiguous"));
     };
@@ -250,6 +251,7 @@
         priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
         arrived_at,
         deadline: arrived_at + timeout,
+        presence,
         progress,
     })
 }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -44,6 +44,7 @@
 mod shutdown;
 mod silent_servers;
 mod soak;
+mod stalled_vms;
 mod token_book;
 mod truncated_heads;
 mod waiting;
