Turn callers away at the limit of connections, and tell the load balancer

Cause: at its limit of connections a VM left new callers in the backlog of the listener. They waited there unread until they gave up, and nothing kept the load balancer from sending more.

Fix: a VM goes on accepting. If no connection is idle that it could close instead, it responds 503 without reading the request, keeps nothing of the connection but its socket for a second, and says for 3 s that it is not ready. A log line and a counter tell of it.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -60,6 +60,7 @@
 pub mod crash_outbox;
 pub mod crash_report;
 pub mod crash_trials;
+pub mod crowding;
 pub mod document_delta;
 pub mod drain_plan;
 pub mod event_allowance;
--- a/crates/sassafrashoist-core/src/gateway/open_connection_limit.rs
+++ b/crates/sassafrashoist-core/src/gateway/open_connection_limit.rs
@@ -4,7 +4,7 @@
 //! refused come back on new connections and keep them. A process that exceeds the memory of its VM
 //! ends, and one without descriptors reaches no server. The VM therefore announces the end of
 //! connections in its responses from a first mark on, closes those that have been idle longest from a
-//! second one on, and leaves new ones in the backlog of the listener at the limit.
+//! second one on, and turns new ones away at the limit if none is idle.
 
 use super::request_limit::RequestLimit;
 
@@ -24,6 +24,8 @@
 const ENDING_FRACTION: f64 = 0.75;
 /// From this part of the limit on, the connections that have been idle longest are closed.
 const CLOSING_FRACTION: f64 = 0.875;
+/// This part of the limit may be about to be closed beyond it.
+const CLOSING_DIVISOR: u64 = 16;
 
 /// The number of connections that callers may keep open.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +50,12 @@
         (connection_count as u64) < self.max_count
     }
 
+    /// Returns whether another connection may be accepted beside this number in place of one that is
+    /// about to be closed.
+    pub fn allows_replacement(self, connection_count: usize) -> bool {
+        (connection_count as u64) < self.max_count + self.max_count / CLOSING_DIVISOR
+    }
+
     /// Returns whether a response ends its connection while this number is open.
     pub fn ends_connections(self, connection_count: usize) -> bool {
         connection_count as f64 > self.max_count as f64 * ENDING_FRACTION
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod crash_outbox;
 mod crash_trials;
 mod crashes_over_vms;
+mod crowding;
 mod document_delta;
 mod drain_plan;
 mod event_allowance;
--- a/crates/sassafrashoist/src/gateway/caller_socket.rs
+++ b/crates/sassafrashoist/src/gateway/caller_socket.rs
@@ -134,14 +134,23 @@
         }
     }
 
-    /// Responds to a head that has not arrived in time, and closes the connection once the caller does,
-    /// at the latest after [`LINGER_TIME`]. Nothing of another response may be left to be written.
+    /// Responds to a head that has not arrived in time, as [`Self::refuse`] does.
     ///
     /// # Errors
     ///
     /// Fails when the connection has failed.
     pub async fn refuse_late_head(&self) -> io::Result<()> {
-        self.lock().try_write(HEAD_TIMEOUT_RESPONSE)?;
+        self.refuse(HEAD_TIMEOUT_RESPONSE).await
+    }
+
+    /// Sends a whole response to a request that is not read, and closes the connection once the caller
+    /// does, at the latest after [`LINGER_TIME`]. Nothing of another response may be left to be written.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection has failed.
+    pub async fn refuse(&self, response: &[u8]) -> io::Result<()> {
+        self.lock().try_write(response)?;
         std::future::poll_fn(|cx| Pin::new(&mut *self.lock()).poll_shutdown(cx)).await?;
         let discarded = std::future::poll_fn(|cx| self.poll_discard(cx));
         // A caller that sends on does not hold the connection.
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -11,6 +11,7 @@
 use sassafrashoist_core::gateway::config_sharing::ConfigSharing;
 use sassafrashoist_core::gateway::connection_timeouts::ConnectionTimeouts;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
+use sassafrashoist_core::gateway::crowding::Crowding;
 use sassafrashoist_core::gateway::drain_plan::DrainPlan;
 use sassafrashoist_core::gateway::line_limit::LineLimit;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
@@ -45,6 +46,7 @@
 use super::report_server_end::Inquiry;
 use super::share_config::MAX_SERVED_FETCHES;
 use super::token_book::TokenBook;
+use super::turn_away::MAX_TURNED_AWAY_AT_A_TIME;
 
 /// The most lines a second about requests that wait for silent servers.
 const MAX_SILENCE_LINES_PER_S: u32 = 5;
@@ -77,6 +79,7 @@
     retries: Mutex<RetryLimiter>,
     silence_lines: Mutex<LineLimit>,
     stalls: Mutex<StallWatch>,
+    crowding: Mutex<Crowding>,
     permits: Mutex<PermitBook>,
     streams: Mutex<StreamOrigins>,
     crashes: Mutex<CrashBook>,
@@ -97,6 +100,8 @@
     pub config_heard: Notify,
     /// The requests of other VMs for the configuration that may be served now.
     pub served_fetches: Semaphore,
+    /// The callers that may be told now that there is no room for their connections.
+    pub turned_away: Arc<Semaphore>,
     /// The connections of callers.
     pub caller_connections: Arc<OpenConnections>,
     /// The connections of other VMs and of operators.
@@ -153,6 +158,7 @@
             retries: Mutex::default(),
             silence_lines: Mutex::new(LineLimit::new(MAX_SILENCE_LINES_PER_S)),
             stalls: Mutex::default(),
+            crowding: Mutex::default(),
             permits: Mutex::default(),
             streams: Mutex::default(),
             crashes: Mutex::default(),
@@ -168,6 +174,7 @@
             tokens_changed: Notify::new(),
             config_heard: Notify::new(),
             served_fetches: Semaphore::new(MAX_SERVED_FETCHES),
+            turned_away: Arc::new(Semaphore::new(MAX_TURNED_AWAY_AT_A_TIME)),
             caller_connections: Arc::default(),
             internal_connections: Arc::default(),
             server_list_check: tokio::sync::Mutex::default(),
@@ -426,6 +433,11 @@
         OpenConnectionLimit::new(settings.memory_bytes, settings.descriptor_count)
     }
 
+    /// Records that a caller was turned away; returns whether it was the first one for some time.
+    pub fn record_turned_away(&self) -> bool {
+        lock(&self.crowding).record_turned_away(self.now())
+    }
+
     /// Returns whether this VM can hold the requests in progress.
     pub fn can_hold_requests(&self) -> bool {
         let held_bytes = self.lock_memory().held_bytes();
@@ -468,9 +480,10 @@
     }
 
     /// Returns whether this VM can serve requests: it has read the configuration, the server list and
-    /// the ledger.
+    /// the ledger, and turns no callers away.
     pub fn is_ready(&self) -> bool {
-        !self.draining.is_cancelled()
+        !lock(&self.crowding).is_crowded(self.now())
+            && !self.draining.is_cancelled()
             && self.routes().is_some()
             && *lock(&self.servers_listed)
             && self.lock_tokens().read_at.is_some()
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 //!   [`send_attempt`]), forward the response ([`forward_events`]), settle the used tokens
 //!   ([`token_reservation`]).
 //! - [`open_connections`] knows what is owed to the callers of all connections, which a VM that stops
-//!   waits for.
+//!   waits for; [`turn_away`] responds to callers for whose connections there is no room.
 //! - [`watch_stalls`] notices that the process stood still; [`caller_presence`] then asks whether a
 //!   caller is still there before its request is sent.
 //! - [`refuse_by_config`] refuses what the configuration does not allow; for now only, while it may be
@@ -122,5 +122,6 @@
 pub mod topic_reader;
 pub mod tracked_body;
 pub mod transfer_tokens;
+pub mod turn_away;
 pub mod watch_caller;
 pub mod watch_stalls;
--- a/crates/sassafrashoist/src/gateway/open_connections.rs
+++ b/crates/sassafrashoist/src/gateway/open_connections.rs
@@ -19,8 +19,6 @@
     idle: Mutex<BTreeMap<u64, Arc<Notify>>>,
     /// How often a connection has become idle.
     idle_count: AtomicU64,
-    /// Notified when a connection was closed.
-    closed: Notify,
     open: TaskTracker,
 }
 
@@ -36,18 +34,16 @@
         *self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Closes the connection that has been idle longest, unless a request arrives on it.
-    pub fn close_longest_idle(&self) {
+    /// Closes the connection that has been idle longest, unless a request arrives on it; returns whether
+    /// there is one.
+    pub fn close_longest_idle(&self) -> bool {
         let longest_idle = self.lock_idle().pop_first();
-        if let Some((_, close)) = longest_idle {
-            close.notify_one();
-            metrics::counter!("sassafrashoist_idle_connections_closed_total").increment(1);
-        }
-    }
-
-    /// Waits until a connection was closed since the last call.
-    pub async fn wait_for_close(&self) {
-        self.closed.notified().await;
+        let Some((_, close)) = longest_idle else {
+            return false;
+        };
+        close.notify_one();
+        metrics::counter!("sassafrashoist_idle_connections_closed_total").increment(1);
+        true
     }
 
     /// Waits until no connection is open.
@@ -62,7 +58,6 @@
 
     pub(super) fn record_end(&self, phase: ConnectionPhase) {
         self.update(|counts| counts.close(phase));
-        self.closed.notify_one();
     }
 
     /// Records that a connection is idle; returns its rank among the idle ones.
--- a/crates/sassafrashoist/src/gateway/serve_clients.rs
+++ b/crates/sassafrashoist/src/gateway/serve_clients.rs
@@ -11,6 +11,7 @@
 use super::listen::{ConnectionPolicy, WRITE_TIMEOUT, accept, close_listener, serve_connection};
 use super::response_body::ResponseBody;
 use super::serve_request::serve_request;
+use super::turn_away::turn_away;
 
 /// The maximum length of a request head before a configuration has been read.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16_384;
@@ -26,23 +27,26 @@
 ) {
     loop {
         tokio::select! {
-            stream = accept_one(&context, &listener) => serve_caller(&context, stream, &closing),
+            stream = accept(&listener) => admit_caller(&context, stream, &closing),
             () = closing.closing.cancelled() => break,
         }
     }
     for stream in close_listener(listener) {
-        serve_caller(&context, stream, &closing);
+        admit_caller(&context, stream, &closing);
     }
 }
 
-/// Accepts one connection as soon as there is room for it.
-async fn accept_one(context: &GatewayContext, listener: &TcpListener) -> TcpStream {
+/// Serves a connection if there is room for it, and turns its caller away if not.
+fn admit_caller(context: &Arc<GatewayContext>, stream: TcpStream, closing: &ClosingSignals) {
     let connections = &context.caller_connections;
-    while !context.open_connection_limit().allows_another(connections.counts().total()) {
-        connections.close_longest_idle();
-        connections.wait_for_close().await;
+    let (limit, connection_count) = (context.open_connection_limit(), connections.counts().total());
+    let has_room = limit.allows_another(connection_count)
+        || (limit.allows_replacement(connection_count) && connections.close_longest_idle());
+    if has_room {
+        serve_caller(context, stream, closing);
+    } else {
+        turn_away(context, stream);
     }
-    accept(listener).await
 }
 
 fn serve_caller(context: &Arc<GatewayContext>, stream: TcpStream, closing: &ClosingSignals) {
--- a/crates/sassafrashoist/tests/testsuite/connection_bounds.rs
+++ b/crates/sassafrashoist/tests/testsuite/connection_bounds.rs
@@ -4,7 +4,7 @@
 //! process ended for lack of one of them with the requests of all connections.
 
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use http::Method;
@@ -177,3 +177,39 @@
     // Of the descriptors, 200 are reserved for files.
     assert!(seen.peak_descriptors < max_descriptors - 200, "{}", seen.peak_descriptors);
 }
+
+// New callers waited in the backlog of the listener until they gave up; then their requests were read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_beyond_the_limit_of_connections_are_turned_away_at_once() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    // A VM keeps 64 connections however few descriptors it has.
+    let (fleet, _server) = start("turned_away", "limits.maxFds=400").await;
+    let bid = request(Method::POST, BID_PATH);
+    let mut busy = Vec::new();
+    for index in 0..64 {
+        let mut caller = RawCaller::connect(fleet.gateways[0].caller_address).await.unwrap();
+        caller.write(&bid.encode(&format!("busy{index}"))).await.unwrap();
+        busy.push(caller);
+    }
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let ready_before = fleet.gateways[0].readiness_status().await;
+
+    let began_at = Instant::now();
+    let turned_away = join_all((0..24).map(|index| call(&fleet, format!("more{index}")))).await;
+    let took = began_at.elapsed();
+    let ready_then = fleet.gateways[0].readiness_status().await;
+
+    let busy_answers = join_all(busy.iter_mut().map(RawCaller::read_answer)).await;
+    let later = fleet.send(0, "later", &request(Method::GET, STATUS_PATH)).await.unwrap();
+    for (_, answer) in &turned_away {
+        assert_eq!(answer.status(), Some(503), "{answer:?}");
+        assert!(answer.header("retry-after").is_some(), "{answer:?}");
+    }
+    assert!(took < Duration::from_millis(500), "{took:?}");
+    assert_eq!((ready_before, ready_then), (200, 503));
+    for answer in &busy_answers {
+        assert_eq!(answer.status(), Some(200), "{answer:?}");
+    }
+    assert_eq!(later.status, 200);
+    assert_eq!(fleet.gateways[0].readiness_status().await, 200);
+}
