Do not serve by a configuration that had to be replaced

Cause: a VM asked how old its configuration was before it refused a request, never before it served one; and the waits on the way to a new version add up to more than the platform names.

Fix: the steps derive from configApplyMs (config_times.rs). A VM that had to read the log service itself announces what it read and goes on as a substitute, so that few VMs read and the others fetch from one that can serve them. And a VM that has not known for configApplyMs that nothing is newer refuses with 503 and is not ready, unless it is cut off: nothing was heard of the log service for 5/8 of that time, by its own reads of the configuration or through other VMs, or contact is younger than 3/4 of contactMs. A VM that stood still counts its datagrams as old as the stall.

--- a/crates/sassafrashoist-core/src/gateway/config_age.rs
+++ b/crates/sassafrashoist-core/src/gateway/config_age.rs
@@ -2,8 +2,8 @@
 //!
 //! A VM that reads the configuration to the end of its topic knows that no newer version existed at
 //! that time. It no longer knows that when its reads fail or take long, or when another VM has a
-//! newer version. What the active configuration allows is then still served, because an older
-//! version may allow it too; what it lacks may exist in a newer one.
+//! newer version. What the active configuration lacks may exist in a newer one then. What it allows is
+//! served until the time is over in which a newer version has to be in force.
 
 use std::time::Duration;
 
@@ -12,6 +12,8 @@
 /// The time since the last confirmation after which a newer version must be suspected: a read that
 /// finds nothing new waits 1 s, and its response may be late.
 const MAX_UNCONFIRMED_TIME: Duration = Duration::from_millis(1_500);
+/// How long the datagram of another VM may have waited in this one while it did not stand still.
+const MAX_DATAGRAM_WAIT: Duration = Duration::from_millis(250);
 
 /// A version that another VM has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,15 +27,35 @@
 pub struct ConfigAge {
     active: Option<ConfigVersion>,
     confirmed_at: Option<Uptime>,
+    /// The latest time at which the active version is certain to have been the newest that can be
+    /// applied.
+    newest_at: Option<Uptime>,
     heard: Option<HeardVersion>,
 }
 
 impl ConfigAge {
+    /// Records that another VM knew at this time that no version newer than the active one existed.
+    pub fn record_announced(&mut self, at: Uptime) {
+        self.record_checked(at.saturating_sub(MAX_DATAGRAM_WAIT));
+        self.record_not_newer(at);
+    }
+
+    /// Records that the end of the topic was read at this time. Its newest record may be one that
+    /// cannot be decoded; then no VM can do better than to serve by the active version.
+    pub fn record_checked(&mut self, at: Uptime) {
+        self.newest_at = self.newest_at.max(Some(at));
+    }
+
     /// Records that no version newer than the active one existed at this time.
     ///
     /// A version that was heard of earlier and is still not active was never in the topic, or
     /// cannot be decoded; it no longer counts.
     pub fn record_confirmed(&mut self, at: Uptime) {
+        self.record_checked(at);
+        self.record_not_newer(at);
+    }
+
+    fn record_not_newer(&mut self, at: Uptime) {
         self.confirmed_at = self.confirmed_at.max(Some(at));
         self.heard = self.heard.filter(|heard| heard.at > at);
     }
@@ -57,6 +79,18 @@
             || self.unconfirmed_time(now).is_none_or(|time| time > MAX_UNCONFIRMED_TIME)
     }
 
+    /// Returns whether a version may be in force at other VMs that has to be in force here too, as the
+    /// active one is not known to have been the newest within `apply_time`.
+    pub fn is_too_old(&self, apply_time: Duration, now: Uptime) -> bool {
+        self.newest_at.is_some_and(|at| now > at + apply_time)
+    }
+
+    /// Returns for how long this VM has known of a version that is newer than the active one.
+    pub fn heard_time(&self, now: Uptime) -> Option<Duration> {
+        self.newer_version()?;
+        self.heard.map(|heard| now.saturating_sub(heard.at))
+    }
+
     /// Returns whether the active configuration is known to have been the newest one at a time.
     pub fn was_newest_at(&self, at: Uptime) -> bool {
         self.newer_version().is_none() && self.confirmed_at.is_some_and(|known| known >= at)
--- a/crates/sassafrashoist-core/src/gateway/config_sharing.rs
+++ b/crates/sassafrashoist-core/src/gateway/config_sharing.rs
@@ -1,28 +1,27 @@
 //! When a VM reads the configuration from the log service, and when it fetches it from another VM.
 //!
 //! A few VMs ([`ConfigReaders`]) read the log service and announce what is
-//! in force. Any other VM fetches a newer version from a reader that announced it, and leaves the
-//! log service alone as long as announcements say that a reader knew the newest version a short time
+//! in force. Any other VM fetches a newer version from a VM that announced it, and leaves the
+//! log service alone as long as announcements say that a VM knew the newest version a short time
 //! ago. In all other cases it reads the log service: when announcements stop, name an older version
-//! or come late, and when fetches fail. Random delays keep VMs that lose their readers together from
-//! reading together.
+//! or come late, and when fetches fail. Then it announces what it has read, so that few others have to
+//! read it too, and goes on as a substitute until there are enough readers again. Random delays keep VMs that lose their readers together from
+//! reading together. [`ConfigTimes`] bounds the sum of all these waits.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::config_announcement::ConfigAnnouncement;
-use super::config_readers::ConfigReaders;
+use super::config_readers::{ConfigReaders, READERS_PER_DATA_CENTRE};
+use super::config_times::ConfigTimes;
 use super::document_delta::ChunkedDocument;
 use super::live_vms::FleetVm;
 use super::{ConfigVersion, Uptime};
 use crate::ids::VmId;
 
-/// How long ago a reader may have known the newest version. Readers that follow the log service
-/// announce it once a second.
-pub const MAX_KNOWLEDGE_AGE: Duration = Duration::from_millis(2_200);
-/// The longest delay until a VM that hears of no reader any more reads the log service.
-const LOG_READ_SPREAD: Duration = Duration::from_secs(1);
+/// The time in which a change is to be in force if the platform names none.
+pub const DEFAULT_APPLY_TIME: Duration = Duration::from_secs(4);
 /// The longest delay until a VM reads a version that it cannot fetch, for each VM of the fleet, if
 /// that is longer: then all others may have to read it too. The log service sends a long
 /// configuration to 145 VMs a second.
@@ -37,6 +36,10 @@
 const MAX_FAILED_FETCHES: usize = 2;
 /// The number of times that readers are busy before a VM reads the log service.
 const MAX_BUSY_RESPONSES: u32 = 4;
+/// The longest time between two announcements of a VM that reads the log service.
+const READER_INTERVAL: Duration = Duration::from_millis(1_500);
+/// The probability with which a substitute goes on reading after a read if there are enough others.
+const SUBSTITUTE_STAYS: f64 = 0.3;
 /// An announcement is forgotten after this time.
 const MAX_ANNOUNCEMENT_AGE: Duration = Duration::from_secs(3);
 /// The longest delay after a first failed read of the log service; it doubles with each further one,
@@ -130,19 +133,26 @@
 }
 
 /// When a VM reads the configuration from the log service, and when it fetches it from another VM.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConfigSharing {
+    times: ConfigTimes,
     document: Option<Arc<ConfigDocument>>,
     is_reader: bool,
     neighbour_count: usize,
     fleet_vm_count: usize,
     /// When this VM knew last by its own read that it has the newest version.
     known_at: Option<Uptime>,
+    /// Whether this VM reads the log service in place of readers that it has not heard.
+    is_substitute: bool,
+    /// Whether the read that began last is one that readers should have made.
+    is_substitute_read: bool,
     announcers: BTreeMap<VmId, Announcer>,
     newest_heard: ConfigVersion,
     newest_heard_at: Uptime,
     /// A version that this VM cannot decode, or that the log service does not have.
     ignored: ConfigVersion,
+    /// A version whose difference to the one in force does not fit into a message.
+    too_long: ConfigVersion,
     fetch_at: Option<Uptime>,
     is_fetching: bool,
     failed_at: Vec<VmId>,
@@ -158,7 +168,43 @@
     late_until: Uptime,
 }
 
+impl Default for ConfigSharing {
+    fn default() -> Self {
+        Self::new(ConfigTimes::new(DEFAULT_APPLY_TIME))
+    }
+}
+
 impl ConfigSharing {
+    /// Creates the state of a VM without a configuration.
+    pub fn new(times: ConfigTimes) -> Self {
+        Self {
+            times,
+            document: None,
+            is_reader: false,
+            neighbour_count: 0,
+            fleet_vm_count: 0,
+            known_at: None,
+            is_substitute: false,
+            is_substitute_read: false,
+            announcers: BTreeMap::new(),
+            newest_heard: 0,
+            newest_heard_at: Uptime::ZERO,
+            ignored: 0,
+            too_long: 0,
+            fetch_at: None,
+            is_fetching: false,
+            failed_at: Vec::new(),
+            busy_count: 0,
+            log_due_at: Uptime::ZERO,
+            log_needed_at: None,
+            log_read_sent_at: None,
+            log_failure_count: 0,
+            log_retry_at: Uptime::ZERO,
+            scheduled_at: Uptime::ZERO,
+            late_until: Uptime::ZERO,
+        }
+    }
+
     /// Records the part of this VM.
     pub fn record_role(&mut self, role: &ConfigReaders) {
         self.is_reader = role.is_reader;
@@ -187,6 +233,12 @@
         if self.is_reader || self.document.is_none() {
             return NextLogRead::Now;
         }
+        if self.is_substitute && self.is_replaced(now) {
+            self.is_substitute = random < SUBSTITUTE_STAYS;
+        }
+        if self.is_substitute {
+            return NextLogRead::Now;
+        }
         let needed_at = self.log_needed_at.unwrap_or(self.log_due_at);
         let read_at = needed_at.min(self.log_due_at).max(self.log_retry_at);
         if now >= read_at { NextLogRead::Now } else { NextLogRead::NotBefore(read_at) }
@@ -195,6 +247,7 @@
     /// Records that a read of the log service begins.
     pub fn begin_log_read(&mut self, now: Uptime) {
         self.log_read_sent_at = Some(now);
+        self.is_substitute_read = !self.is_reader && self.has_heard_reader();
     }
 
     /// Records the result of the read that began last, after what it returned has come into force.
@@ -209,6 +262,7 @@
             TopicEnd::ReachedAfter(wait) => now.min(sent_at + wait),
         };
         self.known_at = self.known_at.max(Some(known_at));
+        self.is_substitute = self.is_substitute_read;
         if self.log_needed_at.is_some_and(|needed_at| needed_at <= sent_at) {
             self.log_needed_at = None;
             self.restart_fetches();
@@ -222,8 +276,10 @@
     }
 
     fn record_log_failure(&mut self, random: f64, now: Uptime) {
+        self.is_substitute = false;
         if self.log_needed_at.take().is_some() {
             self.restart_fetches();
+            self.too_long = 0;
         }
         // Without readers that announce, nothing but the log service brings a new version.
         if self.log_due_at == Uptime::ZERO {
@@ -236,12 +292,14 @@
         self.log_retry_at = now + max_delay.mul_f64(0.5 + random / 2.0);
     }
 
-    /// Returns what this VM announces; `None` if it is not a reader, or does not know whether its
-    /// version is the newest.
+    /// Returns what this VM announces; `None` if it does not know from the log service whether its
+    /// version is the newest, or if it is not a reader and has never heard one: during an upgrade, the
+    /// others may not know announcements.
     pub fn announcement(&self, now: Uptime) -> Option<ConfigAnnouncement> {
-        let document = self.document.as_ref().filter(|_| self.is_reader)?;
+        let may_announce = self.is_reader || self.has_heard_reader();
+        let document = self.document.as_ref().filter(|_| may_announce)?;
         let known_ago = now.saturating_sub(self.known_at?);
-        (known_ago < MAX_KNOWLEDGE_AGE).then(|| ConfigAnnouncement {
+        (known_ago < self.times.knowledge_age()).then(|| ConfigAnnouncement {
             version: document.version,
             document_hash: document.content.hash(),
             known_ago,
@@ -269,19 +327,24 @@
         let known_at = now.saturating_sub(announced.known_ago);
         let is_timely = now >= self.late_until;
         let is_usable = !is_newer || announced.version > self.ignored;
-        if is_timely && is_usable && announced.known_ago < MAX_KNOWLEDGE_AGE {
-            let due_at = known_at + MAX_KNOWLEDGE_AGE + LOG_READ_SPREAD.mul_f64(random);
+        if is_timely && is_usable && announced.known_ago < self.times.knowledge_age() {
+            let spread = self.times.log_read_spread().mul_f64(random);
+            let due_at = known_at + self.times.knowledge_age() + spread;
             self.log_due_at = self.log_due_at.max(due_at);
         }
         if !is_newer {
-            return if is_timely { Heard::Confirmed(known_at) } else { Heard::Nothing };
+            if !is_timely {
+                return Heard::Nothing;
+            }
+            return Heard::Confirmed(known_at);
         }
         if announced.version > self.newest_heard {
             self.newest_heard = announced.version;
             self.newest_heard_at = now;
             self.failed_at.clear();
         }
-        if self.is_fetch_wanted() && self.fetch_at.is_none() && !self.is_fetching {
+        let has_failed = self.failed_at.contains(&vm.vm_id);
+        if self.is_fetch_wanted() && !has_failed && self.fetch_at.is_none() && !self.is_fetching {
             self.fetch_at = Some(now + self.fetch_delay(random));
         }
         Heard::Newer(announced.version)
@@ -330,6 +393,7 @@
         match outcome {
             FetchOutcome::Received => {
                 self.restart_fetches();
+                self.log_needed_at = None;
                 if self.is_fetch_wanted() {
                     self.fetch_at = Some(now + self.fetch_delay(random));
                 }
@@ -342,11 +406,19 @@
                 self.busy_count += 1;
                 self.fetch_at = Some(now + BUSY_DELAY.mul_f64(random));
             }
-            FetchOutcome::Failed if self.failed_at.len() + 1 < MAX_FAILED_FETCHES => {
+            FetchOutcome::Failed => {
                 self.failed_at.push(vm_id.clone());
-                self.fetch_at = Some(now);
+                if self.failed_at.len() < MAX_FAILED_FETCHES {
+                    self.fetch_at = Some(now);
+                } else {
+                    self.give_up_fetching(random, now);
+                }
+            }
+            FetchOutcome::TooLong => {
+                self.too_long = self.too_long.max(announced.version);
+                self.give_up_fetching(random, now);
             }
-            FetchOutcome::Busy | FetchOutcome::TooLong | FetchOutcome::Failed => {
+            FetchOutcome::Busy => {
                 self.give_up_fetching(random, now);
             }
         }
@@ -356,10 +428,23 @@
         self.document.as_ref().map(|document| document.version)
     }
 
+    fn has_heard_reader(&self) -> bool {
+        self.log_due_at > Uptime::ZERO
+    }
+
+    /// Returns whether enough other VMs read the log service.
+    fn is_replaced(&self, now: Uptime) -> bool {
+        let is_recent = |announcer: &&Announcer| {
+            now < announcer.heard_at + READER_INTERVAL
+                && announcer.announced.known_ago < self.times.knowledge_age()
+        };
+        self.announcers.values().filter(is_recent).count() >= READERS_PER_DATA_CENTRE
+    }
+
     /// Returns whether a newer version may be fetched.
     fn is_fetch_wanted(&self) -> bool {
         let is_newer = Some(self.newest_heard) > self.version();
-        is_newer && self.newest_heard > self.ignored && self.log_needed_at.is_none()
+        is_newer && self.newest_heard > self.ignored.max(self.too_long)
     }
 
     fn fleet_spread(&self) -> Duration {
@@ -374,11 +459,14 @@
         }
     }
 
-    /// Leaves the version to the next read of the log service.
+    /// Leaves the version to the next read of the log service, unless a VM announces it before that at
+    /// which no fetch has failed.
     fn give_up_fetching(&mut self, random: f64, now: Uptime) -> NextFetch {
-        self.restart_fetches();
-        let spread = LOG_READ_SPREAD.max(self.fleet_spread());
-        self.log_needed_at = Some(now + spread.mul_f64(random));
+        self.fetch_at = None;
+        self.busy_count = 0;
+        let spread = self.times.log_read_spread().max(self.fleet_spread());
+        let needed_at = now + spread.mul_f64(random);
+        self.log_needed_at = Some(self.log_needed_at.unwrap_or(needed_at).min(needed_at));
         NextFetch::NotYet
     }
 
--- a/crates/sassafrashoist-core/src/gateway/vm_settings.rs
+++ b/crates/sassafrashoist-core/src/gateway/vm_settings.rs
@@ -37,6 +37,10 @@
     pub shutdown_grace: Duration,
     /// How long a backend server continues to serve after it announced that it will stop.
     pub drain_timeout: Duration,
+    /// How long after its acknowledgement a change of the configuration is to be in force at every VM.
+    pub config_apply_time: Duration,
+    /// How long after an outage the platform counts a VM as in contact again.
+    pub contact_time: Duration,
     /// Retries allowed per request.
     pub retry_ratio: f64,
     /// The length of the window in which retries are counted.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/config_age.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/config_age.rs
@@ -94,3 +94,49 @@
 
     assert_eq!((before, age.was_newest_at(NOW)), ([true, false], false));
 }
+
+const APPLY_TIME: Duration = Duration::from_secs(4);
+
+// VMs served by keys that had been removed longer ago than a change may take.
+#[test]
+fn configuration_is_too_old_when_a_newer_one_had_to_be_in_force() {
+    let age = age_of(11);
+
+    assert!(!age.is_too_old(APPLY_TIME, NOW + APPLY_TIME));
+    assert!(age.is_too_old(APPLY_TIME, NOW + APPLY_TIME + Duration::from_millis(1)));
+}
+
+// A datagram may have waited in this VM, so that it says less than a read.
+#[test]
+fn what_another_vm_knew_counts_for_less_time_than_a_read() {
+    let mut age = age_of(11);
+    let announced_at = NOW + READ_WAIT;
+
+    age.record_announced(announced_at);
+
+    assert!(!age.is_too_old(APPLY_TIME, NOW + APPLY_TIME));
+    assert!(age.is_too_old(APPLY_TIME, announced_at + APPLY_TIME));
+    assert_eq!(age.unconfirmed_time(announced_at), Some(Duration::ZERO));
+}
+
+// No VM could ever serve again after such a record.
+#[test]
+fn record_that_cannot_be_decoded_does_not_make_the_one_before_too_old() {
+    let mut age = age_of(11);
+    let later = NOW + 2 * APPLY_TIME;
+
+    age.record_checked(later);
+
+    assert!(!age.is_too_old(APPLY_TIME, later));
+    assert!(age.is_doubtful(later));
+}
+
+#[test]
+fn time_since_a_newer_version_was_heard_of_is_known() {
+    let mut age = age_of(11);
+    let before = age.heard_time(NOW);
+
+    age.record_heard(15, NOW);
+
+    assert_eq!((before, age.heard_time(NOW + READ_WAIT)), (None, Some(READ_WAIT)));
+}
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/config_sharing_fleet.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/config_sharing_fleet.rs
@@ -19,6 +19,7 @@
 use sassafrashoist_core::gateway::config_sharing::{
     ConfigDocument, ConfigSharing, FetchOutcome, Heard, NextFetch, NextLogRead, TopicEnd,
 };
+use sassafrashoist_core::gateway::config_times::ConfigTimes;
 use sassafrashoist_core::gateway::document_delta::{ChunkedDocument, DeltaPart};
 use sassafrashoist_core::gateway::holder_record::HolderRecord;
 use sassafrashoist_core::gateway::live_vms::{FleetVm, LiveVms};
@@ -38,6 +39,9 @@
 const LOG_BYTES_PER_S: f64 = 80e6;
 const LINK_BYTES_PER_S: f64 = 2.5e6;
 const LOSS: f64 = 0.01;
+const HEAVY_LOSS: f64 = 0.3;
+/// The share of the VMs that lose their path to the log service.
+const OUTAGE_SHARE: f64 = 0.35;
 const LATENCY: Duration = Duration::from_millis(1);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 const IDLE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -47,7 +51,6 @@
 const MAX_BATCH_BYTES: usize = 1_048_576;
 const GATE_INTERVAL: Duration = Duration::from_millis(100);
 const FETCH_TICK: Duration = Duration::from_millis(200);
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 const MAX_SERVED_FETCHES: usize = 32;
 const MAX_DELTA_BYTES: usize = 60_000;
 const REQUEST_OVERHEAD_BYTES: usize = 300;
@@ -85,6 +88,27 @@
     StaleReader,
     /// All readers have an old build, which announces nothing.
     OldReaders,
+    /// The log service turns all readers of a data centre away from the change on.
+    ReadersTurnedAway,
+    /// The log service turns a third of the VMs away from the change on, readers among them.
+    ThirdTurnedAway,
+    /// The log service accepts the reads of a third of the VMs from the change on, and answers none.
+    ThirdUnanswered,
+    /// All readers lack the processor time to answer fetches in time.
+    ReadersWithoutTime,
+    /// A third of the VMs is turned away, no reader answers fetches in time, and a third of the
+    /// datagrams is lost.
+    All,
+}
+
+impl Incident {
+    /// Returns whether some VMs have no path to the log service, which need not be in time.
+    fn is_partial_outage(self) -> bool {
+        matches!(
+            self,
+            Self::ReadersTurnedAway | Self::ThirdTurnedAway | Self::ThirdUnanswered | Self::All
+        )
+    }
 }
 
 /// The parameters of a run.
@@ -98,13 +122,15 @@
     pub policy: Policy,
     /// What happens.
     pub incident: Incident,
+    /// The time in which a change is to be in force.
+    pub apply_time: Duration,
 }
 
 /// How long the last change took, and what it cost.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SharingOutcome {
-    /// The time until the last version is in force at each VM that lives, in ascending order, from
-    /// the acknowledgement or the end of the cut.
+    /// The time until the last version is in force at each VM that lives and has a path to the log
+    /// service, in ascending order, from the acknowledgement or the end of the cut.
     pub times: Vec<Duration>,
     /// The VMs at which it is not in force at the end.
     pub missing: usize,
@@ -152,6 +178,9 @@
     is_frozen: bool,
     is_stale: bool,
     is_old: bool,
+    is_turned_away: bool,
+    is_unanswered: bool,
+    answers_no_fetch: bool,
     read: usize,
     read_sent_at: Uptime,
     fetch: usize,
@@ -245,7 +274,8 @@
 pub fn play(plan: SharingPlan) -> SharingOutcome {
     let mut fleet = SharingFleet::new(plan);
     fleet.run();
-    let living = fleet.vms.iter().zip(&fleet.in_force_at).filter(|(vm, _)| !vm.is_gone);
+    let has_path = |vm: &Vm| !vm.is_gone && !vm.is_turned_away && !vm.is_unanswered;
+    let living = fleet.vms.iter().zip(&fleet.in_force_at).filter(|(vm, _)| has_path(vm));
     let living: Vec<_> = living.map(|(_, at)| *at).collect();
     let reached = living.iter().flatten();
     let mut times: Vec<_> = reached.map(|at| at.saturating_sub(fleet.changed_at)).collect();
@@ -272,7 +302,7 @@
         let vms = roles.into_iter().enumerate().map(|(index, role)| {
             let neighbours = in_data_centre(index);
             let neighbours = if role.neighbours.is_empty() { Vec::new() } else { neighbours };
-            let mut sharing = ConfigSharing::default();
+            let mut sharing = ConfigSharing::new(ConfigTimes::new(plan.apply_time));
             sharing.record_role(&role);
             sharing.record_in_force(Arc::clone(&first));
             sharing.next_fetch(0.5, START);
@@ -290,6 +320,9 @@
                 is_frozen: false,
                 is_stale: false,
                 is_old,
+                is_turned_away: false,
+                is_unanswered: false,
+                answers_no_fetch: false,
                 read: 0,
                 read_sent_at: START,
                 fetch: 0,
@@ -362,6 +395,7 @@
         self.log_bytes = 0.0;
         self.is_cut = self.plan.incident == Incident::Cut;
         let mut has_stale = [false; DATA_CENTRES];
+        self.begin_partial_outage();
         for (index, vm) in self.vms.iter_mut().enumerate() {
             if !vm.role.is_reader || vm.neighbours.is_empty() {
                 continue;
@@ -372,6 +406,7 @@
                 Incident::ReadersFrozen if data_centre == 0 => {
                     (vm.is_gone, vm.is_frozen) = (true, true);
                 }
+                Incident::ReadersWithoutTime | Incident::All => vm.answers_no_fetch = true,
                 Incident::StaleReader if !has_stale[data_centre] => {
                     (vm.is_stale, has_stale[data_centre]) = (true, true);
                 }
@@ -380,6 +415,32 @@
         }
     }
 
+    /// Takes the path to the log service from some VMs; the reads that wait there fail.
+    fn begin_partial_outage(&mut self) {
+        let incident = self.plan.incident;
+        if !incident.is_partial_outage() {
+            return;
+        }
+        for index in 0..self.vms.len() {
+            let is_hit = match incident {
+                Incident::ReadersTurnedAway => {
+                    self.vms[index].role.is_reader && index % DATA_CENTRES == 0
+                }
+                _ => self.rng.random_bool(OUTAGE_SHARE),
+            };
+            let vm = &mut self.vms[index];
+            vm.is_unanswered = is_hit && incident == Incident::ThirdUnanswered;
+            vm.is_turned_away = is_hit && !vm.is_unanswered;
+        }
+        for (vm, read) in std::mem::take(&mut self.waiting) {
+            if self.vms[vm].is_turned_away {
+                self.schedule(LATENCY, Event::ReadFails { vm, read });
+            } else if !self.vms[vm].is_unanswered {
+                self.waiting.push((vm, read));
+            }
+        }
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Change => self.change(),
@@ -465,6 +526,10 @@
         let read = state.read;
         if self.is_cut {
             self.schedule(CONNECT_TIMEOUT, Event::ReadFails { vm, read });
+        } else if self.vms[vm].is_turned_away {
+            self.schedule(2 * LATENCY, Event::ReadFails { vm, read });
+        } else if self.vms[vm].is_unanswered {
+            self.schedule(READ_WAIT + IDLE_TIMEOUT, Event::ReadFails { vm, read });
         } else {
             self.schedule(LATENCY, Event::ReadArrives { vm, read });
         }
@@ -635,7 +700,8 @@
         };
         let ConfigAnnouncement { version, known_ago, .. } = announced;
         for to in state.neighbours.clone() {
-            if !self.rng.random_bool(LOSS) {
+            let loss = if self.plan.incident == Incident::All { HEAVY_LOSS } else { LOSS };
+            if !self.rng.random_bool(loss) {
                 self.schedule(LATENCY, Event::Datagram { to, from: vm, version, known_ago });
             }
         }
@@ -684,7 +750,8 @@
         if self.vms[from].is_gone && !self.vms[from].is_frozen {
             return self.schedule(2 * LATENCY, ends);
         }
-        self.schedule(FETCH_TIMEOUT + 2 * LATENCY, ends);
+        let timeout = ConfigTimes::new(self.plan.apply_time).fetch_timeout();
+        self.schedule(timeout + 2 * LATENCY, ends);
         let chunk_count = self.documents[own as usize].content.chunk_hashes().len();
         let bytes = 8 * chunk_count + REQUEST_OVERHEAD_BYTES;
         let arrives_at = self.transfer(Some(vm), from, bytes) + 2 * LATENCY;
@@ -696,7 +763,7 @@
     fn serve_fetch(&mut self, vm: usize, from: usize, fetch: usize, version: u64, own: u64) {
         let serving = self.vms[from].serving;
         self.vms[from].serving -= 1;
-        if self.vms[from].is_gone {
+        if self.vms[from].is_gone || self.vms[from].answers_no_fetch {
             return;
         }
         let offered = self.vms[from].version;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/config_sharing_over_vms.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/config_sharing_over_vms.rs
@@ -10,9 +10,13 @@
 const LONG_DOCUMENT_BYTES: f64 = 415e3;
 const READERS: f64 = 18.0;
 
+fn plan(vm_count: usize, route_count: usize, policy: Policy, incident: Incident) -> SharingPlan {
+    SharingPlan { vm_count, route_count, policy, incident, apply_time: CONFIG_APPLY_TIME }
+}
+
 fn play_all(incident: Incident, policy: Policy) -> Vec<(SharingPlan, SharingOutcome)> {
     let plans = VM_COUNTS.into_iter().flat_map(|vm_count| {
-        ROUTE_COUNTS.map(|route_count| SharingPlan { vm_count, route_count, policy, incident })
+        ROUTE_COUNTS.map(|route_count| plan(vm_count, route_count, policy, incident))
     });
     plans.map(|plan| (plan, play(plan))).collect()
 }
@@ -38,7 +42,7 @@
 
 fn assert_in_time(plan: &SharingPlan, outcome: &SharingOutcome) {
     let last = outcome.quantile(1.0);
-    assert!(last.is_some_and(|last| last <= CONFIG_APPLY_TIME), "{plan:?}: {outcome:?}");
+    assert!(last.is_some_and(|last| last <= plan.apply_time), "{plan:?}: {outcome:?}");
 }
 
 // All VMs together read more than the log service sends in the time after which a read is given up.
@@ -65,7 +69,7 @@
         [(295, Incident::OneChange), (336, Incident::OneChange), (295, Incident::Cut)]
     {
         let policy = Policy::EveryVm;
-        let plan = SharingPlan { vm_count, route_count: 1_430, policy, incident };
+        let plan = plan(vm_count, 1_430, policy, incident);
 
         let outcome = play(plan);
 
@@ -136,11 +140,50 @@
 #[test]
 fn small_fleet_reads_as_before() {
     for incident in [Incident::OneChange, Incident::Cut, Incident::Storm] {
-        let outcomes = [Policy::EveryVm, Policy::Readers].map(|policy| {
-            let plan = SharingPlan { vm_count: 7, route_count: 1_430, policy, incident };
-            play(plan)
-        });
+        let outcomes =
+            [Policy::EveryVm, Policy::Readers].map(|policy| play(plan(7, 1_430, policy, incident)));
 
         assert_eq!(outcomes[0], outcomes[1], "{incident:?}");
     }
 }
+
+// The waits of a VM that hears no reader any more, or whose fetches fail, added up to more than the time
+// in which a change is to be in force.
+#[test]
+fn change_is_in_force_in_time_at_vms_whose_readers_fail() {
+    let incidents = [
+        Incident::ReadersTurnedAway,
+        Incident::ThirdTurnedAway,
+        Incident::ThirdUnanswered,
+        Incident::ReadersWithoutTime,
+        Incident::All,
+    ];
+    for incident in incidents {
+        for vm_count in [60, 295, 336] {
+            let plan = plan(vm_count, 1_430, Policy::Readers, incident);
+
+            let outcome = play(plan);
+
+            print(&plan, &outcome);
+
+            assert_in_time(&plan, &outcome);
+        }
+    }
+}
+
+// Fleets of data centres with other bounds have to be in time too.
+#[test]
+fn shorter_time_to_apply_a_change_is_kept() {
+    for incident in [Incident::ReadersTurnedAway, Incident::ReadersWithoutTime, Incident::All] {
+        let apply_time = Duration::from_secs(3);
+        for vm_count in [60, 90] {
+            let plan =
+                SharingPlan { apply_time, ..plan(vm_count, 1_430, Policy::Readers, incident) };
+
+            let outcome = play(plan);
+
+            print(&plan, &outcome);
+            assert_in_time(&plan, &outcome);
+        }
+    }
+}
--- a/crates/sassafrashoist/src/gateway/fetch_config.rs
+++ b/crates/sassafrashoist/src/gateway/fetch_config.rs
@@ -5,6 +5,7 @@
 
 use sassafrashoist_core::gateway::config_announcement::ConfigAnnouncement;
 use sassafrashoist_core::gateway::config_sharing::{FetchOutcome, NextFetch};
+use sassafrashoist_core::gateway::config_times::ConfigTimes;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 
 use super::config_messages::{CONFIG_PATH, ConfigRequest, ConfigResponse};
@@ -12,8 +13,6 @@
 use super::gateway_context::GatewayContext;
 use super::send_message::send_message_within;
 
-/// How long another VM may take to send a configuration; its link may be in use by others.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// The longest time between two decisions.
 const MAX_WAIT: Duration = Duration::from_millis(200);
 
@@ -82,7 +81,8 @@
     let own = context.lock_config_sharing().document().ok_or("this VM has none to compare with")?;
     let request =
         ConfigRequest { version: announced.version, chunk_hashes: own.content.chunk_hashes() };
-    let body = send_message_within(vm.peer_address, CONFIG_PATH, &request, FETCH_TIMEOUT)
+    let timeout = ConfigTimes::new(context.settings().bounds.config_apply_time).fetch_timeout();
+    let body = send_message_within(vm.peer_address, CONFIG_PATH, &request, timeout)
         .await
         .map_err(|error| error.to_string())?;
     let response = postcard::from_bytes(&body).map_err(|error| error.to_string())?;
--- a/crates/sassafrashoist/src/gateway/follow_config.rs
+++ b/crates/sassafrashoist/src/gateway/follow_config.rs
@@ -54,13 +54,16 @@
         move || wait_until_due(Arc::clone(&reading)),
         move |context, update| {
             let end = end_of(&update);
-            let (TopicUpdate::Snapshot { records, .. } | TopicUpdate::Appended { records, .. }) =
-                update;
+            let (TopicUpdate::Snapshot { records, known_at: read_at, .. }
+            | TopicUpdate::Appended { records, known_at: read_at, .. }) = update;
             let newest = records.iter().rfind(|record| record.key == CONFIG_KEY);
             let applied = newest.and_then(|record| apply_record(context, record));
             if let Some(applied) = applied {
                 is_newest_decoded = applied != Applied::Undecodable;
             }
+            if !is_newest_decoded && end != TopicEnd::NotReached {
+                context.record_config_checked(read_at);
+            }
             let end = if is_newest_decoded { end } else { TopicEnd::NotReached };
             let known_at = context.lock_config_sharing().record_log_read(end, context.now());
             if let Some(known_at) = known_at {
@@ -130,6 +133,10 @@
         }
     };
     let (version, route_count) = (config.version, config.routes.len());
+    let (unconfirmed_time, heard_time) = {
+        let (now, age) = (context.now(), context.lock_config_age());
+        (age.unconfirmed_time(now), age.heard_time(now))
+    };
     let table = Arc::new(RouteTable::new(config));
     if !context.replace_routes(&table) {
         log::info!(version = version, from = from; "configuration is not newer than the active one");
@@ -137,16 +144,12 @@
     }
     let document = Arc::new(ConfigDocument { version, content });
     context.lock_config_sharing().record_in_force(document);
-    match offset {
-        Some(offset) => log::info!(
-            version = version, routes = route_count, from = from, offset = offset;
-            "configuration in force"
-        ),
-        None => log::info!(
-            version = version, routes = route_count, from = from;
-            "configuration in force"
-        ),
-    }
+    log::info!(
+        version = version, routes = route_count, from = from, offset:? = offset,
+        unconfirmed_ms:? = unconfirmed_time.map(|time| time.as_millis()),
+        heard_ms_ago:? = heard_time.map(|time| time.as_millis());
+        "configuration in force"
+    );
     let mut tokens = context.lock_tokens();
     let book = &mut *tokens;
     book.holding.freeze_excess_tokens(&book.ledger, table.config());
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -8,7 +8,9 @@
 
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
 use sassafrashoist_core::gateway::config_age::ConfigAge;
+use sassafrashoist_core::gateway::config_contact::ConfigContact;
 use sassafrashoist_core::gateway::config_sharing::ConfigSharing;
+use sassafrashoist_core::gateway::config_times::ConfigTimes;
 use sassafrashoist_core::gateway::connection_timeouts::ConnectionTimeouts;
 use sassafrashoist_core::gateway::crash_book::CrashBook;
 use sassafrashoist_core::gateway::crowding::Crowding;
@@ -70,6 +72,7 @@
     routes: Mutex<RouteHistory>,
     config_age: Mutex<ConfigAge>,
     config_sharing: Mutex<ConfigSharing>,
+    config_contact: Mutex<ConfigContact>,
     servers: Mutex<ServerDirectory>,
     servers_listed: Mutex<bool>,
     paths: Mutex<ServerPaths>,
@@ -144,11 +147,14 @@
             settings.bounds.cache_window,
             settings.bounds.drain_timeout,
         );
+        let config_times = ConfigTimes::new(settings.bounds.config_apply_time);
+        let config_contact = ConfigContact::new(&config_times, settings.bounds.contact_time);
         Arc::new(Self {
             settings: Mutex::new(Arc::new(settings)),
             routes: Mutex::default(),
             config_age: Mutex::default(),
-            config_sharing: Mutex::default(),
+            config_sharing: Mutex::new(ConfigSharing::new(config_times)),
+            config_contact: Mutex::new(config_contact),
             servers: Mutex::new(directory),
             servers_listed: Mutex::default(),
             paths: Mutex::default(),
@@ -265,6 +271,39 @@
         self.record_topic_read(TopicRank::Config);
     }
 
+    /// Records that another VM knew at a time that no version newer than the one in force existed.
+    pub fn record_config_announced(&self, at: Uptime) {
+        self.lock_config_age().record_announced(at);
+        self.record_config_contact();
+        self.record_topic_read(TopicRank::Config);
+    }
+
+    /// Records that the end of the topic of the configuration was read, whatever its newest record is.
+    pub fn record_config_checked(&self, at: Uptime) {
+        self.lock_config_age().record_checked(at);
+    }
+
+    /// Records a sign of the log service, from itself or from a VM that reads it.
+    pub fn record_config_contact(&self) {
+        self.record_running();
+        let stall_ended_at = lock(&self.stalls).stall_ended_at();
+        lock(&self.config_contact).record_heard(stall_ended_at, self.now());
+    }
+
+    /// Returns whether requests must not be served by the active configuration: it may have been
+    /// replaced for longer than a change may take to come into force, and this VM is not cut off from
+    /// what brings a newer one.
+    pub fn is_config_too_old(&self) -> bool {
+        let now = self.now();
+        let apply_time = self.settings().bounds.config_apply_time;
+        if !self.lock_config_age().is_too_old(apply_time, now) {
+            return false;
+        }
+        self.record_running();
+        let stall_ended_at = lock(&self.stalls).stall_ended_at();
+        lock(&self.config_contact).is_settled(stall_ended_at, now)
+    }
+
     /// Records that another VM has a version.
     pub fn record_config_heard(&self, version: ConfigVersion) {
         log::debug!(version = version; "newer configuration announced by another VM");
@@ -480,9 +519,10 @@
     }
 
     /// Returns whether this VM can serve requests: it has read the configuration, the server list and
-    /// the ledger, and turns no callers away.
+    /// the ledger, and neither is the configuration too old nor are callers turned away.
     pub fn is_ready(&self) -> bool {
-        !lock(&self.crowding).is_crowded(self.now())
+        !self.is_config_too_old()
+            && !lock(&self.crowding).is_crowded(self.now())
             && !self.draining.is_cancelled()
             && self.routes().is_some()
             && *lock(&self.servers_listed)
--- a/crates/sassafrashoist/src/gateway/log_client.rs
+++ b/crates/sassafrashoist/src/gateway/log_client.rs
@@ -76,6 +76,7 @@
     patience: ReadPatience,
     era: Option<u64>,
     has_lost_records: bool,
+    reads_config: bool,
 }
 
 impl LogClient {
@@ -87,9 +88,15 @@
             patience: ReadPatience::default(),
             era: None,
             has_lost_records: false,
+            reads_config: false,
         }
     }
 
+    /// Makes this client tell with each part of a response that the configuration can be read.
+    pub fn reading_config(self) -> Self {
+        Self { reads_config: true, ..self }
+    }
+
     /// Returns whether the log service has lost acknowledged records since the last call of this
     /// method, so that offsets may name other records than before.
     pub fn take_loss_of_records(&mut self) -> bool {
@@ -244,6 +251,10 @@
         let response = with_timeout(wait + idle_timeout, connection.send(request)).await?;
         let response_time = sent_at.elapsed();
         let status = response.status().as_u16();
+        let shows_contact = self.reads_config && response.status().is_success();
+        if shows_contact {
+            self.context.record_config_contact();
+        }
         let framing = ResponseFraming::of(&response);
         self.record_era(response.headers());
         let mut body = response.into_body();
@@ -253,6 +264,9 @@
         {
             if let Some(data) = frame.data_ref() {
                 received.extend_from_slice(data);
+                if shows_contact {
+                    self.context.record_config_contact();
+                }
             }
             if received.len() > MAX_RESPONSE_BYTES {
                 let reason = format!("response exceeds {MAX_RESPONSE_BYTES} bytes");
--- a/crates/sassafrashoist/src/gateway/refuse_by_config.rs
+++ b/crates/sassafrashoist/src/gateway/refuse_by_config.rs
@@ -2,9 +2,10 @@
 //!
 //! A VM whose configuration may be old does not know what the newest one allows. It refuses such a
 //! request for now, so that the caller retries it, at another VM. A request that the active
-//! configuration allows is served all the same: its key may have been revoked, or its route removed or
-//! moved, but refusing everything in doubt would turn an outage of the log service into one of the
-//! fleet.
+//! configuration allows is served all the same for as long as a change may take to come into force.
+//! After that its key may have been revoked, or its route removed or moved, and all requests are
+//! refused for now; but not by a VM that is cut off, as refusing everything in doubt would turn an
+//! outage of the log service into one of the fleet.
 
 use std::fmt::{self, Display, Write};
 use std::time::Duration;
@@ -72,6 +73,21 @@
     text
 }
 
+/// Refuses a request for now if the active configuration is too old to serve by.
+pub fn refuse_by_age(
+    context: &GatewayContext,
+    version: ConfigVersion,
+    id: &str,
+    target: &RequestTarget,
+) -> Option<Response<ResponseBody>> {
+    if !context.is_config_too_old() {
+        return None;
+    }
+    let detail = format!("{}, {target}", describe_config(context, version));
+    let refusal = Refusal::retry_later(DOUBT_RETRY_AFTER, "configuration is too old");
+    Some(refusal.into_response(id, &detail))
+}
+
 /// Responds to a request that is refused. If the configuration decided that and may be old, the
 /// request is refused for now.
 pub fn refuse_by_config(
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -22,7 +22,7 @@
 use super::held_vec::HeldVec;
 use super::isolate_suspects::check_quarantine;
 use super::obtain_tokens::{NoTokens, WorstCase, obtain_tokens};
-use super::refuse_by_config::{RequestTarget, refuse_by_config};
+use super::refuse_by_config::{RequestTarget, refuse_by_age, refuse_by_config};
 use super::request_body::RequestBody;
 use super::request_context::{RequestContext, ResumedStream};
 use super::request_progress::RequestProgress;
@@ -155,6 +155,9 @@
     };
     let version = routes.config().version;
     let target = RequestTarget::of(&parts);
+    if let Some(response) = refuse_by_age(context, version, &id, &target) {
+        return response;
+    }
     let mut request = match resolve_request(&routes, parts, caller, arrived_at, progress) {
         Ok(request) => request,
         Err(refusal) => {
--- a/crates/sassafrashoist/src/gateway/share_config.rs
+++ b/crates/sassafrashoist/src/gateway/share_config.rs
@@ -72,11 +72,15 @@
         return;
     };
     let now = context.now();
-    let heard = context.lock_config_sharing().hear(vm, announced, rand::random(), now);
+    // A datagram that waited in this VM looks as if it had been sent now.
+    let known_ago = announced.known_ago + context.longest_wait();
+    let announced = ConfigAnnouncement { known_ago, ..*announced };
+    let heard = context.lock_config_sharing().hear(vm, &announced, rand::random(), now);
     match heard {
-        Heard::Confirmed(at) => context.record_config_confirmed(at),
+        Heard::Confirmed(at) => context.record_config_announced(at),
         Heard::Newer(version) => {
             context.record_config_heard(version);
+            context.record_config_contact();
             context.config_heard.notify_one();
         }
         Heard::Nothing => {}
--- a/crates/sassafrashoist/src/gateway/topic_reader.rs
+++ b/crates/sassafrashoist/src/gateway/topic_reader.rs
@@ -60,6 +60,10 @@
     /// Creates a reader of a topic that has not been read yet.
     pub fn new(context: Arc<GatewayContext>, topic: &'static str) -> Self {
         let log_client = LogClient::new(Arc::clone(&context));
+        let log_client = match topic {
+            CONFIG_TOPIC => log_client.reading_config(),
+            _ => log_client,
+        };
         let rank = match topic {
             CONFIG_TOPIC => TopicRank::Config,
             SERVERS_TOPIC => TopicRank::Servers,
--- a/crates/sassafrashoist/tests/testsuite/old_config.rs
+++ b/crates/sassafrashoist/tests/testsuite/old_config.rs
@@ -6,6 +6,7 @@
 use http::Method;
 use sassafrashoist_platform_stand_in::caller::{CallerRequest, CallerResponse};
 use sassafrashoist_platform_stand_in::log_service::LogFault;
+use sassafrashoist_platform_stand_in::raw_caller::RawCaller;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
     API_KEY, CHAT_PATH, CONFIG_TOPIC, EVENT_INTERVAL, FleetPlan, STATUS_PATH, StandInFleet,
 };
@@ -182,3 +183,56 @@
     assert!(log.contains("configuration cannot be decoded"), "{log}");
     assert_refused_for_now(&response);
 }
+
+/// The callers that connect while a gateway stands still.
+const CALLER_COUNT: usize = 40;
+/// Longer than a change may take to come into force.
+const LONG_TIME: Duration = Duration::from_millis(4_500);
+
+// A gateway asked how old its configuration was before it refused a request, never before it served one.
+#[tokio::test]
+async fn gateway_that_stood_still_does_not_serve_by_a_key_that_was_removed_meanwhile() {
+    let mut fleet = start("removed_key", 1_000_000).await;
+    let request = get(STATUS_PATH, API_KEY);
+    assert_eq!(statuses(&fleet, "before", std::slice::from_ref(&request)).await, [200]);
+
+    // The configuration is read late, as when the gateway has no processor time for its response.
+    fleet.gateways[0].set_paused(true).unwrap();
+    fleet.change_keys_in_burst(&["another-key"], 1, 4_000_000);
+    let mut callers = Vec::new();
+    for index in 0..CALLER_COUNT {
+        let mut caller = RawCaller::connect(fleet.gateways[0].caller_address).await.unwrap();
+        caller.write(&request.encode(&format!("removed-{index}"))).await.unwrap();
+        callers.push(caller);
+    }
+    tokio::time::sleep(LONG_TIME).await;
+    fleet.gateways[0].set_paused(false).unwrap();
+
+    for caller in &mut callers {
+        let answer = caller.read_answer_until_silent(RECOVERY_TIME).await;
+        assert!(matches!(answer.status(), Some(401 | 503)), "{answer:?}");
+    }
+    assert!(send_until(&fleet, &request, 401).await);
+}
+
+// Nobody can bring it a newer configuration.
+#[tokio::test]
+async fn gateway_that_is_cut_off_goes_on_serving() {
+    let fleet = start("cut_off", 1_000_000).await;
+    let request = get(STATUS_PATH, API_KEY);
+    for fault in [LogFault::Unresponsive, LogFault::Down] {
+        fleet.log.set_fault(fault);
+        let mut refused = Vec::new();
+        for number in 0..80 {
+            let response = fleet.send(0, &format!("cut-off-{number}"), &request).await.unwrap();
+            if response.status != 200 {
+                refused.push((number, response.status));
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        fleet.log.set_fault(LogFault::None);
+
+        assert_eq!(refused, [], "{fault:?}");
+        tokio::time::sleep(LAST_READ_TIME).await;
+    }
+}
