Ask callers whose requests have waited, also if the VM did not stand still

Cause: a VM that is short of processor time does not stand still, but each step of a request waits for a round of all tasks.

Fix: a caller whose stream has ended is asked before an attempt whenever its request has waited for 50 ms in the VM, and again after its connection was opened if that took long. An attempt whose deadline has passed meanwhile is not sent.

--- a/crates/sassafrashoist-core/src/gateway/caller_check.rs
+++ b/crates/sassafrashoist-core/src/gateway/caller_check.rs
@@ -11,6 +11,16 @@
 /// The time between two looks at the connection.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Returns whether a caller whose stream has ended is asked whether it is still there before its request
+/// is sent, because the request may have waited for this time in this VM.
+///
+/// A VM that is short of processor time takes long to read a request, to open a connection and to check
+/// the caller, each for itself, so that a request could be sent long after its caller had left. One that
+/// is sent soon after it was read need not wait for its caller.
+pub fn is_asked_before_sending(waited: Duration) -> bool {
+    waited >= CHECK_INTERVAL
+}
+
 /// What is known of the response when a caller is checked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseProgress {
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/caller_check.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/caller_check.rs
@@ -1,5 +1,9 @@
+use std::time::Duration;
+
 use proptest::prelude::*;
-use sassafrashoist_core::gateway::caller_check::{CallerCheck, CheckStep, ResponseProgress};
+use sassafrashoist_core::gateway::caller_check::{
+    CHECK_INTERVAL, CallerCheck, CheckStep, ResponseProgress, is_asked_before_sending,
+};
 
 /// The steps of the first checks.
 fn steps(check: &mut CallerCheck, progress: ResponseProgress, count: usize) -> Vec<CheckStep> {
@@ -57,3 +61,10 @@
         prop_assert!(sent_count(&steps) <= bound, "{} of {checks}", sent_count(&steps));
     }
 }
+
+// Requests of a crowded VM were sent up to a second after their callers had left.
+#[test]
+fn caller_is_asked_before_sending_once_its_request_has_waited() {
+    assert!(!is_asked_before_sending(Duration::from_millis(10)));
+    assert!(is_asked_before_sending(CHECK_INTERVAL));
+}
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -567,7 +567,9 @@
                     is_retry_counted = true;
                     self.counts.may_have_run += 1;
                 }
-                AttemptStart::Stopping | AttemptStart::CallerLeft => return None,
+                AttemptStart::Stopping
+                | AttemptStart::DeadlineReached
+                | AttemptStart::CallerLeft => return None,
                 AttemptStart::NotReached | AttemptStart::NotRun(_) => {}
             }
         }
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -21,7 +21,7 @@
 use super::request_context::RequestContext;
 use super::response_body::{ResponseBody, body_of_unknown_length, streamed_body};
 use super::send_attempt::{
-    AttemptStart, ServerSlot, StartedResponse, is_caller_there, send_attempt,
+    AttemptStart, MIN_TIME_LEFT, ServerSlot, StartedResponse, is_caller_there, send_attempt,
 };
 use super::serve_request::Refusal;
 use super::server_body::ServerBody;
@@ -33,12 +33,12 @@
 
 /// The maximum number of servers that are tried, including those that did not run the request.
 pub const MAX_SERVERS_TRIED: u32 = 4;
-/// No attempt is made when less time than this is left before the deadline.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 /// The retry delay when no server has run the request.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// The reason when this VM stops too soon for a request. Other VMs take it at once.
 pub const STOPPING: &str = "VM stops";
+/// The reason when too little time is left before the deadline.
+const DEADLINE_REACHED: &str = "deadline reached";
 /// The reason when the caller has left, which nobody reads.
 const CALLER_LEFT: &str = "caller left";
 /// The reason when a server that is silent was given up and no other served the request.
@@ -99,7 +99,7 @@
     let mut is_retry_counted = false;
     while counts.sent < MAX_SERVERS_TRIED && counts.allows_run(&request) {
         if request.time_left(context.now()) < MIN_TIME_LEFT {
-            failure = "deadline reached";
+            failure = DEADLINE_REACHED;
             break;
         }
         // A request that has run is not refused any more.
@@ -164,6 +164,10 @@
                     failure = STOPPING;
                     break;
                 }
+                AttemptStart::DeadlineReached => {
+                    failure = DEADLINE_REACHED;
+                    break;
+                }
                 AttemptStart::CallerLeft => {
                     failure = CALLER_LEFT;
                     break;
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -9,6 +9,7 @@
 use sassafrashoist_adapter::response_headers::{ResponseHead, ResponseKind};
 use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::gateway::attempt_failure::AttemptFailure;
+use sassafrashoist_core::gateway::caller_check::is_asked_before_sending;
 use sassafrashoist_core::gateway::server_directory::ServerChoice;
 use sassafrashoist_core::gateway::server_listing::ServerListing;
 use sassafrashoist_core::gateway::server_silence::{OtherServers, ServerSilence};
@@ -32,6 +33,8 @@
 /// How long a connection of this VM may be silent when its path counts as lost. Old connections may
 /// live on while new ones do not open.
 const LOST_PATH_TIMEOUT: Duration = Duration::from_millis(500);
+/// No request is sent when less time than this is left before its deadline.
+pub const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 /// Time between two checks whether a server is unresponsive.
 const UNRESPONSIVE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -160,6 +163,8 @@
     NotReached,
     /// Nothing was sent, because this VM stops too soon for the request.
     Stopping,
+    /// Nothing was sent, because the deadline was reached before the connection was open.
+    DeadlineReached,
     /// Nothing was sent, because the caller has left.
     CallerLeft,
     /// The server received the request, did not run it and never will.
@@ -171,19 +176,20 @@
 }
 
 /// Returns whether the caller of a request is still there. It is asked only if it may have left
-/// unnoticed, because this VM stood still.
+/// unnoticed, because the request has waited.
 pub async fn is_caller_there(context: &GatewayContext, request: &RequestContext) -> bool {
     let Some(presence) = &request.presence else {
         return true;
     };
-    let waited = context.longest_wait();
-    if waited.is_zero() || presence.confirm(context.now()).await {
+    let now = context.now();
+    let waited = context.longest_wait().max(now.saturating_sub(request.arrived_at));
+    if !is_asked_before_sending(waited) || presence.confirm(now).await {
         return true;
     }
     metrics::counter!("sassafrashoist_callers_left_total").increment(1);
     log::info!(
         id = request.id(), waited_ms = waited.as_millis() as u64;
-        "caller left while this VM stood still"
+        "caller left before its request was sent"
     );
     false
 }
@@ -236,6 +242,9 @@
     if !is_caller_there(context, request).await {
         return AttemptStart::CallerLeft;
     }
+    if request.time_left(context.now()) < MIN_TIME_LEFT {
+        return AttemptStart::DeadlineReached;
+    }
     let is_first = !request.progress.was_sent();
     // Recorded before the check, as the answer at the end of the time to serve depends on it.
     request.progress.record_sent();
