Let a VM that is crowded say that it is not ready

Cause: that VM was out of processor time and went on saying that it was ready, so that the load balancer sent it all new connections of these callers while its neighbours used 0.01 of a core.

Fix: a VM is not ready for 3 s after it refused a request for lack of room, or after five timers in a row that fired 50 ms late or later. A log line names the reason.

--- a/crates/sassafrashoist-core/src/gateway/crowding.rs
+++ b/crates/sassafrashoist-core/src/gateway/crowding.rs
@@ -1,33 +1,52 @@
-//! Whether a VM has turned callers away because it has no room for their connections.
+//! Whether a VM has more callers than it can serve.
 //!
 //! The load balancer selects the VM of a connection by a hash of the caller, so that the callers of one
 //! account may fill one VM while its neighbours are idle. Until such a VM says that it is not ready, all
-//! their new connections come to it.
+//! their new connections come to it. It notices by callers that it turns away, because it has no room for
+//! their connections or requests, and by its timers: on a VM that is short of processor time everything
+//! waits, also the end of a caller's stream.
 
 use std::time::Duration;
 
 use super::Uptime;
 
-/// How long a VM is not ready after it turned a caller away. The load balancer asks once a second, and
-/// twice before it selects other VMs.
+/// How long a VM is not ready after it was crowded. The load balancer asks once a second, and twice
+/// before it selects other VMs.
 const UNREADY_TIME: Duration = Duration::from_secs(3);
+/// A timer that fires later than this has waited for processor time.
+const LATE_TIMER: Duration = Duration::from_millis(50);
+/// The number of late timers in a row that show a lack of processor time; one that stood still has a
+/// single one.
+const LATE_TIMER_COUNT: u32 = 5;
 
-/// Whether a VM has turned callers away.
+/// Whether a VM has more callers than it can serve.
 #[derive(Debug, Default)]
 pub struct Crowding {
-    turned_away_at: Option<Uptime>,
+    crowded_at: Option<Uptime>,
+    late_timer_count: u32,
 }
 
 impl Crowding {
-    /// Records that a caller was turned away; returns whether it was the first one for some time.
+    /// Records that a caller was turned away; returns whether the VM was not crowded before.
     pub fn record_turned_away(&mut self, now: Uptime) -> bool {
         let is_first = !self.is_crowded(now);
-        self.turned_away_at = Some(now);
+        self.crowded_at = Some(now);
         is_first
     }
 
+    /// Records how late a timer fired; returns whether that shows that the VM is crowded and was not
+    /// before.
+    pub fn record_timer(&mut self, lateness: Duration, now: Uptime) -> bool {
+        if lateness < LATE_TIMER {
+            self.late_timer_count = 0;
+            return false;
+        }
+        self.late_timer_count = self.late_timer_count.saturating_add(1);
+        self.late_timer_count >= LATE_TIMER_COUNT && self.record_turned_away(now)
+    }
+
     /// Returns whether callers should rather connect to other VMs.
     pub fn is_crowded(&self, now: Uptime) -> bool {
-        self.turned_away_at.is_some_and(|at| now < at + UNREADY_TIME)
+        self.crowded_at.is_some_and(|at| now < at + UNREADY_TIME)
     }
 }
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -472,9 +472,26 @@
         OpenConnectionLimit::new(settings.memory_bytes, settings.descriptor_count)
     }
 
-    /// Records that a caller was turned away; returns whether it was the first one for some time.
-    pub fn record_turned_away(&self) -> bool {
-        lock(&self.crowding).record_turned_away(self.now())
+    /// Records that a caller was turned away, and logs the first one after some time.
+    pub fn record_turned_away(&self, reason: &'static str) {
+        if lock(&self.crowding).record_turned_away(self.now()) {
+            self.log_crowded(reason);
+        }
+    }
+
+    /// Records how late a timer fired, which shows whether this VM is short of processor time.
+    pub fn record_timer(&self, lateness: Duration) {
+        if lock(&self.crowding).record_timer(lateness, self.now()) {
+            self.log_crowded("timers fire late");
+        }
+    }
+
+    fn log_crowded(&self, reason: &'static str) {
+        log::warn!(
+            reason = reason, connections:% = self.caller_connections,
+            requests = self.requests.len();
+            "not ready for some time: more callers than this VM can serve"
+        );
     }
 
     /// Returns whether this VM can hold the requests in progress.
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -143,6 +143,7 @@
 ) -> Response<ResponseBody> {
     let arrived_at = context.now();
     if !context.can_hold_requests() {
+        context.record_turned_away("too many requests are in progress");
         let held_bytes = context.lock_memory().held_bytes();
         return Refusal::retry_later(FULL_RETRY_AFTER, "VM holds too many requests").into_response(
             &id,
--- a/crates/sassafrashoist/src/gateway/turn_away.rs
+++ b/crates/sassafrashoist/src/gateway/turn_away.rs
@@ -21,12 +21,7 @@
 /// Responds that the request of a connection is not run, without reading it.
 pub fn turn_away(context: &Arc<GatewayContext>, stream: TcpStream) {
     metrics::counter!("sassafrashoist_callers_turned_away_total").increment(1);
-    if context.record_turned_away() {
-        log::warn!(
-            connections:% = context.caller_connections, requests = context.requests.len();
-            "callers turned away: too many connections are open"
-        );
-    }
+    context.record_turned_away("too many connections are open");
     let Ok(permit) = Arc::clone(&context.turned_away).try_acquire_owned() else {
         return;
     };
--- a/crates/sassafrashoist/src/gateway/watch_stalls.rs
+++ b/crates/sassafrashoist/src/gateway/watch_stalls.rs
@@ -1,18 +1,21 @@
-//! Notices that this process stood still.
+//! Notices that this process stood still, or is short of processor time.
 
 use std::sync::Arc;
 
 use sassafrashoist_core::gateway::stall_watch::TICK_INTERVAL;
+use tokio::time::Instant;
 
 use super::gateway_context::GatewayContext;
 
-/// Records that this process runs until cancelled.
+/// Records how late a timer fires until cancelled.
 pub async fn watch_stalls(context: Arc<GatewayContext>) {
     loop {
-        context.record_running();
+        let due = Instant::now() + TICK_INTERVAL;
         tokio::select! {
-            () = tokio::time::sleep(TICK_INTERVAL) => {}
+            () = tokio::time::sleep_until(due) => {}
             () = context.cancel.cancelled() => return,
         }
+        context.record_running();
+        context.record_timer(due.elapsed());
     }
 }
