--- a/crates/sassafrashoist/src/gateway/follow_config.rs
+++ b/crates/sassafrashoist/src/gateway/follow_config.rs
@@ -145,9 +145,9 @@
     let document = Arc::new(ConfigDocument { version, content });
     context.lock_config_sharing().record_in_force(document);
     log::info!(
-        version = version, routes = route_count, from = from, offset:? = offset,
-        unconfirmed_ms:? = unconfirmed_time.map(|time| time.as_millis()),
-        heard_ms_ago:? = heard_time.map(|time| time.as_millis());
+        version = version, routes = route_count, from = from, offset = offset,
+        unconfirmed_ms = unconfirmed_time.map(|time| time.as_millis() as u64),
+        heard_ms_ago = heard_time.map(|time| time.as_millis() as u64);
         "configuration in force"
     );
     let mut tokens = context.lock_tokens();
