Keep the callers of a crowded VM that has few neighbours

Cause, suspected: the callers of one of two VMs of a data centre crowd the other one. A VM is therefore not ready for that reason only if its data centre has three other VMs.

--- a/crates/sassafrashoist-core/src/gateway/config_readers.rs
+++ b/crates/sassafrashoist-core/src/gateway/config_readers.rs
@@ -32,9 +32,7 @@
     pub fn select(live_vms: &LiveVms, now: Uptime) -> Self {
         let own = live_vms.own();
         let fleet_vm_count = live_vms.others(now).count() + 1;
-        let in_data_centre =
-            live_vms.others(now).filter(|vm| vm.data_centre_id == own.data_centre_id);
-        let neighbours: Vec<FleetVm> = in_data_centre.cloned().collect();
+        let neighbours: Vec<FleetVm> = live_vms.neighbours(now).cloned().collect();
         if fleet_vm_count <= MAX_SMALL_FLEET_VMS || neighbours.len() < READERS_PER_DATA_CENTRE {
             return Self { is_reader: true, fleet_vm_count, neighbours: Vec::new() };
         }
--- a/crates/sassafrashoist-core/src/gateway/crowding.rs
+++ b/crates/sassafrashoist-core/src/gateway/crowding.rs
@@ -13,6 +13,9 @@
 /// How long a VM is not ready after it was crowded. The load balancer asks once a second, and twice
 /// before it selects other VMs.
 const UNREADY_TIME: Duration = Duration::from_secs(3);
+/// The other VMs of a data centre among which the callers of a crowded one are spread. Fewer would soon be
+/// crowded in its place.
+const MIN_NEIGHBOUR_COUNT: usize = 3;
 /// A timer that fires later than this has waited for processor time.
 const LATE_TIMER: Duration = Duration::from_millis(50);
 /// The number of late timers in a row that show a lack of processor time; one that stood still has a
@@ -45,7 +48,13 @@
         self.late_timer_count >= LATE_TIMER_COUNT && self.record_turned_away(now)
     }
 
-    /// Returns whether callers should rather connect to other VMs.
+    /// Returns whether callers should rather connect to the other VMs of the data centre, of which there
+    /// are `neighbour_count`.
+    pub fn sends_callers_away(&self, neighbour_count: usize, now: Uptime) -> bool {
+        neighbour_count >= MIN_NEIGHBOUR_COUNT && self.is_crowded(now)
+    }
+
+    /// Returns whether the VM has been crowded lately.
     pub fn is_crowded(&self, now: Uptime) -> bool {
         self.crowded_at.is_some_and(|at| now < at + UNREADY_TIME)
     }
--- a/crates/sassafrashoist-core/src/gateway/live_vms.rs
+++ b/crates/sassafrashoist-core/src/gateway/live_vms.rs
@@ -102,6 +102,11 @@
         others.map(|member| &member.vm)
     }
 
+    /// Returns the other VMs of the data centre that are not lost.
+    pub fn neighbours(&self, now: Uptime) -> impl Iterator<Item = &FleetVm> {
+        self.others(now).filter(|vm| vm.data_centre_id == self.own.data_centre_id)
+    }
+
     /// Returns this VM and the others that are not lost, in the order of their hash with `key`.
     pub fn ranked(&self, key: &str, now: Uptime) -> Vec<&FleetVm> {
         let vm_ids = self.others(now).map(|vm| vm.vm_id.as_str());
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/crowding.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/crowding.rs
@@ -38,3 +38,13 @@
     assert!(crowding.is_crowded(NOW + Duration::from_secs(3)));
     assert!(!crowding.is_crowded(NOW + Duration::from_secs(5)));
 }
+
+// The callers of one of two VMs crowd the other one.
+#[test]
+fn crowded_vm_with_few_neighbours_keeps_its_callers() {
+    let mut crowding = Crowding::default();
+    crowding.record_turned_away(NOW);
+
+    assert!(!crowding.sends_callers_away(2, NOW));
+    assert!(crowding.sends_callers_away(3, NOW));
+}
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -490,7 +490,7 @@
         log::warn!(
             reason = reason, connections:% = self.caller_connections,
             requests = self.requests.len();
-            "not ready for some time: more callers than this VM can serve"
+            "more callers than this VM can serve"
         );
     }
 
@@ -539,13 +539,20 @@
     /// the ledger, and neither is the configuration too old nor are callers turned away.
     pub fn is_ready(&self) -> bool {
         !self.is_config_too_old()
-            && !lock(&self.crowding).is_crowded(self.now())
+            && !self.sends_callers_away()
             && !self.draining.is_cancelled()
             && self.routes().is_some()
             && *lock(&self.servers_listed)
             && self.lock_tokens().read_at.is_some()
     }
 
+    /// Returns whether callers should rather connect to the other VMs of the data centre.
+    fn sends_callers_away(&self) -> bool {
+        let now = self.now();
+        let neighbour_count = self.lock_tokens().issuers.live_vms.neighbours(now).count();
+        lock(&self.crowding).sends_callers_away(neighbour_count, now)
+    }
+
     /// Counts a caller's request, for the retry limit.
     pub fn record_request(&self, pool_id: &str) {
         let window = self.settings().bounds.retry_window;
