--- a/crates/sassafrashoist-core/src/gateway/config_sharing.rs
+++ b/crates/sassafrashoist-core/src/gateway/config_sharing.rs
@@ -5,8 +5,9 @@
 //! log service alone as long as announcements say that a VM knew the newest version a short time
 //! ago. In all other cases it reads the log service: when announcements stop, name an older version
 //! or come late, and when fetches fail. Then it announces what it has read, so that few others have to
-//! read it too, and goes on as a substitute until there are enough readers again. Random delays keep VMs that lose their readers together from
-//! reading together. [`ConfigTimes`] bounds the sum of all these waits.
+//! read it too, and goes on as a substitute until there are enough readers again. Random delays keep
+//! VMs that lose their readers together from reading together. [`ConfigTimes`] bounds the sum of all
+//! these waits.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
