Let no sleep decide the tests of callers that left during a stall

Cause: stalled_vms::requests_whose_callers_left_... waited 1.5 s and then looked what had arrived, so that a gateway that was slower passed. Its second case, a stall of 3.2 s, passed for another reason than it names: all 96 requests were refused with "configuration is too old".

Change: the test waits until the log names the end of each of the 96 requests, and its gateway has a configApplyMs of 60 s. The test of callers beyond the limit of connections needs no pause, as they are accepted in order. The fixture of one gateway is shared with old_config.rs, in place of a copy.

--- a/crates/sassafrashoist/tests/testsuite/connection_bounds.rs
+++ b/crates/sassafrashoist/tests/testsuite/connection_bounds.rs
@@ -191,7 +191,6 @@
         caller.write(&bid.encode(&format!("busy{index}"))).await.unwrap();
         busy.push(caller);
     }
-    tokio::time::sleep(PROPAGATION_TIME).await;
 
     let began_at = Instant::now();
     let turned_away = join_all((0..24).map(|index| call(&fleet, format!("more{index}")))).await;
--- a/crates/sassafrashoist/tests/testsuite/old_config.rs
+++ b/crates/sassafrashoist/tests/testsuite/old_config.rs
@@ -1,6 +1,5 @@
 //! Tests of a gateway whose configuration may be old, because it cannot read the newest one.
 
-use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use http::Method;
@@ -8,9 +7,11 @@
 use sassafrashoist_platform_stand_in::log_service::LogFault;
 use sassafrashoist_platform_stand_in::raw_caller::RawCaller;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    API_KEY, CHAT_PATH, CONFIG_TOPIC, EVENT_INTERVAL, FleetPlan, STATUS_PATH, StandInFleet,
+    API_KEY, CHAT_PATH, CONFIG_TOPIC, STATUS_PATH, StandInFleet,
 };
 
+use crate::fleet_fixture::start_one_gateway;
+
 /// The time after which the reads that began before a fault have ended.
 const LAST_READ_TIME: Duration = Duration::from_millis(1_300);
 /// The time after the last read from which the configuration may be old, with a margin.
@@ -20,18 +21,7 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(10);
 
 async fn start(name: &str, paid_tokens: u64) -> StandInFleet {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("old_config").join(name);
-    std::fs::remove_dir_all(&folder).ok();
-    let program = Path::new(env!("CARGO_BIN_EXE_sassafrashoist"));
-    let plan = FleetPlan {
-        gateway_count: 1,
-        engine_count: 2,
-        plain_count: 2,
-        paid_tokens,
-        has_own_paths: false,
-        event_interval: EVENT_INTERVAL,
-    };
-    StandInFleet::start(program, &folder, plan).await.unwrap()
+    start_one_gateway("old_config", name, paid_tokens).await
 }
 
 fn get(path: &str, key: &str) -> CallerRequest {
--- a/crates/sassafrashoist/tests/testsuite/stalled_vms.rs
+++ b/crates/sassafrashoist/tests/testsuite/stalled_vms.rs
@@ -4,7 +4,6 @@
 //! of their callers' streams.
 
 use std::collections::BTreeSet;
-use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use http::Method;
@@ -12,32 +11,25 @@
 use sassafrashoist_platform_stand_in::caller::CallerRequest;
 use sassafrashoist_platform_stand_in::raw_caller::RawCaller;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
-    BID_PATH, CHAT_PATH, DRAFT_PATH, EVENT_INTERVAL, FleetPlan, ROUTE_TIMEOUT, STATUS_PATH,
-    StandInFleet,
+    BID_PATH, CHAT_PATH, DRAFT_PATH, ROUTE_TIMEOUT, STATUS_PATH, StandInFleet,
 };
 
+use crate::fleet_fixture::start_one_gateway;
+use crate::waiting::wait_until;
+
 /// The callers of each kind of request.
 const CALLER_COUNT: usize = 24;
 /// How long the VM stands still.
 const STALL_TIMES: [Duration; 2] = [Duration::from_millis(1_200), Duration::from_millis(3_200)];
-/// The time after which nothing of the requests is in progress any more.
-const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// The longest wait for an answer.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Starts a gateway whose configuration is not too old to serve by after a stall.
 async fn start(name: &str) -> StandInFleet {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("stalled_vms").join(name);
-    std::fs::remove_dir_all(&folder).ok();
-    let program = Path::new(env!("CARGO_BIN_EXE_sassafrashoist"));
-    let plan = FleetPlan {
-        gateway_count: 1,
-        engine_count: 2,
-        plain_count: 2,
-        paid_tokens: 10_000_000,
-        has_own_paths: false,
-        event_interval: EVENT_INTERVAL,
-    };
-    StandInFleet::start(program, &folder, plan).await.unwrap()
+    let fleet = start_one_gateway("stalled_vms", name, 10_000_000).await;
+    fleet.gateways[0].add_setting("bounds.configApplyMs=60000").unwrap();
+    fleet.gateways[0].reload_settings().await.unwrap();
+    fleet
 }
 
 fn request_of_each_kind() -> [(&'static str, CallerRequest); 4] {
@@ -69,6 +61,24 @@
     callers
 }
 
+/// Returns whether the gateway has ended all requests of this name. A bid goes on without its caller, so
+/// that it has ended only once it was answered or not sent.
+fn has_ended_all(fleet: &StandInFleet, name: &str) -> bool {
+    let log = fleet.gateways[0].read_log().unwrap();
+    let ended_without_caller = |line: &&str| {
+        line.contains("caller left before its request was sent")
+            || line.contains("request answered")
+            || line.contains("caller left its stream")
+            || (line.contains("caller left before its answer") && !line.contains("-bid-"))
+    };
+    let ended: BTreeSet<_> = log
+        .lines()
+        .filter(ended_without_caller)
+        .filter_map(|line| line.split('"').find(|part| part.starts_with(&format!("{name}-"))))
+        .collect();
+    ended.len() == CALLER_COUNT * request_of_each_kind().len()
+}
+
 /// Returns the requests of this name that have reached a server.
 fn arrived(fleet: &StandInFleet, name: &str) -> BTreeSet<String> {
     let servers = fleet.engines.iter().chain(&fleet.plain_servers);
@@ -89,7 +99,7 @@
         tokio::time::sleep(stall_time).await;
 
         fleet.gateways[0].set_paused(false).unwrap();
-        tokio::time::sleep(SETTLE_TIME).await;
+        wait_until("all requests have ended", || has_ended_all(&fleet, &name)).await;
 
         let arrived = arrived(&fleet, &name);
         assert!(arrived.is_empty(), "{} arrived: {arrived:?}", arrived.len());
