Serve by a configuration that was just fetched

Cause: a VM that fetched a version did not record that its announcement named it as the newest. It went on counting from the version before, 3.8 s ago, until the next announcement was read.

Change: when a version comes into force, what other VMs announced up to this version counts: nothing newer existed at that time.

--- a/crates/sassafrashoist-core/src/gateway/config_sharing.rs
+++ b/crates/sassafrashoist-core/src/gateway/config_sharing.rs
@@ -131,6 +131,8 @@
     vm: FleetVm,
     announced: ConfigAnnouncement,
     heard_at: Uptime,
+    /// When no version newer than the announced one existed; `None` if that is not certain.
+    known_at: Option<Uptime>,
 }
 
 /// When a VM reads the configuration from the log service, and when it fetches it from another VM.
@@ -319,14 +321,19 @@
         let Some(version) = self.version() else {
             return Heard::Nothing;
         };
-        let announcer = Announcer { vm: vm.clone(), announced: *announced, heard_at: now };
+        let known_at = now.saturating_sub(announced.known_ago);
+        let is_timely = now >= self.late_until;
+        let announcer = Announcer {
+            vm: vm.clone(),
+            announced: *announced,
+            heard_at: now,
+            known_at: is_timely.then_some(known_at),
+        };
         self.announcers.insert(vm.vm_id.clone(), announcer);
         if announced.version < version {
             return Heard::Nothing;
         }
         let is_newer = announced.version > version;
-        let known_at = now.saturating_sub(announced.known_ago);
-        let is_timely = now >= self.late_until;
         let is_usable = !is_newer || announced.version > self.ignored;
         if is_timely && is_usable && announced.known_ago < self.times.knowledge_age() {
             let spread = self.times.log_read_spread().mul_f64(random);
@@ -334,10 +341,7 @@
             self.log_due_at = self.log_due_at.max(due_at);
         }
         if !is_newer {
-            if !is_timely {
-                return Heard::Nothing;
-            }
-            return Heard::Confirmed(known_at);
+            return if is_timely { Heard::Confirmed(known_at) } else { Heard::Nothing };
         }
         if announced.version > self.newest_heard {
             self.newest_heard = announced.version;
@@ -351,6 +355,14 @@
         Heard::Newer(announced.version)
     }
 
+    /// Returns the latest time at which no version newer than the one in force existed, by what other VMs
+    /// have announced.
+    pub fn newest_by_announcements(&self) -> Option<Uptime> {
+        let version = self.version()?;
+        let usable = self.announcers.values().filter(|other| other.announced.version <= version);
+        usable.filter_map(|other| other.known_at).max()
+    }
+
     /// Returns when to fetch a version, and from which VM; `random` is from 0 to 1.
     pub fn next_fetch(&mut self, random: f64, now: Uptime) -> NextFetch {
         self.detect_suspension(now);
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/config_sharing.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/config_sharing.rs
@@ -131,6 +131,20 @@
     assert_eq!(recent, Heard::Confirmed(later));
 }
 
+// A VM refused requests as too old right after it had received the newest version.
+#[test]
+fn version_that_was_fetched_is_known_to_have_been_the_newest_when_it_was_announced() {
+    let mut sharing = sharing(false);
+    sharing.hear(&vm(1), &announced(1), HALF, START - Duration::from_millis(500));
+    sharing.hear(&vm(2), &announced(2), HALF, START);
+    let before = sharing.newest_by_announcements();
+
+    sharing.record_in_force(document(2));
+
+    assert_eq!(before, Some(START - Duration::from_millis(500)));
+    assert_eq!(sharing.newest_by_announcements(), Some(START));
+}
+
 #[test]
 fn one_fetch_runs_at_a_time_and_the_newest_version_is_next() {
     let mut sharing = sharing(false);
--- a/crates/sassafrashoist/src/gateway/follow_config.rs
+++ b/crates/sassafrashoist/src/gateway/follow_config.rs
@@ -143,7 +143,14 @@
         return Applied::NotNewer;
     }
     let document = Arc::new(ConfigDocument { version, content });
-    context.lock_config_sharing().record_in_force(document);
+    let newest_at = {
+        let mut sharing = context.lock_config_sharing();
+        sharing.record_in_force(document);
+        sharing.newest_by_announcements()
+    };
+    if let Some(newest_at) = newest_at {
+        context.record_config_confirmed(newest_at);
+    }
     log::info!(
         version = version, routes = route_count, from = from, offset = offset,
         unconfirmed_ms = unconfirmed_time.map(|time| time.as_millis() as u64),
