Drop requests that another VM gave up while they waited in a relay

Change: before bytes are passed on, the next read is tried. An end behind them means that the request was given up, as the other VM closes its connection only then.

Measured: relay_bytes::request_that_another_vm_gave_up_meanwhile_is_not_passed_on fails without the look (the whole request arrives) and passes with it.

--- a/crates/sassafrashoist/src/gateway/serve_relay.rs
+++ b/crates/sassafrashoist/src/gateway/serve_relay.rs
@@ -5,10 +5,11 @@
 //! ends, fails or is cancelled ends the connection to that VM in the same way: closed if the server
 //! closed it, reset in all other cases, also if this process is killed.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use http::header::{CONNECTION, UPGRADE};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use hyper::upgrade::{OnUpgrade, Upgraded};
@@ -104,7 +105,7 @@
 async fn splice(vm: Upgraded, server: TcpStream) {
     let (mut from_vm, mut to_vm) = tokio::io::split(TokioIo::new(vm));
     let (mut from_server, mut to_server) = server.into_split();
-    let requests = pass_on(&mut from_vm, &mut to_server);
+    let requests = pass_request_on(&mut from_vm, &mut to_server);
     let responses = async {
         if pass_on(&mut from_server, &mut to_vm).await == PassEnd::Closed
             && let Err(error) = to_vm.shutdown().await
@@ -122,7 +123,7 @@
 
 /// How the flow of bytes in one direction ended.
 #[derive(Debug, PartialEq, Eq)]
-enum PassEnd {
+pub enum PassEnd {
     /// The sender closed its connection properly.
     Closed,
     /// The sender's connection failed.
@@ -131,6 +132,40 @@
     NotTaken,
 }
 
+/// Passes the bytes of a request on. If the other VM has closed its connection behind them, it has given
+/// the request up while they waited here, and they are dropped.
+pub async fn pass_request_on(
+    from: &mut (impl AsyncRead + Unpin),
+    to: &mut (impl AsyncWrite + Unpin),
+) -> PassEnd {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    let mut read = from.read(&mut chunk).await;
+    loop {
+        let passed = match read {
+            Ok(0) => return PassEnd::Closed,
+            Ok(count) => chunk[..count].to_vec(),
+            Err(error) => return record_broken(&error),
+        };
+        let next = from.read(&mut chunk).now_or_never();
+        if matches!(next, Some(Ok(0) | Err(_))) {
+            log::info!("request of another VM dropped: it has closed its connection");
+            return PassEnd::Closed;
+        }
+        if to.write_all(&passed).await.is_err() || to.flush().await.is_err() {
+            return PassEnd::NotTaken;
+        }
+        read = match next {
+            Some(read) => read,
+            None => from.read(&mut chunk).await,
+        };
+    }
+}
+
+fn record_broken(error: &io::Error) -> PassEnd {
+    log::debug!(error:% = error; "connection carried for another VM failed");
+    PassEnd::Broken
+}
+
 async fn pass_on(
     from: &mut (impl AsyncRead + Unpin),
     to: &mut (impl AsyncWrite + Unpin),
@@ -140,10 +175,7 @@
         let count = match from.read(&mut chunk).await {
             Ok(0) => return PassEnd::Closed,
             Ok(count) => count,
-            Err(error) => {
-                log::debug!(error:% = error; "connection carried for another VM failed");
-                return PassEnd::Broken;
-            }
+            Err(error) => return record_broken(&error),
         };
         if to.write_all(&chunk[..count]).await.is_err() || to.flush().await.is_err() {
             return PassEnd::NotTaken;
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod raw_responses;
 mod recovery;
 mod relay;
+mod relay_bytes;
 mod relay_stream;
 mod response_body;
 mod response_sink;
