Wait for the origin of a stream that is taken up soon after a restart

Cause: an entry of a server that started again may be missing from the list for 3 s after the list was first read, so that no origin is derived from it before.

Change: core's `origin_wait` decides how long such a request waits: until the delay is over, or until the next try, but no longer than its caller waits for a first event, less the target latency, and half of the time until its deadline. A list that is not read at the moment counts as out of reach and no longer as an origin that nobody keeps. Nothing is guessed: the evidence that an origin needs is the same, and tests in which streams must not be joined pass unchanged.

--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod old_config_over_vms;
 mod open_connection_limit;
 mod origin_history;
+mod origin_wait;
 mod path_fleet;
 mod permit_bucket;
 mod pool_versions;
--- a/crates/sassafrashoist/src/gateway/find_stream_origin.rs
+++ b/crates/sassafrashoist/src/gateway/find_stream_origin.rs
@@ -8,6 +8,7 @@
 use futures::stream::FuturesUnordered;
 use sassafrashoist_core::gateway::SoftwareVersion;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
+use sassafrashoist_core::gateway::origin_wait::OriginWait;
 use sassafrashoist_core::gateway::route_history::SolePool;
 use sassafrashoist_core::gateway::server_listing::ServerListing;
 use sassafrashoist_core::gateway::stream_origins::{StreamKey, StreamOrigin, stream_key};
@@ -37,16 +38,55 @@
     ConfigOutOfReach,
 }
 
-/// Finds where the stream began that a request resumes: on this VM, on the VMs that keep its origin,
-/// or by the fact that its route has led to one pool only, of one software version, for as long as a
-/// stream lasts, or ever.
+impl UnknownOrigin {
+    /// Returns whether the origin may be found a little later.
+    fn is_temporary(self) -> bool {
+        !matches!(self, Self::NotKept)
+    }
+
+    fn known_delay(self) -> Option<Duration> {
+        match self {
+            Self::ListTooRecent(delay) => Some(delay),
+            _ => None,
+        }
+    }
+}
+
+/// Finds where the stream began that a request resumes, and waits within the patience of its caller
+/// while that cannot be found yet.
 ///
 /// # Errors
 ///
-/// Fails if the origin is not known. It is never guessed.
+/// Fails if the origin is not known by then, or if waiting does not help. It is never guessed.
 pub async fn find_stream_origin(
     context: &Arc<GatewayContext>,
     request: &RequestContext,
+) -> Result<ResumedStream, UnknownOrigin> {
+    let wait =
+        OriginWait::begin(request.arrived_at, request.deadline, request.route.target_latency);
+    loop {
+        let unknown = match find_now(context, request).await {
+            Err(unknown) if unknown.is_temporary() => unknown,
+            result => return result,
+        };
+        let Some(delay) = wait.next_delay(unknown.known_delay(), context.now()) else {
+            return Err(unknown);
+        };
+        log::info!(
+            id = request.id(), reason:? = unknown, delay_ms = delay.as_millis() as u64;
+            "origin of a stream not found yet; looking for it again after the delay"
+        );
+        metrics::counter!("sassafrashoist_stream_origin_waits_total").increment(1);
+        tokio::time::sleep(delay).await;
+    }
+}
+
+/// Finds where the stream began that a request resumes: on this VM, on the VMs that keep its origin,
+/// or by the fact that its route has led to one pool only, of one software version, for as long as a
+/// stream lasts, or ever.
+async fn find_now(
+    context: &Arc<GatewayContext>,
+    request: &RequestContext,
 ) -> Result<ResumedStream, UnknownOrigin> {
     let mut unknown = UnknownOrigin::NotKept;
     if let Some(stream_id) = &request.caller.resumed_request_id {
@@ -193,12 +233,9 @@
 ) -> Result<(), UnknownOrigin> {
     let now = context.now();
     let servers = context.lock_servers();
+    let delay = servers.entry_delay_left(now).ok_or(UnknownOrigin::ListOutOfReach)?;
     servers.sole_version(pool_id, Duration::ZERO, &[], now).ok_or(unknown)?;
-    match servers.entry_delay_left(now) {
-        Some(Duration::ZERO) => Ok(()),
-        Some(delay) => Err(UnknownOrigin::ListTooRecent(delay)),
-        None => Err(unknown),
-    }
+    if delay.is_zero() { Ok(()) } else { Err(UnknownOrigin::ListTooRecent(delay)) }
 }
 
 /// Returns an origin that names no server.
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -280,7 +280,8 @@
             Refusal::retry_later(KEEPER_RETRY_AFTER, "list of software versions out of reach")
         }
         UnknownOrigin::ListTooRecent(delay) => {
-            Refusal::retry_later(delay, "list of software versions may lack a server")
+            Refusal::retry_later(KEEPER_RETRY_AFTER, "list of software versions may lack a server")
+                .not_before(delay)
         }
         UnknownOrigin::ConfigOutOfReach => {
             Refusal::retry_later(KEEPER_RETRY_AFTER, "newest configuration out of reach")
--- a/crates/sassafrashoist/tests/testsuite/restarted_fleet.rs
+++ b/crates/sassafrashoist/tests/testsuite/restarted_fleet.rs
@@ -9,6 +9,7 @@
 use http::Method;
 use sassafrashoist_platform_stand_in::backend_server::ServerFault;
 use sassafrashoist_platform_stand_in::caller::CallerRequest;
+use sassafrashoist_platform_stand_in::log_service::LogFault;
 use sassafrashoist_platform_stand_in::stand_in_fleet::{
     DRAFT_PATH, ENGINE_POOL, EVENT_INTERVAL, FleetPlan, SECOND_ENGINE_POOL, StandInFleet,
 };
@@ -21,6 +22,10 @@
 /// The time after a restart for which entries of servers may be missing from the list, with a margin.
 const MAX_ENTRY_DELAY: Duration = Duration::from_millis(3_500);
 
+/// The time after a restart at which callers return that do not wait until entries are complete: the
+/// rest of the delay is within their patience of 2 s, less the target latency of the route.
+const EARLY_TAKE_UP_DELAY: Duration = Duration::from_millis(2_000);
+
 /// What became of the streams that were taken up.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 struct TakenUp {
@@ -137,6 +142,37 @@
     assert_eq!(taken_up, ALL_GO_ON);
 }
 
+// A caller tries once or twice; entries of servers may be missing from the list for 3 s after it was
+// first read.
+#[tokio::test]
+async fn streams_go_on_that_are_taken_up_before_the_server_list_can_be_relied_on() {
+    let mut fleet = start("early_take_ups").await;
+    let begun = begin_streams(&fleet).await;
+
+    kill_all_and_restart(&mut fleet).await;
+    tokio::time::sleep(EARLY_TAKE_UP_DELAY).await;
+    let taken_up = take_up(&fleet, &begun).await;
+
+    assert_eq!(taken_up, ALL_GO_ON);
+}
+
+// An outage of the log service that ends just before the callers return makes all lists recent again.
+#[tokio::test]
+async fn streams_go_on_that_are_taken_up_while_the_server_list_cannot_be_read() {
+    let mut fleet = start("list_unread").await;
+    let begun = begin_streams(&fleet).await;
+    kill_all_and_restart(&mut fleet).await;
+    tokio::time::sleep(MAX_ENTRY_DELAY).await;
+    fleet.log.set_fault(LogFault::TopicDown("keyed.servers"));
+
+    let (taken_up, ()) = tokio::join!(take_up(&fleet, &begun), async {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        fleet.log.set_fault(LogFault::None);
+    });
+
+    assert_eq!(taken_up, ALL_GO_ON);
+}
+
 #[tokio::test]
 async fn streams_are_not_joined_after_all_gateways_were_killed_during_a_release() {
     let mut fleet = start_with_two_versions("two_versions").await;
