Return tokens of an earlier run also if other VMs wrote to the ledger first

After a loss of power an incarnation compared the time of day of its start with the records of other VMs. A VM that read the ledger a second or two after its start found records that others had written meanwhile, took its own clock for one that was behind, and returned nothing. The comparison now uses the time of day at the start, moved on by the time since boot until the ledger was read.

After a new boot the limits count as grown until the start of the process with a margin of one second, but at most for their whole period as before. If the time of day shows a longer time than the time since boot, the longer one counts: a new boot that is older than the earlier one was at its record looks like the same boot.

A replay in virtual time (token_recovery.rs) loses power 40 s into accounts that last 54 s, with first reads of the ledger up to 2 s after the start.

--- a/crates/sassafrashoist-core/src/gateway/reclaim.rs
+++ b/crates/sassafrashoist-core/src/gateway/reclaim.rs
@@ -8,7 +8,9 @@
 //! the tokens stay stranded.
 //!
 //! After a new boot only the time of day tells how long the VM was down, and that clock may have
-//! jumped back. So it is used only if no other VM has written a later time to the ledger.
+//! jumped back. So it is used only if no other VM has written a later time to the ledger than this
+//! VM's time of day when it reads the ledger, and the limits are assumed to have grown for a margin
+//! longer.
 
 use std::net::IpAddr;
 use std::time::Duration;
@@ -18,34 +20,40 @@
 use super::holder_record::HolderRecord;
 use super::token_ledger::TokenLedger;
 
-/// How far the clocks of two VMs may differ.
+/// How far the clocks of two VMs may differ, and the time of day of one VM before and after a boot.
 const MAX_CLOCK_SKEW: Duration = Duration::from_millis(1_000);
 
 /// Returns the record that closes the previous incarnation on this VM and returns the tokens that
 /// it cannot have used; `None` if there is no such incarnation, or if its limits may have expired
-/// before this one started.
+/// before this one started. `read_at` is when this VM read the ledger: other VMs may have written
+/// records between the start of this process and then.
 pub fn close_previous_incarnation(
     ledger: &TokenLedger,
     own_holder_id: &HolderId,
     vm_id: &str,
     ip: IpAddr,
     started_at: &ClockReading,
+    read_at: &ClockReading,
 ) -> Option<(HolderId, HolderRecord)> {
     let (holder_id, record) = ledger.live_holders().find(|(_, record)| record.vm_id == vm_id)?;
     if holder_id == own_holder_id || record.peer_address.ip() != ip {
         return None;
     }
-    let elapsed = started_at.elapsed_since(&record.sent_at)?;
+    let elapsed = time_since_record(started_at, &record.sent_at)?;
+    let max_limit_age = match started_at.elapsed_within_boot(&record.sent_at) {
+        Some(_) => elapsed,
+        None => record.limits_active_for.min(elapsed + MAX_CLOCK_SKEW),
+    };
+    // The time of day at the start, moved on by a clock that does not jump: if the time of day was
+    // corrected since the start, the comparison still shows that it was wrong then.
+    let since_start = read_at.since_boot.saturating_sub(started_at.since_boot);
+    let time_of_day = started_at.since_epoch + since_start;
     let mut others = ledger.live_holders().filter(|(_, other)| other.vm_id != vm_id);
-    let is_clock_behind = others
-        .any(|(_, other)| other.sent_at.since_epoch > started_at.since_epoch + MAX_CLOCK_SKEW);
+    let is_clock_behind =
+        others.any(|(_, other)| other.sent_at.since_epoch > time_of_day + MAX_CLOCK_SKEW);
     if elapsed >= record.limits_active_for || is_clock_behind {
         return None;
     }
-    // The time of day may be inexact, so it only shows that the limits were still active; the
-    // limits are then assumed to have grown for their whole period.
-    let within_boot = started_at.elapsed_within_boot(&record.sent_at);
-    let max_limit_age = within_boot.unwrap_or(record.limits_active_for);
     let mut closed = record.clone();
     closed.is_closed = true;
     closed.sequence += 1;
@@ -55,3 +63,15 @@
     }
     Some((holder_id.clone(), closed))
 }
+
+/// Returns the time from a record of the previous incarnation to the start of this one; `None` if the
+/// clocks do not tell.
+fn time_since_record(started_at: &ClockReading, sent_at: &ClockReading) -> Option<Duration> {
+    let by_time_of_day = started_at.since_epoch.checked_sub(sent_at.since_epoch);
+    match started_at.elapsed_within_boot(sent_at) {
+        // A new boot that is older than the earlier one was at its record looks like the same boot;
+        // the time of day then shows a longer time.
+        Some(within_boot) => Some(by_time_of_day.unwrap_or_default().max(within_boot)),
+        None => by_time_of_day,
+    }
+}
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -67,5 +67,6 @@
 mod token_ledger;
 mod token_prefetch;
 mod token_queue;
+mod token_recovery;
 mod tokens_of_a_growing_fleet;
 mod topic_cursor;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/simulated_fleet.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/simulated_fleet.rs
@@ -260,6 +260,7 @@
     }
 
     fn reclaim(&mut self, vm: usize, scenario: AppendScenario) -> bool {
+        let read_at = self.clocks(vm);
         let state = &mut self.vms[vm];
         let own_holder_id = state.holding.holder_id().clone();
         let closed = close_previous_incarnation(
@@ -268,6 +269,7 @@
             &state.id,
             state.address.ip(),
             &state.started_at,
+            &read_at,
         );
         let Some((key, record)) = closed else {
             state.has_reclaimed = true;
--- a/crates/sassafrashoist/src/gateway/maintain_holding.rs
+++ b/crates/sassafrashoist/src/gateway/maintain_holding.rs
@@ -220,8 +220,14 @@
             book.holding.adopt_use_rates(previous, self.context.now());
         }
         let started_at = &self.context.started_at;
-        let closing_record =
-            close_previous_incarnation(&book.ledger, &own_id, vm_id, settings.ip, started_at);
+        let closing_record = close_previous_incarnation(
+            &book.ledger,
+            &own_id,
+            vm_id,
+            settings.ip,
+            started_at,
+            &read_clocks(),
+        );
         (closing_record, book.ledger.end_offset())
     }
 
