Say why tokens of an earlier run stay charged, and describe their recovery

The log line about tokens that cannot be handed back named no reason, so that an expired limit, a clock behind and a VM without an earlier run looked alike. It now has the reason, the age of the newest record and what that record had left; sassafrashoist_reclaims_total counts the outcomes and sassafrashoist_reclaim_charged_tokens_total the tokens that stay charged.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -94,6 +94,7 @@
 pub mod recent_answers;
 mod recent_transfers;
 pub mod reclaim;
+pub mod reclaim_refusal;
 pub mod relay_vms;
 pub mod request_limit;
 pub mod retry_limiter;
--- a/crates/sassafrashoist-core/src/gateway/reclaim.rs
+++ b/crates/sassafrashoist-core/src/gateway/reclaim.rs
@@ -18,15 +18,19 @@
 use super::HolderId;
 use super::clock_reading::ClockReading;
 use super::holder_record::HolderRecord;
+use super::reclaim_refusal::ReclaimRefusal;
 use super::token_ledger::TokenLedger;
 
 /// How far the clocks of two VMs may differ, and the time of day of one VM before and after a boot.
 const MAX_CLOCK_SKEW: Duration = Duration::from_millis(1_000);
 
 /// Returns the record that closes the previous incarnation on this VM and returns the tokens that
-/// it cannot have used; `None` if there is no such incarnation, or if its limits may have expired
-/// before this one started. `read_at` is when this VM read the ledger: other VMs may have written
+/// it cannot have used. `read_at` is when this VM read the ledger: other VMs may have written
 /// records between the start of this process and then.
+///
+/// # Errors
+///
+/// Fails if there is no such incarnation, or if its limits may have expired before this one started.
 pub fn close_previous_incarnation(
     ledger: &TokenLedger,
     own_holder_id: &HolderId,
@@ -34,12 +38,15 @@
     ip: IpAddr,
     started_at: &ClockReading,
     read_at: &ClockReading,
-) -> Option<(HolderId, HolderRecord)> {
-    let (holder_id, record) = ledger.live_holders().find(|(_, record)| record.vm_id == vm_id)?;
-    if holder_id == own_holder_id || record.peer_address.ip() != ip {
-        return None;
+) -> Result<(HolderId, HolderRecord), ReclaimRefusal> {
+    let newest = ledger.live_holders().find(|(_, record)| record.vm_id == vm_id);
+    let previous = newest.filter(|(holder_id, _)| *holder_id != own_holder_id);
+    let (holder_id, record) = previous.ok_or(ReclaimRefusal::NoPreviousRun)?;
+    if record.peer_address.ip() != ip {
+        return Err(ReclaimRefusal::OtherAddress);
     }
-    let elapsed = time_since_record(started_at, &record.sent_at)?;
+    let elapsed = time_since_record(started_at, &record.sent_at)
+        .ok_or(ReclaimRefusal::ClocksNotComparable)?;
     let max_limit_age = match started_at.elapsed_within_boot(&record.sent_at) {
         Some(_) => elapsed,
         None => record.limits_active_for.min(elapsed + MAX_CLOCK_SKEW),
@@ -51,8 +58,11 @@
     let mut others = ledger.live_holders().filter(|(_, other)| other.vm_id != vm_id);
     let is_clock_behind =
         others.any(|(_, other)| other.sent_at.since_epoch > time_of_day + MAX_CLOCK_SKEW);
-    if elapsed >= record.limits_active_for || is_clock_behind {
-        return None;
+    if is_clock_behind {
+        return Err(ReclaimRefusal::ClockBehind);
+    }
+    if elapsed >= record.limits_active_for {
+        return Err(ReclaimRefusal::LimitsExpired);
     }
     let mut closed = record.clone();
     closed.is_closed = true;
@@ -61,7 +71,7 @@
         let unused = held.tokens_beyond_limit(max_limit_age).max(0);
         held.net_drawn_tokens -= unused;
     }
-    Some((holder_id.clone(), closed))
+    Ok((holder_id.clone(), closed))
 }
 
 /// Returns the time from a record of the previous incarnation to the start of this one; `None` if the
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/growing_fleet.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/growing_fleet.rs
@@ -76,7 +76,7 @@
     /// When the process first reads the ledger; it serves nothing before.
     ready_at: Duration,
     has_reclaimed: bool,
-    reserved_tokens: u64,
+    reserved_tokens: [u64; ACCOUNT_COUNT],
     prefetch: TokenPrefetch,
     /// The tokens received, less those sent and used.
     balance: i64,
@@ -96,7 +96,7 @@
     pub transfer_count: u32,
 }
 
-/// How the paid tokens of all accounts are distributed at a moment.
+/// How the paid tokens of one account are distributed at a moment.
 #[derive(Debug, Default)]
 pub struct Distribution {
     pub paid: u64,
@@ -139,7 +139,7 @@
     /// the caller.
     pub is_sticky: bool,
     /// Tokens that were used, or may have been when their process ended.
-    spent_tokens: u64,
+    spent_tokens: [u64; ACCOUNT_COUNT],
     pub observed: Observed,
 }
 
@@ -198,7 +198,7 @@
                 booted_at: Duration::ZERO,
                 ready_at: Duration::ZERO,
                 has_reclaimed: true,
-                reserved_tokens: 0,
+                reserved_tokens: [0; ACCOUNT_COUNT],
                 prefetch: TokenPrefetch::default(),
                 balance: 0,
             }
@@ -217,7 +217,7 @@
             rng: StdRng::seed_from_u64(7),
             request_use,
             is_sticky: false,
-            spent_tokens: 0,
+            spent_tokens: [0; ACCOUNT_COUNT],
             observed: Observed::default(),
         };
         for vm in 0..vm_count {
@@ -294,9 +294,9 @@
                     if incarnation == state.incarnation {
                         let id = account_id(account);
                         state.holding.settle(&id, REQUEST_TOKENS, used, now);
-                        state.reserved_tokens -= REQUEST_TOKENS;
+                        state.reserved_tokens[account] -= REQUEST_TOKENS;
                         state.balance += (REQUEST_TOKENS - used) as i64;
-                        self.spent_tokens += used;
+                        self.spent_tokens[account] += used;
                     }
                 }
             }
@@ -333,7 +333,9 @@
             let first_read_at = starts_at + start_jitter.mul_f64(self.rng.random());
             let state = &mut self.vms[vm];
             // Requests in progress may use all the tokens that they reserved.
-            self.spent_tokens += std::mem::take(&mut state.reserved_tokens);
+            for (spent, reserved) in self.spent_tokens.iter_mut().zip(&mut state.reserved_tokens) {
+                *spent += std::mem::take(reserved);
+            }
             state.incarnation += 1;
             let data_centre_id = state.holding.data_centre_id().clone();
             let address = SocketAddr::from(([10, 0, (vm / 250) as u8, (vm % 250) as u8], 7_000));
@@ -364,34 +366,40 @@
         self.now < self.vms[vm].ready_at
     }
 
-    /// Returns how all paid tokens are distributed now.
-    pub fn distribution(&mut self) -> Distribution {
+    /// Returns how the paid tokens of each account are distributed now.
+    pub fn distributions(&mut self) -> Vec<Distribution> {
+        (0..ACCOUNT_COUNT).map(|account| self.distribution(account)).collect()
+    }
+
+    fn distribution(&mut self, account: usize) -> Distribution {
         let later = self.now + Duration::from_secs(3_600);
+        let id = account_id(account);
+        let paid = self.config.paid_tokens(&id).unwrap();
         let mut found = Distribution {
-            paid: self.config.accounts.iter().flatten().filter_map(|a| a.paid_tokens).sum(),
-            spent: self.spent_tokens,
+            paid,
+            spent: self.spent_tokens[account],
+            undrawn: paid as i64 - self.ledger.net_drawn_tokens(&id),
             ..Distribution::default()
         };
-        let mut drawn = 0;
-        for index in 0..ACCOUNT_COUNT {
-            drawn += self.ledger.net_drawn_tokens(&account_id(index));
-        }
-        found.undrawn = found.paid as i64 - drawn;
         for vm in 0..self.vms.len() {
             let is_client = self.role(vm) == HolderRole::RequestsTokens;
             let state = &self.vms[vm];
-            let accounts = (0..ACCOUNT_COUNT).map(account_id);
-            let held: i64 = accounts.map(|id| state.holding.spendable_tokens(&id, later)).sum();
-            let held_by_role =
-                if is_client { &mut found.held_by_clients } else { &mut found.held_by_drawing };
-            *held_by_role += held;
-            found.in_doubt += state.reserved_tokens as i64;
+            let held = state.holding.spendable_tokens(&id, later);
+            if is_client {
+                found.held_by_clients += held;
+            } else {
+                found.held_by_drawing += held;
+            }
+            found.in_doubt += state.reserved_tokens[account] as i64;
         }
         for Reverse((_, _, _, step)) in &self.events {
             match step {
-                Step::Receive { tokens, .. } => found.in_doubt += *tokens as i64,
+                Step::Receive { account: received, tokens } if *received == account => {
+                    found.in_doubt += *tokens as i64;
+                }
                 Step::TakeIn { tokens } => {
-                    found.in_doubt += tokens.iter().map(|(_, count)| *count as i64).sum::<i64>();
+                    let of_account = tokens.iter().filter(|(taken_in, _)| *taken_in == id);
+                    found.in_doubt += of_account.map(|(_, count)| *count as i64).sum::<i64>();
                 }
                 _ => {}
             }
@@ -420,7 +428,7 @@
             &state.started_at,
             &read_at,
         );
-        if let Some((holder_id, record)) = closed {
+        if let Ok((holder_id, record)) = closed {
             let offset = self.ledger.end_offset();
             self.ledger.apply(offset, holder_id, record);
             self.ledger.advance_end_offset(offset + 1);
@@ -607,10 +615,10 @@
             state.balance -= REQUEST_TOKENS as i64;
             if self.request_use == REQUEST_TOKENS {
                 holding.settle(&id, REQUEST_TOKENS, REQUEST_TOKENS, now);
-                self.spent_tokens += REQUEST_TOKENS;
+                self.spent_tokens[account] += REQUEST_TOKENS;
                 return;
             }
-            state.reserved_tokens += REQUEST_TOKENS;
+            state.reserved_tokens[account] += REQUEST_TOKENS;
             let incarnation = state.incarnation;
             self.push(now + SERVICE_TIME, vm, Step::Settle { account, incarnation });
             self.prefetch(vm, account);
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/reclaim.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/reclaim.rs
@@ -4,6 +4,7 @@
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
 use sassafrashoist_core::gateway::holder_record::{HeldTokens, HolderRecord};
 use sassafrashoist_core::gateway::reclaim::close_previous_incarnation;
+use sassafrashoist_core::gateway::reclaim_refusal::ReclaimRefusal;
 use sassafrashoist_core::gateway::spending_limit::SpendingLimit;
 use sassafrashoist_core::gateway::token_ledger::TokenLedger;
 
@@ -46,7 +47,10 @@
     ledger
 }
 
-fn reclaimed_tokens(ledger: &TokenLedger, started_at: &ClockReading) -> Option<i64> {
+fn reclaimed_tokens(
+    ledger: &TokenLedger,
+    started_at: &ClockReading,
+) -> Result<i64, ReclaimRefusal> {
     reclaimed_tokens_at(ledger, started_at, started_at)
 }
 
@@ -54,11 +58,11 @@
     ledger: &TokenLedger,
     started_at: &ClockReading,
     read_at: &ClockReading,
-) -> Option<i64> {
+) -> Result<i64, ReclaimRefusal> {
     let own_holder_id = "vm-1/new".to_owned();
     let (_, closed) =
         close_previous_incarnation(ledger, &own_holder_id, "vm-1", VM_IP, started_at, read_at)?;
-    Some(10_000 - closed.accounts[0].net_drawn_tokens)
+    Ok(10_000 - closed.accounts[0].net_drawn_tokens)
 }
 
 #[test]
@@ -67,7 +71,7 @@
 
     let reclaimed = reclaimed_tokens(&ledger, &clocks(51_500, 901_500));
 
-    assert_eq!(reclaimed, Some(7_500));
+    assert_eq!(reclaimed, Ok(7_500));
 }
 
 #[test]
@@ -76,7 +80,7 @@
 
     let reclaimed = reclaimed_tokens(&ledger, &clocks(52_200, 902_200));
 
-    assert_eq!(reclaimed, None);
+    assert_eq!(reclaimed, Err(ReclaimRefusal::LimitsExpired));
 }
 
 #[test]
@@ -85,7 +89,7 @@
 
     let reclaimed = reclaimed_tokens(&ledger, &clocks(56_000, 901_000));
 
-    assert_eq!(reclaimed, None);
+    assert_eq!(reclaimed, Err(ReclaimRefusal::LimitsExpired));
 }
 
 #[test]
@@ -94,7 +98,7 @@
 
     let reclaimed = reclaimed_tokens(&ledger, &clocks(1_000, 901_500));
 
-    assert_eq!(reclaimed, Some(7_500));
+    assert_eq!(reclaimed, Ok(7_500));
 }
 
 #[test]
@@ -105,7 +109,7 @@
 
     let reclaimed = reclaimed_tokens(&ledger, &clocks(1_000, 901_500));
 
-    assert_eq!(reclaimed, None);
+    assert_eq!(reclaimed, Err(ReclaimRefusal::ClockBehind));
 }
 
 #[test]
@@ -115,7 +119,7 @@
 
     let reclaimed = reclaimed_tokens(&ledger, &clocks(51_500, 901_500));
 
-    assert_eq!(reclaimed, None);
+    assert_eq!(reclaimed, Err(ReclaimRefusal::OtherAddress));
 }
 
 #[test]
@@ -126,7 +130,7 @@
 
     let reclaimed = reclaimed_tokens(&ledger, &clocks(51_500, 901_500));
 
-    assert_eq!(reclaimed, None);
+    assert_eq!(reclaimed, Err(ReclaimRefusal::NoPreviousRun));
 }
 
 // After a loss of power, VMs that read the ledger late found records that others had written since
@@ -139,7 +143,7 @@
 
     let reclaimed = reclaimed_tokens_at(&ledger, &clocks(100, 901_500), &clocks(2_000, 903_400));
 
-    assert_eq!(reclaimed, Some(7_500));
+    assert_eq!(reclaimed, Ok(7_500));
 }
 
 // A time of day that is corrected between the start and the first read must not hide that the VM was
@@ -152,7 +156,7 @@
 
     let reclaimed = reclaimed_tokens_at(&ledger, &clocks(100, 901_500), &clocks(2_000, 909_400));
 
-    assert_eq!(reclaimed, None);
+    assert_eq!(reclaimed, Err(ReclaimRefusal::ClockBehind));
 }
 
 // A VM that loses power soon after its start may be longer up at its next start than it was then, so
@@ -163,5 +167,15 @@
 
     let reclaimed = reclaimed_tokens(&ledger, &clocks(1_500, 960_000));
 
-    assert_eq!(reclaimed, None);
+    assert_eq!(reclaimed, Err(ReclaimRefusal::LimitsExpired));
+}
+
+// A time of day that went back over a boot says nothing about how long the VM was down.
+#[test]
+fn a_time_of_day_behind_that_of_the_record_is_not_used_after_a_new_boot() {
+    let ledger = ledger_with(&[("vm-1/old", record("vm-1", VM_IP, clocks(50_000, 900_000)))]);
+
+    let reclaimed = reclaimed_tokens(&ledger, &clocks(1_000, 899_900));
+
+    assert_eq!(reclaimed, Err(ReclaimRefusal::ClocksNotComparable));
 }
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/simulated_fleet.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/simulated_fleet.rs
@@ -271,7 +271,7 @@
             &state.started_at,
             &read_at,
         );
-        let Some((key, record)) = closed else {
+        let Ok((key, record)) = closed else {
             state.has_reclaimed = true;
             return true;
         };
--- a/crates/sassafrashoist/src/gateway/maintain_holding.rs
+++ b/crates/sassafrashoist/src/gateway/maintain_holding.rs
@@ -20,6 +20,7 @@
 use sassafrashoist_core::gateway::ledger_writer::{AppendOutcome, LedgerWriter, PendingAppend};
 use sassafrashoist_core::gateway::planned_record::PlannedRecord;
 use sassafrashoist_core::gateway::reclaim::close_previous_incarnation;
+use sassafrashoist_core::gateway::reclaim_refusal::ReclaimRefusal;
 use sassafrashoist_core::gateway::{HolderId, Uptime};
 use sassafrashoist_core::ids::LogOffset;
 use sassafrashoist_core::requests::backoff::retry_delay;
@@ -211,7 +212,7 @@
 
     /// Returns the record that closes the previous incarnation on this VM, and the end offset of
     /// the ledger. Adopts the use rates of an incarnation that is still open.
-    fn plan_reclaim(&self) -> (Option<(HolderId, HolderRecord)>, LogOffset) {
+    fn plan_reclaim(&self) -> (Result<(HolderId, HolderRecord), ReclaimRefusal>, LogOffset) {
         let settings = self.context.settings();
         let mut tokens = self.context.lock_tokens();
         let book = &mut *tokens;
@@ -235,10 +236,13 @@
     /// The result is false if another record was appended to the ledger first.
     async fn reclaim(&mut self) -> eyre::Result<bool> {
         let (closing_record, end_offset) = self.plan_reclaim();
-        let Some((holder_id, record)) = closing_record else {
-            log::info!("no tokens of an earlier run can be handed back");
-            self.has_reclaimed = true;
-            return Ok(true);
+        let (holder_id, record) = match closing_record {
+            Ok(closing_record) => closing_record,
+            Err(refusal) => {
+                self.record_no_reclaim(refusal);
+                self.has_reclaimed = true;
+                return Ok(true);
+            }
         };
         let value = postcard::to_stdvec(&record).wrap_err("failed to encode the closing record")?;
         match self.reader.log_client.append_at(LEDGER_TOPIC, end_offset, &holder_id, &value).await {
@@ -252,6 +256,11 @@
                     .map(|held| (held.account_id.as_str(), held.available_tokens()))
                     .filter(|(_, tokens)| *tokens != 0)
                     .collect();
+                let charged_tokens: i64 = charged.iter().map(|(_, tokens)| *tokens).sum();
+                metrics::counter!("sassafrashoist_reclaims_total", "outcome" => "handed-back")
+                    .increment(1);
+                metrics::counter!("sassafrashoist_reclaim_charged_tokens_total")
+                    .increment(charged_tokens.max(0) as u64);
                 log::info!(
                     run = holder_id, offset = end_offset, charged:? = charged;
                     "tokens of an earlier run handed back"
@@ -270,6 +279,34 @@
         }
     }
 
+    /// Reports why the tokens of the previous incarnation on this VM stay charged, and those that
+    /// its newest record states.
+    fn record_no_reclaim(&self, refusal: ReclaimRefusal) {
+        let tokens = self.context.lock_tokens();
+        let vm_id = tokens.holding.vm_id();
+        let previous = tokens.ledger.live_holders().find(|(_, record)| record.vm_id == *vm_id);
+        let previous = previous.filter(|_| refusal != ReclaimRefusal::NoPreviousRun);
+        let accounts = previous.iter().flat_map(|(_, record)| &record.accounts);
+        let charged: Vec<_> = accounts
+            .map(|held| (held.account_id.as_str(), held.available_tokens()))
+            .filter(|(_, tokens)| *tokens != 0)
+            .collect();
+        let age_ms = previous.map(|(_, record)| {
+            let elapsed = self.context.started_at.elapsed_since(&record.sent_at);
+            elapsed.map(|elapsed| elapsed.as_millis() as u64)
+        });
+        let charged_tokens: i64 = charged.iter().map(|(_, tokens)| *tokens).sum();
+        metrics::counter!("sassafrashoist_reclaims_total", "outcome" => refusal.as_str())
+            .increment(1);
+        metrics::counter!("sassafrashoist_reclaim_charged_tokens_total")
+            .increment(charged_tokens.max(0) as u64);
+        log::info!(
+            reason = refusal.as_str(), run:? = previous.map(|(holder_id, _)| holder_id),
+            record_age_ms:? = age_ms.flatten(), charged:? = charged;
+            "no tokens of an earlier run can be handed back"
+        );
+    }
+
     /// Reads the ledger to its end.
     async fn read_ledger(&mut self) -> Result<(), LogCallError> {
         loop {
