Admit no more requests than the link of a VM carries

Callers of one large account all reach one VM, as the load balancer selects it by a hash of the caller.

Cause: nothing bounded the bytes that admitted requests move, and a full link was taken for lost paths.

Change: core's `link_budget` admits requests by the bytes that they will move, `link_delay` shows queues at the link by the time that connections take to open, and `crowding` keeps the VM out of rotation for 20 to 80 s. While there is no room the listener is closed for 20 to 200 ms, so that callers send nothing; requests on open connections get 503. Off without `limits.bandwidthMbps`, and without effect where requests use little of the link.

--- a/crates/sassafrashoist-core/src/gateway/crowding.rs
+++ b/crates/sassafrashoist-core/src/gateway/crowding.rs
@@ -13,6 +13,10 @@
 /// How long a VM is not ready after it was crowded. The load balancer asks once a second, and twice
 /// before it selects other VMs.
 const UNREADY_TIME: Duration = Duration::from_secs(3);
+/// How long a VM is not ready after its link had no room, the first time.
+const OVERLOAD_TIME: Duration = Duration::from_secs(20);
+/// The most doublings of that time.
+const MAX_OVERLOAD_DOUBLINGS: u32 = 2;
 /// The other VMs of a data centre among which the callers of a crowded one are spread. Fewer would soon be
 /// crowded in its place.
 const MIN_NEIGHBOUR_COUNT: usize = 3;
@@ -27,6 +31,8 @@
 pub struct Crowding {
     crowded_at: Option<Uptime>,
     late_timer_count: u32,
+    overloaded_until: Uptime,
+    overload_count: u32,
 }
 
 impl Crowding {
@@ -37,6 +43,21 @@
         is_first
     }
 
+    /// Records that the link of the VM has been without room for much of the last seconds; returns whether
+    /// the VM was ready before.
+    ///
+    /// The callers of one account move together to another VM, and back as soon as this VM is ready again.
+    /// Each time it is not ready for longer, so that they reach a VM that can carry them.
+    pub fn record_overload(&mut self, now: Uptime) -> bool {
+        if now < self.overloaded_until {
+            return false;
+        }
+        let time = OVERLOAD_TIME * 2_u32.pow(self.overload_count.min(MAX_OVERLOAD_DOUBLINGS));
+        self.overload_count += 1;
+        self.overloaded_until = now + time;
+        true
+    }
+
     /// Records how late a timer fired; returns whether that shows that the VM is crowded and was not
     /// before.
     pub fn record_timer(&mut self, lateness: Duration, now: Uptime) -> bool {
@@ -48,10 +69,15 @@
         self.late_timer_count >= LATE_TIMER_COUNT && self.record_turned_away(now)
     }
 
+    /// Returns whether the link of the VM had no room lately, so that the VM is not ready.
+    pub fn is_overloaded(&self, now: Uptime) -> bool {
+        now < self.overloaded_until
+    }
+
     /// Returns whether callers should rather connect to the other VMs of the data centre, of which there
     /// are `neighbour_count`.
     pub fn sends_callers_away(&self, neighbour_count: usize, now: Uptime) -> bool {
-        neighbour_count >= MIN_NEIGHBOUR_COUNT && self.is_crowded(now)
+        neighbour_count >= MIN_NEIGHBOUR_COUNT && (self.is_crowded(now) || self.is_overloaded(now))
     }
 
     /// Returns whether the VM has been crowded lately.
--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 //! - [`request_limit`] and [`memory_budget`]: how many requests a VM holds, and how much their bodies
 //!   and events may hold.
 //! - [`open_connection_limit`]: how many connections callers may keep open.
+//! - [`link_budget`] and [`link_delay`]: which requests a VM admits so that its link is not saturated.
 //! - [`line_limit`]: which of many alike events are logged.
 //! - [`retry_limiter`]: how many requests may be sent a second time, in a sliding window.
 //!
@@ -79,6 +80,8 @@
 pub mod ledger_writer;
 mod limit_periods;
 pub mod line_limit;
+pub mod link_budget;
+pub mod link_delay;
 pub mod live_vms;
 pub mod memory_budget;
 pub mod odd_entries;
--- a/crates/sassafrashoist-core/src/gateway/route_table.rs
+++ b/crates/sassafrashoist-core/src/gateway/route_table.rs
@@ -1,6 +1,7 @@
 //! Looks up the route and the client account of a request.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use super::ApiKey;
 use super::fleet_config::{ClientAccount, FleetConfig};
@@ -23,6 +24,7 @@
     config: FleetConfig,
     routes_by_host: HashMap<String, HashMap<String, usize>>,
     accounts_by_key: HashMap<ApiKey, usize>,
+    shortest_target_latency: Duration,
 }
 
 impl RouteTable {
@@ -37,7 +39,9 @@
         for (index, account) in config.accounts.iter().flatten().enumerate() {
             accounts_by_key.extend(account.api_keys.iter().map(|key| (key.clone(), index)));
         }
-        Self { config, routes_by_host, accounts_by_key }
+        let target_latencies = config.routes.iter().map(|route| route.target_latency);
+        let shortest_target_latency = target_latencies.min().unwrap_or_default();
+        Self { config, routes_by_host, accounts_by_key, shortest_target_latency }
     }
 
     /// Returns the configuration.
@@ -45,6 +49,11 @@
         &self.config
     }
 
+    /// Returns the shortest target latency of all routes; zero if there is no route.
+    pub fn shortest_target_latency(&self) -> Duration {
+        self.shortest_target_latency
+    }
+
     /// Returns the route with the longest prefix that matches a host and path.
     ///
     /// The host may include a port; the path must not include the query.
--- a/crates/sassafrashoist-core/src/gateway/vm_settings.rs
+++ b/crates/sassafrashoist-core/src/gateway/vm_settings.rs
@@ -26,6 +26,8 @@
     pub memory_bytes: Option<u64>,
     /// The descriptors that the process may have open; `None` if there is no such limit.
     pub descriptor_count: Option<u64>,
+    /// The bandwidth of the VM's link in each direction, in bits per second; `None` if it is not known.
+    pub bandwidth_bits_per_s: Option<u64>,
     /// The time limits and retry limits of the platform.
     pub bounds: Bounds,
 }
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -33,6 +33,8 @@
 mod ledger_writer;
 mod limited_server_fleet;
 mod line_limit;
+mod link_budget;
+mod link_crowd_over_vms;
 mod live_vms;
 mod log_read_fleet;
 mod log_reads_over_vms;
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -19,6 +19,7 @@
 use sassafrashoist_core::gateway::drain_plan::DrainPlan;
 use sassafrashoist_core::gateway::inbox_watch::InboxWatch;
 use sassafrashoist_core::gateway::line_limit::LineLimit;
+use sassafrashoist_core::gateway::link_budget::LinkBudget;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::memory_budget::MemoryBudget;
 use sassafrashoist_core::gateway::open_connection_limit::OpenConnectionLimit;
@@ -87,6 +88,7 @@
     stalls: Mutex<StallWatch>,
     inbox: Mutex<InboxWatch>,
     crowding: Mutex<Crowding>,
+    link: Mutex<LinkBudget>,
     permits: Mutex<PermitBook>,
     streams: Mutex<StreamOrigins>,
     crashes: Mutex<CrashBook>,
@@ -151,6 +153,8 @@
             settings.bounds.cache_window,
             settings.bounds.drain_timeout,
         );
+        let mut link = LinkBudget::default();
+        link.set_bandwidth(settings.bandwidth_bits_per_s);
         let config_times = ConfigTimes::new(settings.bounds.config_apply_time);
         let config_contact = ConfigContact::new(&config_times, settings.bounds.contact_time);
         Arc::new(Self {
@@ -170,6 +174,7 @@
             stalls: Mutex::default(),
             inbox: Mutex::default(),
             crowding: Mutex::default(),
+            link: Mutex::new(link),
             permits: Mutex::default(),
             streams: Mutex::default(),
             crashes: Mutex::default(),
@@ -236,6 +241,7 @@
 
     /// Replaces the active settings.
     pub fn replace_settings(&self, settings: VmSettings) {
+        self.lock_link().set_bandwidth(settings.bandwidth_bits_per_s);
         *lock(&self.settings) = Arc::new(settings);
     }
 
@@ -480,6 +486,11 @@
         lock(&self.memory)
     }
 
+    /// Locks the budget of the VM's link.
+    pub fn lock_link(&self) -> MutexGuard<'_, LinkBudget> {
+        lock(&self.link)
+    }
+
     /// Returns how many requests this VM holds at a time beside the connections of callers.
     pub fn request_limit(&self) -> RequestLimit {
         let counts = self.caller_connections.counts();
@@ -500,6 +511,33 @@
         }
     }
 
+    /// Returns for how long no connections of callers are to be accepted; `None` if they are. A VM without
+    /// neighbours accepts all: no other VM could serve their callers.
+    pub fn accept_pause(&self) -> Option<Duration> {
+        let now = self.now();
+        let shortest_target_latency = self.routes()?.shortest_target_latency();
+        let (pause, backlog, delay) = {
+            let mut link = self.lock_link();
+            let pause = link.accept_pause(shortest_target_latency, now);
+            (pause, link.backlog(now), link.delay.current(now))
+        };
+        metrics::gauge!("sassafrashoist_link_backlog_ms").set(backlog.as_secs_f64() * 1_000.0);
+        metrics::gauge!("sassafrashoist_link_delay_ms").set(delay.as_secs_f64() * 1_000.0);
+        let pause = pause?;
+        self.lock_tokens().issuers.live_vms.neighbours(now).next()?;
+        metrics::counter!("sassafrashoist_accept_pauses_total").increment(1);
+        let is_overloaded = self.lock_link().is_overloaded(now);
+        if is_overloaded && lock(&self.crowding).record_overload(now) {
+            self.log_crowded("link is full");
+        }
+        Some(pause)
+    }
+
+    /// Returns whether this VM is not ready because its link had no room lately.
+    pub fn is_link_overloaded(&self) -> bool {
+        lock(&self.crowding).is_overloaded(self.now())
+    }
+
     /// Records how late a timer fired, which shows whether this VM is short of processor time.
     pub fn record_timer(&self, lateness: Duration) {
         if lock(&self.crowding).record_timer(lateness, self.now()) {
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 //! Decisions are made in `sassafrashoist_core::gateway`; the platform's header names, paths and
 //! formats are in `sassafrashoist_adapter`.
 
+pub mod admit_to_link;
 pub mod buffered_body;
 pub mod caller_presence;
 pub mod caller_socket;
@@ -53,6 +54,7 @@
 pub mod config_messages;
 pub mod confirm_config;
 pub mod confirm_incarnation;
+pub mod counted_body;
 pub mod crash_messages;
 pub mod disconnect_guard;
 pub mod fetch_config;
--- a/crates/sassafrashoist/src/gateway/reach_server.rs
+++ b/crates/sassafrashoist/src/gateway/reach_server.rs
@@ -56,7 +56,11 @@
     let way = context.lock_paths().way_to(&listing.pool_id, server_id, context.now());
     let direct = match way {
         Way::Direct => {
-            match Connection::open(listing.address, CONNECT_TIMEOUT.min(time_left)).await {
+            let began_at = context.now();
+            let opened = Connection::open(listing.address, CONNECT_TIMEOUT.min(time_left)).await;
+            let now = context.now();
+            context.lock_link().delay.record(now.saturating_sub(began_at), now);
+            match opened {
                 Ok(connection) => {
                     context.record_opened(&listing.pool_id, server_id);
                     return Ok((connection, None));
@@ -74,7 +78,9 @@
     };
     context.record_failed(server_id);
     let now = context.now();
-    let is_asked = {
+    // On a full link connections open late, which shows nothing about paths.
+    let is_link_full = context.lock_link().is_full(now);
+    let is_asked = !is_link_full && {
         let paths = context.lock_paths();
         paths.may_ask_others(&listing.pool_id, now) && !paths.is_confirmed_down(server_id, now)
     };
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -158,6 +158,10 @@
                 }
                 AttemptStart::NotReached => {
                     failure = "server not reached";
+                    // More attempts would only fill the link further; a retry reaches another VM.
+                    if context.lock_link().is_full(context.now()) {
+                        break;
+                    }
                     continue;
                 }
                 AttemptStart::Stopping => {
--- a/crates/sassafrashoist/src/gateway/serve_clients.rs
+++ b/crates/sassafrashoist/src/gateway/serve_clients.rs
@@ -1,6 +1,7 @@
 //! Accepts connections from callers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header::CONNECTION;
 use http::{HeaderValue, Response, StatusCode};
@@ -8,13 +9,17 @@
 
 use super::closing_signals::ClosingSignals;
 use super::gateway_context::GatewayContext;
-use super::listen::{ConnectionPolicy, WRITE_TIMEOUT, accept, close_listener, serve_connection};
+use super::listen::{
+    ConnectionPolicy, WRITE_TIMEOUT, accept, bind, close_listener, serve_connection,
+};
 use super::response_body::ResponseBody;
 use super::serve_request::serve_request;
 use super::turn_away::turn_away;
 
 /// The maximum length of a request head before a configuration has been read.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16_384;
+/// Delay after the address of callers could not be bound.
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The smallest buffer size that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8_192;
 
@@ -25,17 +30,42 @@
     listener: TcpListener,
     closing: ClosingSignals,
 ) {
+    let mut listener = listener;
     loop {
         tokio::select! {
             stream = accept(&listener) => admit_caller(&context, stream, &closing),
             () = closing.closing.cancelled() => break,
         }
+        let Some(pause) = context.accept_pause() else {
+            continue;
+        };
+        for stream in close_listener(listener) {
+            admit_caller(&context, stream, &closing);
+        }
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = closing.closing.cancelled() => return,
+        }
+        listener = bind_again(&context).await;
     }
     for stream in close_listener(listener) {
         admit_caller(&context, stream, &closing);
     }
 }
 
+/// Listens again after a time in which the kernel refused connections for this process.
+async fn bind_again(context: &GatewayContext) -> TcpListener {
+    loop {
+        match bind(context.settings().caller_address).await {
+            Ok(listener) => return listener,
+            Err(error) => {
+                log::warn!(error:% = format!("{error:#}"); "callers cannot connect");
+                tokio::time::sleep(BIND_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
 /// Serves a connection if there is room for it, and turns its caller away if not.
 fn admit_caller(context: &Arc<GatewayContext>, stream: TcpStream, closing: &ClosingSignals) {
     let connections = &context.caller_connections;
@@ -87,12 +117,13 @@
     }
 }
 
-/// Ends the connection with this response while this VM stops or callers keep many connections.
+/// Ends the connection with this response while this VM stops, its link has no room or callers keep many
+/// connections.
 fn announce_close(context: &GatewayContext, response: &mut Response<ResponseBody>) {
     let connection_count = context.caller_connections.counts().total();
     let is_crowded = response.status() != StatusCode::SWITCHING_PROTOCOLS
         && context.open_connection_limit().ends_connections(connection_count);
-    if context.draining.is_cancelled() || is_crowded {
+    if context.draining.is_cancelled() || is_crowded || context.is_link_overloaded() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
 }
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -16,6 +16,8 @@
 use sassafrashoist_core::gateway::route_table::{NotAllowed, RouteTable};
 use sassafrashoist_core::ids::{RequestId, Tokens};
 
+use super::admit_to_link::admit_to_link;
+use super::counted_body::CountedBody;
 use super::disconnect_guard::DisconnectGuard;
 use super::find_stream_origin::{UnknownOrigin, find_stream_origin};
 use super::gateway_context::GatewayContext;
@@ -168,6 +170,9 @@
     if !context.covers(request.deadline) {
         return Refusal::retry_later(Duration::ZERO, STOPPING).into_response(&id, &"");
     }
+    if let Err(response) = admit_to_link(context, &routes, &request) {
+        return response;
+    }
     match read_body(&request, context, routes.config().limits.max_body_bytes, body).await {
         Ok(body) => request.set_body(body),
         Err(refusal) => return refuse_by_config(context, version, refusal, &id, &target),
@@ -204,9 +209,10 @@
     };
     context.record_request(&request.pool_id);
     let continues_without_caller = request.route.repeatability == Repeatability::AtMostOnce;
+    let route_id = request.route.id.clone();
     let attempts = run_attempts(Arc::clone(context), Arc::new(request), reservation);
     if !continues_without_caller {
-        return attempts.await;
+        return CountedBody::wrap(attempts.await, context, route_id);
     }
     // A request that may run at most once cannot be retried, so it continues if the caller
     // disconnects.
@@ -216,10 +222,11 @@
         drop(in_progress);
         response
     });
-    task.await.unwrap_or_else(|error| {
+    let response = task.await.unwrap_or_else(|error| {
         log::error!(id = id, error:% = error; "request failed in the router");
         Refusal::new(StatusCode::BAD_GATEWAY, "internal failure").into_response(&id, &"")
-    })
+    });
+    CountedBody::wrap(response, context, route_id)
 }
 
 /// Finds the route, pool and client account of a request whose body has not been read yet.
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod hushed_streams;
 mod late_in_grace;
 mod leaving_callers;
+mod link_admission;
 mod log_client;
 mod lost_paths;
 mod memory_bounds;
