Count bodies of refused requests for half of the room of a link

Cause: bodies of refused requests filled the room by themselves, so that each refusal led to the next, and to a pause.

Change: refused bodies fill at most half of the room, which leaves room for the next request; the listener is closed only while connections open late or admitted requests fill the link.

--- a/crates/sassafrashoist-core/src/gateway/crowding.rs
+++ b/crates/sassafrashoist-core/src/gateway/crowding.rs
@@ -14,7 +14,7 @@
 /// before it selects other VMs.
 const UNREADY_TIME: Duration = Duration::from_secs(3);
 /// How long a VM is not ready after its link had no room, the first time.
-const OVERLOAD_TIME: Duration = Duration::from_secs(20);
+const OVERLOAD_TIME: Duration = Duration::from_secs(30);
 /// The most doublings of that time.
 const MAX_OVERLOAD_DOUBLINGS: u32 = 2;
 /// The other VMs of a data centre among which the callers of a crowded one are spread. Fewer would soon be
--- a/crates/sassafrashoist-core/src/gateway/link_budget.rs
+++ b/crates/sassafrashoist-core/src/gateway/link_budget.rs
@@ -92,8 +92,6 @@
     drained_at: Uptime,
     response_bytes: HashMap<RouteId, f64>,
     refused_at: Option<Uptime>,
-    /// Whether a request was refused since connections were last not accepted.
-    has_refused: bool,
     used_bytes: FlowRate,
     paused_ms: FlowRate,
     /// How long packets wait at the link.
@@ -144,11 +142,10 @@
             return Ok(());
         }
         self.refused_at = Some(now);
-        self.has_refused = true;
         let backlog = Duration::from_secs_f64(self.backlog_bytes / bytes_per_s);
-        // The caller sends the body all the same. It does not keep out requests for good.
+        // The caller sends the body all the same, but bodies of refused requests alone keep out no others.
         let with_body = self.backlog_bytes + demand.body_bytes as f64;
-        self.backlog_bytes = with_body.min(max_bytes).max(self.backlog_bytes);
+        self.backlog_bytes = with_body.min(max_bytes / 2.0).max(self.backlog_bytes);
         Err(LinkFull { backlog, delay })
     }
 
@@ -164,10 +161,9 @@
         let max_wait = shortest_target_latency.mul_f64(WAIT_FRACTION);
         let wait = Duration::from_secs_f64(self.backlog_bytes / bytes_per_s);
         let is_congested = self.is_congested(bytes_per_s, shortest_target_latency, now);
-        if wait <= max_wait && !is_congested && !std::mem::take(&mut self.has_refused) {
+        if wait <= max_wait && !is_congested {
             return None;
         }
-        self.has_refused = false;
         let congested = if is_congested { self.delay.current(now) } else { Duration::ZERO };
         let pause = wait.saturating_sub(max_wait / 2).max(congested).clamp(MIN_PAUSE, MAX_PAUSE);
         self.refused_at = Some(now);
