Place requests by expected time on servers that report their slowness

Cause: server selection uses one prefill rate for all servers of all pools, and short prompts queue behind prompts of up to 54,600 tokens.

For a server that has reported one, the cost is the expected time to the first event, from the prompt tokens ahead and the server's own speed, and the delay of other requests. Long prompts prefer a share of the servers that VMs rank alike and whose size follows the recent mix. Other servers are placed as before.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -4,6 +4,8 @@
 //! - [`config_age`]: whether the configuration that decides this may be old.
 //! - [`server_directory`]: the backend servers, their load and health, and the choice among them by
 //!   cost, rendezvous hashing and circuit breakers.
+//! - [`placement_cost`], [`server_speed`], [`prompt_backlog`] and [`prompt_shares`]: the cost of a
+//!   server that reports how slow it is, for long and short prompts.
 //! - [`server_silence`]: whether a server that sends nothing has failed.
 //! - [`server_paths`] and [`relay_vms`]: which of these servers this VM reaches, and through which
 //!   other VM it reaches the rest; [`attempt_failure`]: what a failed attempt shows about its server.
@@ -80,6 +82,7 @@
 mod limit_periods;
 pub mod line_limit;
 pub mod live_vms;
+mod long_share;
 pub mod memory_budget;
 pub mod odd_entries;
 pub mod open_connection_limit;
@@ -87,8 +90,11 @@
 pub mod origin_wait;
 pub mod permit_bucket;
 pub mod permit_issuers;
+pub mod placement_cost;
 pub mod planned_record;
 pub mod pool_versions;
+pub mod prompt_backlog;
+pub mod prompt_shares;
 pub mod read_patience;
 pub mod read_precedence;
 pub mod recent_answers;
@@ -104,6 +110,7 @@
 pub mod server_listing;
 pub mod server_paths;
 pub mod server_silence;
+pub mod server_speed;
 pub mod server_state;
 pub mod spending_limit;
 pub mod stall_watch;
--- a/crates/sassafrashoist-core/src/gateway/route_table.rs
+++ b/crates/sassafrashoist-core/src/gateway/route_table.rs
@@ -1,10 +1,12 @@
 //! Looks up the route and the client account of a request.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use super::ApiKey;
 use super::fleet_config::{ClientAccount, FleetConfig};
 use super::route::Route;
+use crate::ids::PoolId;
 
 /// Why a request is rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -23,6 +25,7 @@
     config: FleetConfig,
     routes_by_host: HashMap<String, HashMap<String, usize>>,
     accounts_by_key: HashMap<ApiKey, usize>,
+    shortest_targets: HashMap<PoolId, Duration>,
 }
 
 impl RouteTable {
@@ -37,7 +40,15 @@
         for (index, account) in config.accounts.iter().flatten().enumerate() {
             accounts_by_key.extend(account.api_keys.iter().map(|key| (key.clone(), index)));
         }
-        Self { config, routes_by_host, accounts_by_key }
+        let mut shortest_targets: HashMap<PoolId, Duration> = HashMap::new();
+        for route in &config.routes {
+            for destination in &route.destinations {
+                let shortest = shortest_targets.entry(destination.pool_id.clone());
+                let shortest = shortest.or_insert(route.target_latency);
+                *shortest = route.target_latency.min(*shortest);
+            }
+        }
+        Self { config, routes_by_host, accounts_by_key, shortest_targets }
     }
 
     /// Returns the configuration.
@@ -60,6 +71,11 @@
         Ok(&self.config.routes[*index])
     }
 
+    /// Returns the shortest target latency of the routes that lead to a pool.
+    pub fn shortest_target(&self, pool_id: &str) -> Option<Duration> {
+        self.shortest_targets.get(pool_id).copied()
+    }
+
     /// Returns the account that a key belongs to, or `None` if the request needs no account.
     ///
     /// # Errors
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -10,9 +10,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use super::long_share::LongShare;
+use super::placement_cost::PlacementCost;
 use super::pool_versions::PoolVersions;
+use super::prompt_shares::PromptShares;
 use super::server_listing::ServerListing;
 use super::server_silence::{OtherServers, SILENT_TIME};
+use super::server_speed::ServerSpeed;
 use super::server_state::{RejectedBy, ReportedLoad, ServerState};
 use super::stream_origins::StreamOrigin;
 use super::{PromptPartId, SoftwareVersion, Uptime};
@@ -27,6 +31,9 @@
 const PREFILL_SAMPLE_WEIGHT: f64 = 0.05;
 /// The shortest prefill, in tokens, whose time to the first event is used as a sample of the speed.
 const MIN_PREFILL_SAMPLE_TOKENS: u64 = 4_000;
+/// The shortest prefill, in tokens, that is a sample of the speed of a server that reports its
+/// slowness.
+const MIN_SPEED_SAMPLE_TOKENS: f64 = 500.0;
 /// The fraction of a shared prefix that the preferred server is expected not to have cached.
 const PREFERRED_UNCACHED_FRACTION: f64 = 0.3;
 /// The weight of a prefix token on a server that is not expected to have cached it: processing it
@@ -71,6 +78,18 @@
     pub software_version: Option<SoftwareVersion>,
     /// Whether servers that name limits are left out.
     pub excludes_limited: bool,
+    /// The shortest target latency of the routes that lead to the pool, if known.
+    pub shortest_target: Option<Duration>,
+}
+
+impl ServerRequirements {
+    /// Returns whether the prompt is long for a pool of the given usual speed.
+    fn is_long(&self, tokens_per_ms: f64) -> bool {
+        self.shortest_target.is_some_and(|target| {
+            let prompt_tokens = self.prefix_tokens + self.suffix_tokens;
+            PromptShares::is_long(prompt_tokens, target, tokens_per_ms)
+        })
+    }
 }
 
 /// The server that was chosen for one attempt.
@@ -95,6 +114,9 @@
     cache_window: Duration,
     ending_use_time: Duration,
     prefill_tokens_per_ms: f64,
+    /// The speed of all servers of a pool together, for those that report their slowness.
+    usual_speeds: HashMap<PoolId, ServerSpeed>,
+    prompt_shares: HashMap<PoolId, PromptShares>,
     /// The software versions that the pools have had.
     pub pool_versions: PoolVersions,
 }
@@ -113,6 +135,8 @@
             cache_window,
             ending_use_time: drain_timeout.mul_f64(ENDING_USE_FRACTION),
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
+            usual_speeds: HashMap::new(),
+            prompt_shares: HashMap::new(),
             pool_versions: PoolVersions::default(),
         }
     }
@@ -351,7 +375,7 @@
         let prefill_tokens = self.estimate_prefill_tokens(server, requirements, None, now);
         Some(ServerChoice {
             listing: server.listing.clone(),
-            cost_ms: self.cost_ms(server, prefill_tokens, now),
+            cost_ms: self.cost_ms(server, requirements, prefill_tokens, None, now),
             prefill_tokens,
             needs_permit: true,
         })
@@ -374,6 +398,18 @@
             return false;
         };
         server.begin_attempt(found.prefill_tokens, now);
+        if let Some(speed) = &server.speed {
+            let pool_id = &requirements.pool_id;
+            let usual = usual_tokens_per_ms(&self.usual_speeds, pool_id);
+            let is_certain = found.prefill_tokens == requirements.suffix_tokens;
+            let tokens_per_ms = speed.tokens_per_ms(usual) / speed.slowness(now);
+            server.backlog.begin(found.prefill_tokens, is_certain, tokens_per_ms, now);
+            if found.prefill_tokens > 0 {
+                let is_long = requirements.is_long(usual);
+                let shares = self.prompt_shares.entry(pool_id.clone()).or_default();
+                shares.record(found.prefill_tokens, is_long, now);
+            }
+        }
         if let Some(prefix_id) = &requirements.prefix_id {
             self.record_cached_prefix(server_id, prefix_id, now);
         }
@@ -391,6 +427,14 @@
     pub fn record_load(&mut self, server_id: &str, load: ReportedLoad, now: Uptime) {
         if let Some(server) = self.servers.get_mut(server_id) {
             server.record_load(load, now);
+            if let Some(percent) = load.slowness_percent {
+                server.speed.get_or_insert_default().record_slowness(percent, now);
+            }
+            if let Some(shares) = self.prompt_shares.get(&server.listing.pool_id) {
+                let running = f64::from(load.running_count.saturating_sub(server.in_flight_count));
+                let waiting = f64::from(load.waiting_count);
+                server.backlog.record_report(running, waiting, shares.mean_tokens(), now);
+            }
         }
     }
 
@@ -501,6 +545,21 @@
             return;
         };
         server.end_pending(prefill_tokens);
+        let ended = server.backlog.end(prefill_tokens);
+        if let (Some(speed), Some((sent_at, tokens))) = (&mut server.speed, ended) {
+            let now = sent_at + waited;
+            if prefill_tokens == 0 {
+                speed.record_response(waited, now);
+            } else if let Some(tokens) = tokens.filter(|tokens| *tokens >= MIN_SPEED_SAMPLE_TOKENS)
+            {
+                let usual = usual_tokens_per_ms(&self.usual_speeds, &server.listing.pool_id);
+                speed.record_prompt(tokens, waited, usual, now);
+                let waited = waited.div_f64(speed.slowness(now));
+                let pool = self.usual_speeds.entry(server.listing.pool_id.clone()).or_default();
+                pool.record_prompt(tokens, waited, usual, now);
+            }
+            return;
+        }
         if prefill_tokens >= MIN_PREFILL_SAMPLE_TOKENS && !waited.is_zero() {
             let sample = prefill_tokens as f64 / (waited.as_secs_f64() * 1_000.0);
             self.prefill_tokens_per_ms +=
@@ -512,6 +571,7 @@
     pub fn record_no_response(&mut self, server_id: &str, prefill_tokens: Tokens) {
         if let Some(server) = self.servers.get_mut(server_id) {
             server.end_pending(prefill_tokens);
+            server.backlog.end(prefill_tokens);
         }
     }
 
@@ -552,14 +612,20 @@
         if !requirements.excluded.is_empty() && usable.iter().any(|server| !server.is_silent(now)) {
             usable.retain(|server| !server.is_silent(now));
         }
+        let share = self.find_long_share(&usable, requirements);
         let preferred = requirements.prefix_id.as_deref().and_then(|prefix_id| {
-            choose_owner(prefix_id, usable.iter().map(|server| server.listing.id.as_str()))
+            // The preferred servers of a session are among those that its kind of prompt prefers.
+            let is_preferred =
+                |s: &&&ServerState| share.is_none_or(|share| share.prefers(s.long_rank));
+            let preferred = usable.iter().filter(is_preferred);
+            choose_owner(prefix_id, preferred.map(|server| server.listing.id.as_str()))
         });
         let costs = usable.iter().enumerate().map(|(index, server)| {
             let prefill_tokens = self.estimate_prefill_tokens(server, requirements, preferred, now);
             let jitter =
                 MAX_JITTER_MS * (random.rotate_left(index as u32 * 7) % 1_000) as f64 / 1_000.0;
-            (self.cost_ms(server, prefill_tokens, now) + jitter, prefill_tokens, *server)
+            let cost_ms = self.cost_ms(server, requirements, prefill_tokens, share, now);
+            (cost_ms + jitter, prefill_tokens, *server)
         });
         let (cost_ms, prefill_tokens, server) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
         Some(ServerChoice {
@@ -589,21 +655,72 @@
             return requirements.suffix_tokens
                 + (requirements.prefix_tokens as f64 * PREFERRED_UNCACHED_FRACTION) as Tokens;
         }
-        requirements.suffix_tokens + requirements.prefix_tokens * UNCACHED_TOKEN_WEIGHT
+        // For a server with a known speed, the delay of others is not a part of the prefill.
+        let weight = if server.speed.is_some() { 1 } else { UNCACHED_TOKEN_WEIGHT };
+        requirements.suffix_tokens + requirements.prefix_tokens * weight
+    }
+
+    /// Returns the share of the servers that long prompts prefer, if the servers report their
+    /// slowness and the target latencies of the pool are known.
+    fn find_long_share(
+        &self,
+        usable: &[&ServerState],
+        requirements: &ServerRequirements,
+    ) -> Option<LongShare> {
+        requirements.shortest_target?;
+        let shares = self.prompt_shares.get(&requirements.pool_id)?;
+        let mut ranks: Vec<u64> = usable.iter().map(|server| server.long_rank).collect();
+        let highest_rank = shares.highest_long_rank(&mut ranks)?;
+        let usual = usual_tokens_per_ms(&self.usual_speeds, &requirements.pool_id);
+        Some(LongShare {
+            highest_rank,
+            is_long: requirements.is_long(usual),
+            mean_long_tokens: shares.mean_long_tokens(),
+        })
     }
 
-    fn cost_ms(&self, server: &ServerState, prefill_tokens: Tokens, now: Uptime) -> f64 {
-        let queued_tokens = server.pending_prefill_tokens + prefill_tokens;
-        let prefill_ms = queued_tokens as f64 / self.prefill_tokens_per_ms;
+    fn cost_ms(
+        &self,
+        server: &ServerState,
+        requirements: &ServerRequirements,
+        prefill_tokens: Tokens,
+        share: Option<LongShare>,
+        now: Uptime,
+    ) -> f64 {
         let slots = f64::from(server.listing.slot_count.max(1));
-        let slot_use = server.expected_request_count(now) / slots;
-        let load_ms =
-            FULL_SLOTS_COST_MS * (slot_use + QUEUE_COST_FACTOR * (slot_use - 1.0).max(0.0));
+        let work_ms = if let Some(speed) = &server.speed {
+            let usual = usual_tokens_per_ms(&self.usual_speeds, &requirements.pool_id);
+            let tokens_per_ms = speed.tokens_per_ms(usual);
+            let slowness = speed.slowness(now);
+            let uncached = prefill_tokens.saturating_sub(requirements.suffix_tokens);
+            let is_repeated = uncached > 0 && uncached == requirements.prefix_tokens;
+            let cost = PlacementCost {
+                tokens_ahead: server.backlog.tokens_ahead(tokens_per_ms / slowness, now),
+                prefill_tokens: prefill_tokens as f64,
+                repeated_tokens: if is_repeated { uncached as f64 } else { 0.0 },
+                tokens_per_ms,
+                response_ms: speed.response_ms(),
+                slowness,
+                request_count: server.expected_request_count(now),
+                slot_count: slots,
+                is_long: share.is_some_and(|share| share.is_long),
+                is_in_long_share: share.map(|share| share.contains(server.long_rank)),
+                mean_long_tokens: share.map_or(0.0, |share| share.mean_long_tokens),
+            };
+            cost.total_ms()
+        } else {
+            let queued_tokens = server.pending_prefill_tokens + prefill_tokens;
+            let prefill_ms = queued_tokens as f64 / self.prefill_tokens_per_ms;
+            let slot_use = server.expected_request_count(now) / slots;
+            let load_ms =
+                FULL_SLOTS_COST_MS * (slot_use + QUEUE_COST_FACTOR * (slot_use - 1.0).max(0.0));
+            prefill_ms + load_ms
+        };
         let unresponsive_ms = server.excess_unresponsive_time(now).as_secs_f64() * 1_000.0;
         let failing_ms = FAILING_COST_MS * server.failure_rate(now);
         let is_remote = server.listing.data_centre_id != self.data_centre_id;
         let remote_ms = if is_remote { REMOTE_COST_MS } else { 0.0 };
-        prefill_ms + load_ms + unresponsive_ms + failing_ms + remote_ms
+        work_ms + unresponsive_ms + failing_ms + remote_ms
     }
 
     fn record_cached_prefix(&mut self, server_id: &str, prefix_id: &str, now: Uptime) {
@@ -618,3 +735,8 @@
         self.cached_prefixes.retain(|(cached_by, _), _| cached_by != server_id);
     }
 }
+
+fn usual_tokens_per_ms(usual_speeds: &HashMap<PoolId, ServerSpeed>, pool_id: &str) -> f64 {
+    let initial = INITIAL_PREFILL_TOKENS_PER_MS;
+    usual_speeds.get(pool_id).map_or(initial, |speed| speed.tokens_per_ms(initial))
+}
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use super::Uptime;
+use super::prompt_backlog::PromptBacklog;
+use super::prompt_shares::PromptShares;
 use super::server_directory::ServerRequirements;
 use super::server_listing::ServerListing;
 use super::server_silence::SILENT_TIME;
+use super::server_speed::ServerSpeed;
 use crate::routing::circuit_breaker::{AttemptVerdict, CircuitBreaker};
 use crate::routing::server_limit::ServerLimit;
 
@@ -47,6 +50,8 @@
     pub waiting_count: u32,
     /// The number of requests that the server can run concurrently.
     pub slot_count: u32,
+    /// How long work takes at present, in percent of the usual time, if the server says so.
+    pub slowness_percent: Option<u32>,
 }
 
 /// Whose request a server turned away.
@@ -93,6 +98,10 @@
     pub(super) breaker: CircuitBreaker,
     pub(super) in_flight_count: u32,
     pub(super) pending_prefill_tokens: u64,
+    /// The speed of the server; `None` if it has never reported its slowness.
+    pub(super) speed: Option<ServerSpeed>,
+    pub(super) backlog: PromptBacklog,
+    pub(super) long_rank: u64,
     other_vms_request_count: f64,
     reported_at: Uptime,
     last_activity_at: Uptime,
@@ -105,6 +114,9 @@
     /// Creates the state of a server that has just been listed.
     pub fn new(listing: ServerListing, now: Uptime) -> Self {
         Self {
+            long_rank: PromptShares::rank(&listing.id),
+            speed: None,
+            backlog: PromptBacklog::default(),
             listing,
             listed_at: now,
             unlisted_at: None,
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -250,6 +250,7 @@
         route: route.clone(),
         pool_id: pool_id.clone(),
         tokens_per_event: tokens_per_event(routes, pool_id),
+        shortest_target: routes.shortest_target(pool_id),
         resumed: None,
         account_id: account.map(|account| account.id.clone()),
         priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
