--- a/crates/sassafrashoist-core/src/gateway/placement_cost.rs
+++ b/crates/sassafrashoist-core/src/gateway/placement_cost.rs
@@ -10,9 +10,9 @@
 const FULL_SLOTS_COST_MS: f64 = 60.0;
 /// The part of the prefill of a mean long prompt that a short one is expected to wait for at a server
 /// that takes long prompts of other VMs.
-const LONG_WAIT_FRACTION: f64 = 0.5;
+const LONG_WAIT_FRACTION: f64 = 0.3;
 /// The delay of short prompts by a long one at a server that they prefer, as a part of its prefill.
-const LONG_DELAY_FRACTION: f64 = 1.0;
+const LONG_DELAY_FRACTION: f64 = 0.3;
 /// The delay of other requests by the prefill of a prefix that another server has cached, as a part
 /// of that prefill.
 const REPEATED_DELAY_FRACTION: f64 = 1.0;
--- a/crates/sassafrashoist-core/src/gateway/prompt_shares.rs
+++ b/crates/sassafrashoist-core/src/gateway/prompt_shares.rs
@@ -13,9 +13,15 @@
 use crate::ids::Tokens;
 
 /// The time within which recorded work decays to 1/e.
-const MIX_DECAY: Duration = Duration::from_secs(10);
+const MIX_DECAY: Duration = Duration::from_secs(20);
 /// A prompt is long if its prefill takes more than this part of the shortest target latency.
 const LONG_TARGET_FRACTION: f64 = 0.5;
+/// The size of the share relative to the part of long prompts in the work, as VMs do not know each
+/// other's long prompts. Short prompts keep at least half of the servers that their work would take.
+const LONG_SIZE_FACTOR: f64 = 2.0;
+/// The number of sizes of a share: with few, VMs that have seen a slightly different mix agree, and a
+/// session seldom loses the server that it prefers.
+const SHARE_STEPS: f64 = 8.0;
 
 /// The recent mix of a pool's work, and the share of its servers that follows from it.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -86,6 +92,8 @@
         if part <= 0.0 || ranks.len() < 2 {
             return None;
         }
+        let part = (part * LONG_SIZE_FACTOR).min((1.0 + part) / 2.0);
+        let part = (part * SHARE_STEPS).ceil() / SHARE_STEPS;
         let size = (part * ranks.len() as f64).round() as usize;
         let size = size.clamp(1, ranks.len() - 1);
         Some(*ranks.select_nth_unstable(size - 1).1)
