Learn server speeds beside a fixed overhead, and log what a placement follows from

Cause: connecting and the network take longer than the prefill of a short prompt, so that learned speeds were too low. The inputs of a cost were not logged, nor malformed figures.

Change: the overhead is learned and subtracted, and short prompts weigh less as samples. The request sent line has the inputs of the cost and the age of the report; two counters count long prompts. A malformed figure is logged at most once a second.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! - [`config_age`]: whether the configuration that decides this may be old.
 //! - [`server_directory`]: the backend servers, their load and health, and the choice among them by
 //!   cost, rendezvous hashing and circuit breakers.
-//! - [`placement_cost`], [`server_speed`], [`prompt_backlog`] and [`prompt_shares`]: the cost of a
+//! - [`placement_cost`], [`server_speed`], [`response_overhead`],
+//!   [`prompt_backlog`] and [`prompt_shares`]: the cost of a
 //!   server that reports how slow it is, for long and short prompts.
 //! - [`server_silence`]: whether a server that sends nothing has failed.
 //! - [`server_paths`] and [`relay_vms`]: which of these servers this VM reaches, and through which
@@ -102,6 +103,7 @@
 pub mod reclaim;
 pub mod relay_vms;
 pub mod request_limit;
+pub mod response_overhead;
 pub mod retry_limiter;
 pub mod route;
 pub mod route_history;
--- a/crates/sassafrashoist-core/src/gateway/placement_cost.rs
+++ b/crates/sassafrashoist-core/src/gateway/placement_cost.rs
@@ -3,6 +3,8 @@
 //!
 //! Addresses engines that serve long prompts and short ones with tighter targets.
 
+use std::time::Duration;
+
 /// The time that a request is assumed to hold a slot, in milliseconds.
 const SLOT_TIME_MS: f64 = 250.0;
 /// The cost of a server whose slots are all in use, beyond that of an idle one, in milliseconds: each
@@ -32,6 +34,8 @@
     pub response_ms: f64,
     /// The present time of work as a multiple of the usual time.
     pub slowness: f64,
+    /// The age of the report of that.
+    pub slowness_age: Option<Duration>,
     /// The expected number of requests of all VMs at the server.
     pub request_count: f64,
     /// The number of requests that the server runs at once.
@@ -76,6 +80,6 @@
     }
 
     fn time_ms(&self, tokens: f64) -> f64 {
-        tokens * self.slowness / self.tokens_per_ms
+        if tokens > 0.0 { tokens * self.slowness / self.tokens_per_ms } else { 0.0 }
     }
 }
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -14,6 +14,7 @@
 use super::placement_cost::PlacementCost;
 use super::pool_versions::PoolVersions;
 use super::prompt_shares::PromptShares;
+use super::response_overhead::ResponseOverhead;
 use super::server_listing::ServerListing;
 use super::server_silence::{OtherServers, SILENT_TIME};
 use super::server_speed::ServerSpeed;
@@ -103,6 +104,8 @@
     pub prefill_tokens: Tokens,
     /// Whether the server names a limit, so that the attempt needs a permit.
     pub needs_permit: bool,
+    /// What the cost follows from, if the server reports its slowness.
+    pub placement: Option<PlacementCost>,
 }
 
 /// The backend servers that the platform lists, and the choice of a server for each attempt.
@@ -117,6 +120,7 @@
     /// The speed of all servers of a pool together, for those that report their slowness.
     usual_speeds: HashMap<PoolId, ServerSpeed>,
     prompt_shares: HashMap<PoolId, PromptShares>,
+    response_overhead: ResponseOverhead,
     /// The software versions that the pools have had.
     pub pool_versions: PoolVersions,
 }
@@ -137,6 +141,7 @@
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
             usual_speeds: HashMap::new(),
             prompt_shares: HashMap::new(),
+            response_overhead: ResponseOverhead::default(),
             pool_versions: PoolVersions::default(),
         }
     }
@@ -378,6 +383,7 @@
             cost_ms: self.cost_ms(server, requirements, prefill_tokens, None, now),
             prefill_tokens,
             needs_permit: true,
+            placement: self.placement(server, requirements, prefill_tokens, None, now),
         })
     }
 
@@ -552,11 +558,16 @@
                 speed.record_response(waited, now);
             } else if let Some(tokens) = tokens.filter(|tokens| *tokens >= MIN_SPEED_SAMPLE_TOKENS)
             {
-                let usual = usual_tokens_per_ms(&self.usual_speeds, &server.listing.pool_id);
-                speed.record_prompt(tokens, waited, usual, now);
-                let waited = waited.div_f64(speed.slowness(now));
-                let pool = self.usual_speeds.entry(server.listing.pool_id.clone()).or_default();
-                pool.record_prompt(tokens, waited, usual, now);
+                let pool_id = &server.listing.pool_id;
+                let usual = usual_tokens_per_ms(&self.usual_speeds, pool_id);
+                let prompt_time = self.response_overhead.prompt_time(waited);
+                speed.record_prompt(tokens, prompt_time, usual, now);
+                let slowness = speed.slowness(now);
+                let usual_time = prompt_time.div_f64(slowness);
+                let pool = self.usual_speeds.entry(pool_id.clone()).or_default();
+                pool.record_prompt(tokens, usual_time, usual, now);
+                let tokens_per_ms = speed.tokens_per_ms(usual) / slowness;
+                self.response_overhead.record(tokens, waited, tokens_per_ms);
             }
             return;
         }
@@ -633,6 +644,7 @@
             cost_ms,
             prefill_tokens,
             needs_permit: server.limit.per_s().is_some(),
+            placement: self.placement(server, requirements, prefill_tokens, share, now),
         })
     }
 
@@ -679,6 +691,37 @@
         })
     }
 
+    /// Returns what the cost of a server follows from, if it reports its slowness.
+    fn placement(
+        &self,
+        server: &ServerState,
+        requirements: &ServerRequirements,
+        prefill_tokens: Tokens,
+        share: Option<LongShare>,
+        now: Uptime,
+    ) -> Option<PlacementCost> {
+        let speed = server.speed.as_ref()?;
+        let usual = usual_tokens_per_ms(&self.usual_speeds, &requirements.pool_id);
+        let tokens_per_ms = speed.tokens_per_ms(usual);
+        let slowness = speed.slowness(now);
+        let uncached = prefill_tokens.saturating_sub(requirements.suffix_tokens);
+        let is_repeated = uncached > 0 && uncached == requirements.prefix_tokens;
+        Some(PlacementCost {
+            tokens_ahead: server.backlog.tokens_ahead(tokens_per_ms / slowness, now),
+            prefill_tokens: prefill_tokens as f64,
+            repeated_tokens: if is_repeated { uncached as f64 } else { 0.0 },
+            tokens_per_ms,
+            response_ms: speed.response_ms(),
+            slowness,
+            slowness_age: speed.slowness_age(now),
+            request_count: server.expected_request_count(now),
+            slot_count: f64::from(server.listing.slot_count.max(1)),
+            is_long: share.is_some_and(|share| share.is_long),
+            is_in_long_share: share.map(|share| share.contains(server.long_rank)),
+            mean_long_tokens: share.map_or(0.0, |share| share.mean_long_tokens),
+        })
+    }
+
     fn cost_ms(
         &self,
         server: &ServerState,
@@ -687,30 +730,13 @@
         share: Option<LongShare>,
         now: Uptime,
     ) -> f64 {
-        let slots = f64::from(server.listing.slot_count.max(1));
-        let work_ms = if let Some(speed) = &server.speed {
-            let usual = usual_tokens_per_ms(&self.usual_speeds, &requirements.pool_id);
-            let tokens_per_ms = speed.tokens_per_ms(usual);
-            let slowness = speed.slowness(now);
-            let uncached = prefill_tokens.saturating_sub(requirements.suffix_tokens);
-            let is_repeated = uncached > 0 && uncached == requirements.prefix_tokens;
-            let cost = PlacementCost {
-                tokens_ahead: server.backlog.tokens_ahead(tokens_per_ms / slowness, now),
-                prefill_tokens: prefill_tokens as f64,
-                repeated_tokens: if is_repeated { uncached as f64 } else { 0.0 },
-                tokens_per_ms,
-                response_ms: speed.response_ms(),
-                slowness,
-                request_count: server.expected_request_count(now),
-                slot_count: slots,
-                is_long: share.is_some_and(|share| share.is_long),
-                is_in_long_share: share.map(|share| share.contains(server.long_rank)),
-                mean_long_tokens: share.map_or(0.0, |share| share.mean_long_tokens),
-            };
-            cost.total_ms()
+        let placement = self.placement(server, requirements, prefill_tokens, share, now);
+        let work_ms = if let Some(placement) = placement {
+            placement.total_ms()
         } else {
             let queued_tokens = server.pending_prefill_tokens + prefill_tokens;
             let prefill_ms = queued_tokens as f64 / self.prefill_tokens_per_ms;
+            let slots = f64::from(server.listing.slot_count.max(1));
             let slot_use = server.expected_request_count(now) / slots;
             let load_ms =
                 FULL_SLOTS_COST_MS * (slot_use + QUEUE_COST_FACTOR * (slot_use - 1.0).max(0.0));
--- a/crates/sassafrashoist-core/src/gateway/server_speed.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_speed.rs
@@ -17,6 +17,9 @@
 const MAX_SAMPLE_FACTOR: f64 = 3.0;
 /// The least weight of a sample in the estimate.
 const MIN_SAMPLE_WEIGHT: f64 = 0.1;
+/// The size of a prompt, in tokens, whose sample has half of the full weight: the time of a short one
+/// depends mostly on other things than the speed.
+const HALF_WEIGHT_TOKENS: f64 = 1_500.0;
 /// The factor of the weight of samples that are slower than the estimate: prompts of other VMs that
 /// were ahead are not known and only ever add to the time.
 const SLOWER_SAMPLE_FACTOR: f64 = 0.5;
@@ -54,7 +57,7 @@
     }
 
     /// Records that the first event came `waited` after a prompt was sent, with `tokens` to process
-    /// up to its end. `initial` is assumed before the first sample.
+    /// up to its end, without the overhead. `initial` is assumed before the first sample.
     pub fn record_prompt(&mut self, tokens: f64, waited: Duration, initial: f64, now: Uptime) {
         let waited_ms = waited.as_secs_f64() * 1_000.0;
         if tokens <= 0.0 || waited_ms <= 0.0 {
@@ -62,7 +65,9 @@
         }
         let sample = tokens * self.slowness(now) / waited_ms;
         let before = self.tokens_per_ms(initial);
-        self.tokens_per_ms = Some(mix(before, sample, self.prompt_count, sample < before));
+        let size_factor = tokens / (tokens + HALF_WEIGHT_TOKENS);
+        let factor = if sample < before { SLOWER_SAMPLE_FACTOR } else { 1.0 } * size_factor;
+        self.tokens_per_ms = Some(mix(before, sample, self.prompt_count, factor));
         self.prompt_count = self.prompt_count.saturating_add(1);
     }
 
@@ -73,7 +78,8 @@
             return;
         }
         let before = self.response_ms.unwrap_or(sample);
-        self.response_ms = Some(mix(before, sample, self.response_count, sample > before));
+        let factor = if sample > before { SLOWER_SAMPLE_FACTOR } else { 1.0 };
+        self.response_ms = Some(mix(before, sample, self.response_count, factor));
         self.response_count = self.response_count.saturating_add(1);
     }
 
@@ -89,9 +95,8 @@
 }
 
 /// Moves an estimate towards a sample by a part of their ratio, as both are scales.
-fn mix(before: f64, sample: f64, sample_count: u32, is_slower: bool) -> f64 {
+fn mix(before: f64, sample: f64, sample_count: u32, factor: f64) -> f64 {
     let ratio = (sample / before).clamp(1.0 / MAX_SAMPLE_FACTOR, MAX_SAMPLE_FACTOR);
     let weight = (1.0 / f64::from(sample_count.saturating_add(2))).max(MIN_SAMPLE_WEIGHT);
-    let factor = if is_slower { SLOWER_SAMPLE_FACTOR } else { 1.0 };
     before * ratio.powf(weight * factor)
 }
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -84,6 +84,7 @@
     tokens: Mutex<TokenBook>,
     retries: Mutex<RetryLimiter>,
     silence_lines: Mutex<LineLimit>,
+    odd_slowness_lines: Mutex<LineLimit>,
     stalls: Mutex<StallWatch>,
     inbox: Mutex<InboxWatch>,
     crowding: Mutex<Crowding>,
@@ -166,6 +167,7 @@
             inquiries: Mutex::default(),
             tokens: Mutex::new(TokenBook::new(holding, issuers)),
             retries: Mutex::default(),
+            odd_slowness_lines: Mutex::new(LineLimit::new(1)),
             silence_lines: Mutex::new(LineLimit::new(MAX_SILENCE_LINES_PER_S)),
             stalls: Mutex::default(),
             inbox: Mutex::default(),
@@ -546,6 +548,12 @@
         lock(&self.silence_lines).record(now).is_some()
     }
 
+    /// Records a report of slowness that makes no sense. If it is to be logged, returns the number of
+    /// those that were not logged since the last one that was.
+    pub fn record_odd_slowness(&self, now: Uptime) -> Option<u64> {
+        lock(&self.odd_slowness_lines).record(now)
+    }
+
     /// Records that the whole server list was read.
     pub fn mark_servers_listed(&self) {
         *lock(&self.servers_listed) = true;
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -256,6 +256,13 @@
 }
 
 fn log_choice(request: &RequestContext, chosen: &ServerChoice, counts: AttemptCounts) {
+    let placement = chosen.placement.clone().unwrap_or_default();
+    if placement.is_long {
+        metrics::counter!("sassafrashoist_long_prompts_total").increment(1);
+        if placement.is_in_long_share == Some(false) {
+            metrics::counter!("sassafrashoist_long_prompts_outside_share_total").increment(1);
+        }
+    }
     log::info!(
         id = request.id(), route = request.route.id, pool = request.pool_id,
         account = request.account_id.as_deref().unwrap_or("-"),
@@ -263,6 +270,11 @@
         server = chosen.listing.id, expected_ms = chosen.cost_ms as u64,
         read_tokens = chosen.prefill_tokens, attempt = counts.sent + 1,
         version = chosen.listing.software_version,
+        tokens_ahead = placement.tokens_ahead as u64, tokens_per_ms = placement.tokens_per_ms,
+        slowness = placement.slowness,
+        slowness_age_ms = placement.slowness_age.map(|age| age.as_millis() as u64),
+        imposed_ms = placement.imposed_ms(), long = placement.is_long,
+        in_long_share = placement.is_in_long_share,
         resumes = request.caller.resumed_request_id.as_deref().unwrap_or("-"),
         after_event = request.caller.last_event_id.as_deref().unwrap_or("-");
         "request sent"
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -299,6 +299,14 @@
     let framing = ResponseFraming::of(&response);
     let now = context.now();
     context.lock_servers().record_bytes(slot.server_id(), now);
+    if head.has_odd_slowness
+        && let Some(unlogged) = context.record_odd_slowness(now)
+    {
+        log::warn!(
+            server = slot.server_id(), unlogged = unlogged;
+            "server reports a malformed slowness; it counts as absent"
+        );
+    }
     if let Some(load) = head.load {
         context.lock_servers().record_load(slot.server_id(), load, now);
     }
