Leave the inputs of a placement out of log lines of servers that report nothing

The request sent line had zeros for servers without a fourth figure; it has no values for them now. The gateway tests of the program pass (59).

--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -7,6 +7,7 @@
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use sassafrashoist_adapter::response_headers::encode_response;
+use sassafrashoist_core::gateway::placement_cost::PlacementCost;
 use sassafrashoist_core::gateway::server_directory::ServerChoice;
 use sassafrashoist_core::ids::BackendServerId;
 use sassafrashoist_core::routing::circuit_breaker::AttemptVerdict;
@@ -256,8 +257,8 @@
 }
 
 fn log_choice(request: &RequestContext, chosen: &ServerChoice, counts: AttemptCounts) {
-    let placement = chosen.placement.clone().unwrap_or_default();
-    if placement.is_long {
+    let placement = chosen.placement.as_ref();
+    if let Some(placement) = placement.filter(|placement| placement.is_long) {
         metrics::counter!("sassafrashoist_long_prompts_total").increment(1);
         if placement.is_in_long_share == Some(false) {
             metrics::counter!("sassafrashoist_long_prompts_outside_share_total").increment(1);
@@ -270,11 +271,13 @@
         server = chosen.listing.id, expected_ms = chosen.cost_ms as u64,
         read_tokens = chosen.prefill_tokens, attempt = counts.sent + 1,
         version = chosen.listing.software_version,
-        tokens_ahead = placement.tokens_ahead as u64, tokens_per_ms = placement.tokens_per_ms,
-        slowness = placement.slowness,
-        slowness_age_ms = placement.slowness_age.map(|age| age.as_millis() as u64),
-        imposed_ms = placement.imposed_ms(), long = placement.is_long,
-        in_long_share = placement.is_in_long_share,
+        tokens_ahead = placement.map(|p| p.tokens_ahead as u64),
+        tokens_per_ms = placement.map(|p| p.tokens_per_ms),
+        slowness = placement.map(|p| p.slowness),
+        slowness_age_ms = placement.and_then(|p| Some(p.slowness_age?.as_millis() as u64)),
+        imposed_ms = placement.map(PlacementCost::imposed_ms),
+        long = placement.map(|p| p.is_long),
+        in_long_share = placement.and_then(|p| p.is_in_long_share),
         resumes = request.caller.resumed_request_id.as_deref().unwrap_or("-"),
         after_event = request.caller.last_event_id.as_deref().unwrap_or("-");
         "request sent"
