Send nothing to servers of evacuated data centres

Cause: the gateway read only the key config of the topic of the operators, so orders to evacuate a data centre (evacuate/ZONE) had no effect, and requests went on to its servers.

Change: a VM applies the orders of each read before the configuration, and leaves servers of evacuated data centres out of each choice, also after waits for a permit or a connection and for connections that it opens for another VM. VMs that read the topic append the orders, with the position of the log as of which they are complete, to the datagram that announces the configuration; older builds ignore them. A VM that gets no orders reads the topic itself.

--- a/crates/sassafrashoist-core/src/gateway/config_sharing.rs
+++ b/crates/sassafrashoist-core/src/gateway/config_sharing.rs
@@ -247,6 +247,14 @@
         if now >= read_at { NextLogRead::Now } else { NextLogRead::NotBefore(read_at) }
     }
 
+    /// Lets this VM read the log service at the latest at a time, as the announcements that it hears do
+    /// not say everything that it needs from the topic.
+    pub fn require_log_read_by(&mut self, at: Uptime) {
+        if self.has_heard_reader() {
+            self.log_due_at = self.log_due_at.min(at);
+        }
+    }
+
     /// Records that a read of the log service begins.
     pub fn begin_log_read(&mut self, now: Uptime) {
         self.log_read_sent_at = Some(now);
--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -66,6 +66,7 @@
 pub mod crowding;
 pub mod document_delta;
 pub mod drain_plan;
+pub mod evacuations;
 pub mod event_allowance;
 pub mod event_sequence;
 pub mod fleet_config;
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use super::evacuations::Evacuations;
 use super::pool_versions::PoolVersions;
 use super::server_listing::ServerListing;
 use super::server_silence::{OtherServers, SILENT_TIME};
@@ -97,6 +98,8 @@
     prefill_tokens_per_ms: f64,
     /// The software versions that the pools have had.
     pub pool_versions: PoolVersions,
+    /// The data centres to whose servers nothing is sent.
+    pub evacuations: Evacuations,
 }
 
 impl ServerDirectory {
@@ -114,6 +117,7 @@
             ending_use_time: drain_timeout.mul_f64(ENDING_USE_FRACTION),
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
             pool_versions: PoolVersions::default(),
+            evacuations: Evacuations::default(),
         }
     }
 
@@ -200,6 +204,7 @@
         now: Uptime,
     ) -> OtherServers {
         let ending_use_time = self.ending_use_time;
+        let evacuations = &self.evacuations;
         let mut others = OtherServers::default();
         for server in self.servers.values_mut().filter(|server| {
             server.listing.pool_id == requirements.pool_id && server.listing.id != server_id
@@ -212,6 +217,7 @@
                 usize::from(heard_at.is_some_and(|at| now.saturating_sub(at) < SILENT_TIME));
             others.silent_count += usize::from(is_silent);
             others.has_substitute |= !is_silent
+                && !evacuations.is_evacuated(&server.listing.data_centre_id)
                 && server.may_take(requirements, now)
                 && server.breaker.allows_attempt()
                 && (server.accepts_requests() || server.is_ending_recently(ending_use_time, now));
@@ -343,6 +349,7 @@
     ) -> Option<ServerChoice> {
         let waiting = self.servers.values().filter(|server| {
             server.may_take(requirements, now)
+                && !self.is_evacuated(server)
                 && server.accepts_requests()
                 && server.is_responsive(now)
                 && !server.permit_wait(now).is_zero()
@@ -357,6 +364,16 @@
         })
     }
 
+    /// Returns whether the data centre of a server is evacuated.
+    fn is_evacuated(&self, server: &ServerState) -> bool {
+        self.evacuations.is_evacuated(&server.listing.data_centre_id)
+    }
+
+    /// Returns whether a data centre has servers in the directory.
+    pub fn has_servers_in(&self, data_centre_id: &str) -> bool {
+        self.servers.values().any(|server| server.listing.data_centre_id == data_centre_id)
+    }
+
     /// Counts an attempt on a server that was found as started; returns false if the server takes
     /// no requests any more.
     pub fn begin_attempt(
@@ -367,8 +384,10 @@
     ) -> bool {
         let server_id = &found.listing.id;
         let ending_use_time = self.ending_use_time;
+        let evacuations = &self.evacuations;
         let Some(server) = self.servers.get_mut(server_id).filter(|server| {
             server.may_take(requirements, now)
+                && !evacuations.is_evacuated(&server.listing.data_centre_id)
                 && (server.accepts_requests() || server.is_ending_recently(ending_use_time, now))
         }) else {
             return false;
@@ -532,7 +551,9 @@
         now: Uptime,
     ) -> Option<ServerChoice> {
         let in_pool = |server: &&ServerState| {
-            server.may_take(requirements, now) && server.permit_wait(now).is_zero()
+            server.may_take(requirements, now)
+                && !self.is_evacuated(server)
+                && server.permit_wait(now).is_zero()
         };
         let mut usable: Vec<&ServerState> =
             self.servers.values().filter(in_pool).filter(|s| s.accepts_requests()).collect();
@@ -540,8 +561,9 @@
             let is_recent = |s: &&ServerState| s.is_ending_recently(self.ending_use_time, now);
             usable = self.servers.values().filter(in_pool).filter(is_recent).collect();
         }
-        let uses_any =
-            |s: &ServerState| s.fits(requirements) && s.accepts_requests() && s.is_used(now);
+        let uses_any = |s: &ServerState| {
+            s.fits(requirements) && !self.is_evacuated(s) && s.accepts_requests() && s.is_used(now)
+        };
         if self.servers.values().any(uses_any) {
             usable.retain(|server| server.is_used(now));
         }
--- a/crates/sassafrashoist-core/src/gateway/vm_settings.rs
+++ b/crates/sassafrashoist-core/src/gateway/vm_settings.rs
@@ -39,6 +39,9 @@
     pub drain_timeout: Duration,
     /// How long after its acknowledgement a change of the configuration is to be in force at every VM.
     pub config_apply_time: Duration,
+    /// How long after its acknowledgement an order to evacuate a data centre is to be in force at every
+    /// VM.
+    pub evacuation_time: Duration,
     /// How long after an outage the platform counts a VM as in contact again.
     pub contact_time: Duration,
     /// Retries allowed per request.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -22,6 +22,8 @@
 mod crowding;
 mod document_delta;
 mod drain_plan;
+mod evacuations;
+mod evacuations_over_vms;
 mod event_allowance;
 mod event_sequence;
 mod flow_rate;
--- a/crates/sassafrashoist/src/gateway/follow_config.rs
+++ b/crates/sassafrashoist/src/gateway/follow_config.rs
@@ -16,6 +16,7 @@
 use super::follow_topic::{READ_WAIT, follow_topic};
 use super::gateway_context::GatewayContext;
 use super::share_config::{announce_config, update_role};
+use super::share_evacuations::{apply_orders, orders_due_at};
 use super::topic_reader::TopicUpdate;
 
 /// Minimum time between two reads that return records; a burst of changes is then read in batches.
@@ -53,6 +54,8 @@
         MIN_READ_INTERVAL,
         move || wait_until_due(Arc::clone(&reading)),
         move |context, update| {
+            // Before the configuration, so that this VM serves nothing without them.
+            apply_orders(context, &update);
             let end = end_of(&update);
             let (TopicUpdate::Snapshot { records, known_at: read_at, .. }
             | TopicUpdate::Appended { records, known_at: read_at, .. }) = update;
@@ -82,7 +85,12 @@
     loop {
         update_role(&context);
         let now = context.now();
-        let next = context.lock_config_sharing().next_log_read(rand::random(), now);
+        let orders_due_at = orders_due_at(&context);
+        let next = {
+            let mut sharing = context.lock_config_sharing();
+            sharing.require_log_read_by(orders_due_at);
+            sharing.next_log_read(rand::random(), now)
+        };
         let NextLogRead::NotBefore(at) = next else {
             context.lock_config_sharing().begin_log_read(now);
             return;
--- a/crates/sassafrashoist/src/gateway/follow_servers.rs
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -25,7 +25,7 @@
         MIN_READ_INTERVAL,
         at_once,
         |context, update| match update {
-            TopicUpdate::Snapshot { records, end, known_at } => {
+            TopicUpdate::Snapshot { records, end, known_at, .. } => {
                 let listed: Vec<_> = records
                     .iter()
                     .filter(|record| apply_entry(context, record, &mut odd_entries))
@@ -40,7 +40,7 @@
                 context.mark_servers_listed();
                 log::info!(listed = listed.len(); "server list read");
             }
-            TopicUpdate::Appended { records, next, is_at_end, known_at } => {
+            TopicUpdate::Appended { records, next, is_at_end, known_at, .. } => {
                 for record in &records {
                     apply_entry(context, record, &mut odd_entries);
                 }
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -570,7 +570,7 @@
                 AttemptStart::Stopping
                 | AttemptStart::DeadlineReached
                 | AttemptStart::CallerLeft => return None,
-                AttemptStart::NotReached | AttemptStart::NotRun(_) => {}
+                AttemptStart::NotReached | AttemptStart::Evacuated | AttemptStart::NotRun(_) => {}
             }
         }
         None
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -55,6 +55,8 @@
 
 /// The most lines a second about requests that wait for silent servers.
 const MAX_SILENCE_LINES_PER_S: u32 = 5;
+/// The most lines a second about evacuation orders without effect.
+const MAX_ORDER_LINES_PER_S: u32 = 1;
 /// The retry slack of the fleet is divided by at least this number of VMs.
 const MIN_RETRY_VM_COUNT: usize = 8;
 /// Factor on the number of VMs in the ledger, because VMs that are not in it may retry as well.
@@ -84,6 +86,7 @@
     tokens: Mutex<TokenBook>,
     retries: Mutex<RetryLimiter>,
     silence_lines: Mutex<LineLimit>,
+    order_lines: Mutex<LineLimit>,
     stalls: Mutex<StallWatch>,
     inbox: Mutex<InboxWatch>,
     crowding: Mutex<Crowding>,
@@ -166,6 +169,7 @@
             inquiries: Mutex::default(),
             tokens: Mutex::new(TokenBook::new(holding, issuers)),
             retries: Mutex::default(),
+            order_lines: Mutex::new(LineLimit::new(MAX_ORDER_LINES_PER_S)),
             silence_lines: Mutex::new(LineLimit::new(MAX_SILENCE_LINES_PER_S)),
             stalls: Mutex::default(),
             inbox: Mutex::default(),
@@ -546,6 +550,22 @@
         lock(&self.silence_lines).record(now).is_some()
     }
 
+    /// Records a problem with an evacuation order. If it is to be logged, returns the number of those
+    /// that were not logged since the last one that was.
+    pub fn record_order_line(&self) -> Option<u64> {
+        lock(&self.order_lines).record(self.now())
+    }
+
+    /// Returns whether no request may be sent to a server, as its data centre is evacuated.
+    pub fn is_evacuated(&self, listing: &ServerListing) -> bool {
+        self.lock_servers().evacuations.is_evacuated(&listing.data_centre_id)
+    }
+
+    /// Returns whether the whole server list was read.
+    pub fn is_server_list_read(&self) -> bool {
+        *lock(&self.servers_listed)
+    }
+
     /// Records that the whole server list was read.
     pub fn mark_servers_listed(&self) {
         *lock(&self.servers_listed) = true;
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -111,6 +111,7 @@
 pub mod server_body;
 pub mod share_config;
 pub mod share_crashes;
+pub mod share_evacuations;
 pub mod share_limit;
 pub mod share_rejections;
 pub mod share_stream_origin;
--- a/crates/sassafrashoist/src/gateway/peer_datagram.rs
+++ b/crates/sassafrashoist/src/gateway/peer_datagram.rs
@@ -23,6 +23,9 @@
     ServerRejects(ServerRejects),
     /// A server no longer says that it fails after a few rejections.
     BrittleEnd(BrittleEnd),
-    /// The configuration that is in force at a VM that reads it from the log service.
+    /// The configuration that is in force at a VM that reads it from the log service. An
+    /// [`OrdersAnnouncement`] follows behind it, which older builds ignore and do not send.
+    ///
+    /// [`OrdersAnnouncement`]: sassafrashoist_core::gateway::evacuations::OrdersAnnouncement
     ConfigAnnounced(ConfigAnnouncement),
 }
--- a/crates/sassafrashoist/src/gateway/receive_datagrams.rs
+++ b/crates/sassafrashoist/src/gateway/receive_datagrams.rs
@@ -31,18 +31,18 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<PeerDatagram>(&buffer[..length]) {
-            Ok(PeerDatagram::StreamBegun(begun)) => {
+        match postcard::take_from_bytes::<PeerDatagram>(&buffer[..length]) {
+            Ok((PeerDatagram::StreamBegun(begun), _)) => {
                 let now = context.now();
                 context.lock_streams().record(begun.key, begun.origin, now);
             }
-            Ok(PeerDatagram::CrashReport(report)) => receive_report(&context, &report),
-            Ok(PeerDatagram::ServerRejects(rejects)) => receive_rejection(&context, &rejects),
-            Ok(PeerDatagram::BrittleEnd(end)) => receive_end(&context, &end),
-            Ok(PeerDatagram::ConfigAnnounced(announced)) => {
-                receive_announcement(&context, &announced, sender);
+            Ok((PeerDatagram::CrashReport(report), _)) => receive_report(&context, &report),
+            Ok((PeerDatagram::ServerRejects(rejects), _)) => receive_rejection(&context, &rejects),
+            Ok((PeerDatagram::BrittleEnd(end), _)) => receive_end(&context, &end),
+            Ok((PeerDatagram::ConfigAnnounced(announced), orders)) => {
+                receive_announcement(&context, &announced, orders, sender);
             }
-            Ok(PeerDatagram::CrashDigest(digest)) => compare_digest(&context, digest, sender),
+            Ok((PeerDatagram::CrashDigest(digest), _)) => compare_digest(&context, digest, sender),
             Err(error) => {
                 if let Some(unlogged) = malformed_limit.record(context.now()) {
                     log::warn!(
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -160,6 +160,10 @@
                     failure = "server not reached";
                     continue;
                 }
+                AttemptStart::Evacuated => {
+                    failure = "data centre evacuated";
+                    continue;
+                }
                 AttemptStart::Stopping => {
                     failure = STOPPING;
                     break;
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -161,6 +161,8 @@
     Failed(StartedResponse),
     /// No connection to the server could be opened, so nothing was sent.
     NotReached,
+    /// Nothing was sent, because the data centre of the server was evacuated meanwhile.
+    Evacuated,
     /// Nothing was sent, because this VM stops too soon for the request.
     Stopping,
     /// Nothing was sent, because the deadline was reached before the connection was open.
@@ -245,6 +247,16 @@
     if request.time_left(context.now()) < MIN_TIME_LEFT {
         return AttemptStart::DeadlineReached;
     }
+    // Opening the connection may have taken tries at other VMs.
+    if context.is_evacuated(slot.listing()) {
+        metrics::counter!("sassafrashoist_evacuated_attempts_total").increment(1);
+        log::info!(
+            id = request.id(), server = slot.server_id(),
+            data_centre = slot.listing().data_centre_id;
+            "data centre evacuated before the request was sent"
+        );
+        return AttemptStart::Evacuated;
+    }
     let is_first = !request.progress.was_sent();
     // Recorded before the check, as the answer at the end of the time to serve depends on it.
     request.progress.record_sent();
--- a/crates/sassafrashoist/src/gateway/serve_relay.rs
+++ b/crates/sassafrashoist/src/gateway/serve_relay.rs
@@ -73,6 +73,10 @@
     let listing = listing
         .filter(|listing| listing.started_at_unix_ms == request.started_at_unix_ms)
         .ok_or(RelayOutcome::UnknownServer)?;
+    // The other VM may not know the order yet. Its connections for other purposes carry no request.
+    if request.purpose != RelayPurpose::Probe && context.is_evacuated(&listing) {
+        return Err(RelayOutcome::UnknownServer);
+    }
     if context.lock_paths().way_to(&listing.pool_id, server_id, context.now()) != Way::Direct {
         return Err(RelayOutcome::NoPath);
     }
--- a/crates/sassafrashoist/src/gateway/share_config.rs
+++ b/crates/sassafrashoist/src/gateway/share_config.rs
@@ -11,6 +11,7 @@
 use super::config_messages::{ConfigRequest, ConfigResponse};
 use super::gateway_context::GatewayContext;
 use super::peer_datagram::PeerDatagram;
+use super::share_evacuations::{append_orders, receive_orders};
 
 /// The most bytes of the difference between two documents in a message.
 const MAX_DELTA_BYTES: usize = 60_000;
@@ -34,13 +35,14 @@
     let Some(announcement) = announcement.filter(|_| !context.draining.is_cancelled()) else {
         return;
     };
-    let datagram = match postcard::to_stdvec(&PeerDatagram::ConfigAnnounced(announcement)) {
+    let mut datagram = match postcard::to_stdvec(&PeerDatagram::ConfigAnnounced(announcement)) {
         Ok(datagram) => datagram,
         Err(error) => {
             log::error!(error:% = error; "failed to encode the announcement of a configuration");
             return;
         }
     };
+    append_orders(context, &mut datagram);
     let Some(socket) = context.datagram_socket() else {
         return;
     };
@@ -60,10 +62,11 @@
     }
 }
 
-/// Receives the announcement of another VM of the data centre.
+/// Receives the announcement of another VM of the data centre, and the orders behind it.
 pub fn receive_announcement(
     context: &GatewayContext,
     announced: &ConfigAnnouncement,
+    orders: &[u8],
     sender: SocketAddr,
 ) {
     let neighbours = update_role(context).neighbours;
@@ -71,6 +74,8 @@
         log::debug!(from:% = sender; "configuration announced by a VM that is not known here");
         return;
     };
+    // Before the configuration counts as recent, on which serving depends.
+    receive_orders(context, orders, &vm.vm_id);
     let now = context.now();
     // A datagram that waited in this VM looks as if it had been sent now.
     let known_ago = announced.known_ago + context.longest_datagram_wait();
--- a/crates/sassafrashoist/src/gateway/topic_reader.rs
+++ b/crates/sassafrashoist/src/gateway/topic_reader.rs
@@ -28,6 +28,8 @@
         end: LogOffset,
         /// The records are as of this time or later, whenever the response arrived.
         known_at: Uptime,
+        /// The era of the log service; 0 if it names none.
+        era: u64,
     },
     /// The records that were appended since the last read.
     Appended {
@@ -39,6 +41,8 @@
         is_at_end: bool,
         /// The records are as of this time or later, whenever the response arrived.
         known_at: Uptime,
+        /// The era of the log service; 0 if it names none.
+        era: u64,
     },
 }
 
@@ -123,7 +127,12 @@
             }
             let (known_at, page) = self.read_newest().await?;
             self.cursor.record_newest(page.end, self.context.now());
-            return Ok(TopicUpdate::Snapshot { records: page.records, end: page.end, known_at });
+            return Ok(TopicUpdate::Snapshot {
+                records: page.records,
+                end: page.end,
+                known_at,
+                era: self.log_client.era().unwrap_or_default(),
+            });
         };
         match self.log_client.read(self.topic, from, wait).await {
             Ok(batch) => {
@@ -136,6 +145,7 @@
                     next: batch.next,
                     is_at_end: batch.next >= batch.end,
                     known_at: now.min(begun_at + waited),
+                    era: self.log_client.era().unwrap_or_default(),
                 })
             }
             Err(error) => {
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod drain;
 mod endless_bytes;
 mod ends_of_connections;
+mod evacuations;
 mod fleet_fixture;
 mod gateway;
 mod half_closed_callers;
--- a/crates/sassafrashoist/tests/testsuite/mixed_builds.rs
+++ b/crates/sassafrashoist/tests/testsuite/mixed_builds.rs
@@ -18,10 +18,12 @@
     KeptOrigin, StreamBegun, StreamOriginRequest,
 };
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
+use sassafrashoist_core::gateway::config_announcement::ConfigAnnouncement;
 use sassafrashoist_core::gateway::crash_report::{
     BlamedPart, ClearedParts, ClearedSuspect, CrashReport, SeenCrash, SeenPartCrash,
 };
 use sassafrashoist_core::gateway::crash_trials::TrialSubject;
+use sassafrashoist_core::gateway::evacuations::{OrderState, OrdersAnnouncement, OrdersPosition};
 use sassafrashoist_core::gateway::holder_record::{HeldTokens, HolderRecord};
 use sassafrashoist_core::gateway::spending_limit::SpendingLimit;
 use sassafrashoist_core::gateway::stream_origins::StreamOrigin;
@@ -288,3 +290,34 @@
     );
     assert_encoding(&outcomes.to_vec(), "0700010203040506");
 }
+
+// Builds without evacuation orders must go on with the announcements of those that append them, and the
+// other way round.
+#[test]
+fn orders_behind_an_announcement_are_ignored_by_builds_that_do_not_know_them() {
+    let announced = PeerDatagram::ConfigAnnounced(ConfigAnnouncement {
+        version: 7,
+        document_hash: 9,
+        known_ago: ms(120),
+    });
+    let orders = OrdersAnnouncement {
+        position: OrdersPosition { era: 1, end: 300 },
+        known_ago_ms: 120,
+        orders: vec![
+            ("plateau".to_owned(), OrderState::InForce),
+            ("x".to_owned(), OrderState::Unreadable),
+        ],
+    };
+    let mut datagram = postcard::to_stdvec(&announced).unwrap();
+    let without_orders = datagram.clone();
+    datagram.extend(postcard::to_stdvec(&orders).unwrap());
+
+    let read_by_older: PeerDatagram = postcard::from_bytes(&datagram).unwrap();
+    let (read, rest) = postcard::take_from_bytes::<PeerDatagram>(&datagram).unwrap();
+    let (_, rest_of_older) = postcard::take_from_bytes::<PeerDatagram>(&without_orders).unwrap();
+
+    assert_eq!((&read_by_older, &read), (&announced, &announced));
+    assert_eq!(postcard::from_bytes::<OrdersAnnouncement>(rest).unwrap(), orders);
+    assert!(rest_of_older.is_empty());
+    assert_encoding(&orders, "01ac02780207706c617465617500017801");
+}
