Limit the requests to servers that are cold

Cause: a server that has just started is idle, so all VMs sent it their next requests at once, and warmupLeftMs of entries and warmupS and warmupPerS of pools were not read.

Change: a server of a pool with warmupPerS above 0 has a limit for the sum over all VMs while its entry says that it is cold, or for warmupS after it first appears in a list that was read before. The permits of servers that name limits keep it; the limit ends with the time. A request for a permit is followed by the time, as the issuer may not have read the entry yet; older builds ignore it. VMs plan with a lower rate above 50 a second, so that an issuer and its backup stay within the bound.

--- a/crates/sassafrashoist-core/src/gateway/fleet_config.rs
+++ b/crates/sassafrashoist-core/src/gateway/fleet_config.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::route::Route;
+use super::warm_up::PoolWarmUp;
 use super::{ApiKey, ConfigVersion};
 use crate::ids::{ClientAccountId, PoolId, Tokens};
 
@@ -13,6 +14,10 @@
     pub id: PoolId,
     /// The properties of the pool's engines; `None` if the pool runs a plain service.
     pub engine: Option<EngineProperties>,
+    /// How its servers warm up; `None` if they are never cold.
+    pub warm_up: Option<PoolWarmUp>,
+    /// Whether the warm-up of its servers cannot be read, which then counts as none.
+    pub is_warm_up_malformed: bool,
 }
 
 /// The properties that all engines of a pool share.
--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -116,6 +116,7 @@
 pub mod topic_cursor;
 pub mod topic_history;
 pub mod vm_settings;
+pub mod warm_up;
 
 use std::time::Duration;
 
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -16,6 +16,7 @@
 use super::server_silence::{OtherServers, SILENT_TIME};
 use super::server_state::{RejectedBy, ReportedLoad, ServerState};
 use super::stream_origins::StreamOrigin;
+use super::warm_up::PoolWarmUp;
 use super::{PromptPartId, SoftwareVersion, Uptime};
 use crate::ids::{BackendServerId, DataCentreId, PoolId, Tokens};
 use crate::rendezvous::choose_owner;
@@ -96,6 +97,7 @@
     cache_window: Duration,
     ending_use_time: Duration,
     prefill_tokens_per_ms: f64,
+    warm_ups: BTreeMap<PoolId, PoolWarmUp>,
     /// The software versions that the pools have had.
     pub pool_versions: PoolVersions,
     /// The data centres to whose servers nothing is sent.
@@ -116,6 +118,7 @@
             cache_window,
             ending_use_time: drain_timeout.mul_f64(ENDING_USE_FRACTION),
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
+            warm_ups: BTreeMap::new(),
             pool_versions: PoolVersions::default(),
             evacuations: Evacuations::default(),
         }
@@ -132,18 +135,22 @@
     /// previous one.
     pub fn add_or_update(&mut self, listing: ServerListing, now: Uptime) -> bool {
         self.pool_versions.record_seen(&listing, now);
+        let warm_up = self.warm_ups.get(&listing.pool_id).copied();
         if let Some(server) = self.servers.get_mut(&listing.id) {
             self.pool_versions.record_seen(&server.listing, now);
             if server.is_same_incarnation(&listing) {
                 let is_changed = server.listing != listing || server.unlisted_at.is_some();
                 server.listing = listing;
+                server.warm_up.rule = warm_up;
                 server.unlisted_at = None;
                 server.has_refused_connection = false;
                 return is_changed;
             }
         }
         self.forget_cached_prefixes(&listing.id);
-        self.servers.insert(listing.id.clone(), ServerState::new(listing, now));
+        let mut server = ServerState::new(listing, now);
+        server.warm_up.rule = warm_up;
+        self.servers.insert(server.listing.id.clone(), server);
         true
     }
 
@@ -468,6 +475,34 @@
         self.servers.get_mut(server_id)?.record_rejection(by, random, now)
     }
 
+    /// Replaces how the servers of the pools warm up.
+    pub fn set_warm_ups(&mut self, warm_ups: BTreeMap<PoolId, PoolWarmUp>) {
+        for server in self.servers.values_mut() {
+            server.warm_up.rule = warm_ups.get(&server.listing.pool_id).copied();
+        }
+        self.warm_ups = warm_ups;
+    }
+
+    /// Records how long a server says that it stays cold. One that was added at `now`, to a list that
+    /// was read before, has started during traffic. Returns whether the server has turned cold.
+    pub fn record_warm_up(
+        &mut self,
+        server_id: &str,
+        left: Duration,
+        was_list_read: bool,
+        now: Uptime,
+    ) -> bool {
+        let Some(server) = self.servers.get_mut(server_id) else {
+            return false;
+        };
+        let was_warm = server.warm_up_left(now).is_zero();
+        if was_list_read && server.listed_at == now {
+            server.warm_up.record_appeared(now);
+        }
+        server.warm_up.record_stated(left, now);
+        was_warm && !server.warm_up_left(now).is_zero()
+    }
+
     /// Records what a response says about the limit of its server; returns the limit if it has
     /// changed. `sent_at` is when the request of that response was sent.
     pub fn record_limit(
@@ -588,7 +623,7 @@
             listing: server.listing.clone(),
             cost_ms,
             prefill_tokens,
-            needs_permit: server.limit.per_s().is_some(),
+            needs_permit: server.limit_per_s(now).is_some(),
         })
     }
 
--- a/crates/sassafrashoist-core/src/gateway/server_state.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_state.rs
@@ -6,6 +6,7 @@
 use super::server_directory::ServerRequirements;
 use super::server_listing::ServerListing;
 use super::server_silence::SILENT_TIME;
+use super::warm_up::WarmUpState;
 use crate::routing::circuit_breaker::{AttemptVerdict, CircuitBreaker};
 use crate::routing::server_limit::ServerLimit;
 
@@ -78,6 +79,8 @@
     pause_ends_at: Uptime,
     /// The limit that the server names in its responses.
     pub limit: ServerLimit,
+    /// Whether the server is cold.
+    pub(super) warm_up: WarmUpState,
     /// How many requests the server can turn away in a second, from all VMs together, without
     /// failing; `None` if it does not say so.
     pub max_rejections_per_s: Option<u32>,
@@ -112,6 +115,7 @@
             leaving_since: None,
             pause_ends_at: Uptime::ZERO,
             limit: ServerLimit::default(),
+            warm_up: WarmUpState::default(),
             max_rejections_per_s: None,
             brittle_said_at: now,
             is_used_while_brittle: true,
@@ -159,7 +163,7 @@
     pub(super) fn may_take(&self, requirements: &ServerRequirements, now: Uptime) -> bool {
         self.fits(requirements)
             && !requirements.excluded.contains(&self.listing.id)
-            && !(requirements.excludes_limited && self.limit.per_s().is_some())
+            && !(requirements.excludes_limited && self.limit_per_s(now).is_some())
             && self.pause_left(now).is_zero()
             && !(self.is_brittle(now) && self.may_reject(now))
     }
@@ -218,9 +222,20 @@
         self.pause_ends_at.saturating_sub(now)
     }
 
+    /// Returns the requests per second that the server takes from all VMs together, as it names a limit
+    /// or is cold; `None` if it has no limit.
+    pub fn limit_per_s(&self, now: Uptime) -> Option<f64> {
+        [self.limit.per_s(), self.warm_up.limit_per_s(now)].into_iter().flatten().reduce(f64::min)
+    }
+
+    /// Returns how long the server stays cold; zero if it is warm.
+    pub fn warm_up_left(&self, now: Uptime) -> Duration {
+        self.warm_up.left(now)
+    }
+
     /// Returns how long no permit for the server can be obtained; zero if it names no limit.
     pub fn permit_wait(&self, now: Uptime) -> Duration {
-        match self.limit.per_s() {
+        match self.limit_per_s(now) {
             Some(_) => self.next_permit_at.saturating_sub(now),
             None => Duration::ZERO,
         }
--- a/crates/sassafrashoist-core/src/gateway/vm_settings.rs
+++ b/crates/sassafrashoist-core/src/gateway/vm_settings.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use super::warm_up::WarmUpBounds;
 use crate::ids::{DataCentreId, VmId};
 
 /// The settings that the platform gives to the process on a VM.
@@ -44,6 +45,8 @@
     pub evacuation_time: Duration,
     /// How long after an outage the platform counts a VM as in contact again.
     pub contact_time: Duration,
+    /// By how much the requests to a cold server may exceed its rate.
+    pub warm_up: WarmUpBounds,
     /// Retries allowed per request.
     pub retry_ratio: f64,
     /// The length of the window in which retries are counted.
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/limited_server_fleet.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/limited_server_fleet.rs
@@ -57,6 +57,8 @@
 pub struct Outcome {
     /// The most requests that reached the server within [`WINDOW`].
     pub most_in_window: usize,
+    /// The most requests that reached the server within a second.
+    pub most_in_second: usize,
     /// The requests that reached the server, as a part of what the limit allows.
     pub used_share: f64,
 }
@@ -141,13 +143,16 @@
     fn outcome(&mut self, duration: Duration) -> Outcome {
         self.arrivals.sort();
         let judged = self.arrivals.iter().filter(|at| **at >= JUDGED_FROM);
-        let in_window = |from: &Uptime| {
-            let window = *from..*from + WINDOW;
-            self.arrivals.iter().filter(|at| window.contains(at)).count()
+        let in_window = |from: &Uptime, length: Duration| {
+            let begin = self.arrivals.partition_point(|at| at < from);
+            let end = self.arrivals.partition_point(|at| *at < *from + length);
+            end - begin
         };
-        let most_in_window = judged.clone().map(in_window).max().unwrap_or_default();
+        let most_in = |length| judged.clone().map(|from| in_window(from, length)).max();
+        let most_in_window = most_in(WINDOW).unwrap_or_default();
+        let most_in_second = most_in(Duration::from_secs(1)).unwrap_or_default();
         let allowed = self.limit_per_s * (duration - JUDGED_FROM).as_secs_f64();
-        Outcome { most_in_window, used_share: judged.count() as f64 / allowed }
+        Outcome { most_in_window, most_in_second, used_share: judged.count() as f64 / allowed }
     }
 
     fn is_running(&self, vm: usize) -> bool {
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -71,3 +71,4 @@
 mod token_queue;
 mod tokens_of_a_growing_fleet;
 mod topic_cursor;
+mod warm_up;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/server_limit_over_vms.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/server_limit_over_vms.rs
@@ -18,7 +18,7 @@
     for vm_count in VM_COUNTS {
         for limit_per_s in LIMITS_PER_S {
             let mut fleet = LimitedServerFleet::new(vm_count, limit_per_s, faults.clone());
-            let Outcome { most_in_window, used_share } =
+            let Outcome { most_in_window, used_share, .. } =
                 fleet.run(10.0 + 4.0 * limit_per_s, DURATION);
             println!(
                 "| {name} | {vm_count} | {limit_per_s} | {most_in_window} | {:.1} | {used_share:.2} |",
--- a/crates/sassafrashoist/src/gateway/choose_server.rs
+++ b/crates/sassafrashoist/src/gateway/choose_server.rs
@@ -11,7 +11,7 @@
 use super::gateway_context::GatewayContext;
 use super::issue_permit::issue_permit;
 use super::permit_messages::{
-    LimitedServer, PERMIT_PATH, PermitOutcome, PermitRequest, PermitResponse,
+    ColdServer, LimitedServer, PERMIT_PATH, PermitOutcome, PermitRequest, PermitResponse,
 };
 use super::request_context::RequestContext;
 use super::send_message::RESPONSE_TIMEOUT;
@@ -124,10 +124,14 @@
 ) -> Result<(), Duration> {
     let server_id = &listing.id;
     let now = context.now();
-    let limit = context.lock_servers().server(server_id).map(|server| server.limit.report(now));
-    let Some(limit) = limit.filter(|limit| limit.per_s.is_some()) else {
+    let limited = context.lock_servers().server(server_id).and_then(|server| {
+        server.limit_per_s(now).map(|_| (server.limit.report(now), server.warm_up_left(now)))
+    });
+    let Some((limit, warm_up_left)) = limited else {
         return Ok(());
     };
+    let cold = (!warm_up_left.is_zero())
+        .then(|| ColdServer { left_ms: warm_up_left.as_millis().max(1) as u64 });
     let server = LimitedServer {
         server_id: server_id.clone(),
         started_at_unix_ms: listing.started_at_unix_ms,
@@ -136,7 +140,7 @@
     let permit_request = PermitRequest { server, priority: request.priority, max_wait };
     let issuers = context.reachable_issuers(server_id);
     for issuer in issuers {
-        let response = match request_permit(context, &issuer, &permit_request).await {
+        let response = match request_permit(context, &issuer, &permit_request, cold).await {
             Ok(response) => response,
             Err(error) => {
                 log::info!(
@@ -169,11 +173,16 @@
     context: &Arc<GatewayContext>,
     issuer: &FleetVm,
     request: &PermitRequest,
+    cold: Option<ColdServer>,
 ) -> eyre::Result<PermitResponse> {
     if issuer.vm_id == context.settings().vm_id {
-        return Ok(issue_permit(context, request).await);
+        return Ok(issue_permit(context, request, cold).await);
     }
     let timeout = RESPONSE_TIMEOUT + request.max_wait;
-    let body = send_message_within(issuer.peer_address, PERMIT_PATH, request, timeout).await?;
+    let address = issuer.peer_address;
+    let body = match cold {
+        Some(cold) => send_message_within(address, PERMIT_PATH, &(request, cold), timeout).await?,
+        None => send_message_within(address, PERMIT_PATH, request, timeout).await?,
+    };
     postcard::from_bytes(&body).wrap_err("failed to decode the response")
 }
--- a/crates/sassafrashoist/src/gateway/follow_config.rs
+++ b/crates/sassafrashoist/src/gateway/follow_config.rs
@@ -1,5 +1,6 @@
 //! Applies the newest fleet configuration.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,8 +11,10 @@
 use sassafrashoist_adapter::log_responses::KeyedRecord;
 use sassafrashoist_core::gateway::config_sharing::{ConfigDocument, NextLogRead, TopicEnd};
 use sassafrashoist_core::gateway::document_delta::ChunkedDocument;
+use sassafrashoist_core::gateway::fleet_config::FleetConfig;
 use sassafrashoist_core::gateway::route_table::RouteTable;
-use sassafrashoist_core::ids::{LogOffset, VmId};
+use sassafrashoist_core::gateway::warm_up::PoolWarmUp;
+use sassafrashoist_core::ids::{LogOffset, PoolId, VmId};
 
 use super::follow_topic::{READ_WAIT, follow_topic};
 use super::gateway_context::GatewayContext;
@@ -120,6 +123,23 @@
     Some(apply_config(context, content, ConfigSource::LogService(record.offset)))
 }
 
+/// Returns how the servers of the pools warm up that have a rate for cold servers.
+fn planned_warm_ups(
+    context: &GatewayContext,
+    config: &FleetConfig,
+) -> BTreeMap<PoolId, PoolWarmUp> {
+    let bounds = context.settings().bounds.warm_up;
+    for pool in config.pools.iter().filter(|pool| pool.is_warm_up_malformed).take(1) {
+        log::warn!(
+            pool = pool.id, version = config.version;
+            "warm-up of a pool cannot be read; its servers are never cold"
+        );
+    }
+    let pools = config.pools.iter();
+    let warm_ups = pools.filter_map(|pool| Some((pool.id.clone(), pool.warm_up?.planned(bounds))));
+    warm_ups.collect()
+}
+
 /// Puts a configuration into force if it is newer than the active one.
 pub fn apply_config(
     context: &GatewayContext,
@@ -146,10 +166,12 @@
         (age.unconfirmed_time(now), age.heard_time(now))
     };
     let table = Arc::new(RouteTable::new(config));
+    let warm_ups = planned_warm_ups(context, table.config());
     if !context.replace_routes(&table) {
         log::info!(version = version, from = from; "configuration is not newer than the active one");
         return Applied::NotNewer;
     }
+    context.lock_servers().set_warm_ups(warm_ups);
     let document = Arc::new(ConfigDocument { version, content });
     let newest_at = {
         let mut sharing = context.lock_config_sharing();
--- a/crates/sassafrashoist/src/gateway/follow_servers.rs
+++ b/crates/sassafrashoist/src/gateway/follow_servers.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use sassafrashoist_adapter::log_responses::KeyedRecord;
-use sassafrashoist_adapter::server_entry::{SERVERS_TOPIC, decode_server_entry};
+use sassafrashoist_adapter::server_entry::{
+    SERVERS_TOPIC, decode_server_entry, decode_warm_up_left,
+};
 use sassafrashoist_core::gateway::odd_entries::OddEntries;
 
 use super::follow_topic::follow_topic;
@@ -70,7 +72,35 @@
         Ok(listing) => {
             let (pool, is_draining) = (listing.pool_id.clone(), listing.is_draining);
             let version = listing.software_version.clone();
-            if context.lock_servers().add_or_update(listing, context.now()) {
+            let left = decode_warm_up_left(value).unwrap_or_else(|error| {
+                if let Some(unlogged) = odd_entries.record(server_id, record.offset, context.now())
+                {
+                    log::warn!(
+                        server = server_id, offset = record.offset, unlogged = unlogged,
+                        error:% = error;
+                        "time until a server is warm cannot be decoded; it counts as warm"
+                    );
+                }
+                Duration::ZERO
+            });
+            let was_list_read = context.is_server_list_read();
+            let now = context.now();
+            let (is_changed, is_newly_cold, cold_for) = {
+                let mut servers = context.lock_servers();
+                let is_changed = servers.add_or_update(listing, now);
+                let is_newly_cold = servers.record_warm_up(server_id, left, was_list_read, now);
+                let cold_for = servers.server(server_id).map(|server| server.warm_up_left(now));
+                (is_changed, is_newly_cold, cold_for.unwrap_or_default())
+            };
+            if is_newly_cold {
+                metrics::counter!("sassafrashoist_cold_servers_total").increment(1);
+                log::info!(
+                    server = server_id, pool = pool, cold_for_ms = cold_for.as_millis() as u64,
+                    stated_ms = left.as_millis() as u64, offset = record.offset;
+                    "server is cold"
+                );
+            }
+            if is_changed {
                 log::info!(
                     server = server_id, pool = pool, version = version, draining = is_draining,
                     offset = record.offset;
--- a/crates/sassafrashoist/src/gateway/issue_permit.rs
+++ b/crates/sassafrashoist/src/gateway/issue_permit.rs
@@ -8,12 +8,18 @@
 use sassafrashoist_core::gateway::permit_bucket::{PermitDecision, PermitRate, PermitTicket};
 
 use super::gateway_context::GatewayContext;
-use super::permit_messages::{LimitedServer, PermitOutcome, PermitRequest, PermitResponse};
+use super::permit_messages::{
+    ColdServer, LimitedServer, PermitOutcome, PermitRequest, PermitResponse,
+};
 use super::share_limit::{record_limit_report, start_sharing};
 
 /// The shortest time between two checks whether a waiting request can have a permit.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The longest time for which a server counts as cold because another VM says so; the entry is read
+/// within this time.
+const MAX_REPORTED_WARM_UP: Duration = Duration::from_secs(3);
+
 /// The place of a request that waits for a permit; dropping it frees the place.
 struct WaitingPlace<'a> {
     context: &'a GatewayContext,
@@ -31,8 +37,16 @@
 pub async fn issue_permit(
     context: &Arc<GatewayContext>,
     request: &PermitRequest,
+    cold: Option<ColdServer>,
 ) -> PermitResponse {
     let server_id = &request.server.server_id;
+    if let Some(cold) = cold
+        && known_limit(context, &request.server).is_some()
+    {
+        // The entry that says so may not have been read here yet.
+        let left = Duration::from_millis(cold.left_ms).min(MAX_REPORTED_WARM_UP);
+        context.lock_servers().record_warm_up(server_id, left, false, context.now());
+    }
     if record_limit_report(context, &request.server) {
         start_sharing(context, server_id);
     }
@@ -78,12 +92,15 @@
 }
 
 /// Returns the rate at which this VM issues permits of a server; `None` in the inner option if the
-/// server names no limit, in the outer one if this VM does not issue its permits.
+/// server has no limit, in the outer one if this VM does not issue its permits.
 fn find_rate(context: &GatewayContext, server: &LimitedServer) -> Option<Option<PermitRate>> {
-    let Some(limit_per_s) = known_limit(context, server)?.limit.per_s else {
+    known_limit(context, server)?;
+    let now = context.now();
+    let limit_per_s =
+        context.lock_servers().server(&server.server_id).and_then(|state| state.limit_per_s(now));
+    let Some(limit_per_s) = limit_per_s else {
         return Some(None);
     };
-    let now = context.now();
     let share = context.lock_tokens().issuers.own_share(&server.server_id, now)?;
     Some(Some(PermitRate { limit_per_s, share }))
 }
--- a/crates/sassafrashoist/src/gateway/permit_messages.rs
+++ b/crates/sassafrashoist/src/gateway/permit_messages.rs
@@ -39,6 +39,13 @@
     pub max_wait: Duration,
 }
 
+/// Follows a [`PermitRequest`] for a server that is cold. Older builds ignore it and do not send it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdServer {
+    /// The time in milliseconds for which the server stays cold.
+    pub left_ms: u64,
+}
+
 /// The outcome of a [`PermitRequest`].
 #[serde_as]
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -84,10 +84,11 @@
         self.context.now().saturating_sub(self.sent_at)
     }
 
-    /// Returns whether the server is known to name a limit.
+    /// Returns whether the server is known to have a limit.
     fn has_limit(&self) -> bool {
+        let now = self.context.now();
         let servers = self.context.lock_servers();
-        servers.server(self.server_id()).is_some_and(|server| server.limit.per_s().is_some())
+        servers.server(self.server_id()).is_some_and(|server| server.limit_per_s(now).is_some())
     }
 
     /// Records that bytes of the response arrived.
--- a/crates/sassafrashoist/src/gateway/serve_peers.rs
+++ b/crates/sassafrashoist/src/gateway/serve_peers.rs
@@ -71,8 +71,11 @@
             Ok(message) => receive_transfer(context, &message),
             Err(error) => reject_malformed(&path, &error),
         },
-        PERMIT_PATH => match postcard::from_bytes(&body) {
-            Ok(request) => encode_response(&issue_permit(context, &request).await),
+        PERMIT_PATH => match postcard::take_from_bytes(&body) {
+            Ok((request, rest)) => {
+                let cold = postcard::from_bytes(rest).ok();
+                encode_response(&issue_permit(context, &request, cold).await)
+            }
             Err(error) => reject_malformed(&path, &error),
         },
         LIMIT_PATH => match postcard::from_bytes(&body) {
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod bad_requests;
 mod bundles;
 mod closing_connections;
+mod cold_servers;
 mod config_messages;
 mod config_sharing;
 mod connection_bounds;
--- a/crates/sassafrashoist/tests/testsuite/mixed_builds.rs
+++ b/crates/sassafrashoist/tests/testsuite/mixed_builds.rs
@@ -10,7 +10,7 @@
     TokenTransferRequest, TokenTransferResponse, UnrequestedTransfer,
 };
 use sassafrashoist::gateway::permit_messages::{
-    LimitNotice, LimitedServer, PermitOutcome, PermitRequest, PermitResponse,
+    ColdServer, LimitNotice, LimitedServer, PermitOutcome, PermitRequest, PermitResponse,
 };
 use sassafrashoist::gateway::relay_messages::{RelayOutcome, RelayPurpose, RelayRequest};
 use sassafrashoist::gateway::share_rejections::{BrittleEnd, ServerRejects};
@@ -321,3 +321,20 @@
     assert!(rest_of_older.is_empty());
     assert_encoding(&orders, "01ac02780207706c617465617500017801");
 }
+
+// Issuers of older builds must go on to issue permits of servers that are cold.
+#[test]
+fn time_behind_a_request_for_a_permit_is_ignored_by_builds_that_do_not_know_it() {
+    let request = PermitRequest { server: limited_server(), priority: 3, max_wait: ms(40) };
+    let cold = ColdServer { left_ms: 2_500 };
+    let alone = postcard::to_stdvec(&request).unwrap();
+    let with_time = postcard::to_stdvec(&(request.clone(), cold)).unwrap();
+
+    let read_by_older: PermitRequest = postcard::from_bytes(&with_time).unwrap();
+    let (read, rest) = postcard::take_from_bytes::<PermitRequest>(&with_time).unwrap();
+    let (_, rest_of_older) = postcard::take_from_bytes::<PermitRequest>(&alone).unwrap();
+
+    assert_eq!((&read_by_older, &read), (&request, &request));
+    assert_eq!(postcard::from_bytes(rest), Ok(cold));
+    assert!(postcard::from_bytes::<ColdServer>(rest_of_older).is_err());
+}
