--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -70,6 +70,7 @@
 pub mod crowding;
 pub mod document_delta;
 pub mod drain_plan;
+pub mod evacuations;
 pub mod event_allowance;
 pub mod event_sequence;
 pub mod fleet_config;
@@ -128,6 +129,7 @@
 pub mod topic_cursor;
 pub mod topic_history;
 pub mod vm_settings;
+pub mod warm_up;
 
 use std::time::Duration;
 
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use super::evacuations::Evacuations;
 use super::long_share::LongShare;
 use super::placement_cost::PlacementCost;
 use super::pool_versions::PoolVersions;
@@ -20,6 +21,7 @@
 use super::server_speed::ServerSpeed;
 use super::server_state::{RejectedBy, ReportedLoad, ServerState};
 use super::stream_origins::StreamOrigin;
+use super::warm_up::PoolWarmUp;
 use super::{PromptPartId, SoftwareVersion, Uptime};
 use crate::ids::{BackendServerId, DataCentreId, PoolId, Tokens};
 use crate::rendezvous::choose_owner;
@@ -121,8 +123,11 @@
     usual_speeds: HashMap<PoolId, ServerSpeed>,
     prompt_shares: HashMap<PoolId, PromptShares>,
     response_overhead: ResponseOverhead,
+    warm_ups: BTreeMap<PoolId, PoolWarmUp>,
     /// The software versions that the pools have had.
     pub pool_versions: PoolVersions,
+    /// The data centres to whose servers nothing is sent.
+    pub evacuations: Evacuations,
 }
 
 impl ServerDirectory {
@@ -142,7 +147,9 @@
             usual_speeds: HashMap::new(),
             prompt_shares: HashMap::new(),
             response_overhead: ResponseOverhead::default(),
+            warm_ups: BTreeMap::new(),
             pool_versions: PoolVersions::default(),
+            evacuations: Evacuations::default(),
         }
     }
 
@@ -157,18 +164,22 @@
     /// previous one.
     pub fn add_or_update(&mut self, listing: ServerListing, now: Uptime) -> bool {
         self.pool_versions.record_seen(&listing, now);
+        let warm_up = self.warm_ups.get(&listing.pool_id).copied();
         if let Some(server) = self.servers.get_mut(&listing.id) {
             self.pool_versions.record_seen(&server.listing, now);
             if server.is_same_incarnation(&listing) {
                 let is_changed = server.listing != listing || server.unlisted_at.is_some();
                 server.listing = listing;
+                server.warm_up.rule = warm_up;
                 server.unlisted_at = None;
                 server.has_refused_connection = false;
                 return is_changed;
             }
         }
         self.forget_cached_prefixes(&listing.id);
-        self.servers.insert(listing.id.clone(), ServerState::new(listing, now));
+        let mut server = ServerState::new(listing, now);
+        server.warm_up.rule = warm_up;
+        self.servers.insert(server.listing.id.clone(), server);
         true
     }
 
@@ -229,6 +240,7 @@
         now: Uptime,
     ) -> OtherServers {
         let ending_use_time = self.ending_use_time;
+        let evacuations = &self.evacuations;
         let mut others = OtherServers::default();
         for server in self.servers.values_mut().filter(|server| {
             server.listing.pool_id == requirements.pool_id && server.listing.id != server_id
@@ -241,6 +253,7 @@
                 usize::from(heard_at.is_some_and(|at| now.saturating_sub(at) < SILENT_TIME));
             others.silent_count += usize::from(is_silent);
             others.has_substitute |= !is_silent
+                && !evacuations.is_evacuated(&server.listing.data_centre_id)
                 && server.may_take(requirements, now)
                 && server.breaker.allows_attempt()
                 && (server.accepts_requests() || server.is_ending_recently(ending_use_time, now));
@@ -372,6 +385,7 @@
     ) -> Option<ServerChoice> {
         let waiting = self.servers.values().filter(|server| {
             server.may_take(requirements, now)
+                && !self.is_evacuated(server)
                 && server.accepts_requests()
                 && server.is_responsive(now)
                 && !server.permit_wait(now).is_zero()
@@ -387,6 +401,16 @@
         })
     }
 
+    /// Returns whether the data centre of a server is evacuated.
+    fn is_evacuated(&self, server: &ServerState) -> bool {
+        self.evacuations.is_evacuated(&server.listing.data_centre_id)
+    }
+
+    /// Returns whether a data centre has servers in the directory.
+    pub fn has_servers_in(&self, data_centre_id: &str) -> bool {
+        self.servers.values().any(|server| server.listing.data_centre_id == data_centre_id)
+    }
+
     /// Counts an attempt on a server that was found as started; returns false if the server takes
     /// no requests any more.
     pub fn begin_attempt(
@@ -397,8 +421,10 @@
     ) -> bool {
         let server_id = &found.listing.id;
         let ending_use_time = self.ending_use_time;
+        let evacuations = &self.evacuations;
         let Some(server) = self.servers.get_mut(server_id).filter(|server| {
             server.may_take(requirements, now)
+                && !evacuations.is_evacuated(&server.listing.data_centre_id)
                 && (server.accepts_requests() || server.is_ending_recently(ending_use_time, now))
         }) else {
             return false;
@@ -499,6 +525,34 @@
         self.servers.get_mut(server_id)?.record_rejection(by, random, now)
     }
 
+    /// Replaces how the servers of the pools warm up.
+    pub fn set_warm_ups(&mut self, warm_ups: BTreeMap<PoolId, PoolWarmUp>) {
+        for server in self.servers.values_mut() {
+            server.warm_up.rule = warm_ups.get(&server.listing.pool_id).copied();
+        }
+        self.warm_ups = warm_ups;
+    }
+
+    /// Records how long a server says that it stays cold. One that was added at `now`, to a list that
+    /// was read before, has started during traffic. Returns whether the server has turned cold.
+    pub fn record_warm_up(
+        &mut self,
+        server_id: &str,
+        left: Duration,
+        was_list_read: bool,
+        now: Uptime,
+    ) -> bool {
+        let Some(server) = self.servers.get_mut(server_id) else {
+            return false;
+        };
+        let was_warm = server.warm_up_left(now).is_zero();
+        if was_list_read && server.listed_at == now {
+            server.warm_up.record_appeared(now);
+        }
+        server.warm_up.record_stated(left, now);
+        was_warm && !server.warm_up_left(now).is_zero()
+    }
+
     /// Records what a response says about the limit of its server; returns the limit if it has
     /// changed. `sent_at` is when the request of that response was sent.
     pub fn record_limit(
@@ -603,7 +657,9 @@
         now: Uptime,
     ) -> Option<ServerChoice> {
         let in_pool = |server: &&ServerState| {
-            server.may_take(requirements, now) && server.permit_wait(now).is_zero()
+            server.may_take(requirements, now)
+                && !self.is_evacuated(server)
+                && server.permit_wait(now).is_zero()
         };
         let mut usable: Vec<&ServerState> =
             self.servers.values().filter(in_pool).filter(|s| s.accepts_requests()).collect();
@@ -611,8 +667,9 @@
             let is_recent = |s: &&ServerState| s.is_ending_recently(self.ending_use_time, now);
             usable = self.servers.values().filter(in_pool).filter(is_recent).collect();
         }
-        let uses_any =
-            |s: &ServerState| s.fits(requirements) && s.accepts_requests() && s.is_used(now);
+        let uses_any = |s: &ServerState| {
+            s.fits(requirements) && !self.is_evacuated(s) && s.accepts_requests() && s.is_used(now)
+        };
         if self.servers.values().any(uses_any) {
             usable.retain(|server| server.is_used(now));
         }
@@ -643,7 +700,7 @@
             listing: server.listing.clone(),
             cost_ms,
             prefill_tokens,
-            needs_permit: server.limit.per_s().is_some(),
+            needs_permit: server.limit_per_s(now).is_some(),
             placement: self.placement(server, requirements, prefill_tokens, share, now),
         })
     }
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -23,6 +23,9 @@
 mod document_delta;
 mod drain_plan;
 mod engine_fleet;
+
+mod evacuations;
+mod evacuations_over_vms;
 mod event_allowance;
 mod event_sequence;
 mod flow_rate;
@@ -79,3 +82,4 @@
 mod token_recovery;
 mod tokens_of_a_growing_fleet;
 mod topic_cursor;
+mod warm_up;
--- a/crates/sassafrashoist/src/gateway/follow_config.rs
+++ b/crates/sassafrashoist/src/gateway/follow_config.rs
@@ -1,5 +1,6 @@
 //! Applies the newest fleet configuration.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,12 +11,15 @@
 use sassafrashoist_adapter::log_responses::KeyedRecord;
 use sassafrashoist_core::gateway::config_sharing::{ConfigDocument, NextLogRead, TopicEnd};
 use sassafrashoist_core::gateway::document_delta::ChunkedDocument;
+use sassafrashoist_core::gateway::fleet_config::FleetConfig;
 use sassafrashoist_core::gateway::route_table::RouteTable;
-use sassafrashoist_core::ids::{LogOffset, VmId};
+use sassafrashoist_core::gateway::warm_up::PoolWarmUp;
+use sassafrashoist_core::ids::{LogOffset, PoolId, VmId};
 
 use super::follow_topic::{READ_WAIT, follow_topic};
 use super::gateway_context::GatewayContext;
 use super::share_config::{announce_config, update_role};
+use super::share_evacuations::{apply_orders, orders_due_at};
 use super::topic_reader::TopicUpdate;
 
 /// Minimum time between two reads that return records; a burst of changes is then read in batches.
@@ -53,6 +57,8 @@
         MIN_READ_INTERVAL,
         move || wait_until_due(Arc::clone(&reading)),
         move |context, update| {
+            // Before the configuration, so that this VM serves nothing without them.
+            apply_orders(context, &update);
             let end = end_of(&update);
             let (TopicUpdate::Snapshot { records, known_at: read_at, .. }
             | TopicUpdate::Appended { records, known_at: read_at, .. }) = update;
@@ -82,7 +88,12 @@
     loop {
         update_role(&context);
         let now = context.now();
-        let next = context.lock_config_sharing().next_log_read(rand::random(), now);
+        let orders_due_at = orders_due_at(&context);
+        let next = {
+            let mut sharing = context.lock_config_sharing();
+            sharing.require_log_read_by(orders_due_at);
+            sharing.next_log_read(rand::random(), now)
+        };
         let NextLogRead::NotBefore(at) = next else {
             context.lock_config_sharing().begin_log_read(now);
             return;
@@ -112,6 +123,23 @@
     Some(apply_config(context, content, ConfigSource::LogService(record.offset)))
 }
 
+/// Returns how the servers of the pools warm up that have a rate for cold servers.
+fn planned_warm_ups(
+    context: &GatewayContext,
+    config: &FleetConfig,
+) -> BTreeMap<PoolId, PoolWarmUp> {
+    let bounds = context.settings().bounds.warm_up;
+    for pool in config.pools.iter().filter(|pool| pool.is_warm_up_malformed).take(1) {
+        log::warn!(
+            pool = pool.id, version = config.version;
+            "warm-up of a pool cannot be read; its servers are never cold"
+        );
+    }
+    let pools = config.pools.iter();
+    let warm_ups = pools.filter_map(|pool| Some((pool.id.clone(), pool.warm_up?.planned(bounds))));
+    warm_ups.collect()
+}
+
 /// Puts a configuration into force if it is newer than the active one.
 pub fn apply_config(
     context: &GatewayContext,
@@ -138,10 +166,12 @@
         (age.unconfirmed_time(now), age.heard_time(now))
     };
     let table = Arc::new(RouteTable::new(config));
+    let warm_ups = planned_warm_ups(context, table.config());
     if !context.replace_routes(&table) {
         log::info!(version = version, from = from; "configuration is not newer than the active one");
         return Applied::NotNewer;
     }
+    context.lock_servers().set_warm_ups(warm_ups);
     let document = Arc::new(ConfigDocument { version, content });
     let newest_at = {
         let mut sharing = context.lock_config_sharing();
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -165,6 +165,10 @@
                     }
                     continue;
                 }
+                AttemptStart::Evacuated => {
+                    failure = "data centre evacuated";
+                    continue;
+                }
                 AttemptStart::Stopping => {
                     failure = STOPPING;
                     break;
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -84,10 +84,11 @@
         self.context.now().saturating_sub(self.sent_at)
     }
 
-    /// Returns whether the server is known to name a limit.
+    /// Returns whether the server is known to have a limit.
     fn has_limit(&self) -> bool {
+        let now = self.context.now();
         let servers = self.context.lock_servers();
-        servers.server(self.server_id()).is_some_and(|server| server.limit.per_s().is_some())
+        servers.server(self.server_id()).is_some_and(|server| server.limit_per_s(now).is_some())
     }
 
     /// Records that bytes of the response arrived.
@@ -161,6 +162,8 @@
     Failed(StartedResponse),
     /// No connection to the server could be opened, so nothing was sent.
     NotReached,
+    /// Nothing was sent, because the data centre of the server was evacuated meanwhile.
+    Evacuated,
     /// Nothing was sent, because this VM stops too soon for the request.
     Stopping,
     /// Nothing was sent, because the deadline was reached before the connection was open.
@@ -245,6 +248,16 @@
     if request.time_left(context.now()) < MIN_TIME_LEFT {
         return AttemptStart::DeadlineReached;
     }
+    // Opening the connection may have taken tries at other VMs.
+    if context.is_evacuated(slot.listing()) {
+        metrics::counter!("sassafrashoist_evacuated_attempts_total").increment(1);
+        log::info!(
+            id = request.id(), server = slot.server_id(),
+            data_centre = slot.listing().data_centre_id;
+            "data centre evacuated before the request was sent"
+        );
+        return AttemptStart::Evacuated;
+    }
     let is_first = !request.progress.was_sent();
     // Recorded before the check, as the answer at the end of the time to serve depends on it.
     request.progress.record_sent();
--- a/crates/sassafrashoist/tests/testsuite/mixed_builds.rs
+++ b/crates/sassafrashoist/tests/testsuite/mixed_builds.rs
@@ -10,7 +10,7 @@
     TokenTransferRequest, TokenTransferResponse, UnrequestedTransfer,
 };
 use sassafrashoist::gateway::permit_messages::{
-    LimitNotice, LimitedServer, PermitOutcome, PermitRequest, PermitResponse,
+    ColdServer, LimitNotice, LimitedServer, PermitOutcome, PermitRequest, PermitResponse,
 };
 use sassafrashoist::gateway::relay_messages::{RelayOutcome, RelayPurpose, RelayRequest};
 use sassafrashoist::gateway::share_rejections::{BrittleEnd, ServerRejects};
@@ -18,10 +18,12 @@
     KeptOrigin, StreamBegun, StreamOriginRequest,
 };
 use sassafrashoist_core::gateway::clock_reading::ClockReading;
+use sassafrashoist_core::gateway::config_announcement::ConfigAnnouncement;
 use sassafrashoist_core::gateway::crash_report::{
     BlamedPart, ClearedParts, ClearedSuspect, CrashReport, SeenCrash, SeenPartCrash,
 };
 use sassafrashoist_core::gateway::crash_trials::TrialSubject;
+use sassafrashoist_core::gateway::evacuations::{OrderState, OrdersAnnouncement, OrdersPosition};
 use sassafrashoist_core::gateway::holder_record::{HeldTokens, HolderRecord};
 use sassafrashoist_core::gateway::spending_limit::SpendingLimit;
 use sassafrashoist_core::gateway::stream_origins::StreamOrigin;
@@ -288,3 +290,51 @@
     );
     assert_encoding(&outcomes.to_vec(), "0700010203040506");
 }
+
+// Builds without evacuation orders must go on with the announcements of those that append them, and the
+// other way round.
+#[test]
+fn orders_behind_an_announcement_are_ignored_by_builds_that_do_not_know_them() {
+    let announced = PeerDatagram::ConfigAnnounced(ConfigAnnouncement {
+        version: 7,
+        document_hash: 9,
+        known_ago: ms(120),
+    });
+    let orders = OrdersAnnouncement {
+        position: OrdersPosition { era: 1, end: 300 },
+        known_ago_ms: 120,
+        orders: vec![
+            ("plateau".to_owned(), OrderState::InForce),
+            ("x".to_owned(), OrderState::Unreadable),
+        ],
+    };
+    let mut datagram = postcard::to_stdvec(&announced).unwrap();
+    let without_orders = datagram.clone();
+    datagram.extend(postcard::to_stdvec(&orders).unwrap());
+
+    let read_by_older: PeerDatagram = postcard::from_bytes(&datagram).unwrap();
+    let (read, rest) = postcard::take_from_bytes::<PeerDatagram>(&datagram).unwrap();
+    let (_, rest_of_older) = postcard::take_from_bytes::<PeerDatagram>(&without_orders).unwrap();
+
+    assert_eq!((&read_by_older, &read), (&announced, &announced));
+    assert_eq!(postcard::from_bytes::<OrdersAnnouncement>(rest).unwrap(), orders);
+    assert!(rest_of_older.is_empty());
+    assert_encoding(&orders, "01ac02780207706c617465617500017801");
+}
+
+// Issuers of older builds must go on to issue permits of servers that are cold.
+#[test]
+fn time_behind_a_request_for_a_permit_is_ignored_by_builds_that_do_not_know_it() {
+    let request = PermitRequest { server: limited_server(), priority: 3, max_wait: ms(40) };
+    let cold = ColdServer { left_ms: 2_500 };
+    let alone = postcard::to_stdvec(&request).unwrap();
+    let with_time = postcard::to_stdvec(&(request.clone(), cold)).unwrap();
+
+    let read_by_older: PermitRequest = postcard::from_bytes(&with_time).unwrap();
+    let (read, rest) = postcard::take_from_bytes::<PermitRequest>(&with_time).unwrap();
+    let (_, rest_of_older) = postcard::take_from_bytes::<PermitRequest>(&alone).unwrap();
+
+    assert_eq!((&read_by_older, &read), (&request, &request));
+    assert_eq!(postcard::from_bytes(rest), Ok(cold));
+    assert!(postcard::from_bytes::<ColdServer>(rest_of_older).is_err());
+}
