--- a/crates/sassafrashoist/src/gateway/share_evacuations.rs
+++ b/crates/sassafrashoist/src/gateway/share_evacuations.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use sassafrashoist_adapter::log_responses::KeyedRecord;
 use sassafrashoist_adapter::operator_orders::decode_order;
 use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::gateway::config_times::ConfigTimes;
@@ -19,7 +20,7 @@
 
 /// Applies the orders in a read of the topic.
 pub fn apply_orders(context: &GatewayContext, update: &TopicUpdate) {
-    let decode = |record: &sassafrashoist_adapter::log_responses::KeyedRecord| {
+    let decode = |record: &KeyedRecord| {
         let order = decode_order(&record.key, record.value.as_deref())?;
         Some((record.offset, order))
     };
