--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -1,6 +1,8 @@
 //! Stand-ins of the platform that the scripts share: the log service, a backend server with streams, a
 //! client and gateway processes. Standard library only.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -228,6 +230,17 @@
 /// Starts a model server that answers each request with a stream of `event_count` events; returns its
 /// address and the number of requests that it has run.
 pub fn start_engine(ip: &str, id: &'static str, event_count: u32) -> (SocketAddr, Arc<AtomicU64>) {
+    start_paced_engine(ip, id, event_count, Duration::from_millis(5))
+}
+
+/// Starts a model server with a time between two events. A request with `Last-Event-Id` gets the events
+/// after that one.
+pub fn start_paced_engine(
+    ip: &str,
+    id: &'static str,
+    event_count: u32,
+    pace: Duration,
+) -> (SocketAddr, Arc<AtomicU64>) {
     let listener = TcpListener::bind((ip, 0)).expect("no port for a server");
     let address = listener.local_addr().expect("listener without an address");
     let runs = Arc::new(AtomicU64::new(0));
@@ -235,13 +248,13 @@
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let counted = Arc::clone(&counted);
-            thread::spawn(move || serve_engine(stream, id, event_count, &counted));
+            thread::spawn(move || serve_engine(stream, id, event_count, pace, &counted));
         }
     });
     (address, runs)
 }
 
-fn serve_engine(stream: TcpStream, id: &str, event_count: u32, runs: &AtomicU64) {
+fn serve_engine(stream: TcpStream, id: &str, event_count: u32, pace: Duration, runs: &AtomicU64) {
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
@@ -264,13 +277,15 @@
         if writer.write_all(head.as_bytes()).is_err() {
             return;
         }
-        for event in 1..=event_count {
+        let last: u32 =
+            request.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        for event in last + 1..=event_count {
             let text = format!("id: {event}\ndata: piece {event} of {request_id}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             if writer.write_all(chunk.as_bytes()).is_err() {
                 return;
             }
-            thread::sleep(Duration::from_millis(5));
+            thread::sleep(pace);
         }
         if writer.write_all(b"0\r\n\r\n").is_err() {
             return;
