gateway: keep the origins of streams in the log

Cause: where a stream began was known only to the process that forwarded it and to three others, in memory, from one datagram when it began. Who was restarted had lost it. The list of servers tells the version only where it has ever named one.

Each VM now writes the origins of its streams to the topic stream-origins, in batches, again while a stream goes on and once if it is broken off. A VM reads them for a stream that no keeper has. An origin is not used if two batches differ, if the list names its server with another version, or before the list was read for 3 s.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -28,8 +28,9 @@
 //!   callers meanwhile; [`connection_timeouts`]: how long a connection waits for a request.
 //! - [`stream_origins`], [`route_history`], [`pool_versions`] and [`incarnation_check`]: the pool and
 //!   the software version at which a stream may go on, and whether a server still has it;
-//!   [`origin_history`] and [`topic_history`]: what the log proves of them after all VMs were killed;
-//!   [`origin_wait`]: how long a request waits for that.
+//!   [`origin_outbox`], [`origin_batch`] and [`stored_origins`]: the origins of streams that the log
+//!   keeps, written and read; [`origin_history`] and [`topic_history`]: what else the log proves of them
+//!   after all VMs were killed; [`origin_wait`]: how long a request waits for that.
 //! - [`event_sequence`]: which events of a server go on with a stream of another.
 //! - [`framing_allowance`] and [`event_allowance`]: how much of what a server or caller sends may be no
 //!   data, and how much of a stream no new event.
@@ -90,7 +91,9 @@
 pub mod memory_budget;
 pub mod odd_entries;
 pub mod open_connection_limit;
+pub mod origin_batch;
 pub mod origin_history;
+pub mod origin_outbox;
 pub mod origin_wait;
 pub mod permit_bucket;
 pub mod permit_issuers;
@@ -120,6 +123,7 @@
 pub mod server_state;
 pub mod spending_limit;
 pub mod stall_watch;
+pub mod stored_origins;
 pub mod stream_origins;
 pub mod token_holding;
 pub mod token_ledger;
--- a/crates/sassafrashoist-core/src/gateway/server_directory.rs
+++ b/crates/sassafrashoist-core/src/gateway/server_directory.rs
@@ -218,6 +218,11 @@
         in_pool.map(|server| server.listing.id.clone()).collect()
     }
 
+    /// Returns the newest listings of all servers.
+    pub fn listings(&self) -> impl Iterator<Item = &ServerListing> {
+        self.servers.values().map(|server| &server.listing)
+    }
+
     /// Returns what the servers of a pool other than `server_id` sent, and whether one of them could
     /// take a request with these requirements.
     pub fn other_servers(
--- a/crates/sassafrashoist-core/src/gateway/vm_settings.rs
+++ b/crates/sassafrashoist-core/src/gateway/vm_settings.rs
@@ -23,6 +23,8 @@
     pub peer_port: u16,
     /// The address of the log service.
     pub log_service_address: SocketAddr,
+    /// How long the log service keeps a record, except the newest one of each key of a keyed topic.
+    pub log_keep_time: Duration,
     /// The memory above which the process is killed, in bytes; `None` if there is no such limit.
     pub memory_bytes: Option<u64>,
     /// The descriptors that the process may have open; `None` if there is no such limit.
--- a/crates/sassafrashoist/src/gateway/find_stream_origin.rs
+++ b/crates/sassafrashoist/src/gateway/find_stream_origin.rs
@@ -8,6 +8,7 @@
 use futures::stream::FuturesUnordered;
 use sassafrashoist_core::gateway::SoftwareVersion;
 use sassafrashoist_core::gateway::live_vms::FleetVm;
+use sassafrashoist_core::gateway::origin_batch::{StreamPlace, stored_stream_key};
 use sassafrashoist_core::gateway::origin_wait::OriginWait;
 use sassafrashoist_core::gateway::route_history::SolePool;
 use sassafrashoist_core::gateway::server_listing::ServerListing;
@@ -18,6 +19,7 @@
 use super::confirm_config::wait_until_newest_config;
 use super::gateway_context::GatewayContext;
 use super::read_origin_history::read_origin_history;
+use super::read_stored_origins::{OriginsOutOfReach, read_stored_origin};
 use super::request_context::{RequestContext, ResumedStream};
 use super::send_message::send_message;
 use super::share_stream_origin::KEEPER_COUNT;
@@ -30,6 +32,8 @@
     KeeperOutOfReach,
     /// No VM that should keep the origin does.
     NotKept,
+    /// The log service, which may have the origin, cannot be read.
+    LogOutOfReach,
     /// The server list cannot be read, which might tell the version without the origin.
     ListOutOfReach,
     /// The server list may lack the entry of a server that started again, for this time.
@@ -81,8 +85,8 @@
     }
 }
 
-/// Finds where the stream began that a request resumes: on this VM, on the VMs that keep its origin,
-/// or by the fact that its route has led to one pool only, of one software version, for as long as a
+/// Finds where the stream began that a request resumes: on this VM, on the VMs that keep its origin, in
+/// the log, or by the fact that its route has led to one pool only, of one software version, for as long as a
 /// stream lasts, or ever.
 async fn find_now(
     context: &Arc<GatewayContext>,
@@ -100,6 +104,11 @@
             Ok(found) => return check_origin(context, found),
             Err(error) => unknown = error,
         }
+        match find_in_log(context, request, stream_id).await {
+            Ok(found) => return Ok(found),
+            Err(UnknownOrigin::NotKept) => {}
+            Err(error) => unknown = error,
+        }
     }
     match find_by_sole_version(context, request, unknown).await {
         Err(error) if error == unknown => find_by_history(context, request, unknown).await,
@@ -176,6 +185,38 @@
     postcard::from_bytes(&body).wrap_err("failed to decode the response")
 }
 
+/// Finds the origin of a stream in the log, where VMs write those of their streams.
+async fn find_in_log(
+    context: &Arc<GatewayContext>,
+    request: &RequestContext,
+    stream_id: &str,
+) -> Result<ResumedStream, UnknownOrigin> {
+    let key = stored_stream_key(stream_id, request.account_id.as_deref());
+    let stored = read_stored_origin(context, key)
+        .await
+        .map_err(|OriginsOutOfReach| UnknownOrigin::LogOutOfReach)?
+        .ok_or(UnknownOrigin::NotKept)?;
+    let now = context.now();
+    {
+        let servers = context.lock_servers();
+        if stored.is_doubtful(servers.listings()) {
+            return Err(UnknownOrigin::NotKept);
+        }
+        // The entry of a server that had started again before the stream began may still be missing.
+        let delay = servers.entry_delay_left(now).ok_or(UnknownOrigin::ListOutOfReach)?;
+        if !delay.is_zero() {
+            return Err(UnknownOrigin::ListTooRecent(delay));
+        }
+    }
+    let StreamPlace { pool_id, software_version } = stored.place;
+    metrics::counter!("sassafrashoist_stream_origins_read_total").increment(1);
+    log::info!(
+        id = request.id(), stream = stream_id, pool = pool_id, version = software_version;
+        "origin of a stream found in the log"
+    );
+    Ok(begun_at_any_server(context, request, pool_id, software_version))
+}
+
 async fn find_by_sole_version(
     context: &Arc<GatewayContext>,
     request: &RequestContext,
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -41,6 +41,7 @@
 use super::share_crashes::{record_answer, record_going_on};
 use super::share_stream_origin::record_origin;
 use super::silence_limit::SilenceLimit;
+use super::stream_in_progress::StreamInProgress;
 use super::token_reservation::TokenReservation;
 use crate::util::http_response::delimit_by_close;
 use crate::util::streamed_body::BodySender;
@@ -194,6 +195,8 @@
         delimit_by_close(&mut response);
     }
     let origin = record_origin(&context, &request, started.slot.listing());
+    let in_outbox =
+        origin.as_ref().and_then(|stream| StreamInProgress::begin(&context, &request, stream));
     let resumed_after = request.is_resumption().then(|| request.caller.last_event_id.clone());
     let first_head = (started.response.status(), started.response.headers().clone());
     let forwarder = EventForwarder {
@@ -210,6 +213,7 @@
         allowance: EventAllowance::default(),
         first_head,
         origin,
+        in_outbox,
         forwarded_bytes: 0,
     };
     tokio::spawn(forwarder.run(started, has_ended));
@@ -264,6 +268,8 @@
     first_head: (StatusCode, HeaderMap),
     /// Where the stream began; `None` if its software version is not certain.
     origin: Option<ResumedStream>,
+    /// Makes the origin go to the log; `None` if the stream cannot be resumed.
+    in_outbox: Option<StreamInProgress>,
     forwarded_bytes: usize,
 }
 
@@ -315,6 +321,9 @@
                     self.forwarded_bytes,
                 );
                 if started.framing.marks_end() || !self.caller_framing.marks_end() {
+                    if let Some(stream) = &mut self.in_outbox {
+                        stream.mark_complete();
+                    }
                     self.sender.finish();
                 } else {
                     log::info!(
--- a/crates/sassafrashoist/src/gateway/gateway_context.rs
+++ b/crates/sassafrashoist/src/gateway/gateway_context.rs
@@ -23,6 +23,7 @@
 use sassafrashoist_core::gateway::live_vms::FleetVm;
 use sassafrashoist_core::gateway::memory_budget::MemoryBudget;
 use sassafrashoist_core::gateway::open_connection_limit::OpenConnectionLimit;
+use sassafrashoist_core::gateway::origin_outbox::OriginOutbox;
 use sassafrashoist_core::gateway::permit_issuers::PermitIssuers;
 use sassafrashoist_core::gateway::read_precedence::{ReadPrecedence, TopicRank};
 use sassafrashoist_core::gateway::relay_vms::RelayVms;
@@ -49,6 +50,7 @@
 use super::permit_book::PermitBook;
 use super::read_clocks::read_clocks;
 use super::read_origin_history::OriginHistoryReads;
+use super::read_stored_origins::StoredOriginReads;
 use super::report_server_end::Inquiry;
 use super::share_config::MAX_SERVED_FETCHES;
 use super::token_book::TokenBook;
@@ -95,6 +97,7 @@
     link: Mutex<LinkBudget>,
     permits: Mutex<PermitBook>,
     streams: Mutex<StreamOrigins>,
+    origin_outbox: Mutex<OriginOutbox>,
     crashes: Mutex<CrashBook>,
     memory: Mutex<MemoryBudget>,
     read_precedence: Mutex<ReadPrecedence>,
@@ -123,6 +126,8 @@
     pub server_list_check: tokio::sync::Mutex<Option<ServerListCheck>>,
     /// The history of the server list and of the configurations, held while it is read.
     pub origin_history: tokio::sync::Mutex<OriginHistoryReads>,
+    /// The origins of streams in the log, held while they are read.
+    pub stored_origins: tokio::sync::Mutex<StoredOriginReads>,
     /// Requests in progress.
     pub requests: TaskTracker,
     /// Cancelled when the process receives the signal to stop.
@@ -183,6 +188,7 @@
             link: Mutex::new(link),
             permits: Mutex::default(),
             streams: Mutex::default(),
+            origin_outbox: Mutex::default(),
             crashes: Mutex::default(),
             memory: Mutex::default(),
             read_precedence: Mutex::default(),
@@ -201,6 +207,7 @@
             internal_connections: Arc::default(),
             server_list_check: tokio::sync::Mutex::default(),
             origin_history: tokio::sync::Mutex::default(),
+            stored_origins: tokio::sync::Mutex::default(),
             requests: TaskTracker::new(),
             draining: cancel.child_token(),
             serving_ended: CancellationToken::new(),
@@ -482,6 +489,11 @@
         lock(&self.streams)
     }
 
+    /// Locks the streams of this VM whose origins have to be in the log.
+    pub fn lock_origin_outbox(&self) -> MutexGuard<'_, OriginOutbox> {
+        lock(&self.origin_outbox)
+    }
+
     /// Locks what this VM knows about requests that crash backend servers.
     pub fn lock_crashes(&self) -> MutexGuard<'_, CrashBook> {
         lock(&self.crashes)
--- a/crates/sassafrashoist/src/gateway/log_client.rs
+++ b/crates/sassafrashoist/src/gateway/log_client.rs
@@ -194,6 +194,22 @@
         Ok(decode_append(response.status, &response.body)?)
     }
 
+    /// Appends a record under a key, wherever the topic ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record was not appended, or if that is unknown.
+    pub async fn append(
+        &mut self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+    ) -> Result<LogOffset, LogCallError> {
+        let call = LogCall::append(topic, key, value);
+        let response = self.call(call, Duration::ZERO, APPEND_IDLE_TIMEOUT).await?;
+        Ok(decode_append(response.status, &response.body)?)
+    }
+
     /// Makes a call that reads; its timeout depends on the outcomes of earlier reads.
     async fn call_read(
         &mut self,
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -28,6 +28,7 @@
 use super::serve_peers::serve_peers;
 use super::serve_readiness::serve_readiness;
 use super::share_crashes::{judge_parts, send_digests};
+use super::store_stream_origins::store_stream_origins;
 use super::transfer_tokens::transfer_all_tokens;
 use super::watch_stalls::watch_stalls;
 use crate::util::metrics_page::{init_metrics, run_metrics_upkeep};
@@ -84,6 +85,7 @@
     tokio::spawn(receive_datagrams(Arc::clone(&context), datagram_socket));
     tokio::spawn(judge_parts(Arc::clone(&context)));
     tokio::spawn(send_digests(Arc::clone(&context)));
+    tokio::spawn(store_stream_origins(Arc::clone(&context)));
     tokio::spawn(probe_paths(Arc::clone(&context)));
     tokio::spawn(serve_peers(Arc::clone(&context), peer_listener));
     tokio::spawn(serve_readiness(Arc::clone(&context), readiness_listener));
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -283,6 +283,9 @@
         UnknownOrigin::KeeperOutOfReach => {
             Refusal::retry_later(KEEPER_RETRY_AFTER, "software version of the stream out of reach")
         }
+        UnknownOrigin::LogOutOfReach => {
+            Refusal::retry_later(KEEPER_RETRY_AFTER, "origins of streams out of reach")
+        }
         UnknownOrigin::ListOutOfReach => {
             Refusal::retry_later(KEEPER_RETRY_AFTER, "list of software versions out of reach")
         }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -50,6 +50,7 @@
 mod silent_servers;
 mod soak;
 mod stalled_vms;
+mod stored_origin_records;
 mod token_book;
 mod truncated_heads;
 mod waiting;
