gateway: charge runs whose callers left before their first event was read

Cause: the future of a request was dropped with its caller's connection. Its reservation settled 0 tokens unless the first event had been read by then; an event in the buffers, or on its way, was dropped with the connection to the server. The same held for plain responses on routes that take tokens and for connections through another VM.

A request that takes tokens now ends when it is known whether a server has begun to run it: the VM closes its writing side, and reads for at most 100 ms what the server sent by then. A part of a body is charged, a proper end or nothing is not, a failed connection is. A VM that carries the connection passes the end of the request and the response on. Events are charged once the connection of the caller has taken them.

Tests: uncharged_runs.

--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -9,9 +9,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use sassafrashoist_adapter::response_headers::{encode_response, goes_on_with};
 use sassafrashoist_core::event_splitter::StreamEvent;
 use sassafrashoist_core::gateway::attempt_failure::AttemptFailure;
@@ -36,8 +38,11 @@
 use super::run_attempts::{
     AttemptCounts, MAX_SERVERS_TRIED, initial_unresponsive_timeout, record_response,
 };
-use super::send_attempt::{AttemptStart, StartedResponse, send_attempt, wait_until_unresponsive};
-use super::server_body::ServerBody;
+use super::send_attempt::{
+    AttemptStart, ServerSlot, StartedResponse, record_end_after_caller, send_attempt,
+    wait_after_caller, wait_until_unresponsive,
+};
+use super::server_body::{BrokenBody, ServerBody};
 use super::share_crashes::{record_answer, record_going_on};
 use super::share_stream_origin::record_origin;
 use super::silence_limit::SilenceLimit;
@@ -87,6 +92,8 @@
 pub enum NoFirstEvent {
     /// The server is silent; the retry is already counted.
     ServerSilent,
+    /// The caller left, and no server has begun to run the request.
+    CallerLeft,
     /// It failed for this reason.
     Failed(&'static str),
 }
@@ -104,9 +111,16 @@
     silence_limit: Option<&SilenceLimit>,
 ) -> Result<StartedStream, NoFirstEvent> {
     let mut splitter = HeldSplitter::new(context);
+    let write_end = started.connection.write_end();
+    let mut has_data = false;
     loop {
         let frame = tokio::select! {
             frame = started.response.body_mut().frame() => frame,
+            () = request.caller_left.cancelled() => {
+                let body = started.response.body_mut();
+                let frame = wait_after_caller(&write_end, body.frame()).await;
+                return Err(classify_end_after_caller(request, &started.slot, has_data, frame));
+            }
             () = tokio::time::sleep_until(context.instant(request.deadline)) => {
                 return Err(NoFirstEvent::Failed("no event before the deadline"));
             }
@@ -118,6 +132,7 @@
         match frame {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
+                    has_data = true;
                     started.slot.record_bytes();
                     if !splitter.try_push(data) {
                         let failure = (EVENT_EXCEEDS_MEMORY, AttemptFailure::Lost);
@@ -156,6 +171,26 @@
     }
 }
 
+/// Decides whether a server has run a stream whose caller left before its first event, by what it sent
+/// until then: a frame of the body, its end or its failure, or nothing.
+fn classify_end_after_caller(
+    request: &RequestContext,
+    slot: &ServerSlot,
+    has_data: bool,
+    frame: Option<Option<Result<Frame<Bytes>, BrokenBody>>>,
+) -> NoFirstEvent {
+    let (may_have_run, error) = match &frame {
+        _ if has_data => (true, None),
+        Some(Some(Ok(_))) => (true, None),
+        Some(Some(Err(error))) => (error.failure() != AttemptFailure::Closed, Some(error)),
+        Some(None) => (false, None),
+        None => (slot.relay_vm_id().is_none() && slot.has_lost_path(), None),
+    };
+    let error = error.map(|error| error as &dyn std::error::Error);
+    record_end_after_caller(request, slot, may_have_run, error);
+    if may_have_run { NoFirstEvent::Failed("caller left") } else { NoFirstEvent::CallerLeft }
+}
+
 fn early_end(framing: ResponseFraming) -> AttemptFailure {
     AttemptFailure::of_early_end(framing.marks_end())
 }
@@ -454,20 +489,22 @@
         if check == EventCheck::Duplicate {
             return None;
         }
-        if event.id.is_some()
-            && let (Some(reservation), Some(tokens)) =
-                (&mut self.reservation, self.request.tokens_per_event)
-        {
-            reservation.add_output_tokens(tokens);
-        }
+        let has_id = event.id.is_some();
         self.forwarded_bytes += event.raw.len();
         let deadline = self.context.instant(self.request.deadline);
         let sending = async { self.sender.send(self.unread.hold(event.raw).await).await };
         match tokio::time::timeout_at(deadline, sending).await {
-            Ok(true) => None,
-            Ok(false) => Some(SegmentEnd::CallerDisconnected),
-            Err(_) => Some(SegmentEnd::DeadlineExceeded),
+            Ok(true) => {}
+            Ok(false) => return Some(SegmentEnd::CallerDisconnected),
+            Err(_) => return Some(SegmentEnd::DeadlineExceeded),
         }
+        if has_id
+            && let (Some(reservation), Some(tokens)) =
+                (&mut self.reservation, self.request.tokens_per_event)
+        {
+            reservation.add_output_tokens(tokens);
+        }
+        None
     }
 
     /// Returns whether the head of a response goes on with that of the stream.
--- a/crates/sassafrashoist/src/gateway/http_connection.rs
+++ b/crates/sassafrashoist/src/gateway/http_connection.rs
@@ -25,6 +25,7 @@
 use super::framing_meter::FramingMeter;
 use super::metered_stream::MeteredStream;
 use super::server_body::ServerBody;
+use super::shared_stream::{SharedStream, WriteEnd};
 
 /// The error when no connection could be opened, so that nothing was sent.
 #[derive(Debug, thiserror::Error)]
@@ -83,6 +84,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     meter: FramingMeter,
+    write_end: WriteEnd,
 }
 
 impl Connection {
@@ -112,7 +114,8 @@
         T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         let meter = FramingMeter::new(MAX_HEAD_BYTES);
-        let io = TokioIo::new(MeteredStream::new(io, meter.clone()));
+        let (stream, write_end) = SharedStream::new(io);
+        let io = TokioIo::new(MeteredStream::new(stream, meter.clone()));
         let (sender, connection) = http1::Builder::new()
             .preserve_header_case(true)
             .max_buf_size(MAX_HEAD_BYTES)
@@ -124,7 +127,7 @@
                 log::debug!(address:% = address, error:% = error; "connection ended");
             }
         });
-        Ok(Self { address, sender, driver, meter })
+        Ok(Self { address, sender, driver, meter, write_end })
     }
 
     /// Returns whether another request can be sent. Bytes that arrive while none is in progress
@@ -133,6 +136,11 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// Returns what closes the writing side while a response is awaited.
+    pub fn write_end(&self) -> WriteEnd {
+        self.write_end.clone()
+    }
+
     /// Sends a request and returns once the response head has arrived.
     ///
     /// # Errors
--- a/crates/sassafrashoist/src/gateway/mod.rs
+++ b/crates/sassafrashoist/src/gateway/mod.rs
@@ -118,6 +118,7 @@
 pub mod share_limit;
 pub mod share_rejections;
 pub mod share_stream_origin;
+pub mod shared_stream;
 pub mod silence_limit;
 pub mod store_stream_origins;
 pub mod stream_in_progress;
--- a/crates/sassafrashoist/src/gateway/request_context.rs
+++ b/crates/sassafrashoist/src/gateway/request_context.rs
@@ -14,6 +14,8 @@
 use sassafrashoist_core::requests::quarantine::RequestFingerprint;
 use sassafrashoist_core::requests::request_hash::{PromptPartKey, hash_prompt_part};
 
+use tokio_util::sync::CancellationToken;
+
 use super::caller_presence::CallerPresence;
 use super::request_progress::RequestProgress;
 
@@ -64,6 +66,9 @@
     pub presence: Option<CallerPresence>,
     /// How far the request has come.
     pub progress: Arc<RequestProgress>,
+    /// Cancelled when its caller has left, or this VM stops, while a server may begin to run it. Only
+    /// for requests that take tokens.
+    pub caller_left: CancellationToken,
 }
 
 impl RequestContext {
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -208,13 +208,16 @@
             request.route.repeatability.is_stream() && started.response.status().is_success();
         if is_stream {
             let first = read_first_event(&context, &request, started, silence_limit).await;
-            mark_may_have_run(&mut reservation);
+            if !matches!(first, Err(NoFirstEvent::CallerLeft)) {
+                mark_may_have_run(&mut reservation);
+            }
             match first {
                 Ok(first) => return forward_events(context, request, reservation, counts, first),
                 Err(NoFirstEvent::ServerSilent) => {
                     failure = SERVER_SILENT;
                     is_retry_counted = true;
                 }
+                Err(NoFirstEvent::CallerLeft) => failure = CALLER_LEFT,
                 Err(NoFirstEvent::Failed(reason)) => failure = reason,
             }
         } else {
--- a/crates/sassafrashoist/src/gateway/run_gateway.rs
+++ b/crates/sassafrashoist/src/gateway/run_gateway.rs
@@ -174,10 +174,15 @@
         "requests cut off at the end of the shutdown grace period"
     );
     context.serving_ended.cancel();
-    let answered = context.caller_connections.wait_until_closed();
+    context.requests.close();
+    let answered = async {
+        context.caller_connections.wait_until_closed().await;
+        // Their tokens are not returned before it is known whether servers have run them.
+        context.requests.wait().await;
+    };
     if tokio::time::timeout(plan.answer_time(context.now()), answered).await.is_err() {
         log::warn!(
-            connections:% = context.caller_connections;
+            connections:% = context.caller_connections, requests = context.requests.len();
             "connections closed at the end of the shutdown grace period"
         );
     }
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -19,7 +19,7 @@
 
 use super::confirm_incarnation::confirm_incarnation;
 use super::gateway_context::GatewayContext;
-use super::http_connection::Connection;
+use super::http_connection::{BrokenConnection, Connection};
 use super::isolate_suspects::Trial;
 use super::reach_server::reach_server;
 use super::relay_use::RelayUse;
@@ -28,6 +28,7 @@
 use super::server_body::ServerBody;
 use super::share_limit::start_reporting;
 use super::share_rejections::{record_brittle, record_rejection};
+use super::shared_stream::WriteEnd;
 use super::silence_limit::SilenceLimit;
 
 /// How long a connection of this VM may be silent when its path counts as lost. Old connections may
@@ -178,9 +179,19 @@
     Silent,
 }
 
+/// How long a server may still tell that it has begun to run a request whose caller has left: many times
+/// the network latency. The connection is closed then.
+const ANSWER_TIME_AFTER_CALLER: Duration = Duration::from_millis(100);
+/// The longest time from the end of a caller until it is known whether a server has run its request:
+/// that for the head of the response and that for its first event.
+pub const MAX_SETTLING_TIME: Duration = Duration::from_millis(250);
+
 /// Returns whether the caller of a request is still there. It is asked only if it may have left
 /// unnoticed, because the request has waited.
 pub async fn is_caller_there(context: &GatewayContext, request: &RequestContext) -> bool {
+    if request.caller_left.is_cancelled() {
+        return false;
+    }
     let Some(presence) = &request.presence else {
         return true;
     };
@@ -275,14 +286,28 @@
     *server_request.method_mut() = request.method.clone();
     *server_request.uri_mut() = origin_form(&request.uri);
     *server_request.headers_mut() = encode_attempt(&request.headers, &attempt);
-    let result = tokio::select! {
-        result = connection.send(server_request) => result,
-        () = tokio::time::sleep_until(context.instant(request.deadline)) => {
-            return AttemptStart::Lost("no answer before the deadline");
-        }
-        () = wait_until_unresponsive(context, request, &slot, silence_limit) => {
-            slot.set_failed(AttemptFailure::Lost);
-            return AttemptStart::Silent;
+    let write_end = connection.write_end();
+    let result = {
+        let sending = connection.send(server_request);
+        tokio::pin!(sending);
+        tokio::select! {
+            result = &mut sending => result,
+            () = request.caller_left.cancelled() => {
+                match wait_after_caller(&write_end, sending).await {
+                    Some(Ok(response)) => Ok(response),
+                    Some(Err(error)) => {
+                        return classify_end_after_caller(request, &slot, Some(&error));
+                    }
+                    None => return classify_end_after_caller(request, &slot, None),
+                }
+            }
+            () = tokio::time::sleep_until(context.instant(request.deadline)) => {
+                return AttemptStart::Lost("no answer before the deadline");
+            }
+            () = wait_until_unresponsive(context, request, &slot, silence_limit) => {
+                slot.set_failed(AttemptFailure::Lost);
+                return AttemptStart::Silent;
+            }
         }
     };
     let response = match result {
@@ -300,6 +325,57 @@
     classify_response(context, request, response, connection, slot)
 }
 
+/// Tells a server that the caller of its request has left, by the end of the request's stream, and waits
+/// for what it has sent by then; `None` if nothing came in time.
+///
+/// The response of a server that had begun to run the request may be on its way, or, after this VM stood
+/// still, in its buffers.
+pub async fn wait_after_caller<T>(
+    write_end: &WriteEnd,
+    response: impl Future<Output = T>,
+) -> Option<T> {
+    if let Err(error) = write_end.close().await {
+        log::debug!(error:% = error; "connection to a server ended before that of the caller");
+    }
+    tokio::time::timeout(ANSWER_TIME_AFTER_CALLER, response).await.ok()
+}
+
+/// Decides whether a server may have run a request whose caller left before the response head.
+///
+/// A server runs a stream from its first event on. A proper end, or a connection on which nothing
+/// came, shows that none was sent. A connection that failed, or a lost path, shows nothing, and a server
+/// that does not stream may run a request long before it responds.
+fn classify_end_after_caller(
+    request: &RequestContext,
+    slot: &ServerSlot,
+    error: Option<&BrokenConnection>,
+) -> AttemptStart {
+    let is_end_known = match error {
+        Some(error) => error.failure() == AttemptFailure::Closed,
+        None => slot.relay_use.is_some() || !slot.has_lost_path(),
+    };
+    let may_have_run = !is_end_known || !request.route.repeatability.is_stream();
+    let error = error.map(|error| error as &dyn std::error::Error);
+    record_end_after_caller(request, slot, may_have_run, error);
+    if may_have_run { AttemptStart::Lost("caller left") } else { AttemptStart::CallerLeft }
+}
+
+/// Counts and logs what became of a request at its server after its caller had left.
+pub fn record_end_after_caller(
+    request: &RequestContext,
+    slot: &ServerSlot,
+    may_have_run: bool,
+    error: Option<&dyn std::error::Error>,
+) {
+    let outcome = if may_have_run { "may-have-run" } else { "not-run" };
+    metrics::counter!("sassafrashoist_left_at_server_total", "outcome" => outcome).increment(1);
+    log::info!(
+        id = request.id(), server = slot.server_id(), may_have_run = may_have_run,
+        error = error.map_or_else(|| "-".to_owned(), ToString::to_string);
+        "caller left while its request was at a server"
+    );
+}
+
 fn classify_response(
     context: &Arc<GatewayContext>,
     request: &RequestContext,
--- a/crates/sassafrashoist/src/gateway/serve_relay.rs
+++ b/crates/sassafrashoist/src/gateway/serve_relay.rs
@@ -25,6 +25,9 @@
 
 /// How long a connection for another VM may take to open; shorter than that VM waits.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a server may still respond to a request that the other VM has given up: longer than that VM
+/// waits.
+const RESPONSE_TIME_AFTER_CLOSE: Duration = Duration::from_millis(150);
 /// The most bytes that are read at once.
 const CHUNK_BYTES: usize = 8_192;
 
@@ -119,8 +122,20 @@
     };
     tokio::pin!(responses);
     tokio::select! {
-        // The other VM closes its connection only when it gives the request up.
-        end = requests => if end == PassEnd::NotTaken { responses.await },
+        end = requests => match end {
+            PassEnd::NotTaken => responses.await,
+            // The other VM has given the request up, and may want to know whether the server has
+            // begun to run it.
+            PassEnd::Closed => {
+                if let Err(error) = to_server.shutdown().await {
+                    log::debug!(error:% = error; "server left before the end of a request");
+                }
+                if tokio::time::timeout(RESPONSE_TIME_AFTER_CLOSE, responses).await.is_err() {
+                    log::debug!("connection for another VM ended after that of its request");
+                }
+            }
+            PassEnd::Broken => {}
+        },
         () = &mut responses => {}
     }
 }
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Body;
 use sassafrashoist_adapter::request_headers::{CallerHeaders, single_host};
@@ -15,6 +15,7 @@
 use sassafrashoist_core::gateway::route::{Destination, Repeatability};
 use sassafrashoist_core::gateway::route_table::{NotAllowed, RouteTable};
 use sassafrashoist_core::ids::{RequestId, Tokens};
+use tokio_util::sync::CancellationToken;
 
 use super::counted_body::CountedBody;
 use super::disconnect_guard::DisconnectGuard;
@@ -30,6 +31,7 @@
 use super::request_progress::RequestProgress;
 use super::response_body::{ResponseBody, full_response};
 use super::run_attempts::{STOPPING, run_attempts};
+use super::send_attempt::MAX_SETTLING_TIME;
 use super::token_reservation::TokenReservation;
 
 /// The retry delay while this VM has not read a configuration yet.
@@ -210,15 +212,19 @@
     context.record_request(&request.pool_id);
     let continues_without_caller = request.route.repeatability == Repeatability::AtMostOnce;
     let route_id = request.route.id.clone();
+    let takes_tokens = reservation.is_some();
+    let caller_left = request.caller_left.clone();
+    let progress = Arc::clone(&request.progress);
     let attempts = run_attempts(Arc::clone(context), Arc::new(request), reservation);
-    if !continues_without_caller {
+    if !continues_without_caller && !takes_tokens {
         return CountedBody::wrap(attempts.await, context, route_id);
     }
     // A request that may run at most once cannot be retried, so it continues if the caller
-    // disconnects.
+    // disconnects. One that takes tokens continues until it is known whether a server has run it.
+    let left_guard = (!continues_without_caller).then(|| caller_left.clone().drop_guard());
     let in_progress = context.requests.token();
     let task = tokio::spawn(async move {
-        let response = attempts.await;
+        let response = run_until_settled(attempts, &caller_left, &progress).await;
         drop(in_progress);
         response
     });
@@ -226,9 +232,34 @@
         log::error!(id = id, error:% = error; "request failed in the router");
         Refusal::new(StatusCode::BAD_GATEWAY, "internal failure").into_response(&id, &"")
     });
+    if let Some(left_guard) = left_guard {
+        left_guard.disarm();
+    }
     CountedBody::wrap(response, context, route_id)
 }
 
+/// Runs the attempts of a request. If its caller leaves, they end as soon as it is known whether a
+/// server has begun to run it, at the latest after [`MAX_SETTLING_TIME`].
+async fn run_until_settled(
+    attempts: impl Future<Output = Response<ResponseBody>>,
+    caller_left: &CancellationToken,
+    progress: &RequestProgress,
+) -> Response<ResponseBody> {
+    tokio::pin!(attempts);
+    tokio::select! {
+        biased;
+        response = &mut attempts => return response,
+        () = caller_left.cancelled() => {}
+    }
+    if progress.was_sent()
+        && let Ok(response) = tokio::time::timeout(MAX_SETTLING_TIME, attempts).await
+    {
+        return response;
+    }
+    // Nobody reads it.
+    full_response(StatusCode::BAD_GATEWAY, HeaderMap::new(), Bytes::new())
+}
+
 /// Finds the route, pool and client account of a request whose body has not been read yet.
 fn resolve_request(
     routes: &RouteTable,
@@ -264,6 +295,7 @@
         deadline: arrived_at + timeout,
         presence,
         progress,
+        caller_left: CancellationToken::new(),
     })
 }
 
--- a/crates/sassafrashoist/src/gateway/token_reservation.rs
+++ b/crates/sassafrashoist/src/gateway/token_reservation.rs
@@ -36,8 +36,8 @@
         }
     }
 
-    /// Records that a server started to run the request, or may have. A run starts with its first
-    /// event, so a request whose caller disconnects before that has used no tokens.
+    /// Records that a server started to run the request, or may have. The first event that this VM has
+    /// read is not the first that the server sent.
     pub fn mark_may_have_run(&mut self) {
         self.may_have_run = true;
     }
--- a/crates/sassafrashoist/tests/testsuite/main.rs
+++ b/crates/sassafrashoist/tests/testsuite/main.rs
@@ -53,4 +53,5 @@
 mod stored_origin_records;
 mod token_book;
 mod truncated_heads;
+mod uncharged_runs;
 mod waiting;
