gateway: do not end a response properly whose request was reset

Cause: a reset is reported once for each socket. The write of the upload took the error; the read behind it found the end of the stream, which the carrying VM passed on as a proper close.

Once the server takes no more of the request, the end of its response is not passed on as a proper one. The carrying VM waits up to 250 ms for the other VM, which closes the connection if the response names its length and is complete, and resets it then.

--- a/crates/sassafrashoist/src/gateway/serve_relay.rs
+++ b/crates/sassafrashoist/src/gateway/serve_relay.rs
@@ -7,12 +7,13 @@
 
 use std::io::{self, ErrorKind};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures::FutureExt;
 use http::header::{CONNECTION, UPGRADE};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
-use hyper::upgrade::{OnUpgrade, Upgraded};
+use hyper::upgrade::OnUpgrade;
 use hyper_util::rt::TokioIo;
 use sassafrashoist_core::gateway::server_paths::Way;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -28,6 +29,8 @@
 /// How long a server may still respond to a request that the other VM has given up: longer than that VM
 /// waits.
 const RESPONSE_TIME_AFTER_CLOSE: Duration = Duration::from_millis(150);
+/// How long another VM may take to receive a response whose server took no whole request.
+const RECEIPT_TIME: Duration = Duration::from_millis(250);
 /// The most bytes that are read at once.
 const CHUNK_BYTES: usize = 8_192;
 
@@ -100,7 +103,7 @@
 async fn carry(upgrade: OnUpgrade, server: TcpStream, max_time: Duration) {
     let carried = tokio::time::timeout(max_time, async {
         match upgrade.await {
-            Ok(vm) => splice(vm, server).await,
+            Ok(vm) => splice(TokioIo::new(vm), server).await,
             Err(error) => log::info!(error:% = error; "other VM left before its connection opened"),
         }
     });
@@ -109,12 +112,22 @@
     }
 }
 
-async fn splice(vm: Upgraded, server: TcpStream) {
-    let (mut from_vm, mut to_vm) = tokio::io::split(TokioIo::new(vm));
+/// Passes the bytes of a request and of its response on between another VM and a server. The writing
+/// side to the VM is closed only if the server has ended the response properly.
+pub async fn splice(vm: impl AsyncRead + AsyncWrite, server: TcpStream) {
+    let (mut from_vm, mut to_vm) = tokio::io::split(vm);
     let (mut from_server, mut to_server) = server.into_split();
-    let requests = pass_request_on(&mut from_vm, &mut to_server);
+    // A reset is reported once for each socket. Where a write has taken it, the next read finds the
+    // end of the stream.
+    let is_request_taken = AtomicBool::new(true);
+    let requests = async {
+        let end = pass_request_on(&mut from_vm, &mut to_server).await;
+        is_request_taken.store(end != PassEnd::NotTaken, Ordering::Relaxed);
+        end
+    };
     let responses = async {
         if pass_on(&mut from_server, &mut to_vm).await == PassEnd::Closed
+            && is_request_taken.load(Ordering::Relaxed)
             && let Err(error) = to_vm.shutdown().await
         {
             log::debug!(error:% = error; "other VM left before the end of a response");
@@ -123,7 +136,15 @@
     tokio::pin!(responses);
     tokio::select! {
         end = requests => match end {
-            PassEnd::NotTaken => responses.await,
+            PassEnd::NotTaken => {
+                responses.await;
+                // A response that names its length may be complete: the other VM closes the
+                // connection then. The reset would discard what it has not received yet.
+                let left = discard_until_end(&mut from_vm);
+                if tokio::time::timeout(RECEIPT_TIME, left).await.is_err() {
+                    log::info!("connection for another VM reset: the server took no whole request");
+                }
+            }
             // The other VM has given the request up, and may want to know whether the server has
             // begun to run it.
             PassEnd::Closed => {
@@ -140,6 +161,12 @@
     }
 }
 
+/// Reads and discards bytes until the sender closes its connection, or that fails.
+async fn discard_until_end(from: &mut (impl AsyncRead + Unpin)) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    while matches!(from.read(&mut chunk).await, Ok(1..)) {}
+}
+
 /// How the flow of bytes in one direction ended.
 #[derive(Debug, PartialEq, Eq)]
 pub enum PassEnd {
