--- a/crates/sassafrashoist/tests/testsuite/raw_responses.rs
+++ b/crates/sassafrashoist/tests/testsuite/raw_responses.rs
@@ -50,6 +50,25 @@
     StandInFleet::start(program, &folder, plan).await.unwrap()
 }
 
+/// Starts gateways of which the first one has lost its paths and reaches servers through the others.
+async fn start_without_paths(name: &str) -> StandInFleet {
+    let fleet = start_with_paths(name, 3, 2, true).await;
+    // The requests before the streams may use up the retry limit, and no stream would be resumed.
+    fleet.gateways[0].add_setting("bounds.budgetSlack=1000000").unwrap();
+    fleet.gateways[0].reload_settings().await.unwrap();
+    fleet.set_path_fault(0, PathFault::RefusesNew);
+    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::Overloaded));
+    let mut number = 0;
+    let contact = async {
+        loop {
+            number += 1;
+            fleet.send(0, &format!("early-{number}"), &draft()).await.unwrap();
+        }
+    };
+    assert!(tokio::time::timeout(CONTACT_TIME, contact).await.is_err());
+    fleet
+}
+
 async fn list(fleet: &StandInFleet, pool: &str, server: &RawServer) {
     fleet.list_server(pool, "raw", server.address);
     tokio::time::sleep(PROPAGATION_TIME).await;
@@ -115,6 +134,8 @@
         ("206", with_length("206 Partial Content", "", &events(3..=EVENT_COUNT))),
         ("from_first", in_chunks("200 OK", "", &events(1..=EVENT_COUNT))),
         ("skips", in_chunks("200 OK", "", &events(5..=EVENT_COUNT))),
+        ("status_000", with_length("000 None", "", &events(3..=EVENT_COUNT))),
+        ("status_600", with_length("600 None", "", &events(3..=EVENT_COUNT))),
         ("empty", with_length("200 OK", "", "")),
         ("empty_in_chunks", in_chunks("200 OK", "", "")),
         ("empty_until_close", until_close("200 OK", "", "")),
@@ -160,20 +181,7 @@
 // The same for a stream that reaches its VM through another one.
 #[tokio::test]
 async fn stream_through_another_vm_is_not_joined_with_an_answer_that_does_not_go_on() {
-    let fleet = start_with_paths("through_another_vm", 3, 2, true).await;
-    // The requests before the streams may use up the retry limit, and no stream would be resumed.
-    fleet.gateways[0].add_setting("bounds.budgetSlack=1000000").unwrap();
-    fleet.gateways[0].reload_settings().await.unwrap();
-    fleet.set_path_fault(0, PathFault::RefusesNew);
-    fleet.engines.iter().for_each(|engine| engine.set_fault(ServerFault::Overloaded));
-    let mut number = 0;
-    let contact = async {
-        loop {
-            number += 1;
-            fleet.send(0, &format!("early-{number}"), &draft()).await.unwrap();
-        }
-    };
-    assert!(tokio::time::timeout(CONTACT_TIME, contact).await.is_err());
+    let fleet = start_without_paths("through_another_vm").await;
     let server =
         start_resuming_server(with_length("200 OK", "", "event: error\ndata: x\n\n")).await;
     // A stream that breaks off at the other engine can only go on at the server.
@@ -304,3 +312,55 @@
 
     assert_eq!((server.connection_count(), server.requests().len()), (10, 10));
 }
+
+/// Statuses for which HTTP defines no class, or that are no number of three digits.
+const NO_STATUSES: [&str; 9] = ["000", "001", "099", "600", "777", "999", "1000", "20", "abc"];
+
+/// Starts a server whose signed responses have this status.
+async fn start_server_with_status(status: &'static str) -> RawServer {
+    RawServer::start(move |_| with_length(status, "", "done")).await.unwrap()
+}
+
+// A caller got a response of a server in trouble whose status was 000, as an answer.
+#[tokio::test]
+async fn responses_without_a_status_of_http_are_no_answers() {
+    let runs = NO_STATUSES.iter().map(|status| async move {
+        let fleet = start(&format!("status_{status}"), 1, 0).await;
+        let servers =
+            [start_server_with_status(status).await, start_server_with_status(status).await];
+        fleet.list_server("llm", "raw-llm", servers[0].address);
+        list(&fleet, "desk", &servers[1]).await;
+        let bid = CallerRequest::plain(Method::POST, BID_PATH);
+        let reading = CallerRequest::plain(Method::GET, STATUS_PATH);
+        let mut responses = Vec::new();
+        for (id, request) in [("b1", bid), ("s1", reading), ("d1", draft())] {
+            responses.push(fleet.send(0, id, &request).await.unwrap().status);
+        }
+        (status, responses)
+    });
+
+    let runs: Vec<_> = stream::iter(runs).buffer_unordered(CONCURRENT_FLEETS).collect().await;
+
+    for (status, responses) in runs {
+        assert_eq!(responses, [502, 502, 502], "{status}");
+    }
+}
+
+#[tokio::test]
+async fn responses_through_another_vm_without_a_status_of_http_are_no_answers() {
+    let fleet = start_without_paths("status_through_another_vm").await;
+    let servers = [start_server_with_status("000").await, start_server_with_status("600").await];
+    fleet.unlist_engine(0);
+    fleet.unlist_engine(1);
+    fleet.list_server("llm", "raw-0", servers[0].address);
+    list(&fleet, "llm", &servers[1]).await;
+
+    let mut statuses = Vec::new();
+    for number in 0..4 {
+        statuses.push(fleet.send(0, &format!("d{number}"), &draft()).await.unwrap().status);
+    }
+
+    let request_count: usize = servers.iter().map(|server| server.requests().len()).sum();
+    assert!(request_count > 0, "{statuses:?}");
+    assert!(statuses.iter().all(|status| [502, 503].contains(status)), "{statuses:?}");
+}
