gateway: write origins again in time, whatever the log service keeps

Where the log service keeps records for 300 s, the origin of a stream that goes on was written again after 150 s, but a VM that follows the topic removes what it has read after 60 s. It is now written again after 30 s at the latest; a read that makes no progress ends instead of being repeated.

A request that takes tokens and whose caller has left is not logged as refused besides.

--- a/crates/sassafrashoist-core/src/gateway/origin_outbox.rs
+++ b/crates/sassafrashoist-core/src/gateway/origin_outbox.rs
@@ -22,6 +22,19 @@
 /// How long the origin of a broken stream waits for the log service; longer than callers resume it.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
+/// How often the origin of a stream that goes on is written in the time for which the log service
+/// keeps a record.
+const WRITES_PER_KEEP_TIME: u32 = 2;
+/// The longest time between two writes of an origin. A VM that follows the topic keeps what it has read
+/// for twice as long.
+const MAX_REWRITE_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Returns the time after which the origin of a stream that goes on is written again, if the log service
+/// keeps a record for `log_keep_time`.
+pub fn rewrite_interval(log_keep_time: Duration) -> Duration {
+    MAX_REWRITE_INTERVAL.min(log_keep_time / WRITES_PER_KEEP_TIME)
+}
+
 /// Returns the time between two batches of a VM in a fleet of `vm_count` VMs; `random` is from 0 to 1.
 pub fn batch_interval(vm_count: usize, random: f64) -> Duration {
     let shared = Duration::from_secs_f64(vm_count as f64 / MAX_BATCHES_PER_S);
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/origin_outbox.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/origin_outbox.rs
@@ -4,7 +4,7 @@
 use sassafrashoist_core::gateway::origin_batch::{
     MAX_BATCH_STREAMS, OriginBatch, stored_stream_key,
 };
-use sassafrashoist_core::gateway::origin_outbox::{OriginOutbox, batch_interval};
+use sassafrashoist_core::gateway::origin_outbox::{OriginOutbox, batch_interval, rewrite_interval};
 use sassafrashoist_core::gateway::stream_origins::StreamOrigin;
 
 const START: Uptime = Duration::from_secs(100);
@@ -124,3 +124,14 @@
         }
     }
 }
+
+// A VM that reads the topic regularly removes what it has read after 60 s.
+#[test]
+fn origins_are_written_again_before_the_log_service_or_a_reader_removes_them() {
+    for log_keep_time in [Duration::from_secs(4), Duration::from_secs(20), Duration::from_secs(300)]
+    {
+        let interval = rewrite_interval(log_keep_time);
+
+        assert!(interval <= log_keep_time / 2 && interval <= Duration::from_secs(30));
+    }
+}
--- a/crates/sassafrashoist/src/gateway/read_stored_origins.rs
+++ b/crates/sassafrashoist/src/gateway/read_stored_origins.rs
@@ -95,11 +95,15 @@
         }
         match read {
             Ok(batch) => {
-                let is_at_end = batch.next >= batch.end;
+                let (next, end) = (batch.next, batch.end);
                 reads.add(batch, context.now());
-                if is_at_end {
+                if next >= end {
                     return Some(());
                 }
+                if next == from {
+                    log::info!(topic = ORIGINS_TOPIC, from = from, end = end; "topic not read to its end");
+                    return None;
+                }
             }
             Err(LogCallError::Response(LogError::Trimmed(start))) if start != from => {
                 reads.next = start;
--- a/crates/sassafrashoist/src/gateway/run_attempts.rs
+++ b/crates/sassafrashoist/src/gateway/run_attempts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use sassafrashoist_adapter::response_headers::encode_response;
 use sassafrashoist_core::gateway::placement_cost::PlacementCost;
@@ -20,7 +20,7 @@
 use super::isolate_suspects::admit_attempt;
 use super::report_server_end::report_lost_connection;
 use super::request_context::RequestContext;
-use super::response_body::{ResponseBody, body_of_unknown_length, streamed_body};
+use super::response_body::{ResponseBody, body_of_unknown_length, full_response, streamed_body};
 use super::send_attempt::{
     AttemptStart, MIN_TIME_LEFT, ServerSlot, StartedResponse, is_caller_there, send_attempt,
 };
@@ -228,9 +228,17 @@
             }
         }
     }
+    if request.caller_left.is_cancelled() {
+        return unread_response();
+    }
     refuse_unserved(&context, &request, counts, failure, return_after)
 }
 
+/// Returns a response to a request whose caller has left, which nobody reads.
+pub fn unread_response() -> Response<ResponseBody> {
+    full_response(StatusCode::BAD_GATEWAY, HeaderMap::new(), Bytes::new())
+}
+
 fn mark_may_have_run(reservation: &mut Option<TokenReservation>) {
     if let Some(reservation) = reservation {
         reservation.mark_may_have_run();
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Body;
 use sassafrashoist_adapter::request_headers::{CallerHeaders, single_host};
@@ -30,7 +30,7 @@
 use super::request_context::{RequestContext, ResumedStream};
 use super::request_progress::RequestProgress;
 use super::response_body::{ResponseBody, full_response};
-use super::run_attempts::{STOPPING, run_attempts};
+use super::run_attempts::{STOPPING, run_attempts, unread_response};
 use super::send_attempt::MAX_SETTLING_TIME;
 use super::token_reservation::TokenReservation;
 
@@ -256,8 +256,7 @@
     {
         return response;
     }
-    // Nobody reads it.
-    full_response(StatusCode::BAD_GATEWAY, HeaderMap::new(), Bytes::new())
+    unread_response()
 }
 
 /// Finds the route, pool and client account of a request whose body has not been read yet.
--- a/crates/sassafrashoist/src/gateway/store_stream_origins.rs
+++ b/crates/sassafrashoist/src/gateway/store_stream_origins.rs
@@ -5,17 +5,13 @@
 
 use eyre::WrapErr;
 use sassafrashoist_adapter::log_calls::ORIGINS_TOPIC;
-use sassafrashoist_core::gateway::origin_outbox::batch_interval;
+use sassafrashoist_core::gateway::origin_outbox::{batch_interval, rewrite_interval};
 use sassafrashoist_core::requests::backoff::retry_delay;
 
 use super::gateway_context::GatewayContext;
 use super::log_client::LogClient;
 use super::topic_connectivity::TopicConnectivity;
 
-/// How often the origin of a stream that goes on is written in the time for which the log service
-/// keeps a record.
-const WRITES_PER_KEEP_TIME: u32 = 2;
-
 /// Writes origins until this process ends.
 pub async fn store_stream_origins(context: Arc<GatewayContext>) {
     let mut client = LogClient::new(Arc::clone(&context));
@@ -44,7 +40,7 @@
 /// Writes the origins that are due, if any.
 async fn store_due(context: &GatewayContext, client: &mut LogClient) -> eyre::Result<()> {
     let sent_at = context.now();
-    let rewrite_interval = context.settings().log_keep_time / WRITES_PER_KEEP_TIME;
+    let rewrite_interval = rewrite_interval(context.settings().log_keep_time);
     let (batch, stream_count) = {
         let mut outbox = context.lock_origin_outbox();
         (outbox.due_batch(rewrite_interval, sent_at), outbox.len())
