core: decide whether a request ran whose caller left

The decision was spread over send_attempt.rs and forward_events.rs. It is one function of core now, without I/O, with the load that it answers and tests of its cases.

--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 pub mod attempt_failure;
 pub mod brittle_users;
 pub mod caller_check;
+pub mod caller_departure;
 pub mod clock_reading;
 pub mod config_age;
 pub mod config_announcement;
--- a/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
+++ b/crates/sassafrashoist-core/tests/testsuite/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod attempt_failure;
 mod brittle_servers_over_vms;
 mod caller_check;
+mod caller_departure;
 mod config_age;
 mod config_contact;
 mod config_readers;
--- a/crates/sassafrashoist/src/gateway/forward_events.rs
+++ b/crates/sassafrashoist/src/gateway/forward_events.rs
@@ -9,14 +9,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Frame;
 use sassafrashoist_adapter::response_headers::{encode_response, goes_on_with};
 use sassafrashoist_core::event_splitter::StreamEvent;
 use sassafrashoist_core::gateway::attempt_failure::AttemptFailure;
+use sassafrashoist_core::gateway::caller_departure::LastSign;
 use sassafrashoist_core::gateway::event_allowance::EventAllowance;
 use sassafrashoist_core::gateway::event_sequence::{EventCheck, EventSequence, is_comment};
 use sassafrashoist_core::gateway::memory_budget::HolderKind;
@@ -39,10 +38,10 @@
     AttemptCounts, MAX_SERVERS_TRIED, initial_unresponsive_timeout, record_response,
 };
 use super::send_attempt::{
-    AttemptStart, ServerSlot, StartedResponse, record_end_after_caller, send_attempt,
-    wait_after_caller, wait_until_unresponsive,
+    AttemptStart, StartedResponse, record_departure, send_attempt, wait_after_caller,
+    wait_until_unresponsive,
 };
-use super::server_body::{BrokenBody, ServerBody};
+use super::server_body::ServerBody;
 use super::share_crashes::{record_answer, record_going_on};
 use super::share_stream_origin::record_origin;
 use super::silence_limit::SilenceLimit;
@@ -118,8 +117,17 @@
             frame = started.response.body_mut().frame() => frame,
             () = request.caller_left.cancelled() => {
                 let body = started.response.body_mut();
-                let frame = wait_after_caller(&write_end, body.frame()).await;
-                return Err(classify_end_after_caller(request, &started.slot, has_data, frame));
+                let sign = match wait_after_caller(&write_end, body.frame()).await {
+                    _ if has_data => LastSign::Body,
+                    Some(Some(Ok(_))) => LastSign::Body,
+                    Some(Some(Err(error))) => LastSign::of_failure(error.failure()),
+                    Some(None) => LastSign::ProperEnd,
+                    None => LastSign::Nothing { is_path_lost: started.slot.is_path_lost() },
+                };
+                return Err(match record_departure(request, &started.slot, sign) {
+                    true => NoFirstEvent::Failed("caller left"),
+                    false => NoFirstEvent::CallerLeft,
+                });
             }
             () = tokio::time::sleep_until(context.instant(request.deadline)) => {
                 return Err(NoFirstEvent::Failed("no event before the deadline"));
@@ -171,26 +179,6 @@
     }
 }
 
-/// Decides whether a server has run a stream whose caller left before its first event, by what it sent
-/// until then: a frame of the body, its end or its failure, or nothing.
-fn classify_end_after_caller(
-    request: &RequestContext,
-    slot: &ServerSlot,
-    has_data: bool,
-    frame: Option<Option<Result<Frame<Bytes>, BrokenBody>>>,
-) -> NoFirstEvent {
-    let (may_have_run, error) = match &frame {
-        _ if has_data => (true, None),
-        Some(Some(Ok(_))) => (true, None),
-        Some(Some(Err(error))) => (error.failure() != AttemptFailure::Closed, Some(error)),
-        Some(None) => (false, None),
-        None => (slot.relay_vm_id().is_none() && slot.has_lost_path(), None),
-    };
-    let error = error.map(|error| error as &dyn std::error::Error);
-    record_end_after_caller(request, slot, may_have_run, error);
-    if may_have_run { NoFirstEvent::Failed("caller left") } else { NoFirstEvent::CallerLeft }
-}
-
 fn early_end(framing: ResponseFraming) -> AttemptFailure {
     AttemptFailure::of_early_end(framing.marks_end())
 }
--- a/crates/sassafrashoist/src/gateway/send_attempt.rs
+++ b/crates/sassafrashoist/src/gateway/send_attempt.rs
@@ -10,6 +10,7 @@
 use sassafrashoist_core::gateway::Uptime;
 use sassafrashoist_core::gateway::attempt_failure::AttemptFailure;
 use sassafrashoist_core::gateway::caller_check::is_asked_before_sending;
+use sassafrashoist_core::gateway::caller_departure::{ANSWER_TIME, LastSign};
 use sassafrashoist_core::gateway::server_directory::ServerChoice;
 use sassafrashoist_core::gateway::server_listing::ServerListing;
 use sassafrashoist_core::gateway::server_silence::{OtherServers, ServerSilence};
@@ -19,7 +20,7 @@
 
 use super::confirm_incarnation::confirm_incarnation;
 use super::gateway_context::GatewayContext;
-use super::http_connection::{BrokenConnection, Connection};
+use super::http_connection::Connection;
 use super::isolate_suspects::Trial;
 use super::reach_server::reach_server;
 use super::relay_use::RelayUse;
@@ -114,6 +115,11 @@
         self.context.lock_paths().is_lost(self.server_id())
     }
 
+    /// Returns whether the request was sent on a path of this VM that is lost.
+    pub fn is_path_lost(&self) -> bool {
+        self.relay_use.is_none() && self.has_lost_path()
+    }
+
     /// Returns the VM through which the server was reached.
     pub fn relay_vm_id(&self) -> Option<&str> {
         self.relay_use.as_ref().map(RelayUse::vm_id)
@@ -179,13 +185,6 @@
     Silent,
 }
 
-/// How long a server may still tell that it has begun to run a request whose caller has left: many times
-/// the network latency. The connection is closed then.
-const ANSWER_TIME_AFTER_CALLER: Duration = Duration::from_millis(100);
-/// The longest time from the end of a caller until it is known whether a server has run its request:
-/// that for the head of the response and that for its first event.
-pub const MAX_SETTLING_TIME: Duration = Duration::from_millis(250);
-
 /// Returns whether the caller of a request is still there. It is asked only if it may have left
 /// unnoticed, because the request has waited.
 pub async fn is_caller_there(context: &GatewayContext, request: &RequestContext) -> bool {
@@ -293,12 +292,17 @@
         tokio::select! {
             result = &mut sending => result,
             () = request.caller_left.cancelled() => {
-                match wait_after_caller(&write_end, sending).await {
+                let last = match wait_after_caller(&write_end, sending).await {
                     Some(Ok(response)) => Ok(response),
-                    Some(Err(error)) => {
-                        return classify_end_after_caller(request, &slot, Some(&error));
+                    Some(Err(error)) => Err(LastSign::of_failure(error.failure())),
+                    None => Err(LastSign::Nothing { is_path_lost: slot.is_path_lost() }),
+                };
+                match last {
+                    Ok(response) => Ok(response),
+                    Err(sign) if record_departure(request, &slot, sign) => {
+                        return AttemptStart::Lost("caller left");
                     }
-                    None => return classify_end_after_caller(request, &slot, None),
+                    Err(_) => return AttemptStart::CallerLeft,
                 }
             }
             () = tokio::time::sleep_until(context.instant(request.deadline)) => {
@@ -337,43 +341,20 @@
     if let Err(error) = write_end.close().await {
         log::debug!(error:% = error; "connection to a server ended before that of the caller");
     }
-    tokio::time::timeout(ANSWER_TIME_AFTER_CALLER, response).await.ok()
+    tokio::time::timeout(ANSWER_TIME, response).await.ok()
 }
 
-/// Decides whether a server may have run a request whose caller left before the response head.
-///
-/// A server runs a stream from its first event on. A proper end, or a connection on which nothing
-/// came, shows that none was sent. A connection that failed, or a lost path, shows nothing, and a server
-/// that does not stream may run a request long before it responds.
-fn classify_end_after_caller(
-    request: &RequestContext,
-    slot: &ServerSlot,
-    error: Option<&BrokenConnection>,
-) -> AttemptStart {
-    let is_end_known = match error {
-        Some(error) => error.failure() == AttemptFailure::Closed,
-        None => slot.relay_use.is_some() || !slot.has_lost_path(),
-    };
-    let may_have_run = !is_end_known || !request.route.repeatability.is_stream();
-    let error = error.map(|error| error as &dyn std::error::Error);
-    record_end_after_caller(request, slot, may_have_run, error);
-    if may_have_run { AttemptStart::Lost("caller left") } else { AttemptStart::CallerLeft }
-}
-
-/// Counts and logs what became of a request at its server after its caller had left.
-pub fn record_end_after_caller(
-    request: &RequestContext,
-    slot: &ServerSlot,
-    may_have_run: bool,
-    error: Option<&dyn std::error::Error>,
-) {
+/// Counts and logs what became of a request at its server after its caller had left; returns whether the
+/// server may have run it.
+pub fn record_departure(request: &RequestContext, slot: &ServerSlot, sign: LastSign) -> bool {
+    let may_have_run = sign.may_have_run(request.route.repeatability.is_stream());
     let outcome = if may_have_run { "may-have-run" } else { "not-run" };
     metrics::counter!("sassafrashoist_left_at_server_total", "outcome" => outcome).increment(1);
     log::info!(
-        id = request.id(), server = slot.server_id(), may_have_run = may_have_run,
-        error = error.map_or_else(|| "-".to_owned(), ToString::to_string);
+        id = request.id(), server = slot.server_id(), may_have_run = may_have_run, sign:? = sign;
         "caller left while its request was at a server"
     );
+    may_have_run
 }
 
 fn classify_response(
--- a/crates/sassafrashoist/src/gateway/serve_request.rs
+++ b/crates/sassafrashoist/src/gateway/serve_request.rs
@@ -12,6 +12,7 @@
 use sassafrashoist_adapter::request_headers::{CallerHeaders, single_host};
 use sassafrashoist_adapter::response_headers::encode_refusal;
 use sassafrashoist_core::gateway::Uptime;
+use sassafrashoist_core::gateway::caller_departure::MAX_SETTLING_TIME;
 use sassafrashoist_core::gateway::route::{Destination, Repeatability};
 use sassafrashoist_core::gateway::route_table::{NotAllowed, RouteTable};
 use sassafrashoist_core::ids::{RequestId, Tokens};
@@ -31,7 +32,6 @@
 use super::request_progress::RequestProgress;
 use super::response_body::{ResponseBody, full_response};
 use super::run_attempts::{STOPPING, run_attempts, unread_response};
-use super::send_attempt::MAX_SETTLING_TIME;
 use super::token_reservation::TokenReservation;
 
 /// The retry delay while this VM has not read a configuration yet.
