--- a/crates/sassafrashoist-core/src/gateway/mod.rs
+++ b/crates/sassafrashoist-core/src/gateway/mod.rs
@@ -26,6 +26,8 @@
 //!   limit, and how many.
 //! - [`drain_plan`] and [`connection_phase`]: the times of a graceful shutdown, and what is owed to
 //!   callers meanwhile; [`connection_timeouts`]: how long a connection waits for a request.
+//! - [`caller_check`] and [`caller_departure`]: whether a caller is still there, and whether a server may
+//!   have run its request after it left.
 //! - [`stream_origins`], [`route_history`], [`pool_versions`] and [`incarnation_check`]: the pool and
 //!   the software version at which a stream may go on, and whether a server still has it;
 //!   [`origin_outbox`], [`origin_batch`] and [`stored_origins`]: the origins of streams that the log
