--- a/review/stand-ins-3/src/left_server.rs
+++ b/review/stand-ins-3/src/left_server.rs
@@ -17,7 +17,7 @@
 
 const GATEWAY_COUNT: u8 = 2;
 const SERVER_COUNT: u8 = 3;
-const REQUESTS_PER_S: f64 = 64.0;
+const REQUESTS_PER_S: f64 = 68.0;
 /// The work of a request at the server that leaves, and at the others.
 const WORK_TIMES: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(60)];
 const SEND_TIME: Duration = Duration::from_secs(14);
@@ -26,7 +26,7 @@
 /// `srv_cut` lasts 5 s: from soon after the report until after the server has left.
 const CUT_AFTER: Duration = Duration::from_millis(300);
 /// The server serves on for a little longer than the drain timeout, at times many seconds.
-const EXIT_AFTER: Duration = Duration::from_millis(5_100);
+const EXIT_AFTER: Duration = Duration::from_millis(5_250);
 const PATIENCE: Duration = Duration::from_millis(1_500);
 
 pub fn run(
